--- /dev/null
+++ b/fakes/src/lib.rs
@@ -0,0 +1,1 @@
+//! Small stand-ins for model engines and plain services.
--- /dev/null
+++ b/src/bin/mastic-control.rs
@@ -0,0 +1,3 @@
+//! The daemon of a control VM.
+
+fn main() {}
--- /dev/null
+++ b/src/bin/mastic.rs
@@ -0,0 +1,3 @@
+//! The operators' command line.
+
+fn main() {}
--- /dev/null
+++ b/src/decide/mod.rs
@@ -0,0 +1,1 @@
+//! Decisions under load. No module here touches the network: time and state are passed in.
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,8 @@
+//! masticstream is a multi-region inference gateway: every process between callers and upstreams.
+//!
+//! A request enters at an entry VM, is decided on ([`decide`]), runs on an upstream and is answered once.
+
+pub mod catalogue;
+pub mod decide;
+pub mod id;
+pub mod unit;
