--- /dev/null
+++ b/tests/membership/main.rs
@@ -0,0 +1,4 @@
+//! Membership under faults, on an in-memory network.
+
+mod faults;
+mod network;
