--- a/tests/membership/main.rs
+++ b/tests/membership/main.rs
@@ -1,4 +1,5 @@
 //! Membership under faults, on an in-memory network.
 
 mod faults;
+mod fuzz;
 mod network;
--- a/tests/membership/network.rs
+++ b/tests/membership/network.rs
@@ -30,12 +30,10 @@
 }
 
 /// What the network has carried and the members have used.
-#[derive(Debug, Default, Clone, Copy)]
+#[derive(Debug, Default, Clone)]
 pub struct Meter {
-    /// Encoded bytes of all messages sent.
-    pub bytes: u64,
-    /// Messages sent.
-    pub messages: u64,
+    /// Encoded bytes that each VM has sent.
+    pub sent: BTreeMap<id::Vm, u64>,
     /// Time spent inside of members, with encoding and decoding.
     pub busy: Duration,
 }
@@ -62,11 +60,11 @@
 }
 
 pub fn vm(i: usize) -> id::Vm {
-    format!("vm-{i}").parse().unwrap()
+    format!("home-a-{i:03}").parse().unwrap()
 }
 
 pub fn upstream(i: usize) -> id::Upstream {
-    format!("engine-{i}").parse().unwrap()
+    format!("engine-{i:03}").parse().unwrap()
 }
 
 pub fn region(name: &str) -> id::Region {
@@ -231,7 +229,7 @@
     }
 
     fn send(&mut self, from: id::Vm, to: id::Vm, message: Message) {
-        let message = if self.weighs { self.weigh(message) } else { message };
+        let message = if self.weighs { self.weigh(&from, message) } else { message };
         if self.regions.get(&from) != self.regions.get(&to) {
             self.crossed.push(format!("{message:?}"));
         }
@@ -243,14 +241,13 @@
         self.schedule(delay, Event::Deliver { from, to, message });
     }
 
-    fn weigh(&mut self, message: Message) -> Message {
+    fn weigh(&mut self, from: &id::Vm, message: Message) -> Message {
         let started = std::time::Instant::now();
         let mut encoded = Vec::new();
         ciborium::into_writer(&message, &mut encoded).unwrap();
         let message = ciborium::from_reader(encoded.as_slice()).unwrap();
         self.meter.busy += started.elapsed();
-        self.meter.bytes += encoded.len() as u64;
-        self.meter.messages += 1;
+        *self.meter.sent.entry(from.clone()).or_default() += encoded.len() as u64;
         message
     }
 }
