decide: a fair queue and an admission that predicts the wait

Cause: the entry daemon needs a first shape of both to call from its request path. Change: queue::Queue (start-time fair queueing among owners, classes with steep weights, earliest deadline within an owner, slots kept for short work and alerts, bounds in count and bytes) and admission::Admission (predicted wait against the deadline, places for refused callers). catalogue::Class gains ALL, COUNT and index.

--- a/src/catalogue/entry.rs
+++ b/src/catalogue/entry.rs
@@ -57,6 +57,19 @@
     Batch,
 }
 
+impl Class {
+    /// The number of classes.
+    pub const COUNT: usize = 4;
+
+    /// All classes, the most urgent first.
+    pub const ALL: [Self; Self::COUNT] = [Self::Alert, Self::Short, Self::Long, Self::Batch];
+
+    /// The class's place in [`Self::ALL`].
+    pub const fn index(self) -> usize {
+        self as usize
+    }
+}
+
 /// What answers an entry's requests.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
--- /dev/null
+++ b/src/decide/admission.rs
@@ -0,0 +1,136 @@
+//! Whether a request may wait at all.
+//!
+//! **Load pattern.** Far more requests than slots, sent by programs that ask again until they are answered.
+//!
+//! **Without it.** The queue grows until everything in it is answered late; callers time out and send again, so
+//! the slots run work that nobody waits for, and goodput falls to nothing although every slot is busy.
+//!
+//! **Decision.** The wait is predicted from what is queued, the slots and measured service times. What can't meet its
+//! deadline is refused at once, before it holds memory, and told when to come back: refused callers are given
+//! places one after the other behind the backlog, so that a storm returns at the rate at which it can be served.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use rand::Rng;
+use rand::rngs::SmallRng;
+use tokio::time::Instant;
+
+use crate::catalogue::Class;
+use crate::decide::queue;
+use crate::decide::queue::Capacity;
+use crate::decide::queue::Queue;
+use crate::decide::queue::Ticket;
+use crate::id;
+
+mod estimator;
+
+pub use estimator::Estimator;
+
+/// The shortest time that a refused caller is told to stay away. Derived: a trip between regions and back.
+const MIN_RETRY: Duration = Duration::from_millis(200);
+
+/// The longest time that a refused caller is told to stay away: longer, and capacity that returns would idle.
+const MAX_RETRY: Duration = Duration::from_secs(60);
+
+/// The first guesses of service times, in the order of [`Class::ALL`]; measurements replace them soon.
+const GUESSES: [Duration; Class::COUNT] = [
+    Duration::from_millis(500),
+    Duration::from_secs(1),
+    Duration::from_secs(20),
+    Duration::from_secs(30),
+];
+
+/// What becomes of a request that has just arrived.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Decision {
+    /// It may be pushed to the queue.
+    Accept,
+    /// It is answered at once; it ran nowhere.
+    Refuse {
+        /// Why.
+        reason: Reason,
+        /// When the caller should come back, jitter included.
+        retry_after: Duration,
+    },
+}
+
+/// Why a request is refused.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Reason {
+    /// The queue's bounds don't allow it, or its deadline can't be met even by a start at once.
+    Queue(queue::Refusal),
+    /// It would wait past its deadline.
+    Overload,
+}
+
+/// Decides which requests may wait, and remembers what it told those that may not.
+#[derive(Debug)]
+pub struct Admission {
+    rng: SmallRng,
+    classes: [Estimator; Class::COUNT],
+    entries: HashMap<id::Entry, Estimator>,
+    booked: [Option<Instant>; Class::COUNT],
+}
+
+impl Admission {
+    /// Nothing measured yet.
+    pub fn new(rng: SmallRng) -> Self {
+        let classes = GUESSES.map(Estimator::new);
+        Self { rng, classes, entries: HashMap::new(), booked: [None; Class::COUNT] }
+    }
+
+    /// Takes in how long a request of this entry occupied its slot.
+    pub fn observe(&mut self, entry: &id::Entry, class: Class, service: Duration) {
+        self.classes[class.index()].observe(service);
+        if let Some(estimator) = self.entries.get_mut(entry) {
+            estimator.observe(service);
+            return;
+        }
+        self.entries.insert(entry.clone(), Estimator::new(service));
+    }
+
+    /// How long a request of this entry is expected to occupy a slot.
+    pub fn expected(&self, entry: &id::Entry, class: Class) -> Duration {
+        self.entries.get(entry).unwrap_or(&self.classes[class.index()]).expected()
+    }
+
+    /// Whether this request may wait.
+    pub fn admit(
+        &mut self,
+        ticket: &Ticket,
+        queue: &Queue,
+        capacity: &Capacity,
+        now: Instant,
+    ) -> Decision {
+        let wait = queue.predicted_wait(ticket, capacity);
+        let reason = match queue.check(ticket, now) {
+            Err(refusal) => Reason::Queue(refusal),
+            Ok(()) if now + wait + ticket.service > ticket.deadline => Reason::Overload,
+            Ok(()) => return Decision::Accept,
+        };
+        let retry_after = self.book(ticket, wait, capacity, now);
+        Decision::Refuse { reason, retry_after }
+    }
+
+    /// Gives a refused caller the next place behind the backlog and behind those refused before.
+    fn book(
+        &mut self,
+        ticket: &Ticket,
+        wait: Duration,
+        capacity: &Capacity,
+        now: Instant,
+    ) -> Duration {
+        let slack = ticket.deadline.saturating_duration_since(now).saturating_sub(ticket.service);
+        let earliest = now + wait.saturating_sub(slack).clamp(MIN_RETRY, MAX_RETRY);
+        let booked = &mut self.booked[ticket.class.index()];
+        let turn = booked.map_or(earliest, |last| last.max(earliest));
+        let pace = ticket.service.div_f64(capacity.share(ticket.class).max(1) as f64);
+        *booked = Some((turn + pace).min(now + MAX_RETRY));
+        let away = turn.saturating_duration_since(now);
+        away.mul_f64(self.rng.random_range(1.0..1.25))
+    }
+}
+
+#[cfg(test)]
+mod tests;
