--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -1,1 +1,3 @@
 //! Decisions under load. No module here touches the network: time and state are passed in.
+
+pub mod route;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -6,3 +6,4 @@
 pub mod decide;
 pub mod id;
 pub mod unit;
+pub mod upstream;
