--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -2,3 +2,4 @@
 
 pub mod admission;
 pub mod queue;
+pub mod route;
