--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,4 +5,5 @@
 pub mod catalogue;
 pub mod decide;
 pub mod id;
+pub mod ledger;
 pub mod unit;
