Serve a request from caller to upstream through two daemons

Cause: nothing yet ran from one end to the other. Change: settings of a whole site with all findings reported at once, CBOR links with heartbeats both ways, the entry daemon (callers, upstreams, operators), a control daemon that holds the catalogue in memory, and the operators' command line.

--- /dev/null
+++ b/src/control/daemon.rs
@@ -0,0 +1,101 @@
+//! The control daemon: its replicas, links and operators' listener under one supervisor.
+
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::time::Duration;
+
+use futures::FutureExt;
+use futures::future;
+use futures::future::BoxFuture;
+use slog::Logger;
+use slog::info;
+use tokio::sync::watch;
+use tokio::time;
+
+use crate::catalogue::Catalogue;
+use crate::catalogue::Command;
+use crate::entry::daemon::Error;
+use crate::entry::daemon::listen;
+use crate::entry::peers::WATCH;
+use crate::id;
+use crate::settings::Site;
+use crate::supervisor::Supervisor;
+use crate::unit::Version;
+use crate::wire::Cast;
+use crate::wire::Mesh;
+use crate::wire::Peer;
+use crate::wire::Reply;
+use crate::wire::Request;
+use crate::wire::Role;
+use crate::wire::link::Handler;
+
+/// What is left of the children after this is aborted.
+const LAST: Duration = Duration::from_secs(2);
+
+/// A running control daemon.
+pub struct Daemon {
+    supervisor: Supervisor,
+    log: Logger,
+}
+
+struct Service {
+    catalogue: Mutex<Catalogue>,
+    version: watch::Sender<Version>,
+}
+
+impl Handler for Service {
+    fn call(&self, _from: Peer, request: Request) -> BoxFuture<'static, Reply> {
+        match request {
+            Request::Change(change) => {
+                let mut catalogue = self.catalogue.lock().expect("no panic while locked");
+                let reply = catalogue.apply(&Command::Change(change));
+                self.version.send_replace(catalogue.view().version());
+                future::ready(Reply::Changed(Ok(reply))).boxed()
+            }
+            Request::Watch { have } => self.newer(have),
+            Request::InForce => future::ready(Reply::InForce(*self.version.borrow())).boxed(),
+        }
+    }
+
+    fn cast(&self, _from: Peer, _cast: Cast) {}
+}
+
+impl Service {
+    fn newer(&self, have: Version) -> BoxFuture<'static, Reply> {
+        let delta = self.catalogue.lock().expect("no panic while locked").view().delta(have);
+        if delta.is_some() {
+            return future::ready(Reply::Delta(delta)).boxed();
+        }
+        let mut version = self.version.subscribe();
+        async move {
+            // Whoever asks again gets what came meanwhile.
+            time::timeout(WATCH, version.wait_for(|version| *version > have)).await.ok();
+            Reply::Delta(None)
+        }
+        .boxed()
+    }
+}
+
+impl Daemon {
+    /// Starts the daemon of that VM.
+    pub async fn start(me: id::Vm, site: Arc<Site>, log: Logger) -> Result<Self, Error> {
+        let control = site.vms.get(&me).and_then(|vm| vm.control.clone());
+        let control = control.ok_or_else(|| Error::NotHere { vm: me.clone(), role: "control" })?;
+        let links = Arc::new(listen(control.links).await?);
+        let service =
+            Arc::new(Service { catalogue: Mutex::default(), version: watch::Sender::default() });
+        let peer = Peer::new(me, Role::Control);
+        let mesh = Mesh::new(peer, site.secret.clone(), site.book(), service);
+        let mut supervisor = Supervisor::new(log.clone());
+        let stop = supervisor.stop();
+        supervisor.child("links", move || mesh.clone().listen(links.clone(), stop.clone()));
+        info!(log, "control daemon up"; "links" => %control.links);
+        Ok(Self { supervisor, log })
+    }
+
+    /// Ends in order.
+    pub async fn stop(self) {
+        self.supervisor.finish(LAST).await;
+        info!(self.log, "control daemon down");
+    }
+}
--- /dev/null
+++ b/src/dump.rs
@@ -0,0 +1,94 @@
+//! What a process holds, on request: numbers and names, never a prompt, an answer or a token.
+
+use serde::Serialize;
+
+use crate::entry::Hub;
+use crate::id;
+use crate::unit::Slots;
+use crate::unit::Version;
+use crate::upstream::Announcement;
+
+/// The short state of an entry daemon.
+#[derive(Debug, Serialize)]
+pub struct Status {
+    /// The VM.
+    pub vm: id::Vm,
+    /// Its region.
+    pub region: id::Region,
+    /// The catalogue version in force.
+    pub version: Version,
+    /// Whether it takes no more requests.
+    pub draining: bool,
+    /// Requests in progress.
+    pub streams: usize,
+    /// Requests that wait for a place.
+    pub waiting: usize,
+    /// Upstreams whose lease runs.
+    pub upstreams: usize,
+    /// Places on them.
+    pub slots: Slots,
+    /// Entry VMs that are reached.
+    pub live: Vec<id::Vm>,
+}
+
+/// The whole state of an entry daemon.
+#[derive(Debug, Serialize)]
+pub struct Entry {
+    /// The short state.
+    pub status: Status,
+    /// Catalogue entries, with their versions.
+    pub entries: Vec<Named>,
+    /// Upstreams whose lease runs.
+    pub upstreams: Vec<Announcement>,
+    /// Requests under a key in progress.
+    pub keys: usize,
+    /// Processes with a link to this one.
+    pub links: Vec<String>,
+}
+
+/// A catalogue entry's name and version.
+#[derive(Debug, Serialize)]
+pub struct Named {
+    /// The name.
+    pub name: id::Entry,
+    /// The version.
+    pub version: Version,
+}
+
+/// The short state of an entry daemon.
+pub fn status(hub: &Hub) -> Status {
+    let now = tokio::time::Instant::now();
+    let (waiting, upstreams, slots) = {
+        let dispatch = hub.dispatch();
+        let live: Vec<&Announcement> = dispatch.registry().live(now).collect();
+        (dispatch.waiting(), live.len(), live.iter().map(|upstream| upstream.slots).sum())
+    };
+    Status {
+        vm: hub.me.clone(),
+        region: hub.region().clone(),
+        version: hub.version(),
+        draining: hub.is_draining(),
+        streams: hub.streams(),
+        waiting,
+        upstreams,
+        slots,
+        live: hub.live().into_iter().map(|(name, _)| name).collect(),
+    }
+}
+
+/// The whole state of an entry daemon.
+pub fn entry(hub: &Hub) -> Entry {
+    let now = tokio::time::Instant::now();
+    let upstreams = hub.dispatch().registry().live(now).cloned().collect();
+    let view = hub.view();
+    let entries = view.records().filter(|record| record.entry.is_some());
+    let named = entries.map(|record| Named { name: record.name.clone(), version: record.version });
+    let links = hub.mesh().map(|mesh| mesh.linked()).unwrap_or_default();
+    Entry {
+        status: status(hub),
+        entries: named.collect(),
+        upstreams,
+        keys: hub.running.len(),
+        links: links.iter().map(ToString::to_string).collect(),
+    }
+}
--- /dev/null
+++ b/src/entry/job.rs
@@ -0,0 +1,169 @@
+//! What the entry daemon knows of one request.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use http::HeaderName;
+use http::HeaderValue;
+use http::Method;
+use serde::Deserialize;
+use serde_json::value::RawValue;
+use sha2::Digest as _;
+use sha2::Sha256;
+use tokio::time::Instant;
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::catalogue;
+use crate::catalogue::Kind;
+use crate::decide::route::Facts;
+use crate::http::Reason;
+use crate::http::Refusal;
+use crate::id;
+use crate::unit::Bytes as Size;
+use crate::unit::Tokens;
+use crate::upstream;
+
+/// Tokens of an answer where the request names no bound.
+const USUAL_ANSWER: u64 = 256;
+/// Bytes of English text for one token, as tokenizers of the usual models have it.
+const BYTES_PER_TOKEN: u64 = 4;
+/// A prompt's prefixes are told apart at these lengths in bytes: a system prompt, a short and a long history.
+const PREFIX_BYTES: [usize; 4] = [256, 1024, 4096, 16384];
+
+/// The SHA-256 digest of a request's body and path.
+pub type Digest = [u8; 32];
+
+/// A request whose head and body are read and checked.
+#[derive(Debug)]
+pub struct Job {
+    /// Its number here.
+    pub request: id::Request,
+    /// The catalogue entry.
+    pub entry: Arc<catalogue::Entry>,
+    /// The caller's key, where there is one.
+    pub key: Option<id::Key>,
+    /// What the upstream is asked.
+    pub method: Method,
+    /// Path and query at the upstream.
+    pub path: String,
+    /// Headers that are passed on.
+    pub headers: Vec<(HeaderName, HeaderValue)>,
+    /// The body.
+    pub body: Bytes,
+    /// Tells the request from others under the same key.
+    pub digest: Digest,
+    /// The model, or the service's name.
+    pub model: id::Model,
+    /// Whether the answer is a stream of events.
+    pub events: bool,
+    /// The tokens that it will use, prompt and answer together, as far as can be told before.
+    pub tokens: Tokens,
+    /// Digests of the prompt's prefixes, the shortest first.
+    pub prefix: Vec<u64>,
+    /// When the answer must be whole.
+    pub deadline: Instant,
+    /// When it came.
+    pub arrived: Instant,
+    /// The VMs that it went through before this one.
+    pub hops: Vec<id::Vm>,
+}
+
+/// The members of a model request that matter here; all others pass untouched.
+#[derive(Deserialize)]
+struct Asked<'a> {
+    model: Option<String>,
+    #[serde(default)]
+    stream: bool,
+    max_tokens: Option<u64>,
+    max_completion_tokens: Option<u64>,
+    #[serde(borrow)]
+    messages: Option<&'a RawValue>,
+    #[serde(borrow)]
+    prompt: Option<&'a RawValue>,
+}
+
+/// What a request's body tells.
+#[derive(Debug)]
+pub struct Content {
+    /// The model, or the service's name.
+    pub model: id::Model,
+    /// Whether the answer is a stream of events.
+    pub events: bool,
+    /// The tokens that it will use, prompt and answer together.
+    pub tokens: Tokens,
+    /// Digests of the prompt's prefixes.
+    pub prefix: Vec<u64>,
+}
+
+impl Content {
+    /// Reads the body of a request for that entry.
+    pub fn read(entry: &catalogue::Entry, body: &[u8]) -> Result<Self, Refusal> {
+        match &entry.kind {
+            Kind::Service { name } => Ok(Self {
+                model: name.clone(),
+                events: false,
+                tokens: Tokens::ZERO,
+                prefix: Vec::new(),
+            }),
+            Kind::Engine { models } => Self::of_engine(models, body),
+        }
+    }
+
+    fn of_engine(models: &[id::Model], body: &[u8]) -> Result<Self, Refusal> {
+        let asked: Asked<'_> = serde_json::from_slice(body)
+            .map_err(|error| Refusal::new(Reason::BadRequest, format!("the body: {error}")))?;
+        let text = asked.messages.or(asked.prompt).map(RawValue::get);
+        let text = text.ok_or_else(|| {
+            Refusal::new(Reason::BadRequest, "the body has neither messages nor a prompt")
+        })?;
+        let model = match &asked.model {
+            Some(name) => models.iter().find(|model| model.as_str() == name.as_str()),
+            None => models.first(),
+        };
+        let model = model.ok_or_else(|| {
+            let offered: Vec<&str> = models.iter().map(id::Model::as_str).collect();
+            Refusal::new(Reason::UnknownModel, format!("the entry offers {}", offered.join(", ")))
+        })?;
+        let answer = asked.max_completion_tokens.or(asked.max_tokens).unwrap_or(USUAL_ANSWER);
+        let prompt = text.len() as u64 / BYTES_PER_TOKEN;
+        let cut = |length: &usize| xxh3_64(&text.as_bytes()[..(*length).min(text.len())]);
+        let prefix = PREFIX_BYTES.iter().filter(|length| **length <= text.len()).map(cut).collect();
+        let tokens = Tokens::new(prompt) + Tokens::new(answer);
+        Ok(Self { model: model.clone(), events: asked.stream, tokens, prefix })
+    }
+}
+
+/// The digest of a request, by which a resend is known from another request under the same key.
+pub fn digest(method: &Method, path: &str, body: &[u8]) -> Digest {
+    let mut hash = Sha256::new();
+    hash.update(method.as_str());
+    hash.update([0]);
+    hash.update(path);
+    hash.update([0]);
+    hash.update(body);
+    hash.finalize().into()
+}
+
+impl Job {
+    /// What the choice of an upstream rests on.
+    pub fn facts<'a>(&'a self, avoid: &'a [id::Upstream]) -> Facts<'a> {
+        let kind = match self.entry.kind {
+            Kind::Engine { .. } => upstream::Kind::Engine,
+            Kind::Service { .. } => upstream::Kind::Service,
+        };
+        Facts::new(&self.model, self.entry.class)
+            .with_kind(kind)
+            .with_prefix(&self.prefix)
+            .with_avoid(avoid)
+    }
+
+    /// The memory that the request holds while it waits.
+    pub fn size(&self) -> Size {
+        Size::new(self.body.len() as u64 + self.path.len() as u64)
+    }
+
+    /// Whether the request may run more than once.
+    pub fn may_repeat(&self) -> bool {
+        self.entry.repeat == catalogue::Repeat::Allowed
+    }
+}
--- /dev/null
+++ b/src/entry/mod.rs
@@ -0,0 +1,16 @@
+//! The entry daemon: takes requests, decides, runs them on upstreams and answers each once.
+
+pub mod daemon;
+pub mod dispatch;
+pub mod hub;
+pub mod job;
+pub mod peers;
+pub mod run;
+pub mod running;
+pub mod transcript;
+
+pub use daemon::Daemon;
+pub use dispatch::Dispatch;
+pub use dispatch::Grant;
+pub use hub::Hub;
+pub use job::Job;
--- /dev/null
+++ b/src/entry/peers.rs
@@ -0,0 +1,145 @@
+//! What an entry daemon does with calls and casts of other processes, and what it asks of them.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use futures::FutureExt;
+use futures::future;
+use futures::future::BoxFuture;
+use tokio::sync::watch;
+use tokio::time;
+use tokio::time::Instant;
+
+use crate::entry::Hub;
+use crate::id;
+use crate::unit::Version;
+use crate::wire::Cast;
+use crate::wire::Peer;
+use crate::wire::Reply;
+use crate::wire::Request;
+use crate::wire::Role;
+use crate::wire::link::Handler;
+
+/// Who asks for a newer catalogue is answered within this, newer or not; it is a heartbeat as well.
+pub const WATCH: Duration = Duration::from_millis(1000);
+/// Another process answers a question about its state within this.
+const ASK: Duration = Duration::from_millis(1500);
+/// After a failed question the next one waits so long.
+const PAUSE: Duration = Duration::from_millis(200);
+/// Every entry VM is greeted this often, so that the directory names only VMs that were reached.
+const GREET: Duration = Duration::from_millis(1500);
+
+/// Serves the peers of an entry daemon.
+pub struct Service {
+    hub: Arc<Hub>,
+}
+
+impl Service {
+    /// A service on that state.
+    pub fn new(hub: Arc<Hub>) -> Self {
+        Self { hub }
+    }
+}
+
+impl Handler for Service {
+    fn call(&self, from: Peer, request: Request) -> BoxFuture<'static, Reply> {
+        self.hub.heard(&from);
+        let hub = self.hub.clone();
+        match request {
+            Request::Watch { have } => newer(hub, have).boxed(),
+            Request::InForce => future::ready(Reply::InForce(hub.version())).boxed(),
+            _ => future::ready(Reply::Unsupported).boxed(),
+        }
+    }
+
+    fn cast(&self, from: Peer, cast: Cast) {
+        self.hub.heard(&from);
+        match cast {
+            Cast::Upstream(update) => self.hub.dispatch().merge(update, Instant::now()),
+        }
+    }
+}
+
+/// A VM that is behind gets the catalogue from any VM that is ahead, so an isolated region brings up its own.
+async fn newer(hub: Arc<Hub>, have: Version) -> Reply {
+    let mut views = hub.views();
+    let newer = views.wait_for(|view| view.version() > have);
+    let delta = match time::timeout(WATCH, newer).await {
+        Ok(Ok(view)) => view.delta(have),
+        _ => None,
+    };
+    Reply::Delta(delta)
+}
+
+/// Follows the catalogue at a control VM of the own region, else at any, else at another entry VM.
+pub async fn follow(hub: Arc<Hub>, mut stop: watch::Receiver<bool>) {
+    let mut turn = 0;
+    while !*stop.borrow() {
+        let mut sources = hub.controls();
+        sources.extend(hub.neighbours());
+        let asked = tokio::select! {
+            asked = watch_one(&hub, &sources, turn) => asked,
+            _ = stop.wait_for(|stop| *stop) => return,
+        };
+        if !asked {
+            turn += 1;
+            time::sleep(PAUSE).await;
+        }
+    }
+}
+
+async fn watch_one(hub: &Hub, sources: &[Peer], turn: usize) -> bool {
+    let Some(mesh) = hub.mesh() else { return false };
+    if sources.is_empty() {
+        return false;
+    }
+    let source = &sources[turn % sources.len()];
+    let request = Request::Watch { have: hub.version() };
+    match mesh.call(source, request, WATCH * 2).await {
+        Ok(Reply::Delta(delta)) => {
+            if let Some(delta) = delta {
+                hub.take(&delta);
+            }
+            true
+        }
+        _ => false,
+    }
+}
+
+/// Greets every entry VM again and again.
+pub async fn greet(hub: Arc<Hub>, mut stop: watch::Receiver<bool>) {
+    loop {
+        let versions = hub.versions();
+        tokio::select! {
+            _ = versions => (),
+            _ = stop.wait_for(|stop| *stop) => return,
+        }
+        tokio::select! {
+            () = time::sleep(GREET) => (),
+            _ = stop.wait_for(|stop| *stop) => return,
+        }
+    }
+}
+
+impl Hub {
+    /// Which version of the catalogue is in force on each entry VM; none where a VM can't be asked.
+    pub async fn versions(&self) -> Vec<(id::Vm, Option<Version>)> {
+        let entries = self.site.vms.iter().filter(|(_, vm)| vm.entry.is_some());
+        let asked = entries.map(|(name, _)| async { (name.clone(), self.version_at(name).await) });
+        future::join_all(asked).await
+    }
+
+    async fn version_at(&self, vm: &id::Vm) -> Option<Version> {
+        if *vm == self.me {
+            return Some(self.version());
+        }
+        let peer = Peer::new(vm.clone(), Role::Entry);
+        match self.mesh()?.call(&peer, Request::InForce, ASK).await {
+            Ok(Reply::InForce(version)) => {
+                self.heard(&peer);
+                Some(version)
+            }
+            _ => None,
+        }
+    }
+}
--- /dev/null
+++ b/src/http/caller.rs
@@ -0,0 +1,405 @@
+//! Callers: the paths, headers and answers that they use.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::HeaderMap;
+use http::HeaderName;
+use http::HeaderValue;
+use http::Method;
+use http::Request;
+use http::Response;
+use http::StatusCode;
+use http::header;
+use http::request::Parts;
+use hyper::body::Incoming;
+use serde::Deserialize;
+use serde::Serialize;
+use sha2::Digest as _;
+use sha2::Sha256;
+use subtle::ConstantTimeEq;
+use tokio::time;
+use tokio::time::Instant;
+
+use crate::catalogue;
+use crate::catalogue::Kind;
+use crate::catalogue::Repeat;
+use crate::entry::Hub;
+use crate::entry::Job;
+use crate::entry::job;
+use crate::entry::job::Content;
+use crate::entry::run;
+use crate::entry::running::Entrance;
+use crate::entry::running::Name;
+use crate::entry::transcript::Writer;
+use crate::http::Body;
+use crate::http::Reason;
+use crate::http::Refusal;
+use crate::http::body;
+use crate::id;
+
+/// How long a caller may rely on the directory, in seconds: a lost VM is left out within that.
+const DIRECTORY_TTL: u64 = 5;
+/// A body must arrive within this; 16 MiB take 13 s at 10 Mbit/s.
+const BODY: Duration = Duration::from_secs(30);
+/// No deadline is longer than this.
+const LONGEST_DEADLINE: Duration = Duration::from_secs(24 * 3600);
+/// When to come back to a VM that is there again, or to the next one.
+const ELSEWHERE: Duration = Duration::from_millis(500);
+/// Names this system in `Via`, with the VM behind it.
+const VIA_PSEUDONYM: &str = "masticstream-";
+
+/// Where callers go.
+#[derive(Debug, Serialize, Deserialize)]
+pub struct Directory {
+    /// How long the answer may be relied on.
+    pub ttl_seconds: u64,
+    /// The VMs, the best ones first.
+    pub vms: Vec<Place>,
+}
+
+/// One VM that takes requests.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Place {
+    /// The VM.
+    pub vm: id::Vm,
+    /// Its region.
+    pub region: id::Region,
+    /// Its data centre.
+    pub data_centre: id::DataCentre,
+    /// Where it takes requests.
+    pub address: SocketAddr,
+}
+
+#[derive(Serialize)]
+struct Models {
+    object: &'static str,
+    data: Vec<Model>,
+}
+
+#[derive(Serialize)]
+struct Model {
+    id: id::Model,
+    object: &'static str,
+    owned_by: &'static str,
+}
+
+/// What a path asks for.
+enum Target {
+    Directory,
+    Models(Option<String>),
+    Completion { entry: Option<String>, path: String },
+    Service { entry: String, path: String },
+}
+
+/// Answers a caller.
+pub async fn answer(hub: Arc<Hub>, request: Request<Incoming>) -> Response<Body> {
+    let target = match target(&request) {
+        Ok(target) => target,
+        Err(refusal) => return refusal.response(),
+    };
+    let answered = match target {
+        Target::Directory => Ok(directory(&hub)),
+        Target::Models(entry) => models(&hub, &request, entry.as_deref()),
+        Target::Completion { entry, path } => serve(hub, request, entry, path).await,
+        Target::Service { entry, path } => serve(hub, request, Some(entry), path).await,
+    };
+    answered.unwrap_or_else(|refusal| refusal.response())
+}
+
+fn target(request: &Request<Incoming>) -> Result<Target, Refusal> {
+    let path = request.uri().path();
+    let not_found = || {
+        let known = "/directory, /v1/models, /v1/chat/completions, /v1/completions, \
+                     /entries/{entry}/v1/… and /services/{entry}/…";
+        Refusal::new(Reason::NotFound, format!("no such path here; there are {known}"))
+    };
+    if path == "/directory" {
+        return Ok(Target::Directory);
+    }
+    if let Some(rest) = path.strip_prefix("/services/") {
+        let (entry, rest) = rest.split_once('/').unwrap_or((rest, ""));
+        let query = request.uri().query().map(|query| format!("?{query}")).unwrap_or_default();
+        return Ok(Target::Service { entry: entry.to_owned(), path: format!("/{rest}{query}") });
+    }
+    let (entry, path) = match path.strip_prefix("/entries/") {
+        Some(rest) => {
+            let (entry, rest) = rest.split_once('/').ok_or_else(not_found)?;
+            (Some(entry.to_owned()), format!("/{rest}"))
+        }
+        None => (None, path.to_owned()),
+    };
+    match (request.method(), path.as_str()) {
+        (&Method::GET, "/v1/models") => Ok(Target::Models(entry)),
+        (&Method::POST, "/v1/chat/completions" | "/v1/completions") => {
+            Ok(Target::Completion { entry, path })
+        }
+        _ => Err(not_found()),
+    }
+}
+
+fn directory(hub: &Hub) -> Response<Body> {
+    let live = hub.live();
+    let places = live.iter().filter_map(|(name, vm)| {
+        Some(Place {
+            vm: name.clone(),
+            region: vm.region.clone(),
+            data_centre: vm.data_centre.clone(),
+            address: vm.entry.as_ref()?.callers,
+        })
+    });
+    let directory = Directory { ttl_seconds: DIRECTORY_TTL, vms: places.collect() };
+    let mut response = body::json(StatusCode::OK, &directory);
+    let age = HeaderValue::from_str(&format!("max-age={DIRECTORY_TTL}"));
+    if let Ok(age) = age {
+        response.headers_mut().insert(header::CACHE_CONTROL, age);
+    }
+    response
+}
+
+fn models(
+    hub: &Hub,
+    request: &Request<Incoming>,
+    entry: Option<&str>,
+) -> Result<Response<Body>, Refusal> {
+    let entry = entry_of(hub, request.headers(), entry)?;
+    let names = match &entry.kind {
+        Kind::Engine { models } => models.clone(),
+        Kind::Service { .. } => Vec::new(),
+    };
+    let data = names.into_iter().map(|id| Model { id, object: "model", owned_by: "masticstream" });
+    Ok(body::json(StatusCode::OK, &Models { object: "list", data: data.collect() }))
+}
+
+/// The entry that path or headers name, where the caller may use it.
+fn entry_of(
+    hub: &Hub,
+    headers: &HeaderMap,
+    named: Option<&str>,
+) -> Result<Arc<catalogue::Entry>, Refusal> {
+    let header = headers.get(&hub.site.headers.entry).and_then(|value| value.to_str().ok());
+    let Some(name) = named.or(header) else {
+        let text = format!("name the catalogue entry in the header {}", hub.site.headers.entry);
+        return Err(Refusal::new(Reason::UnknownEntry, text));
+    };
+    let unknown = || Refusal::new(Reason::UnknownEntry, "the catalogue has no such entry");
+    let name: id::Entry = name.parse().map_err(|_| unknown())?;
+    let entry = hub.view().entry(&name).cloned().ok_or_else(unknown)?;
+    if !entry.tokens.is_empty() && !shows_token(headers, &entry.tokens) {
+        return Err(Refusal::new(Reason::Unauthorized, "the entry asks for a bearer token"));
+    }
+    Ok(entry)
+}
+
+/// Compares digests in constant time, and all of them, so that the time taken tells nothing about any.
+fn shows_token(headers: &HeaderMap, digests: &[catalogue::TokenDigest]) -> bool {
+    let shown = headers.get(header::AUTHORIZATION).and_then(|value| value.to_str().ok());
+    let Some(token) = shown.and_then(|value| value.strip_prefix("Bearer ")) else { return false };
+    let digest: [u8; 32] = Sha256::digest(token.trim().as_bytes()).into();
+    let matches = digests.iter().map(|known| known.as_bytes().ct_eq(&digest));
+    matches.fold(subtle::Choice::from(0), |any, one| any | one).into()
+}
+
+async fn serve(
+    hub: Arc<Hub>,
+    request: Request<Incoming>,
+    named: Option<String>,
+    path: String,
+) -> Result<Response<Body>, Refusal> {
+    let arrived = Instant::now();
+    if hub.is_draining() {
+        return Err(draining(&hub));
+    }
+    let entry = entry_of(&hub, request.headers(), named.as_deref())?;
+    check_kind(&entry, &path)?;
+    check_loop(&hub, request.headers())?;
+    if let Some(home) = elsewhere(&hub, &entry) {
+        return home_redirect(&hub, &entry, &home, request.uri());
+    }
+    let (parts, incoming) = request.into_parts();
+    let key = key(&hub, &entry, &parts.headers)?;
+    let deadline = arrived + deadline(&hub, &entry, &parts.headers)?;
+    let bytes = read_body(&hub, incoming).await?;
+    let job = Arc::new(build(&hub, entry, parts, bytes, path, key, (arrived, deadline))?);
+    Ok(start(hub, job)?.response().await)
+}
+
+/// Runs a request, or joins the one in progress under its key.
+fn start(hub: Arc<Hub>, job: Arc<Job>) -> Result<crate::entry::transcript::Reader, Refusal> {
+    let Some(key) = job.key.clone() else {
+        let out = Arc::new(Writer::default());
+        let reader = out.reader();
+        tokio::spawn(run::run(hub, job, out));
+        return Ok(reader);
+    };
+    let name = Name { owner: job.entry.owner.clone(), key };
+    match hub.running.enter(&name, job.digest) {
+        Entrance::Joined(reader) => {
+            hub.metrics.joined();
+            Ok(reader)
+        }
+        Entrance::Mismatch => {
+            Err(Refusal::new(Reason::KeyReused, "the key is in use for another request"))
+        }
+        Entrance::First(out) => {
+            let reader = out.reader();
+            tokio::spawn(async move {
+                run::run(hub.clone(), job, out).await;
+                hub.running.leave(&name);
+            });
+            Ok(reader)
+        }
+    }
+}
+
+fn draining(hub: &Hub) -> Refusal {
+    let other = hub.live().first().and_then(|(_, vm)| Some(vm.entry.as_ref()?.callers));
+    let text = match other {
+        Some(address) => format!("this VM shuts down; ask {address}"),
+        None => "this VM shuts down; ask the directory for another".to_owned(),
+    };
+    Refusal::new(Reason::Draining, text).with_retry_after(ELSEWHERE)
+}
+
+fn check_kind(entry: &catalogue::Entry, path: &str) -> Result<(), Refusal> {
+    let completion = path == "/v1/chat/completions" || path == "/v1/completions";
+    match (&entry.kind, completion) {
+        (Kind::Engine { .. }, false) => {
+            Err(Refusal::new(Reason::NotFound, "the entry is served by engines: POST /v1/…"))
+        }
+        _ => Ok(()),
+    }
+}
+
+/// Refuses a request that went through this VM before, by the path that our VMs note in `Via`. Foreign proxies
+/// pass `Via` on, so a circle through them is found as well.
+fn check_loop(hub: &Hub, headers: &HeaderMap) -> Result<(), Refusal> {
+    let mine = format!("{VIA_PSEUDONYM}{}", hub.me);
+    let seen = headers
+        .get_all(header::VIA)
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','))
+        .filter_map(|hop| hop.split_whitespace().nth(1))
+        .any(|hop| hop == mine);
+    if seen {
+        return Err(Refusal::new(Reason::Loop, "the request has been at this VM before"));
+    }
+    Ok(())
+}
+
+/// The home region, where it is another one.
+fn elsewhere(hub: &Hub, entry: &catalogue::Entry) -> Option<id::Region> {
+    entry.home.region().filter(|home| *home != hub.region()).cloned()
+}
+
+/// Sends a caller to its home region before a byte of the body is read: what is bound to a region never gets into
+/// the memory or the logs of another.
+fn home_redirect(
+    hub: &Hub,
+    entry: &catalogue::Entry,
+    home: &id::Region,
+    uri: &http::Uri,
+) -> Result<Response<Body>, Refusal> {
+    let live = hub.live();
+    let mut there = live.iter().filter(|(_, vm)| vm.region == *home);
+    let Some(address) = there.find_map(|(_, vm)| Some(vm.entry.as_ref()?.callers)) else {
+        let text =
+            format!("{} belongs to region {home}, and no VM there can be reached", entry.name);
+        return Err(Refusal::new(Reason::HomeUnreachable, text).with_retry_after(ELSEWHERE * 4));
+    };
+    let path = uri.path_and_query().map_or("/", |path| path.as_str());
+    let mut response = body::text(StatusCode::TEMPORARY_REDIRECT, "text/plain", "");
+    if let Ok(location) = HeaderValue::from_str(&format!("http://{address}{path}")) {
+        response.headers_mut().insert(header::LOCATION, location);
+    }
+    Ok(response)
+}
+
+fn key(
+    hub: &Hub,
+    entry: &catalogue::Entry,
+    headers: &HeaderMap,
+) -> Result<Option<id::Key>, Refusal> {
+    let name = &hub.site.headers.key;
+    match headers.get(name) {
+        Some(value) => {
+            let key = value.to_str().ok().and_then(|text| text.trim_matches('"').parse().ok());
+            let wrong = || Refusal::new(Reason::BadRequest, format!("{name} is not a usable key"));
+            key.map(Some).ok_or_else(wrong)
+        }
+        None if entry.repeat == Repeat::Never => {
+            let text = format!("requests of this entry run at most once and need a {name}");
+            Err(Refusal::new(Reason::KeyMissing, text))
+        }
+        None => Ok(None),
+    }
+}
+
+fn deadline(hub: &Hub, entry: &catalogue::Entry, headers: &HeaderMap) -> Result<Duration, Refusal> {
+    let name = &hub.site.headers.deadline;
+    let Some(value) = headers.get(name) else { return Ok(entry.deadline) };
+    let millis: Option<u64> = value.to_str().ok().and_then(|text| text.parse().ok());
+    let wrong = || Refusal::new(Reason::BadRequest, format!("{name} is no number of milliseconds"));
+    millis.map(Duration::from_millis).map(|own| own.min(LONGEST_DEADLINE)).ok_or_else(wrong)
+}
+
+async fn read_body(hub: &Hub, incoming: Incoming) -> Result<Bytes, Refusal> {
+    match time::timeout(BODY, body::read(incoming, hub.site.body_bytes)).await {
+        Ok(Ok(bytes)) => Ok(bytes),
+        Ok(Err(error @ body::Error::TooLarge(_))) => {
+            Err(Refusal::new(Reason::TooLarge, error.to_string()))
+        }
+        Ok(Err(error)) => Err(Refusal::new(Reason::BadRequest, error.to_string())),
+        Err(_) => Err(Refusal::new(Reason::SlowBody, "the body did not arrive in time")),
+    }
+}
+
+/// Headers that are passed on to upstreams; all others stay here, tokens and cookies among them.
+fn passed_on(hub: &Hub, parts: &Parts) -> Vec<(HeaderName, HeaderValue)> {
+    let passed = |name: &HeaderName| {
+        *name == header::CONTENT_TYPE
+            || *name == header::ACCEPT
+            || *name == header::CONTENT_ENCODING
+            || *name == header::IF_MATCH
+            || name.as_str() == hub.site.headers.key
+    };
+    let kept = parts.headers.iter().filter(|(name, _)| passed(name));
+    let mut kept: Vec<_> = kept.map(|(name, value)| (name.clone(), value.clone())).collect();
+    if let Ok(via) = HeaderValue::from_str(&format!("1.1 {VIA_PSEUDONYM}{}", hub.me)) {
+        let before = parts.headers.get_all(header::VIA).iter().cloned();
+        kept.extend(before.chain([via]).map(|value| (header::VIA, value)));
+    }
+    kept
+}
+
+fn build(
+    hub: &Hub,
+    entry: Arc<catalogue::Entry>,
+    parts: Parts,
+    body: Bytes,
+    path: String,
+    key: Option<id::Key>,
+    (arrived, deadline): (Instant, Instant),
+) -> Result<Job, Refusal> {
+    let content = Content::read(&entry, &body)?;
+    Ok(Job {
+        request: hub.random(id::Request::random),
+        digest: job::digest(&parts.method, &path, &body),
+        headers: passed_on(hub, &parts),
+        method: parts.method,
+        entry,
+        key,
+        path,
+        body,
+        model: content.model,
+        events: content.events,
+        tokens: content.tokens,
+        prefix: content.prefix,
+        deadline,
+        arrived,
+        hops: Vec::new(),
+    })
+}
--- /dev/null
+++ b/src/http/client.rs
@@ -0,0 +1,139 @@
+//! HTTP connections to upstreams and to other VMs: one request at a time on each, kept only after a whole answer.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::Request;
+use http::Response;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::client::conn::http1;
+use hyper_util::rt::TokioIo;
+use thiserror::Error;
+use tokio::net::TcpStream;
+use tokio::time;
+use tokio::time::Instant;
+
+/// Connecting takes no longer than this; a VM that is up accepts within a trip.
+pub const CONNECT: Duration = Duration::from_millis(1500);
+/// A kept connection is given up after so long unused: well before any middlebox forgets it (minutes, as a rule).
+const IDLE: Duration = Duration::from_secs(15);
+/// Kept connections per address.
+const KEPT: usize = 64;
+
+/// Why there is no answer, told so that the sender knows whether the request may have arrived.
+#[derive(Debug, Clone, PartialEq, Eq, Error)]
+pub enum Error {
+    /// No byte of the request left.
+    #[error("nothing was sent: {0}")]
+    Unsent(String),
+    /// Bytes left, and no answer came.
+    #[error("no answer came: {0}")]
+    Lost(String),
+}
+
+type Sender = http1::SendRequest<Full<Bytes>>;
+
+/// A connection that waits for its next request, and since when.
+type Kept = (Sender, Instant);
+
+/// The connections of one process, by address.
+#[derive(Debug, Clone, Default)]
+pub struct Client {
+    kept: Arc<Mutex<HashMap<SocketAddr, Vec<Kept>>>>,
+}
+
+/// A connection that carries one request; dropping it closes it.
+#[derive(Debug)]
+pub struct Lease {
+    address: SocketAddr,
+    sender: Sender,
+    fresh: bool,
+}
+
+impl Client {
+    /// A client without connections.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Sends a request and waits for the head of the answer. A kept connection that proves to be dead before a
+    /// byte was written is replaced by a fresh one.
+    pub async fn send(
+        &self,
+        address: SocketAddr,
+        mut request: Request<Full<Bytes>>,
+    ) -> Result<(Response<Incoming>, Lease), Error> {
+        loop {
+            let mut lease = self.lease(address).await?;
+            match lease.sender.try_send_request(request).await {
+                Ok(response) => return Ok((response, lease)),
+                Err(mut failed) => match failed.take_message() {
+                    Some(unsent) if !lease.fresh => request = unsent,
+                    Some(_) => return Err(Error::Unsent(failed.error().to_string())),
+                    None => return Err(Error::Lost(failed.error().to_string())),
+                },
+            }
+        }
+    }
+
+    /// Takes a connection back after its answer was read whole.
+    pub fn keep(&self, lease: Lease) {
+        if lease.sender.is_closed() {
+            return;
+        }
+        let mut kept = self.kept.lock().expect("no panic while locked");
+        let all = kept.entry(lease.address).or_default();
+        if all.len() < KEPT {
+            all.push((lease.sender, Instant::now()));
+        }
+    }
+
+    /// Closes what is kept for an address, and what was unused for long.
+    pub fn forget(&self, address: Option<SocketAddr>) {
+        let mut kept = self.kept.lock().expect("no panic while locked");
+        if let Some(address) = address {
+            kept.remove(&address);
+        }
+        kept.retain(|_, all| {
+            all.retain(|(sender, since)| !sender.is_closed() && since.elapsed() < IDLE);
+            !all.is_empty()
+        });
+    }
+
+    fn kept(&self, address: SocketAddr) -> Option<Sender> {
+        let mut kept = self.kept.lock().expect("no panic while locked");
+        let all = kept.get_mut(&address)?;
+        while let Some((sender, since)) = all.pop() {
+            if sender.is_ready() && since.elapsed() < IDLE {
+                return Some(sender);
+            }
+        }
+        None
+    }
+
+    async fn lease(&self, address: SocketAddr) -> Result<Lease, Error> {
+        if let Some(sender) = self.kept(address) {
+            return Ok(Lease { address, sender, fresh: false });
+        }
+        let sender = time::timeout(CONNECT, connect(address))
+            .await
+            .map_err(|_| Error::Unsent("connecting took too long".to_owned()))??;
+        Ok(Lease { address, sender, fresh: true })
+    }
+}
+
+async fn connect(address: SocketAddr) -> Result<Sender, Error> {
+    let unsent = |error: &dyn std::error::Error| Error::Unsent(error.to_string());
+    let stream = TcpStream::connect(address).await.map_err(|error| unsent(&error))?;
+    stream.set_nodelay(true).map_err(|error| unsent(&error))?;
+    let io = TokioIo::new(stream);
+    let (sender, connection) = http1::handshake(io).await.map_err(|error| unsent(&error))?;
+    // Ends when the sender is dropped: that closes the socket, and the far end sees that nobody waits.
+    tokio::spawn(async move { connection.await.ok() });
+    Ok(sender)
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -3,8 +3,19 @@
 //! A request enters at an entry VM, is decided on ([`decide`]), runs on an upstream and is answered once.
 
 pub mod catalogue;
+pub mod cli;
+pub mod control;
 pub mod decide;
+pub mod dump;
+pub mod entry;
+pub mod http;
 pub mod id;
 pub mod ledger;
+pub mod log;
+pub mod metrics;
+pub mod settings;
+pub mod signal;
+pub mod supervisor;
 pub mod unit;
 pub mod upstream;
+pub mod wire;
--- a/src/upstream/mod.rs
+++ b/src/upstream/mod.rs
@@ -8,6 +8,7 @@
 pub use announcement::Kind;
 pub use announcement::Role;
 pub use load::Load;
+pub use registry::LEASE;
 pub use registry::Outcome;
 pub use registry::Record;
 pub use registry::Registry;
--- /dev/null
+++ b/src/wire/link.rs
@@ -0,0 +1,202 @@
+//! One connection to another process of the system, with calls, casts and heartbeats both ways.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures::Sink;
+use futures::SinkExt;
+use futures::Stream;
+use futures::StreamExt;
+use futures::future::BoxFuture;
+use tokio::io::AsyncRead;
+use tokio::io::AsyncWrite;
+use tokio::sync::mpsc;
+use tokio::sync::oneshot;
+use tokio::time;
+use tokio_tungstenite::WebSocketStream;
+use tokio_tungstenite::tungstenite;
+use tokio_tungstenite::tungstenite::Message;
+
+use crate::wire::Cast;
+use crate::wire::Error;
+use crate::wire::Frame;
+use crate::wire::Peer;
+use crate::wire::Reply;
+use crate::wire::Request;
+
+/// A heartbeat goes out after so long without another frame.
+pub const HEARTBEAT: Duration = Duration::from_millis(700);
+/// A link on which nothing came for so long is closed: four heartbeats, so that one lost to a pause of the
+/// scheduler doesn't close it, and short enough that a silent link is replaced within 3 s.
+pub const SILENCE: Duration = Duration::from_millis(2800);
+/// Frames that wait to be sent on one link; a cast beyond is dropped, a call waits.
+const BACKLOG: usize = 1024;
+
+/// What a process does with the calls and casts of its peers.
+pub trait Handler: Send + Sync + 'static {
+    /// Answers a call.
+    fn call(&self, from: Peer, request: Request) -> BoxFuture<'static, Reply>;
+    /// Takes a message that wants no reply.
+    fn cast(&self, from: Peer, cast: Cast);
+}
+
+type Calls = Arc<Mutex<HashMap<u64, oneshot::Sender<Reply>>>>;
+
+/// A handle on one connection; the connection ends when it goes silent or breaks, and the handle tells.
+#[derive(Debug, Clone)]
+pub struct Link {
+    peer: Peer,
+    out: mpsc::Sender<Frame>,
+    calls: Calls,
+    next: Arc<AtomicU64>,
+}
+
+impl Link {
+    /// Greets over a fresh connection and starts to serve it; ends with an error where the peer is a stranger.
+    pub async fn open<S>(
+        socket: WebSocketStream<S>,
+        me: Peer,
+        secret: &str,
+        handler: Arc<dyn Handler>,
+    ) -> Result<(Self, BoxFuture<'static, ()>), Error>
+    where
+        S: AsyncRead + AsyncWrite + Unpin + Send + 'static,
+    {
+        let (mut sink, mut stream) = socket.split();
+        let hello = Frame::Hello { peer: me, secret: secret.to_owned() };
+        send(&mut sink, &hello).await.ok_or(Error::Stranger)?;
+        let greeting = time::timeout(SILENCE, receive(&mut stream)).await;
+        let peer = match greeting {
+            Ok(Some(Frame::Hello { peer, secret: theirs })) if same(secret, &theirs) => peer,
+            _ => return Err(Error::Stranger),
+        };
+        let (out, frames) = mpsc::channel(BACKLOG);
+        let calls = Calls::default();
+        let link = Self {
+            peer: peer.clone(),
+            out: out.clone(),
+            calls: calls.clone(),
+            next: Arc::new(AtomicU64::new(1)),
+        };
+        let task = async move {
+            tokio::select! {
+                () = write(sink, frames) => (),
+                () = read(stream, peer, out, calls.clone(), handler) => (),
+            }
+            // Who still waits hears at once that the reply is lost, not at the end of its time limit.
+            calls.lock().expect("no panic while locked").clear();
+        };
+        Ok((link, Box::pin(task)))
+    }
+
+    /// Who is at the other end.
+    pub fn peer(&self) -> &Peer {
+        &self.peer
+    }
+
+    /// Whether the connection has ended.
+    pub fn is_closed(&self) -> bool {
+        self.out.is_closed()
+    }
+
+    /// Asks, and waits for the reply until the time limit.
+    pub async fn call(&self, request: Request, limit: Duration) -> Result<Reply, Error> {
+        let number = self.next.fetch_add(1, Ordering::Relaxed);
+        let (sender, receiver) = oneshot::channel();
+        self.calls.lock().expect("no panic while locked").insert(number, sender);
+        let asked = async {
+            if self.out.send(Frame::Call { number, request }).await.is_err() {
+                return Err(Error::Unsent { peer: self.peer.clone(), why: "closed".to_owned() });
+            }
+            receiver.await.map_err(|_| Error::Lost { peer: self.peer.clone() })
+        };
+        let reply = time::timeout(limit, asked).await;
+        self.calls.lock().expect("no panic while locked").remove(&number);
+        reply.unwrap_or_else(|_| Err(Error::Lost { peer: self.peer.clone() }))
+    }
+
+    /// Sends without a reply; false where the link is closed or its backlog is full.
+    pub fn cast(&self, cast: Cast) -> bool {
+        self.out.try_send(Frame::Cast(cast)).is_ok()
+    }
+}
+
+/// Compares in constant time, so that the time taken tells nothing about the secret.
+fn same(ours: &str, theirs: &str) -> bool {
+    use subtle::ConstantTimeEq;
+    ours.as_bytes().ct_eq(theirs.as_bytes()).into()
+}
+
+async fn send<S>(sink: &mut S, frame: &Frame) -> Option<()>
+where
+    S: Sink<Message, Error = tungstenite::Error> + Unpin,
+{
+    let bytes: Bytes = frame.encode().ok()?;
+    // A peer that takes no bytes for this long is gone, though the system still believes in the connection.
+    time::timeout(SILENCE, sink.send(Message::Binary(bytes))).await.ok()?.ok()
+}
+
+async fn receive<S>(stream: &mut S) -> Option<Frame>
+where
+    S: Stream<Item = Result<Message, tungstenite::Error>> + Unpin,
+{
+    loop {
+        match stream.next().await? {
+            Ok(Message::Binary(bytes)) => return Frame::decode(&bytes).ok(),
+            Ok(Message::Ping(_) | Message::Pong(_)) => (),
+            Ok(_) | Err(_) => return None,
+        }
+    }
+}
+
+async fn write<S>(mut sink: S, mut frames: mpsc::Receiver<Frame>)
+where
+    S: Sink<Message, Error = tungstenite::Error> + Unpin,
+{
+    loop {
+        let frame = match time::timeout(HEARTBEAT, frames.recv()).await {
+            Ok(Some(frame)) => frame,
+            Ok(None) => return,
+            Err(_) => Frame::Ping,
+        };
+        if send(&mut sink, &frame).await.is_none() {
+            return;
+        }
+    }
+}
+
+async fn read<S>(
+    mut stream: S,
+    peer: Peer,
+    out: mpsc::Sender<Frame>,
+    calls: Calls,
+    handler: Arc<dyn Handler>,
+) where
+    S: Stream<Item = Result<Message, tungstenite::Error>> + Unpin,
+{
+    while let Ok(Some(frame)) = time::timeout(SILENCE, receive(&mut stream)).await {
+        match frame {
+            Frame::Ping | Frame::Hello { .. } => (),
+            Frame::Call { number, request } => {
+                let answer = handler.call(peer.clone(), request);
+                let out = out.clone();
+                tokio::spawn(async move {
+                    let reply = answer.await;
+                    out.send(Frame::Reply { number, reply }).await.ok();
+                });
+            }
+            Frame::Reply { number, reply } => {
+                let waiting = calls.lock().expect("no panic while locked").remove(&number);
+                if let Some(sender) = waiting {
+                    sender.send(reply).ok();
+                }
+            }
+            Frame::Cast(cast) => handler.cast(peer.clone(), cast),
+        }
+    }
+}
--- /dev/null
+++ b/src/wire/message.rs
@@ -0,0 +1,90 @@
+//! What processes of the system say to each other.
+
+use std::fmt;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::catalogue;
+use crate::id;
+use crate::unit::Version;
+
+/// Which of the two daemons.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Role {
+    /// Carries requests.
+    Entry,
+    /// Holds replicas.
+    Control,
+}
+
+/// One process of the system: a VM runs at most one of each role.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Peer {
+    /// The VM.
+    pub vm: id::Vm,
+    /// Which daemon of it.
+    pub role: Role,
+}
+
+impl Peer {
+    /// The daemon of that role on that VM.
+    pub fn new(vm: id::Vm, role: Role) -> Self {
+        Self { vm, role }
+    }
+}
+
+impl fmt::Display for Peer {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self.role {
+            Role::Entry => write!(f, "{}/entry", self.vm),
+            Role::Control => write!(f, "{}/control", self.vm),
+        }
+    }
+}
+
+/// What one process asks another.
+#[derive(Debug, Serialize, Deserialize)]
+pub enum Request {
+    /// Wait a moment for a catalogue newer than this, and send what changed.
+    Watch {
+        /// The version that the asker has in force.
+        have: Version,
+    },
+    /// Change the catalogue.
+    Change(catalogue::Change),
+    /// Which version of the catalogue is in force at the peer?
+    InForce,
+}
+
+/// What comes back.
+#[derive(Debug, Serialize, Deserialize)]
+pub enum Reply {
+    /// What changed; none where nothing did within the wait.
+    Delta(Option<catalogue::Delta>),
+    /// What the change came to; none where that is not known or the peer can't tell.
+    Changed(Result<catalogue::Reply, Unavailable>),
+    /// The version in force.
+    InForce(Version),
+    /// The peer has no answer to such a request.
+    Unsupported,
+}
+
+/// Why a group of replicas gives no answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize, thiserror::Error)]
+pub enum Unavailable {
+    /// No replica leads at present, or this one doesn't and knows none that does; nothing was done.
+    #[error("no replica leads at present")]
+    NoLeader,
+    /// The request was passed on, and no answer came: it may have been carried out.
+    #[error("it is not known whether it was carried out")]
+    Unknown,
+}
+
+/// What needs no reply.
+#[derive(Debug, Serialize, Deserialize)]
+pub enum Cast {
+    /// An upstream announced itself, renewed or left.
+    Upstream(crate::upstream::Update),
+}
--- /dev/null
+++ b/src/wire/mod.rs
@@ -0,0 +1,20 @@
+//! Links between the system's own processes: CBOR frames over WebSocket, with heartbeats both ways.
+//!
+//! A link that carried nothing for [`link::SILENCE`] is closed and made anew: something between two VMs may
+//! have lost track of a connection that both ends still believe in.
+
+pub mod errors;
+pub mod frame;
+pub mod link;
+pub mod mesh;
+pub mod message;
+
+pub use errors::Error;
+pub use frame::Frame;
+pub use link::Link;
+pub use mesh::Mesh;
+pub use message::Cast;
+pub use message::Peer;
+pub use message::Reply;
+pub use message::Request;
+pub use message::Role;
