Add the replica of the consensus group: election, replication, reads, members

The driver, the store and the state machines need an agreement engine to stand on, and none existed. Replica takes one input at a time with the time passed in, and returns what is to be written, sent and applied; messages that rest on a write wait until it is confirmed.

--- /dev/null
+++ b/src/consensus/leader.rs
@@ -0,0 +1,183 @@
+//! Leading: heartbeats, replication, commitment and stepping down.
+
+use std::collections::BTreeMap;
+
+use tokio::time::Instant;
+
+use super::Body;
+use super::Entry;
+use super::Message;
+use super::Output;
+use super::Payload;
+use super::Position;
+use super::Refusal;
+use super::Replica;
+use super::Role;
+use super::Token;
+use super::fault::Fault;
+use super::progress::Mode;
+use super::progress::Progress;
+use super::read::Read;
+use super::replica::State;
+use super::transfer::Transfer;
+use crate::id;
+use crate::unit::Index;
+use crate::unit::Round;
+
+/// What only a leader has.
+#[derive(Debug, Clone)]
+pub(super) struct Leader {
+    pub(super) progress: BTreeMap<id::Replica, Progress>,
+    /// The first entry of the own term.
+    pub(super) start: Index,
+    /// The last round begun, and the last one that a majority answered.
+    pub(super) round: Round,
+    pub(super) confirmed: Round,
+    pub(super) reads: Vec<Read>,
+    pub(super) transfer: Option<Transfer>,
+    /// What was committed at the last heartbeat.
+    pub(super) mark: Index,
+    /// The last entry that the witness was sent.
+    pub(super) witnessed: Index,
+}
+
+impl Replica {
+    /// Takes office, and appends an entry of the own term: only through it may earlier terms be committed.
+    pub(super) fn lead(&mut self, now: Instant) {
+        let last = self.log.last().index;
+        let others = self.log.members().iter().map(|(id, _)| id).filter(|&id| id != self.id());
+        let leader = Leader {
+            progress: others.map(|id| (id, Progress::new(last, now))).collect(),
+            start: last.next(),
+            round: Round::ZERO,
+            confirmed: Round::ZERO,
+            reads: Vec::new(),
+            transfer: None,
+            mark: self.commit,
+            witnessed: Index::ZERO,
+        };
+        self.state = State::Leader(Box::new(leader));
+        self.emit(Output::BecameLeader { term: self.hard.term });
+        self.emit(Output::LeaderChanged { leader: Some(self.id()) });
+        self.restart_heartbeat(now);
+        self.restart_quorum(now);
+        self.append(Payload::Empty);
+        self.send_all();
+    }
+
+    /// Whether an entry of the own term is committed.
+    pub(super) fn is_ready(&self) -> bool {
+        matches!(&self.state, State::Leader(leader) if leader.start <= self.commit)
+    }
+
+    pub(super) fn append(&mut self, payload: Payload) -> Position {
+        let position = Position::new(self.log.last().index.next(), self.hard.term);
+        self.log.append(Entry::new(position, payload));
+        position
+    }
+
+    pub(super) fn propose(&mut self, payload: Payload, token: Token) {
+        let refusal = match &self.state {
+            State::Leader(leader) if leader.transfer.is_some() => Some(Refusal::HandingOver),
+            State::Leader(_) if self.log.bytes() > self.config.log_bytes => Some(Refusal::Full),
+            State::Leader(_) => None,
+            _ => Some(Refusal::NotLeader { leader: self.leader() }),
+        };
+        if let Some(refusal) = refusal {
+            return self.reject(token, refusal);
+        }
+        let position = self.append(payload);
+        self.emit(Output::Appended { token, position });
+        self.send_all();
+    }
+
+    pub(super) fn send_all(&mut self) {
+        for to in self.peers() {
+            self.send_entries(to, false);
+        }
+    }
+
+    fn peers(&self) -> Vec<id::Replica> {
+        match &self.state {
+            State::Leader(leader) => leader.progress.keys().copied().collect(),
+            _ => Vec::new(),
+        }
+    }
+
+    /// A heartbeat to each member, with entries where there is room.
+    pub(super) fn beat(&mut self, now: Instant) {
+        self.restart_heartbeat(now);
+        self.begin_round();
+        let commit = self.commit;
+        if let State::Leader(leader) = &mut self.state {
+            leader.mark = commit;
+        }
+        for to in self.peers() {
+            self.send_entries(to, true);
+        }
+    }
+
+    /// Sends what fits, and at least an empty message if it is a heartbeat.
+    pub(super) fn send_entries(&mut self, to: id::Replica, heartbeat: bool) {
+        let limit = self.limit(to);
+        let witness = self.log.members().role(to) == Some(Role::Witness);
+        let with_data = !witness || self.has_fault(Fault::DataToWitness);
+        let mut outgoing = Vec::new();
+        let State::Leader(leader) = &mut self.state else {
+            return;
+        };
+        let Some(progress) = leader.progress.get_mut(&to) else {
+            return;
+        };
+        if let Mode::Probe { sent } = &mut progress.mode
+            && heartbeat
+        {
+            *sent = false;
+        }
+        loop {
+            let before = progress.next.saturating_sub(Index::new(1));
+            let Some(previous) = self.log.position(before) else {
+                progress.need_snapshot();
+                break;
+            };
+            let pending = progress.next <= limit || matches!(progress.mode, Mode::Probe { .. });
+            if !pending || !progress.has_room(&self.config) {
+                break;
+            }
+            let mut entries = self.log.slice(progress.next, limit, self.config.append_bytes);
+            let last = entries.last().map_or(before, Entry::index);
+            progress.sent(last, entries.iter().map(Entry::size).sum());
+            if witness {
+                leader.witnessed = leader.witnessed.max(last.min(limit));
+            }
+            if !with_data {
+                entries = entries.iter().map(Entry::without_data).collect();
+            }
+            outgoing.push(Body::Append {
+                previous,
+                entries,
+                commit: self.commit,
+                round: leader.round,
+            });
+        }
+        let quiet = outgoing.is_empty();
+        if progress.mode == Mode::Snapshot && heartbeat {
+            outgoing.push(Body::Snapshot {
+                snapshot: self.log.snapshot().clone(),
+                round: leader.round,
+            });
+        } else if quiet && heartbeat {
+            let before = progress.next.saturating_sub(Index::new(1));
+            let previous = self.log.position(before).unwrap_or(self.log.snapshot().position);
+            outgoing.push(Body::Append {
+                previous,
+                entries: Vec::new(),
+                commit: self.commit,
+                round: leader.round,
+            });
+        }
+        for body in outgoing {
+            self.send(to, Message::new(self.hard.term, body));
+        }
+    }
+}
--- /dev/null
+++ b/src/consensus/log/tests.rs
@@ -0,0 +1,1 @@
+//! The log by itself.
--- /dev/null
+++ b/src/consensus/mod.rs
@@ -0,0 +1,47 @@
+//! Agreement among replicas on one order of entries: a Raft-family protocol without input or output.
+//!
+//! A [`Replica`] is stepped with an [`Input`] and the time, and returns [`Output`]s that its driver carries
+//! out in order. It opens no file or connection, and reads no clock. Nothing is acknowledged or counted
+//! before the write that it rests on was confirmed by [`Input::Persisted`].
+
+mod change;
+mod commit;
+pub mod config;
+mod election;
+pub mod entry;
+pub mod errors;
+pub mod fault;
+mod finish;
+mod follower;
+pub mod input;
+mod leader;
+pub mod log;
+pub mod members;
+pub mod message;
+pub mod output;
+mod progress;
+mod read;
+pub mod replica;
+pub mod restored;
+pub mod timer;
+mod transfer;
+
+pub use config::Config;
+pub use entry::Entry;
+pub use entry::Payload;
+pub use entry::Position;
+pub use errors::Refusal;
+pub use input::Input;
+pub use input::Token;
+pub use log::Log;
+pub use members::Change;
+pub use members::Members;
+pub use members::Role;
+pub use message::Body;
+pub use message::Message;
+pub use output::Output;
+pub use output::Persist;
+pub use replica::Replica;
+pub use restored::HardState;
+pub use restored::Restored;
+pub use restored::Snapshot;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -3,6 +3,7 @@
 //! A request enters at an entry VM, is decided on ([`decide`]), runs on an upstream and is answered once.
 
 pub mod catalogue;
+pub mod consensus;
 pub mod decide;
 pub mod id;
 pub mod unit;
--- a/src/unit.rs
+++ b/src/unit.rs
@@ -109,6 +109,22 @@
     /// A fencing number: an order with a lower one than the last is out of date.
     Fence
 }
+count! {
+    /// A term of office in a replicated log: it has at most one leader.
+    Term
+}
+count! {
+    /// The place of an entry in a replicated log; the first entry has 1.
+    Index
+}
+count! {
+    /// The number of a write that a replica asked for; writes are confirmed in this order.
+    Sequence
+}
+count! {
+    /// A round of heartbeats by which a leader confirms that it still leads.
+    Round
+}
 
 /// How many a second, never negative.
 #[derive(Debug, Clone, Copy, Default, PartialEq, PartialOrd, Serialize, Deserialize)]
