--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod catalogue;
 pub mod cli;
 pub mod control;
+pub mod consensus;
 pub mod decide;
 pub mod dump;
 pub mod entry;
