--- a/src/lib.rs
+++ b/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod settings;
 pub mod signal;
 pub mod supervisor;
+pub mod membership;
 pub mod unit;
 pub mod upstream;
 pub mod wire;
