--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,5 +5,6 @@
 pub mod catalogue;
 pub mod decide;
 pub mod id;
+pub mod ledger;
 pub mod unit;
 pub mod upstream;
