--- a/src/upstream/registry.rs
+++ b/src/upstream/registry.rs
@@ -26,8 +26,9 @@
 pub const REMEMBERED: Duration = Duration::from_secs(900);
 
 /// The upstreams that a VM knows of.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Registry {
+    vm: id::Vm,
     records: BTreeMap<id::Upstream, Record>,
     changes: u64,
 }
@@ -41,6 +42,8 @@
     pub state: State,
     /// The newest incarnation known.
     pub incarnation: Incarnation,
+    /// The VM that it announced to last, which shares out its slots; none where only its leaving is known.
+    pub host: Option<id::Vm>,
     sequence: u64,
     until: Instant,
     changed: u64,
@@ -82,6 +85,8 @@
     Announced {
         /// The announcement.
         announcement: Announcement,
+        /// The VM that it was made to.
+        host: id::Vm,
         /// What was left of its lease when this was sent.
         #[serde_as(as = "DurationMilliSeconds<u64>")]
         remaining: Duration,
@@ -94,6 +99,8 @@
         incarnation: Incarnation,
         /// The renewal's number.
         sequence: u64,
+        /// The VM that it was made to.
+        host: id::Vm,
         /// What was left of its lease when this was sent.
         #[serde_as(as = "DurationMilliSeconds<u64>")]
         remaining: Duration,
@@ -108,14 +115,15 @@
 }
 
 impl Registry {
-    /// An empty registry.
-    pub fn new() -> Self {
-        Self::default()
+    /// An empty registry of that VM.
+    pub fn new(vm: id::Vm) -> Self {
+        Self { vm, records: BTreeMap::new(), changes: 0 }
     }
 
     /// Takes an upstream's own announcement or renewal.
     pub fn announce(&mut self, announcement: Announcement, now: Instant) -> Outcome {
-        self.accept(announcement, LEASE, now)
+        let host = self.vm.clone();
+        self.accept(announcement, host, LEASE, now)
     }
 
     /// Takes an upstream's leaving; one of an older incarnation than the one known says nothing.
@@ -145,11 +153,11 @@
     /// each other can't keep a dead upstream alive.
     pub fn merge(&mut self, update: Update, now: Instant) -> Outcome {
         match update {
-            Update::Announced { announcement, remaining } => {
-                self.accept(announcement, remaining.min(LEASE), now)
+            Update::Announced { announcement, host, remaining } => {
+                self.accept(announcement, host, remaining.min(LEASE), now)
             }
-            Update::Renewed { id, incarnation, sequence, remaining } => {
-                self.renew(&id, (incarnation, sequence), remaining.min(LEASE), now)
+            Update::Renewed { id, incarnation, sequence, host, remaining } => {
+                self.renew(&id, (incarnation, sequence), host, remaining.min(LEASE), now)
             }
             Update::Left { id, incarnation } => self.leave(&id, incarnation, now),
         }
@@ -203,9 +211,15 @@
         self.records.is_empty()
     }
 
-    fn accept(&mut self, announcement: Announcement, lease: Duration, now: Instant) -> Outcome {
+    fn accept(
+        &mut self,
+        announcement: Announcement,
+        host: id::Vm,
+        lease: Duration,
+        now: Instant,
+    ) -> Outcome {
         let Some(record) = self.records.get(&announcement.id) else {
-            return self.insert(announcement, lease, now);
+            return self.insert(announcement, host, lease, now);
         };
         if !record.yields_to(announcement.recency()) {
             return Outcome::Stale;
@@ -213,14 +227,20 @@
         let same = record.announcement.as_ref().is_some_and(|old| announcement.is_renewal_of(old));
         let live = record.state == State::Live && record.incarnation == announcement.incarnation;
         if !same {
-            self.insert(announcement, lease, now);
+            self.insert(announcement, host, lease, now);
             return if live { Outcome::Altered } else { Outcome::Appeared };
         }
         let (id, recency) = (announcement.id.clone(), announcement.recency());
-        self.renew(&id, recency, lease, now)
+        self.renew(&id, recency, host, lease, now)
     }
 
-    fn insert(&mut self, announcement: Announcement, lease: Duration, now: Instant) -> Outcome {
+    fn insert(
+        &mut self,
+        announcement: Announcement,
+        host: id::Vm,
+        lease: Duration,
+        now: Instant,
+    ) -> Outcome {
         self.changes += 1;
         let record = Record {
             incarnation: announcement.incarnation,
@@ -229,6 +249,7 @@
             until: now + lease,
             changed: self.changes,
             content_changed: self.changes,
+            host: Some(host),
             announcement: Some(announcement.clone()),
         };
         self.records.insert(announcement.id, record);
@@ -239,6 +260,7 @@
         &mut self,
         id: &id::Upstream,
         recency: (Incarnation, u64),
+        host: id::Vm,
         lease: Duration,
         now: Instant,
     ) -> Outcome {
@@ -250,6 +272,7 @@
         }
         let was_live = record.state == State::Live;
         record.sequence = recency.1;
+        record.host = Some(host);
         record.state = State::Live;
         record.until = now + lease;
         self.changes += 1;
@@ -265,6 +288,7 @@
     fn departed(incarnation: Incarnation, change: u64, now: Instant) -> Self {
         Self {
             announcement: None,
+            host: None,
             state: State::Left,
             incarnation,
             sequence: 0,
@@ -284,22 +308,17 @@
     }
 
     fn update(&self, id: &id::Upstream, mark: u64, now: Instant) -> Option<Update> {
+        if self.state == State::Left {
+            return Some(Update::Left { id: id.clone(), incarnation: self.incarnation });
+        }
+        let announcement = self.announcement.as_ref().filter(|_| self.state == State::Live)?;
+        let host = self.host.clone()?;
         let remaining = self.until.saturating_duration_since(now);
-        match (self.state, &self.announcement) {
-            (State::Left, _) => {
-                Some(Update::Left { id: id.clone(), incarnation: self.incarnation })
-            }
-            (State::Live, Some(announcement)) if self.content_changed > mark => {
-                Some(Update::Announced { announcement: announcement.clone(), remaining })
-            }
-            (State::Live, Some(_)) => Some(Update::Renewed {
-                id: id.clone(),
-                incarnation: self.incarnation,
-                sequence: self.sequence,
-                remaining,
-            }),
-            (State::Live | State::Expired, _) => None,
+        if self.content_changed > mark {
+            return Some(Update::Announced { announcement: announcement.clone(), host, remaining });
         }
+        let (incarnation, sequence) = (self.incarnation, self.sequence);
+        Some(Update::Renewed { id: id.clone(), incarnation, sequence, host, remaining })
     }
 }
 
--- a/src/upstream/registry/tests.rs
+++ b/src/upstream/registry/tests.rs
@@ -19,6 +19,14 @@
     "engine-1".parse().unwrap()
 }
 
+fn vm() -> id::Vm {
+    "vm-1".parse().unwrap()
+}
+
+fn registry() -> Registry {
+    Registry::new(vm())
+}
+
 fn announcement(incarnation: u64, sequence: u64) -> Announcement {
     Announcement {
         id: id(),
@@ -48,12 +56,15 @@
 fn leaving_beats_renewals(incarnation: u64, sequence: u64, lives: bool) {
     let now = Instant::now();
     for told in [false, true] {
-        let mut registry = Registry::new();
+        let mut registry = registry();
         registry.announce(announcement(1, 7), now);
         registry.leave(&id(), Incarnation::new(1), now);
         let renewal = announcement(incarnation, sequence);
         if told {
-            registry.merge(Update::Announced { announcement: renewal, remaining: LEASE }, now);
+            registry.merge(
+                Update::Announced { announcement: renewal, host: vm(), remaining: LEASE },
+                now,
+            );
         } else {
             registry.announce(renewal, now);
         }
@@ -65,7 +76,7 @@
 #[test]
 fn leaving_before_the_announcement() {
     let now = Instant::now();
-    let mut registry = Registry::new();
+    let mut registry = registry();
     registry.merge(Update::Left { id: id(), incarnation: Incarnation::new(1) }, now);
     assert_eq!(registry.announce(announcement(1, 1), now), Outcome::Stale);
     assert_eq!(registry.live(now).count(), 0);
@@ -76,7 +87,7 @@
 #[test]
 fn echoes_keep_nothing_alive() {
     let start = Instant::now();
-    let (mut one, mut two) = (Registry::new(), Registry::new());
+    let (mut one, mut two) = (registry(), registry());
     one.announce(announcement(1, 1), start);
     for second in 0..10 {
         let now = start + Duration::from_secs(second);
@@ -97,7 +108,7 @@
 #[test]
 fn an_expired_upstream_comes_back_by_a_newer_renewal_only() {
     let start = Instant::now();
-    let mut registry = Registry::new();
+    let mut registry = registry();
     registry.announce(announcement(1, 5), start);
     let later = start + LEASE;
     assert_eq!(registry.expire(later), [id()]);
@@ -109,7 +120,7 @@
 #[test]
 fn a_plain_renewal_spreads_in_short() {
     let now = Instant::now();
-    let mut registry = Registry::new();
+    let mut registry = registry();
     registry.announce(announcement(1, 1), now);
     let mark = registry.changes();
     assert_eq!(registry.changed_since(mark, now), []);
