Follow VMs and upstreams of the region by membership

Cause: upstreams were known to the VM that they announce to alone. Change: entry::Fleet joins the membership with the leases of upstreams that announce here; the directory lists VMs that are alive and do not drain.

--- a/src/control/daemon.rs
+++ b/src/control/daemon.rs
@@ -53,7 +53,10 @@
                 future::ready(Reply::Changed(Ok(reply))).boxed()
             }
             Request::Watch { have } => self.newer(have),
-            Request::InForce => future::ready(Reply::InForce(*self.version.borrow())).boxed(),
+            Request::InForce => {
+                let version = *self.version.borrow();
+                future::ready(Reply::InForce { version, takes_requests: true }).boxed()
+            }
         }
     }
 
--- a/src/dump.rs
+++ b/src/dump.rs
@@ -57,11 +57,10 @@
 
 /// The short state of an entry daemon.
 pub fn status(hub: &Hub) -> Status {
-    let now = tokio::time::Instant::now();
     let (waiting, upstreams, slots) = {
         let dispatch = hub.dispatch();
-        let live: Vec<&Announcement> = dispatch.registry().live(now).collect();
-        (dispatch.waiting(), live.len(), live.iter().map(|upstream| upstream.slots).sum())
+        let slots = dispatch.upstreams().map(|hosted| hosted.announcement.slots).sum();
+        (dispatch.waiting(), dispatch.upstreams().count(), slots)
     };
     Status {
         vm: hub.me.clone(),
@@ -72,14 +71,13 @@
         waiting,
         upstreams,
         slots,
-        live: hub.live().into_iter().map(|(name, _)| name).collect(),
+        live: hub.live().into_iter().map(|live| live.vm).collect(),
     }
 }
 
 /// The whole state of an entry daemon.
 pub fn entry(hub: &Hub) -> Entry {
-    let now = tokio::time::Instant::now();
-    let upstreams = hub.dispatch().registry().live(now).cloned().collect();
+    let upstreams = hub.fleet().upstreams().map(|hosted| hosted.announcement.clone()).collect();
     let view = hub.view();
     let entries = view.records().filter(|record| record.entry.is_some());
     let named = entries.map(|record| Named { name: record.name.clone(), version: record.version });
--- a/src/entry/daemon.rs
+++ b/src/entry/daemon.rs
@@ -189,7 +189,7 @@
     ticks.set_missed_tick_behavior(time::MissedTickBehavior::Skip);
     loop {
         tokio::select! {
-            _ = ticks.tick() => hub.dispatch().tick(Instant::now()),
+            _ = ticks.tick() => hub.tick(),
             _ = stop.wait_for(|stop| *stop) => return,
         }
     }
--- a/src/entry/dispatch.rs
+++ b/src/entry/dispatch.rs
@@ -1,5 +1,6 @@
 //! Which waiting request runs next, and on which upstream: the decisions of [`crate::decide`], put together.
 
+use std::collections::BTreeMap;
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::Duration;
@@ -20,14 +21,12 @@
 use crate::decide::route::Outcome;
 use crate::decide::route::Route;
 use crate::entry::Job;
+use crate::entry::fleet::Hosted;
 use crate::http::Reason;
 use crate::http::Refusal;
 use crate::id;
 use crate::unit::Slots;
-use crate::upstream;
 use crate::upstream::Announcement;
-use crate::upstream::Registry;
-use crate::upstream::Update;
 
 /// A caller whom no upstream can serve comes back after this: an upstream that starts announces within a second.
 const NO_UPSTREAM_RETRY: Duration = Duration::from_secs(2);
@@ -59,31 +58,29 @@
 
 /// All waiting requests of a VM, and the upstreams that they wait for.
 pub struct Dispatch {
-    registry: Registry,
+    upstreams: BTreeMap<id::Upstream, Hosted>,
     route: Route,
     admission: Admission,
     pools: HashMap<id::Model, Pool>,
-    told: u64,
     rng: SmallRng,
 }
 
 impl Dispatch {
     /// Nothing waits, and no upstream is known. The seed drives choices and jitter.
-    pub fn new(seed: u64) -> Self {
+    pub fn new(me: &id::Vm, seed: u64) -> Self {
         let mut rng = SmallRng::seed_from_u64(seed);
         Self {
-            registry: Registry::new(),
-            route: Route::new(),
+            upstreams: BTreeMap::new(),
+            route: Route::new(me),
             admission: Admission::new(SmallRng::from_rng(&mut rng)),
             pools: HashMap::new(),
-            told: 0,
             rng,
         }
     }
 
-    /// The upstreams that are there.
-    pub fn registry(&self) -> &Registry {
-        &self.registry
+    /// The upstreams that may be sent work.
+    pub fn upstreams(&self) -> impl Iterator<Item = &Hosted> {
+        self.upstreams.values()
     }
 
     /// Requests that wait.
@@ -98,7 +95,7 @@
         avoid: Vec<id::Upstream>,
         now: Instant,
     ) -> Result<oneshot::Receiver<Answer>, Refusal> {
-        self.check_offered(job, &avoid, now)?;
+        self.check_offered(job, &avoid)?;
         let ticket = self.ticket(job);
         let pool = self.pools.entry(job.model.clone()).or_insert_with(Pool::new);
         match self.admission.admit(&ticket, &pool.queue, &pool.capacity, now) {
@@ -115,14 +112,8 @@
     }
 
     /// Refuses what nothing can run: waiting for an upstream that nobody announced is no use to the caller.
-    fn check_offered(
-        &self,
-        job: &Job,
-        avoid: &[id::Upstream],
-        now: Instant,
-    ) -> Result<(), Refusal> {
-        let facts = job.facts(avoid);
-        if self.registry.live(now).any(|upstream| facts.fits(upstream)) {
+    fn check_offered(&self, job: &Job, avoid: &[id::Upstream]) -> Result<(), Refusal> {
+        if self.route.is_servable(&job.facts(avoid)) {
             return Ok(());
         }
         let detail = format!("no upstream holds {}", job.model);
@@ -155,7 +146,7 @@
     pub fn finished(&mut self, job: &Job, grant: &Grant, outcome: Outcome, now: Instant) {
         let class = job.entry.class;
         let took = now.saturating_duration_since(grant.since);
-        self.route.finished(&grant.upstream.id, class, outcome, took, now);
+        self.route.finished(&grant.upstream.id, &job.facts(&[]), outcome, took, now);
         if outcome == Outcome::Answered {
             self.admission.observe(&job.entry.name, class, took);
         }
@@ -165,54 +156,25 @@
         self.pump_all(now);
     }
 
-    /// Takes an announcement.
-    pub fn announce(&mut self, announcement: Announcement, now: Instant) {
-        self.registry.announce(announcement.clone(), now);
-        self.refresh(&announcement.id, now);
-    }
-
-    /// Takes an upstream's leaving.
-    pub fn leave(
-        &mut self,
-        id: &id::Upstream,
-        incarnation: crate::unit::Incarnation,
-        now: Instant,
-    ) {
-        self.registry.leave(id, incarnation, now);
-        self.refresh(id, now);
-    }
-
-    /// Takes what another VM told of an upstream.
-    pub fn merge(&mut self, update: Update, now: Instant) {
-        let id = match &update {
-            Update::Announced { announcement, .. } => announcement.id.clone(),
-            Update::Renewed { id, .. } | Update::Left { id, .. } => id.clone(),
-        };
-        let outcome = self.registry.merge(update, now);
-        if !matches!(outcome, upstream::Outcome::Renewed | upstream::Outcome::Stale) {
-            self.refresh(&id, now);
-        }
-    }
-
-    /// What has changed among the upstreams since this was last asked.
-    pub fn updates(&mut self, now: Instant) -> Vec<Update> {
-        let updates = self.registry.changed_since(self.told, now);
-        self.told = self.registry.changes();
-        updates
+    /// An upstream is there, or announces something else.
+    pub fn appeared(&mut self, hosted: Hosted, now: Instant) {
+        self.route.announced(&hosted.announcement, now);
+        self.upstreams.insert(hosted.announcement.id.clone(), hosted);
+        self.resize();
+        self.pump_all(now);
     }
 
-    fn refresh(&mut self, id: &id::Upstream, now: Instant) {
-        match self.registry.live(now).find(|live| live.id == *id) {
-            Some(live) => self.route.announced(live, now),
-            None => self.route.removed(id),
-        }
-        self.resize(now);
+    /// An upstream takes no new work.
+    pub fn gone(&mut self, id: &id::Upstream, now: Instant) {
+        self.route.removed(id);
+        self.upstreams.remove(id);
+        self.resize();
         self.pump_all(now);
     }
 
-    fn resize(&mut self, now: Instant) {
+    fn resize(&mut self) {
         let mut slots: HashMap<id::Model, Slots> = HashMap::new();
-        for upstream in self.registry.live(now) {
+        for upstream in self.upstreams.values().map(|hosted| &hosted.announcement) {
             for model in &upstream.models {
                 *slots.entry(model.clone()).or_default() += upstream.slots;
             }
@@ -225,15 +187,8 @@
         }
     }
 
-    /// Ends leases and gives up what can no longer be in time. To be called a few times a second.
+    /// Gives up what can no longer be in time. To be called many times a second.
     pub fn tick(&mut self, now: Instant) {
-        let expired = self.registry.expire(now);
-        for id in &expired {
-            self.route.removed(id);
-        }
-        if !expired.is_empty() {
-            self.resize(now);
-        }
         self.pump_all(now);
     }
 
@@ -264,16 +219,17 @@
                 pool.queue.push(ticket, now).ok();
                 return;
             };
-            let Some(upstream) = self.registry.live(now).find(|live| live.id == chosen) else {
+            let Some(hosted) = self.upstreams.get(&chosen) else {
                 pool.waiting.insert(ticket.request, waiting);
                 pool.queue.push(ticket, now).ok();
                 return;
             };
-            let grant = Grant { upstream: upstream.clone(), since: now };
+            let grant = Grant { upstream: hosted.announcement.clone(), since: now };
             self.route.sent(&chosen, now);
             pool.capacity.started(ticket.class);
             if waiting.answer.send(Ok(grant)).is_err() {
-                self.route.finished(&chosen, ticket.class, Outcome::Cancelled, Duration::ZERO, now);
+                let facts = waiting.job.facts(&[]);
+                self.route.finished(&chosen, &facts, Outcome::Cancelled, Duration::ZERO, now);
                 pool.capacity.finished(ticket.class);
             }
         }
--- a/src/entry/hub.rs
+++ b/src/entry/hub.rs
@@ -14,6 +14,7 @@
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 use slog::Logger;
+use slog::debug;
 use slog::info;
 use tokio::sync::watch;
 use tokio::time::Instant;
@@ -22,9 +23,13 @@
 use crate::catalogue::Progress;
 use crate::catalogue::View;
 use crate::entry::Dispatch;
+use crate::entry::Fleet;
+use crate::entry::fleet::Effect;
+use crate::entry::fleet::Place;
 use crate::entry::running::Running;
 use crate::http::client::Client;
 use crate::id;
+use crate::membership;
 use crate::metrics::Metrics;
 use crate::settings::Site;
 use crate::settings::site::Vm;
@@ -37,9 +42,22 @@
 use crate::wire::Peer;
 use crate::wire::Role;
 
-/// A VM that no link reached for this long is left out of the directory.
+/// A VM of another region that no link reached for this long is left out of the directory.
 const REACHED: Duration = Duration::from_secs(5);
 
+/// An entry VM that takes requests.
+#[derive(Debug, Clone)]
+pub struct Live {
+    /// The VM.
+    pub vm: id::Vm,
+    /// Its region.
+    pub region: id::Region,
+    /// Its data centre.
+    pub data_centre: id::DataCentre,
+    /// Where callers go.
+    pub callers: SocketAddr,
+}
+
 /// The shared state of an entry daemon.
 pub struct Hub {
     /// This VM.
@@ -58,6 +76,7 @@
     pub log: Logger,
     view: watch::Sender<Arc<View>>,
     dispatch: Mutex<Dispatch>,
+    fleet: Mutex<Fleet>,
     rng: Mutex<SmallRng>,
     mesh: OnceLock<Mesh>,
     reached: Mutex<BTreeMap<id::Vm, Instant>>,
@@ -69,6 +88,8 @@
     /// The state of a daemon on that VM that has just started. The seed drives choices and jitter.
     pub fn new(me: id::Vm, place: Vm, site: Arc<Site>, seed: u64, log: Logger) -> Self {
         let mut rng = SmallRng::seed_from_u64(seed);
+        let dispatch = Mutex::new(Dispatch::new(&me, rng.random()));
+        let fleet = Mutex::new(Fleet::new(&me, &site, rng.random(), Instant::now()));
         Self {
             me,
             place,
@@ -78,7 +99,8 @@
             metrics: Metrics::new(),
             log,
             view: watch::Sender::new(Arc::default()),
-            dispatch: Mutex::new(Dispatch::new(rng.random())),
+            dispatch,
+            fleet,
             rng: Mutex::new(rng),
             mesh: OnceLock::new(),
             reached: Mutex::default(),
@@ -107,6 +129,11 @@
         self.dispatch.lock().expect("no panic while locked")
     }
 
+    /// The VMs and upstreams of the region; held for the length of one step, never across an await.
+    pub fn fleet(&self) -> MutexGuard<'_, Fleet> {
+        self.fleet.lock().expect("no panic while locked")
+    }
+
     /// Does something with the random numbers of this process.
     pub fn random<T>(&self, draw: impl FnOnce(&mut SmallRng) -> T) -> T {
         draw(&mut self.rng.lock().expect("no panic while locked"))
@@ -140,26 +167,72 @@
         self.view.borrow().version()
     }
 
-    /// Takes an announcement, and tells the VMs of the region.
-    pub fn announce(&self, announcement: Announcement) {
-        self.dispatch().announce(announcement, Instant::now());
-        self.spread();
+    /// Takes an upstream's announcement; false where a newer one is known, or it has left.
+    pub fn announce(&self, announcement: Announcement) -> bool {
+        let (taken, effects) = self.fleet().announce(announcement, Instant::now());
+        self.carry_out(effects);
+        taken
     }
 
-    /// Takes an upstream's leaving, and tells the VMs of the region.
+    /// Takes an upstream's leaving.
     pub fn leave(&self, id: &id::Upstream, incarnation: Incarnation) {
         info!(self.log, "upstream leaves"; "upstream" => %id);
-        self.dispatch().leave(id, incarnation, Instant::now());
-        self.spread();
+        let effects = self.fleet().leave(id, incarnation, Instant::now());
+        self.carry_out(effects);
     }
 
-    /// Sends what changed among the upstreams to the other VMs of the region.
-    fn spread(&self) {
-        let Some(mesh) = self.mesh() else { return };
-        let updates = self.dispatch().updates(Instant::now());
-        for peer in self.neighbours() {
-            for update in &updates {
-                mesh.cast(&peer, Cast::Upstream(update.clone()));
+    /// Does what is due: membership, leases, deadlines.
+    pub fn tick(&self) {
+        let now = Instant::now();
+        let version = self.version();
+        let place = self.place_fact();
+        let effects = {
+            let mut fleet = self.fleet();
+            fleet.put_version(version, now);
+            if let Some(place) = &place {
+                fleet.put_place(place, now);
+            }
+            fleet.tick(now)
+        };
+        self.carry_out(effects);
+        self.dispatch().tick(now);
+    }
+
+    /// Takes a message of the membership.
+    pub fn receive(&self, from: &id::Vm, message: membership::Message) {
+        let effects = self.fleet().receive(from, message, Instant::now());
+        self.carry_out(effects);
+    }
+
+    fn place_fact(&self) -> Option<Place> {
+        let entry = self.place.entry.as_ref()?;
+        Some(Place {
+            callers: entry.callers,
+            data_centre: self.place.data_centre.clone(),
+            draining: self.is_draining(),
+        })
+    }
+
+    fn carry_out(&self, effects: Vec<Effect>) {
+        let now = Instant::now();
+        for effect in effects {
+            match effect {
+                Effect::Send { to, message } => {
+                    let Some(mesh) = self.mesh() else { continue };
+                    mesh.cast(&Peer::new(to, Role::Entry), Cast::Membership(message));
+                }
+                Effect::Upstream(hosted) => {
+                    debug!(self.log, "upstream is there"; "upstream" => %hosted.announcement.id);
+                    self.dispatch().appeared(hosted, now);
+                }
+                Effect::Gone(id) => {
+                    info!(self.log, "upstream is gone"; "upstream" => %id);
+                    self.dispatch().gone(&id, now);
+                }
+                Effect::Alive { vm, alive } => {
+                    info!(self.log, "a VM of the region"; "of" => %vm, "alive" => alive);
+                }
+                Effect::Region(_) => (),
             }
         }
     }
@@ -179,25 +252,50 @@
         entries.map(|entry| entry.upstreams).collect()
     }
 
-    /// Notes that a peer was heard from.
-    pub fn heard(&self, peer: &Peer) {
-        if peer.role == Role::Entry {
-            let mut reached = self.reached.lock().expect("no panic while locked");
-            reached.insert(peer.vm.clone(), Instant::now());
-        }
+    /// Entry VMs that take requests: those of the own region that are alive, then those of other regions that
+    /// answered lately.
+    pub fn live(&self) -> Vec<Live> {
+        let places = self.fleet().places(Instant::now());
+        let here =
+            places.into_iter().filter(|(_, place)| !place.draining).map(|(vm, place)| Live {
+                vm,
+                region: self.place.region.clone(),
+                data_centre: place.data_centre,
+                callers: place.callers,
+            });
+        let mut live: Vec<Live> = here.collect();
+        // The caller stands close to this VM's data centre as a rule.
+        live.sort_by_key(|place| place.data_centre != self.place.data_centre);
+        live.extend(self.away());
+        live
     }
 
-    /// Entry VMs that were heard from a moment ago, and this one unless it drains; own region first.
-    pub fn live(&self) -> Vec<(id::Vm, &Vm)> {
-        let reached = self.reached.lock().expect("no panic while locked").clone();
-        let here = |name: &id::Vm| *name == self.me && !self.is_draining();
-        let heard = |name: &id::Vm| reached.get(name).is_some_and(|at| at.elapsed() < REACHED);
-        let vms = self.site.vms.iter().filter(|(name, vm)| {
-            vm.entry.is_some() && (here(name) || (**name != self.me && heard(name)))
+    /// Entry VMs of other regions that answered lately.
+    fn away(&self) -> Vec<Live> {
+        let reached = self.reached.lock().expect("no panic while locked");
+        let others = self.site.vms.iter().filter(|(name, vm)| {
+            vm.region != self.place.region
+                && reached.get(*name).is_some_and(|at| at.elapsed() < REACHED)
         });
-        let mut live: Vec<(id::Vm, &Vm)> = vms.map(|(name, vm)| (name.clone(), vm)).collect();
-        live.sort_by_key(|(_, vm)| vm.region != self.place.region);
-        live
+        let live = others.filter_map(|(name, vm)| {
+            Some(Live {
+                vm: name.clone(),
+                region: vm.region.clone(),
+                data_centre: vm.data_centre.clone(),
+                callers: vm.entry.as_ref()?.callers,
+            })
+        });
+        live.collect()
+    }
+
+    /// Notes that an entry VM of another region takes requests, or that it doesn't.
+    pub fn note_reached(&self, vm: &id::Vm, takes_requests: bool) {
+        let mut reached = self.reached.lock().expect("no panic while locked");
+        if takes_requests {
+            reached.insert(vm.clone(), Instant::now());
+        } else {
+            reached.remove(vm);
+        }
     }
 
     /// Stops taking requests; those in progress go on.
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod daemon;
 pub mod dispatch;
+pub mod fleet;
 pub mod hub;
 pub mod job;
 pub mod peers;
@@ -12,5 +13,6 @@
 pub use daemon::Daemon;
 pub use dispatch::Dispatch;
 pub use dispatch::Grant;
+pub use fleet::Fleet;
 pub use hub::Hub;
 pub use job::Job;
--- a/src/entry/peers.rs
+++ b/src/entry/peers.rs
@@ -8,7 +8,6 @@
 use futures::future::BoxFuture;
 use tokio::sync::watch;
 use tokio::time;
-use tokio::time::Instant;
 
 use crate::entry::Hub;
 use crate::id;
@@ -42,24 +41,26 @@
 }
 
 impl Handler for Service {
-    fn call(&self, from: Peer, request: Request) -> BoxFuture<'static, Reply> {
-        self.hub.heard(&from);
+    fn call(&self, _from: Peer, request: Request) -> BoxFuture<'static, Reply> {
         let hub = self.hub.clone();
         match request {
             Request::Watch { have } => newer(hub, have).boxed(),
-            Request::InForce => future::ready(Reply::InForce(hub.version())).boxed(),
+            Request::InForce => future::ready(in_force(&hub)).boxed(),
             _ => future::ready(Reply::Unsupported).boxed(),
         }
     }
 
     fn cast(&self, from: Peer, cast: Cast) {
-        self.hub.heard(&from);
         match cast {
-            Cast::Upstream(update) => self.hub.dispatch().merge(update, Instant::now()),
+            Cast::Membership(message) => self.hub.receive(&from.vm, message),
         }
     }
 }
 
+fn in_force(hub: &Hub) -> Reply {
+    Reply::InForce { version: hub.version(), takes_requests: !hub.is_draining() }
+}
+
 /// A VM that is behind gets the catalogue from any VM that is ahead, so an isolated region brings up its own.
 async fn newer(hub: Arc<Hub>, have: Version) -> Reply {
     let mut views = hub.views();
@@ -135,8 +136,8 @@
         }
         let peer = Peer::new(vm.clone(), Role::Entry);
         match self.mesh()?.call(&peer, Request::InForce, ASK).await {
-            Ok(Reply::InForce(version)) => {
-                self.heard(&peer);
+            Ok(Reply::InForce { version, takes_requests }) => {
+                self.note_reached(vm, takes_requests);
                 Some(version)
             }
             _ => None,
--- a/src/http/caller.rs
+++ b/src/http/caller.rs
@@ -141,14 +141,11 @@
 }
 
 fn directory(hub: &Hub) -> Response<Body> {
-    let live = hub.live();
-    let places = live.iter().filter_map(|(name, vm)| {
-        Some(Place {
-            vm: name.clone(),
-            region: vm.region.clone(),
-            data_centre: vm.data_centre.clone(),
-            address: vm.entry.as_ref()?.callers,
-        })
+    let places = hub.live().into_iter().map(|live| Place {
+        vm: live.vm,
+        region: live.region,
+        data_centre: live.data_centre,
+        address: live.callers,
     });
     let directory = Directory { ttl_seconds: DIRECTORY_TTL, vms: places.collect() };
     let mut response = body::json(StatusCode::OK, &directory);
@@ -255,7 +252,7 @@
 }
 
 fn draining(hub: &Hub) -> Refusal {
-    let other = hub.live().first().and_then(|(_, vm)| Some(vm.entry.as_ref()?.callers));
+    let other = hub.live().first().map(|live| live.callers);
     let text = match other {
         Some(address) => format!("this VM shuts down; ask {address}"),
         None => "this VM shuts down; ask the directory for another".to_owned(),
@@ -303,9 +300,8 @@
     home: &id::Region,
     uri: &http::Uri,
 ) -> Result<Response<Body>, Refusal> {
-    let live = hub.live();
-    let mut there = live.iter().filter(|(_, vm)| vm.region == *home);
-    let Some(address) = there.find_map(|(_, vm)| Some(vm.entry.as_ref()?.callers)) else {
+    let there = hub.live().into_iter().find(|live| live.region == *home);
+    let Some(address) = there.map(|live| live.callers) else {
         let text =
             format!("{} belongs to region {home}, and no VM there can be reached", entry.name);
         return Err(Refusal::new(Reason::HomeUnreachable, text).with_retry_after(ELSEWHERE * 4));
--- a/src/http/upstream.rs
+++ b/src/http/upstream.rs
@@ -76,7 +76,11 @@
         let text = format!("this VM stands in region {}; announce in your own", hub.region());
         return wrong(StatusCode::CONFLICT, text);
     }
-    hub.announce(announcement);
+    if !hub.announce(announcement) {
+        let text =
+            "a newer announcement is known, or this start has left; announce a higher incarnation";
+        return wrong(StatusCode::CONFLICT, text);
+    }
     let lease_ms = crate::upstream::LEASE.as_millis() as u64;
     body::json(StatusCode::OK, &Welcome { lease_ms, others: hub.other_announce_addresses() })
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,8 +4,8 @@
 
 pub mod catalogue;
 pub mod cli;
-pub mod control;
 pub mod consensus;
+pub mod control;
 pub mod decide;
 pub mod dump;
 pub mod entry;
@@ -13,11 +13,11 @@
 pub mod id;
 pub mod ledger;
 pub mod log;
+pub mod membership;
 pub mod metrics;
 pub mod settings;
 pub mod signal;
 pub mod supervisor;
-pub mod membership;
 pub mod unit;
 pub mod upstream;
 pub mod wire;
--- a/src/wire/message.rs
+++ b/src/wire/message.rs
@@ -7,6 +7,7 @@
 
 use crate::catalogue;
 use crate::id;
+use crate::membership;
 use crate::unit::Version;
 
 /// Which of the two daemons.
@@ -66,7 +67,12 @@
     /// What the change came to; none where that is not known or the peer can't tell.
     Changed(Result<catalogue::Reply, Unavailable>),
     /// The version in force.
-    InForce(Version),
+    InForce {
+        /// The version.
+        version: Version,
+        /// Whether the daemon takes requests.
+        takes_requests: bool,
+    },
     /// The peer has no answer to such a request.
     Unsupported,
 }
@@ -85,6 +91,6 @@
 /// What needs no reply.
 #[derive(Debug, Serialize, Deserialize)]
 pub enum Cast {
-    /// An upstream announced itself, renewed or left.
-    Upstream(crate::upstream::Update),
+    /// A message between the entry VMs' memberships.
+    Membership(membership::Message),
 }
