Fuzz the catalogue and the ledger against oracles that forget nothing

Cause: both machines bound what they keep (operations, traces, key groups, answers), and each bound is a place to break a promise.

--- a/src/catalogue/catalogue.rs
+++ b/src/catalogue/catalogue.rs
@@ -98,3 +98,8 @@
         }
     }
 }
+
+#[cfg(test)]
+mod fuzz;
+#[cfg(test)]
+mod tests;
--- a/src/ledger/ledger.rs
+++ b/src/ledger/ledger.rs
@@ -196,3 +196,8 @@
         }
     }
 }
+
+#[cfg(test)]
+mod fuzz;
+#[cfg(test)]
+mod tests;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,6 +4,8 @@
 
 pub mod catalogue;
 pub mod decide;
+#[cfg(test)]
+mod fuzz;
 pub mod id;
 pub mod ledger;
 pub mod unit;
