--- a/src/lib.rs
+++ b/src/lib.rs
@@ -9,4 +9,5 @@
 mod fuzz;
 pub mod id;
 pub mod ledger;
+pub mod store;
 pub mod unit;
--- /dev/null
+++ b/src/store/snapshots.rs
@@ -0,0 +1,96 @@
+//! Snapshots of the state machine; the last one is kept.
+
+use super::Damage;
+use super::Disk;
+use super::Error;
+use super::frame;
+use super::frame::Frames;
+use super::frame::Salt;
+use super::identity::replace;
+use super::record;
+use crate::consensus::Snapshot;
+use crate::id;
+
+const PREFIX: &str = "snapshot-";
+const NEW: &str = "snapshot.new";
+
+/// The snapshots of one replica's folder. Apart from the log, so that a long write holds up no acknowledgement.
+#[derive(Debug)]
+pub struct Snapshots<D> {
+    disk: D,
+    id: id::Replica,
+    last: Option<Snapshot>,
+    poisoned: bool,
+}
+
+impl<D: Disk> Snapshots<D> {
+    /// Finds the last snapshot, and removes older ones that a crash left.
+    pub(super) fn open(disk: D, id: id::Replica) -> Result<(Self, Option<Vec<u8>>), Error> {
+        let names = disk.names().map_err(Error::file("."))?;
+        let mut names: Vec<String> = names.into_iter().filter(|name| is_name(name)).collect();
+        names.sort_unstable();
+        let mut snapshots = Self { disk, id, last: None, poisoned: false };
+        let Some(name) = names.pop() else { return Ok((snapshots, None)) };
+        let (snapshot, data) = snapshots.read(&name)?;
+        snapshots.last = Some(snapshot);
+        snapshots.remove(&names)?;
+        Ok((snapshots, Some(data)))
+    }
+
+    /// What the last snapshot stands for.
+    pub const fn last(&self) -> Option<&Snapshot> {
+        self.last.as_ref()
+    }
+
+    /// The last snapshot, read from the disk.
+    pub fn load(&self) -> Result<Option<(Snapshot, Vec<u8>)>, Error> {
+        self.last.as_ref().map(|last| self.read(&name(last))).transpose()
+    }
+
+    /// Writes and syncs a snapshot, then removes the one before.
+    pub fn save(&mut self, snapshot: &Snapshot, data: &[u8]) -> Result<(), Error> {
+        if self.poisoned {
+            return Err(Error::Poisoned);
+        }
+        self.poisoned = true;
+        let before = self.last.as_ref().map(name);
+        let name = name(snapshot);
+        let salt = self.salt(&name);
+        let head = frame::encode(&record::encode(snapshot), salt);
+        let body = frame::encode(data, salt);
+        replace(&mut self.disk, NEW, &name, &[&head, &body])?;
+        self.last = Some(snapshot.clone());
+        self.remove(before.filter(|before| *before != name).as_slice())?;
+        self.poisoned = false;
+        Ok(())
+    }
+
+    fn remove(&mut self, names: &[String]) -> Result<(), Error> {
+        names.iter().try_for_each(|name| self.disk.remove(name).map_err(Error::file(name)))
+    }
+
+    fn read(&self, name: &str) -> Result<(Snapshot, Vec<u8>), Error> {
+        let bytes = self.disk.read(name).map_err(Error::file(name))?;
+        let mut frames = Frames::new(&bytes, self.salt(name));
+        let mut next = || {
+            let payload = frames.next().and_then(|payload| payload.ok_or(Damage::Checksum));
+            payload.map_err(|damage| Error::corrupt(name, frames.offset(), damage))
+        };
+        let snapshot = record::decode(next()?).map_err(|damage| Error::corrupt(name, 0, damage))?;
+        Ok((snapshot, next()?.to_vec()))
+    }
+
+    fn salt(&self, name: &str) -> Salt {
+        let number =
+            name.strip_prefix(PREFIX).and_then(|digits| u64::from_str_radix(digits, 16).ok());
+        Salt::new(self.id.get(), !number.unwrap_or_default())
+    }
+}
+
+fn name(snapshot: &Snapshot) -> String {
+    format!("{PREFIX}{:016x}", snapshot.position.index.get())
+}
+
+pub(super) fn is_name(name: &str) -> bool {
+    name != NEW && name.starts_with(PREFIX)
+}
--- /dev/null
+++ b/src/store/tests/script.rs
@@ -0,0 +1,226 @@
+//! A store under test, and what it has acknowledged.
+
+use bytes::Bytes;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+
+use super::super::Error;
+use super::super::Opened;
+use super::faulty::Faulty;
+use crate::consensus::Entry;
+use crate::consensus::HardState;
+use crate::consensus::Members;
+use crate::consensus::Payload;
+use crate::consensus::Persist;
+use crate::consensus::Position;
+use crate::consensus::Snapshot;
+use crate::id;
+use crate::unit::Index;
+use crate::unit::Sequence;
+use crate::unit::Term;
+
+/// Small, so that a short script closes several segments.
+const SEGMENT_BYTES: usize = 300;
+
+/// One thing that a driver does with its store.
+#[derive(Debug, Clone, Copy)]
+pub enum Act {
+    /// Entries are appended, after the last few were overruled by a new term.
+    Append { count: u64, overruled: u64 },
+    /// A vote in a new term.
+    Vote,
+    /// A snapshot of all there is, and the log is compacted up to a few entries.
+    Snapshot { kept: u64 },
+    /// A leader's snapshot arrives, so far ahead; the log starts again after it.
+    Install { ahead: u64 },
+}
+
+/// The state that a store must give back.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct State {
+    pub hard: HardState,
+    pub snapshot: Snapshot,
+    pub data: Option<Vec<u8>>,
+    pub entries: Vec<Entry>,
+}
+
+impl State {
+    fn last(&self) -> u64 {
+        let last = self.entries.last().map_or(self.snapshot.position.index, Entry::index);
+        last.get().max(self.snapshot.position.index.get())
+    }
+
+    /// The entries after the snapshot: those before it may be gone or not.
+    pub fn essence(&self) -> Self {
+        let kept = |entry: &&Entry| entry.index() > self.snapshot.position.index;
+        Self { entries: self.entries.iter().filter(kept).cloned().collect(), ..self.clone() }
+    }
+}
+
+/// A store, what it acknowledged, and what it may have besides.
+#[derive(Debug)]
+pub struct Script {
+    pub disk: Faulty,
+    pub rng: SmallRng,
+    pub opened: Option<Opened<Faulty>>,
+    pub acknowledged: State,
+    /// States that the interrupted act may have left instead.
+    pub possible: Vec<State>,
+    pub id: Option<id::Replica>,
+    term: u64,
+}
+
+impl Script {
+    pub fn new(seed: u64) -> Self {
+        Self {
+            disk: Faulty::default(),
+            rng: SmallRng::seed_from_u64(seed),
+            opened: None,
+            acknowledged: State::default(),
+            possible: Vec::new(),
+            id: None,
+            term: 0,
+        }
+    }
+
+    /// Opens the folder and checks that it holds what was acknowledged; fails only where the disk does.
+    pub fn open(&mut self) -> Result<(), Error> {
+        let mut opened = Opened::new(self.disk.clone(), &mut self.rng)?;
+        opened.log = opened.log.with_segment_bytes(SEGMENT_BYTES);
+        let expected = *self.id.get_or_insert(opened.id);
+        assert_eq!(opened.id, expected, "the folder's identity changed");
+        let state = State {
+            hard: opened.restored.hard,
+            snapshot: opened.restored.snapshot.clone(),
+            data: opened.machine.clone(),
+            entries: opened.restored.log.clone(),
+        };
+        let found = state.essence();
+        let matches = |known: &&State| known.essence() == found;
+        assert!(
+            [&self.acknowledged].into_iter().chain(&self.possible).any(|known| matches(&known)),
+            "found {found:#?}\nacknowledged {:#?}\nor {:#?}",
+            self.acknowledged.essence(),
+            self.possible
+        );
+        self.acknowledged = state;
+        self.possible.clear();
+        self.opened = Some(opened);
+        Ok(())
+    }
+
+    /// Carries an act out. After a failure the store must be closed to everything.
+    pub fn act(&mut self, act: Act) -> Result<(), Error> {
+        let result = match act {
+            Act::Append { count, overruled } => self.append(count, overruled),
+            Act::Vote => self.vote(),
+            Act::Snapshot { kept } => self.snapshot(kept),
+            Act::Install { ahead } => self.install(ahead),
+        };
+        if result.is_err() {
+            self.opened = None;
+        }
+        result
+    }
+
+    fn write(&mut self, persist: Persist, after: State) -> Result<(), Error> {
+        let Some(opened) = &mut self.opened else { return Ok(()) };
+        self.possible.push(after.clone());
+        let result = opened.log.append(std::slice::from_ref(&persist));
+        if result.is_err() {
+            assert!(matches!(opened.log.append(&[persist]), Err(Error::Poisoned)));
+            return result;
+        }
+        self.possible.clear();
+        self.acknowledged = after;
+        Ok(())
+    }
+
+    fn append(&mut self, count: u64, overruled: u64) -> Result<(), Error> {
+        self.term += u64::from(overruled > 0);
+        let snapshot = self.acknowledged.snapshot.position.index.get();
+        let last = self.acknowledged.last();
+        let from = last.saturating_sub(overruled).max(snapshot) + 1;
+        let truncate = (from <= last).then_some(Index::new(from));
+        let entries: Vec<Entry> =
+            (from..from + count).map(|index| entry(index, self.term)).collect();
+        let mut after = self.acknowledged.clone();
+        after.entries.retain(|entry| entry.index() < Index::new(from));
+        after.entries.extend(entries.clone());
+        let hard = truncate.map(|_| HardState { term: Term::new(self.term), vote: None });
+        after.hard = hard.unwrap_or(after.hard);
+        self.write(
+            Persist { sequence: Sequence::ZERO, hard, reset: None, truncate, entries },
+            after,
+        )
+    }
+
+    fn vote(&mut self) -> Result<(), Error> {
+        self.term += 1;
+        let hard = HardState { term: Term::new(self.term), vote: Some(id::Replica::new(7)) };
+        let after = State { hard, ..self.acknowledged.clone() };
+        let persist = Persist {
+            sequence: Sequence::ZERO,
+            hard: Some(hard),
+            reset: None,
+            truncate: None,
+            entries: Vec::new(),
+        };
+        self.write(persist, after)
+    }
+
+    fn snapshot(&mut self, kept: u64) -> Result<(), Error> {
+        let Some(position) = self.acknowledged.entries.last().map(|entry| entry.position) else {
+            return Ok(());
+        };
+        if position.index <= self.acknowledged.snapshot.position.index {
+            return Ok(());
+        }
+        self.save(Snapshot { position, members: Members::new([id::Replica::new(1)]) })?;
+        let Some(opened) = &mut self.opened else { return Ok(()) };
+        let through = Index::new(position.index.get().saturating_sub(kept));
+        opened.log.compact(through, &self.acknowledged.snapshot)
+    }
+
+    fn install(&mut self, ahead: u64) -> Result<(), Error> {
+        self.term += 1;
+        let position =
+            Position::new(Index::new(self.acknowledged.last() + ahead), Term::new(self.term));
+        let snapshot = Snapshot { position, members: Members::new([id::Replica::new(2)]) };
+        self.save(snapshot.clone())?;
+        let after = State { entries: Vec::new(), ..self.acknowledged.clone() };
+        let reset = Some(snapshot);
+        let persist = Persist {
+            sequence: Sequence::ZERO,
+            hard: None,
+            reset,
+            truncate: None,
+            entries: Vec::new(),
+        };
+        self.write(persist, after)
+    }
+
+    fn save(&mut self, snapshot: Snapshot) -> Result<(), Error> {
+        let data = format!("state at {}", snapshot.position).into_bytes();
+        let after = State {
+            snapshot: snapshot.clone(),
+            data: Some(data.clone()),
+            ..self.acknowledged.clone()
+        };
+        let Some(opened) = &mut self.opened else { return Ok(()) };
+        self.possible.push(after.clone());
+        if let Err(error) = opened.snapshots.save(&snapshot, &data) {
+            assert!(matches!(opened.snapshots.save(&snapshot, &data), Err(Error::Poisoned)));
+            return Err(error);
+        }
+        self.possible.clear();
+        self.acknowledged = after;
+        Ok(())
+    }
+}
+
+/// An entry whose length differs from its neighbours'.
+pub fn entry(index: u64, term: u64) -> Entry {
+    let data = vec![b'x'; usize::try_from(index % 7 * 5).expect("short")];
+    Entry::new(Position::new(Index::new(index), Term::new(term)), Payload::Data(Bytes::from(data)))
+}
