--- a/src/lib.rs
+++ b/src/lib.rs
@@ -18,6 +18,11 @@
 pub mod settings;
 pub mod signal;
 pub mod supervisor;
+#[cfg(test)]
+mod fuzz;
+pub mod id;
+pub mod ledger;
+pub mod store;
 pub mod unit;
 pub mod upstream;
 pub mod wire;
