Share an upstream's slots between VMs by leases from its host VM

Without it eight VMs overrun an engine, and requests wait where no deadline or weight counts. The VM that the upstream announces to leases its slots by demand; the holder's lease always ends first, grants that may still be on their way are counted, and a host that is no longer announced to grants nothing.

First form failed its own test (14 of 8 slots in use after a change of host): the old host went on granting to itself. Now a host needs renewals.

--- a/src/decide/route.rs
+++ b/src/decide/route.rs
@@ -20,7 +20,7 @@
 mod group;
 mod history;
 mod prefix;
-mod rendezvous;
+pub mod rendezvous;
 mod tracked;
 
 use std::collections::HashMap;
--- a/src/upstream/mod.rs
+++ b/src/upstream/mod.rs
@@ -2,12 +2,14 @@
 
 mod announcement;
 mod load;
-mod registry;
+pub mod pool;
+pub mod registry;
 
 pub use announcement::Announcement;
 pub use announcement::Kind;
 pub use announcement::Role;
 pub use load::Load;
+pub use pool::Pool;
 pub use registry::Outcome;
 pub use registry::Record;
 pub use registry::Registry;
--- /dev/null
+++ b/src/upstream/pool/host.rs
@@ -0,0 +1,194 @@
+//! The side of the VM that an upstream announces to: it shares out the slots.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use tokio::time::Instant;
+
+use super::message::Ask;
+use super::message::Grant;
+use crate::id;
+use crate::unit::Incarnation;
+use crate::unit::Slots;
+use crate::upstream::registry;
+
+/// How long a grant holds. It is renewed each second, so two lost renewals are borne.
+pub const LEASE: Duration = Duration::from_secs(3);
+
+/// How much longer the host counts a grant than its holder: 1% covers clocks that run apart by far more than any
+/// quartz does, and the holder counts from before its ask was sent.
+pub const DRIFT: Duration = Duration::from_millis(30);
+
+/// How long the fallback share holds after the lease; the host keeps it back for as long.
+pub const FALLBACK: Duration = Duration::from_secs(60);
+
+/// How long a host grants after the upstream last announced to it.
+pub const ANNOUNCED: Duration = registry::LEASE;
+
+/// How long a new host grants nothing beyond what VMs hold already: the one before it may have granted until
+/// [`ANNOUNCED`] ran out, and those grants hold for [`LEASE`].
+pub const TAKEOVER: Duration = ANNOUNCED.saturating_add(LEASE).saturating_add(DRIFT);
+
+/// One part in so many of the slots is shared out for the time that the host can't be reached.
+const RESERVED: u64 = 4;
+
+/// The host's account of one upstream's slots.
+#[derive(Debug)]
+pub struct Host {
+    slots: u64,
+    cautious_until: Instant,
+    announced: Instant,
+    holders: BTreeMap<id::Vm, Account>,
+}
+
+/// What one VM may be using.
+#[derive(Debug)]
+struct Account {
+    incarnation: Incarnation,
+    number: u64,
+    held: u64,
+    running: u64,
+    wanted: u64,
+    granted: Vec<Granted>,
+    fallback: u64,
+    last: Instant,
+}
+
+#[derive(Debug)]
+struct Granted {
+    number: u64,
+    slots: u64,
+}
+
+impl Host {
+    /// The account of an upstream that has just begun to announce to this VM. If it has just started, no other
+    /// VM can have granted its slots.
+    pub fn new(slots: Slots, started: bool, now: Instant) -> Self {
+        let cautious_until = if started { now } else { now + TAKEOVER };
+        Self { slots: slots.get(), cautious_until, announced: now, holders: BTreeMap::new() }
+    }
+
+    /// The upstream has announced to this VM again.
+    pub fn announced(&mut self, slots: Slots, now: Instant) {
+        self.slots = slots.get();
+        self.announced = now;
+    }
+
+    /// Answers an ask; none for one that was overtaken, since its answer would count for nothing. A host that the
+    /// upstream no longer announces to grants nothing: it may announce to another by now, whose takeover counts
+    /// on this.
+    pub fn ask(
+        &mut self,
+        vm: &id::Vm,
+        ask: &Ask,
+        members: &[id::Vm],
+        now: Instant,
+    ) -> Option<Grant> {
+        let stale = |old: &Account| (old.incarnation, old.number) >= (ask.incarnation, ask.number);
+        if now >= self.announced + ANNOUNCED || self.holders.get(vm).is_some_and(stale) {
+            return None;
+        }
+        self.holders.retain(|_, account| account.is_kept(now));
+        let fallback = self.fallback(vm, ask, members);
+        self.note(vm, ask, fallback, now);
+        let slots = self.share(vm, now);
+        let account = self.holders.get_mut(vm)?;
+        account.granted.push(Granted { number: ask.number, slots });
+        Some(Grant {
+            upstream: ask.upstream.clone(),
+            number: ask.number,
+            slots: Slots::new(slots),
+            lease: LEASE,
+            fallback: Slots::new(fallback),
+        })
+    }
+
+    /// The slots that VMs may be using by this host's word.
+    pub fn outstanding(&self, now: Instant) -> Slots {
+        Slots::new(self.holders.values().map(|account| account.busy(now)).sum())
+    }
+
+    fn note(&mut self, vm: &id::Vm, ask: &Ask, fallback: u64, now: Instant) {
+        let old = self.holders.remove(vm).filter(|old| old.incarnation == ask.incarnation);
+        // Grants that the holder has not applied may still reach it, and out of order.
+        let mut granted = old.map_or_else(Vec::new, |account| account.granted);
+        granted.retain(|granted| granted.number > ask.applied);
+        let account = Account {
+            incarnation: ask.incarnation,
+            number: ask.number,
+            held: ask.held.get(),
+            running: ask.running.get(),
+            wanted: ask.wanted.get().max(ask.running.get()),
+            granted,
+            fallback,
+            last: now,
+        };
+        self.holders.insert(vm.clone(), account);
+    }
+
+    /// What the VM may have: its fair share by demand, as far as others have left it.
+    fn share(&self, vm: &id::Vm, now: Instant) -> u64 {
+        let Some(account) = self.holders.get(vm) else { return 0 };
+        let others = || self.holders.iter().filter(|(other, _)| *other != vm);
+        let busy: u64 = others().map(|(_, account)| account.busy(now)).sum();
+        let free = self.slots.saturating_sub(busy);
+        if now < self.cautious_until {
+            return account.held.min(free);
+        }
+        let lost: u64 = others().filter(|(_, a)| !a.is_leased(now)).map(|(_, a)| a.busy(now)).sum();
+        let wanted = self.holders.values().filter(|a| a.is_leased(now)).map(|a| a.wanted);
+        let level = level(self.slots.saturating_sub(lost), wanted.collect());
+        account.wanted.min(level).min(free)
+    }
+
+    /// The slots for the time that this host can't be reached. What is reserved goes round by rendezvous hash
+    /// where there are more VMs than reserved slots, and never beyond what is reserved.
+    fn fallback(&self, vm: &id::Vm, ask: &Ask, members: &[id::Vm]) -> u64 {
+        let reserved = (self.slots / RESERVED).max(1).min(self.slots);
+        let members_count = members.len().max(1) as u64;
+        let even = reserved / members_count;
+        let rest = (reserved % members_count) as usize;
+        let key = xxhash_rust::xxh3::xxh3_64(ask.upstream.as_str().as_bytes());
+        let weight = |vm: &id::Vm| crate::decide::route::rendezvous::weight(key, vm.as_str());
+        let own = weight(vm);
+        let ahead = members.iter().filter(|other| *other != vm && weight(other) > own).count();
+        let wanted = even + u64::from(ahead < rest);
+        let told = self.holders.iter().filter(|(other, _)| *other != vm).map(|(_, a)| a.fallback);
+        wanted.min(reserved.saturating_sub(told.sum()))
+    }
+}
+
+impl Account {
+    fn is_leased(&self, now: Instant) -> bool {
+        now < self.last + LEASE + DRIFT
+    }
+
+    fn is_kept(&self, now: Instant) -> bool {
+        now < self.last + LEASE + FALLBACK + DRIFT
+    }
+
+    /// The slots that the VM may be using: any grant that may be in force, and what runs beyond a shrunk one.
+    fn busy(&self, now: Instant) -> u64 {
+        if !self.is_leased(now) {
+            return if self.is_kept(now) { self.fallback } else { 0 };
+        }
+        let granted = self.granted.iter().map(|granted| granted.slots).max().unwrap_or(0);
+        granted.max(self.held).max(self.running)
+    }
+}
+
+/// The level to which demands can be met, so that the sum is within `slots`: smaller demands are met whole, and
+/// what they leave is shared evenly. One slot may be over for the level's rounding, which the caller's limit by
+/// what is free takes care of.
+fn level(slots: u64, mut wanted: Vec<u64>) -> u64 {
+    wanted.sort_unstable();
+    let mut left = slots;
+    for (index, &want) in wanted.iter().enumerate() {
+        let rest = (wanted.len() - index) as u64;
+        if want.saturating_mul(rest) > left {
+            return left.div_ceil(rest);
+        }
+        left -= want;
+    }
+    slots
+}
--- /dev/null
+++ b/src/upstream/pool/message.rs
@@ -0,0 +1,58 @@
+//! What VMs tell each other to share an upstream's slots.
+
+use std::time::Duration;
+
+use serde::Deserialize;
+use serde::Serialize;
+use serde_with::DurationMilliSeconds;
+use serde_with::serde_as;
+
+use crate::id;
+use crate::unit::Incarnation;
+use crate::unit::Slots;
+
+/// A message about the slots of one upstream.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Message {
+    /// To the host VM: what is asked for.
+    Ask(Ask),
+    /// From the host VM: what is granted.
+    Grant(Grant),
+}
+
+/// A VM asks for slots, and tells what it has.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Ask {
+    /// The upstream.
+    pub upstream: id::Upstream,
+    /// The start of the asking VM.
+    pub incarnation: Incarnation,
+    /// The number of this ask within the VM's start.
+    pub number: u64,
+    /// The number of the ask whose grant is in force.
+    pub applied: u64,
+    /// The slots of the grant in force; zero when it has run out.
+    pub held: Slots,
+    /// The slots in use.
+    pub running: Slots,
+    /// The slots that it could use now.
+    pub wanted: Slots,
+}
+
+/// The host VM's answer.
+#[serde_as]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Grant {
+    /// The upstream.
+    pub upstream: id::Upstream,
+    /// The number of the ask that this answers; an answer to an older ask than the last one applied is dropped.
+    pub number: u64,
+    /// The slots that it may use.
+    pub slots: Slots,
+    /// How long, from the moment that the ask was sent.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    pub lease: Duration,
+    /// The slots that it may use after the lease, when the host VM can't be reached.
+    pub fallback: Slots,
+}
