Retry within budgets, by evidence, and hedge late short work

Retries are paid from budgets of the owner and of the upstreams, wait with full jitter, are made by one layer and only of what surely did not run or may be repeated. Whether a request ran is derived from the evidence in one place. A request given up is answered at once, with a place to come back at.

--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -2,4 +2,5 @@
 
 pub mod admission;
 pub mod queue;
+pub mod retry;
 pub mod route;
--- /dev/null
+++ b/src/decide/retry/tests.rs
@@ -0,0 +1,3 @@
+mod budget;
+mod evidence;
+mod hedge;
--- a/src/decide/route/group.rs
+++ b/src/decide/route/group.rs
@@ -33,7 +33,7 @@
     pub stats: Stats,
     /// The upstreams that a prefix belongs to by its hash, remembered until the members change.
     pub homes: HashMap<u64, [Option<u32>; 2]>,
-    latency: [Ewma; 4],
+    latency: [Ewma; Class::COUNT],
     service: Ewma,
     refreshed: Option<Instant>,
 }
@@ -70,7 +70,7 @@
     pub fn answered(&mut self, class: Class, latency: Duration) -> f64 {
         let seconds = latency.as_secs_f64();
         self.service.add(seconds);
-        let mean = &mut self.latency[class as usize];
+        let mean = &mut self.latency[class.index()];
         mean.add(seconds);
         mean.get().filter(|&mean| mean > 0.0).map_or(1.0, |mean| seconds / mean)
     }
