--- a/src/lib.rs
+++ b/src/lib.rs
@@ -9,6 +9,8 @@
 pub mod decide;
 pub mod dump;
 pub mod entry;
+#[cfg(test)]
+mod fuzz;
 pub mod http;
 pub mod id;
 pub mod ledger;
@@ -17,12 +19,8 @@
 pub mod metrics;
 pub mod settings;
 pub mod signal;
-pub mod supervisor;
-#[cfg(test)]
-mod fuzz;
-pub mod id;
-pub mod ledger;
 pub mod store;
+pub mod supervisor;
 pub mod unit;
 pub mod upstream;
 pub mod wire;
