--- a/src/bin/mastic-entry.rs
+++ b/src/bin/mastic-entry.rs
@@ -2,12 +2,22 @@
 
 use std::process::ExitCode;
 use std::sync::Arc;
+use std::time::SystemTime;
+use std::time::UNIX_EPOCH;
 
 use masticstream::cli;
 use masticstream::entry::Daemon;
 use masticstream::log;
 use masticstream::settings::Site;
 use masticstream::signal;
+use masticstream::unit::Incarnation;
+
+/// Microseconds since the epoch. It is compared with the same VM's earlier starts alone, never with another VM's; a
+/// clock that was set back is found out by the ledger, and the daemon then takes a higher number.
+fn incarnation() -> Incarnation {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    Incarnation::new(since.map_or(1, |since| since.as_micros() as u64))
+}
 
 #[tokio::main]
 async fn main() -> ExitCode {
@@ -20,7 +30,7 @@
         Err(findings) => return cli::errors::report(&findings.into()),
     };
     let log = log::logger(&site.logs, &arguments.vm, "entry");
-    let daemon = match Daemon::start(arguments.vm, site, rand::random(), log).await {
+    let daemon = match Daemon::start(arguments.vm, site, incarnation(), rand::random(), log).await {
         Ok(daemon) => daemon,
         Err(error) => return cli::errors::report(&cli::Error::Start(error.to_string())),
     };
--- a/src/entry/daemon.rs
+++ b/src/entry/daemon.rs
@@ -20,6 +20,7 @@
 use crate::settings::Site;
 use crate::settings::site::EntryAddresses;
 use crate::supervisor::Supervisor;
+use crate::unit::Incarnation;
 use crate::wire::Mesh;
 use crate::wire::Peer;
 use crate::wire::Role;
@@ -84,8 +85,15 @@
 }
 
 impl Daemon {
-    /// Starts the daemon of that VM. The seed drives choices and jitter.
-    pub async fn start(me: id::Vm, site: Arc<Site>, seed: u64, log: Logger) -> Result<Self, Error> {
+    /// Starts the daemon of that VM. The incarnation must be higher than that of any start before; the seed drives
+    /// choices and jitter.
+    pub async fn start(
+        me: id::Vm,
+        site: Arc<Site>,
+        incarnation: Incarnation,
+        seed: u64,
+        log: Logger,
+    ) -> Result<Self, Error> {
         let place = site.vms.get(&me).filter(|vm| vm.entry.is_some()).cloned();
         let place = place.ok_or_else(|| Error::NotHere { vm: me.clone(), role: "entry" })?;
         let addresses = place.entry.clone();
@@ -93,7 +101,7 @@
             addresses.ok_or_else(|| Error::NotHere { vm: me.clone(), role: "entry" })?;
         let bound = Bound::new(&addresses).await?;
         let peer = Peer::new(me.clone(), Role::Entry);
-        let hub = Arc::new(Hub::new(me, place, site.clone(), seed, log.clone()));
+        let hub = Arc::new(Hub::new(me, place, site.clone(), (incarnation, seed), log.clone()));
         let service = Arc::new(peers::Service::new(hub.clone()));
         let mesh = Mesh::new(peer, site.secret.clone(), site.book(), service);
         hub.connect(mesh.clone());
--- a/src/entry/hub.rs
+++ b/src/entry/hub.rs
@@ -6,6 +6,7 @@
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::OnceLock;
+use std::sync::atomic::AtomicU64;
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -16,6 +17,7 @@
 use slog::Logger;
 use slog::debug;
 use slog::info;
+use slog::warn;
 use tokio::sync::watch;
 use tokio::time::Instant;
 
@@ -45,6 +47,9 @@
 /// A VM of another region that no link reached for this long is left out of the directory.
 const REACHED: Duration = Duration::from_secs(5);
 
+/// Incarnations count microseconds, so a second's worth is above any that this VM had before.
+const REINCARNATION_STEP: u64 = 1_000_000;
+
 /// An entry VM that takes requests.
 #[derive(Debug, Clone)]
 pub struct Live {
@@ -81,12 +86,20 @@
     mesh: OnceLock<Mesh>,
     reached: Mutex<BTreeMap<id::Vm, Instant>>,
     draining: watch::Sender<bool>,
+    incarnation: AtomicU64,
+    ledgers: Mutex<BTreeMap<id::Region, id::Vm>>,
     streams: AtomicUsize,
 }
 
 impl Hub {
     /// The state of a daemon on that VM that has just started. The seed drives choices and jitter.
-    pub fn new(me: id::Vm, place: Vm, site: Arc<Site>, seed: u64, log: Logger) -> Self {
+    pub fn new(
+        me: id::Vm,
+        place: Vm,
+        site: Arc<Site>,
+        (incarnation, seed): (Incarnation, u64),
+        log: Logger,
+    ) -> Self {
         let mut rng = SmallRng::seed_from_u64(seed);
         let dispatch = Mutex::new(Dispatch::new(&me, rng.random()));
         let fleet = Mutex::new(Fleet::new(&me, &site, rng.random(), Instant::now()));
@@ -105,6 +118,8 @@
             mesh: OnceLock::new(),
             reached: Mutex::default(),
             draining: watch::Sender::new(false),
+            incarnation: AtomicU64::new(incarnation.get()),
+            ledgers: Mutex::default(),
             streams: AtomicUsize::new(0),
         }
     }
@@ -308,6 +323,30 @@
         *self.draining.borrow()
     }
 
+    /// The start of this daemon, as ledgers and upstreams' hosts know it.
+    pub fn incarnation(&self) -> Incarnation {
+        Incarnation::new(self.incarnation.load(Ordering::Relaxed))
+    }
+
+    /// Takes a higher incarnation: this one was given up as gone, so its claims are no longer granted.
+    pub fn reincarnate(&self) {
+        let next = self.incarnation.fetch_add(REINCARNATION_STEP, Ordering::Relaxed);
+        warn!(self.log, "this VM was given up as gone and starts anew"; "incarnation" => next);
+    }
+
+    /// Which control VM of a region's ledger answered last.
+    pub fn last_ledger(&self, region: &id::Region) -> Option<id::Vm> {
+        self.ledgers.lock().expect("no panic while locked").get(region).cloned()
+    }
+
+    /// Notes which control VM of a region's ledger answered.
+    pub fn note_ledger(&self, region: &id::Region, vm: &id::Vm) {
+        let mut ledgers = self.ledgers.lock().expect("no panic while locked");
+        if ledgers.get(region) != Some(vm) {
+            ledgers.insert(region.clone(), vm.clone());
+        }
+    }
+
     /// Tells when the daemon begins to drain.
     pub fn drained(&self) -> watch::Receiver<bool> {
         self.draining.subscribe()
--- a/src/entry/job.rs
+++ b/src/entry/job.rs
@@ -8,8 +8,6 @@
 use http::Method;
 use serde::Deserialize;
 use serde_json::value::RawValue;
-use sha2::Digest as _;
-use sha2::Sha256;
 use tokio::time::Instant;
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -19,6 +17,7 @@
 use crate::http::Reason;
 use crate::http::Refusal;
 use crate::id;
+use crate::ledger::Digest;
 use crate::unit::Bytes as Size;
 use crate::unit::Tokens;
 use crate::upstream;
@@ -30,8 +29,6 @@
 /// A prompt's prefixes are told apart at these lengths in bytes: a system prompt, a short and a long history.
 const PREFIX_BYTES: [usize; 4] = [256, 1024, 4096, 16384];
 
-/// The SHA-256 digest of a request's body and path.
-pub type Digest = [u8; 32];
 
 /// A request whose head and body are read and checked.
 #[derive(Debug)]
@@ -134,14 +131,8 @@
 }
 
 /// The digest of a request, by which a resend is known from another request under the same key.
-pub fn digest(method: &Method, path: &str, body: &[u8]) -> Digest {
-    let mut hash = Sha256::new();
-    hash.update(method.as_str());
-    hash.update([0]);
-    hash.update(path);
-    hash.update([0]);
-    hash.update(body);
-    hash.finalize().into()
+pub fn digest(entry: &id::Entry, method: &Method, path: &str, body: &[u8]) -> Digest {
+    Digest::of_request(entry, [method.as_str().as_bytes(), path.as_bytes(), body])
 }
 
 impl Job {
--- a/src/entry/running.rs
+++ b/src/entry/running.rs
@@ -4,10 +4,10 @@
 use std::sync::Arc;
 use std::sync::Mutex;
 
-use crate::entry::job::Digest;
 use crate::entry::transcript::Reader;
 use crate::entry::transcript::Writer;
 use crate::id;
+use crate::ledger::Digest;
 
 /// Whose key, and which.
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
--- a/src/http/caller.rs
+++ b/src/http/caller.rs
@@ -383,7 +383,7 @@
     let content = Content::read(&entry, &body)?;
     Ok(Job {
         request: hub.random(id::Request::random),
-        digest: job::digest(&parts.method, &path, &body),
+        digest: job::digest(&entry.name, &parts.method, &path, &body),
         headers: passed_on(hub, &parts),
         method: parts.method,
         entry,
--- a/src/wire/message.rs
+++ b/src/wire/message.rs
@@ -7,6 +7,7 @@
 
 use crate::catalogue;
 use crate::id;
+use crate::ledger;
 use crate::membership;
 use crate::unit::Version;
 
@@ -55,6 +56,10 @@
     },
     /// Change the catalogue.
     Change(catalogue::Change),
+    /// Have a command committed by the ledger of the peer's region.
+    Ledger(ledger::Command),
+    /// What does the ledger of the peer's region know of a key?
+    Peek(ledger::Look),
     /// Which version of the catalogue is in force at the peer?
     InForce,
 }
@@ -73,6 +78,8 @@
         /// Whether the daemon takes requests.
         takes_requests: bool,
     },
+    /// What came of the command, or of the look.
+    Ledger(Result<ledger::Reply, Unavailable>),
     /// The peer has no answer to such a request.
     Unsupported,
 }
