Run a request in stages: look, place, claim, attempt

Cause: the first version sent a request without a claim, and retried without a budget. Conclusion: the path is complete but for limits, quarantine and spill.

--- a/src/entry/daemon.rs
+++ b/src/entry/daemon.rs
@@ -59,6 +59,7 @@
     upstreams: TcpListener,
     operators: TcpListener,
     links: TcpListener,
+    forwards: TcpListener,
 }
 
 /// A running entry daemon.
@@ -80,6 +81,7 @@
             upstreams: listen(addresses.upstreams).await?,
             operators: listen(addresses.operators).await?,
             links: listen(addresses.links).await?,
+            forwards: listen(addresses.forwards).await?,
         })
     }
 }
@@ -160,6 +162,10 @@
     listener(supervisor, "operators", bound.operators, move |request| {
         http::operator::answer(operators.clone(), request)
     });
+    let forwards = hub.clone();
+    listener(supervisor, "forwards", bound.forwards, move |request| {
+        http::forward::answer(forwards.clone(), request)
+    });
     let links = Arc::new(bound.links);
     let stop = supervisor.stop();
     supervisor.child("links", move || mesh.clone().listen(links.clone(), stop.clone()));
--- a/src/entry/dispatch.rs
+++ b/src/entry/dispatch.rs
@@ -18,6 +18,12 @@
 use crate::decide::queue::Capacity;
 use crate::decide::queue::Queue;
 use crate::decide::queue::Ticket;
+use crate::decide::retry;
+use crate::decide::retry::Evidence;
+use crate::decide::retry::Hedge;
+use crate::decide::retry::Layer;
+use crate::decide::retry::Retry;
+use crate::decide::retry::Verdict;
 use crate::decide::route::Outcome;
 use crate::decide::route::Route;
 use crate::entry::Job;
@@ -61,6 +67,8 @@
     upstreams: BTreeMap<id::Upstream, Hosted>,
     route: Route,
     admission: Admission,
+    retry: Retry,
+    hedge: Hedge,
     pools: HashMap<id::Model, Pool>,
     rng: SmallRng,
 }
@@ -73,6 +81,8 @@
             upstreams: BTreeMap::new(),
             route: Route::new(me),
             admission: Admission::new(SmallRng::from_rng(&mut rng)),
+            retry: Retry::new(),
+            hedge: Hedge::new(),
             pools: HashMap::new(),
             rng,
         }
@@ -142,6 +152,54 @@
         }
     }
 
+    /// A request's first attempt is about to be made.
+    pub fn began(&mut self, job: &Job, now: Instant) {
+        self.retry.began(&job.entry.owner, &job.model, now);
+    }
+
+    /// What becomes of a request whose last attempt failed.
+    pub fn failed(
+        &mut self,
+        job: &Job,
+        evidence: &[Evidence],
+        layer: Layer,
+        now: Instant,
+    ) -> Verdict {
+        let failure = retry::Failure {
+            owner: &job.entry.owner,
+            model: &job.model,
+            repeat: job.entry.repeat,
+            evidence,
+            layer,
+            left: job.deadline.saturating_duration_since(now),
+            expected: self.admission.expected(&job.entry.name, job.entry.class),
+        };
+        self.retry.decide(&failure, now, &mut self.rng)
+    }
+
+    /// A first attempt is made: the time after which it counts as late, where a second one could then be made.
+    pub fn hedge_after(&mut self, job: &Job, now: Instant) -> Option<Duration> {
+        self.hedge.after(&job.model, job.entry.class, job.entry.repeat, now)
+    }
+
+    /// A place for a second attempt, on an upstream other than the one that is late.
+    pub fn hedge(&mut self, job: &Job, busy: &id::Upstream, now: Instant) -> Option<Grant> {
+        let avoid = [busy.clone()];
+        let pool = self.pools.get_mut(&job.model)?;
+        // Waiting requests go first: a second attempt is worth less than another request's first.
+        if !pool.queue.is_empty() || !pool.capacity.allows(job.entry.class) {
+            return None;
+        }
+        let chosen = self.route.pick(&job.facts(&avoid), now, &mut self.rng)?;
+        let upstream = self.upstreams.get(&chosen)?.announcement.clone();
+        if !self.hedge.begin(&job.model, now) {
+            return None;
+        }
+        self.route.sent(&chosen, now);
+        pool.capacity.started(job.entry.class);
+        Some(Grant { upstream, since: now })
+    }
+
     /// Takes the end of an attempt and gives its place to the next request.
     pub fn finished(&mut self, job: &Job, grant: &Grant, outcome: Outcome, now: Instant) {
         let class = job.entry.class;
@@ -149,6 +207,8 @@
         self.route.finished(&grant.upstream.id, &job.facts(&[]), outcome, took, now);
         if outcome == Outcome::Answered {
             self.admission.observe(&job.entry.name, class, took);
+            self.retry.answered(&job.model, now);
+            self.hedge.answered(&job.model, took);
         }
         if let Some(pool) = self.pools.get_mut(&job.model) {
             pool.capacity.finished(class);
--- a/src/entry/fleet.rs
+++ b/src/entry/fleet.rs
@@ -96,7 +96,7 @@
     /// A VM that knows its seeds from the settings: the entry VMs of the site.
     pub fn new(me: &id::Vm, site: &Site, seed: u64, now: Instant) -> Self {
         let region = |vm: &id::Vm| site.vms.get(vm).map(|vm| vm.region.clone());
-        let mut config = Config::new(me.clone(), region(me).unwrap_or_else(|| no_region()));
+        let mut config = Config::new(me.clone(), region(me).unwrap_or_else(no_region));
         for (name, vm) in site.vms.iter().filter(|(_, vm)| vm.entry.is_some()) {
             config = config.with_seed(name.clone(), vm.region.clone());
         }
--- a/src/entry/hub.rs
+++ b/src/entry/hub.rs
@@ -29,6 +29,8 @@
 use crate::entry::fleet::Effect;
 use crate::entry::fleet::Place;
 use crate::entry::running::Running;
+use crate::http::Reason;
+use crate::http::Refusal;
 use crate::http::client::Client;
 use crate::id;
 use crate::membership;
@@ -47,6 +49,8 @@
 /// A VM of another region that no link reached for this long is left out of the directory.
 const REACHED: Duration = Duration::from_secs(5);
 
+/// When to come back, to another VM.
+const ELSEWHERE: Duration = Duration::from_millis(500);
 /// Incarnations count microseconds, so a second's worth is above any that this VM had before.
 const REINCARNATION_STEP: u64 = 1_000_000;
 
@@ -318,6 +322,15 @@
         self.draining.send_replace(true);
     }
 
+    /// Refuses a request because this VM shuts down, and names another VM.
+    pub fn draining_refusal(&self) -> Refusal {
+        let text = match self.live().first() {
+            Some(other) => format!("this VM shuts down; ask {}", other.callers),
+            None => "this VM shuts down; ask the directory for another".to_owned(),
+        };
+        Refusal::new(Reason::Draining, text).with_retry_after(ELSEWHERE)
+    }
+
     /// Whether the daemon takes no more requests.
     pub fn is_draining(&self) -> bool {
         *self.draining.borrow()
--- a/src/entry/job.rs
+++ b/src/entry/job.rs
@@ -29,7 +29,6 @@
 /// A prompt's prefixes are told apart at these lengths in bytes: a system prompt, a short and a long history.
 const PREFIX_BYTES: [usize; 4] = [256, 1024, 4096, 16384];
 
-
 /// A request whose head and body are read and checked.
 #[derive(Debug)]
 pub struct Job {
@@ -153,6 +152,11 @@
         Size::new(self.body.len() as u64 + self.path.len() as u64)
     }
 
+    /// Whether another VM passed the request on, and decides what becomes of it.
+    pub fn is_forwarded(&self) -> bool {
+        !self.hops.is_empty()
+    }
+
     /// Whether the request may run more than once.
     pub fn may_repeat(&self) -> bool {
         self.entry.repeat == catalogue::Repeat::Allowed
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -9,6 +9,7 @@
 pub mod peers;
 pub mod run;
 pub mod running;
+pub mod stage;
 pub mod transcript;
 
 pub use daemon::Daemon;
--- a/src/entry/run.rs
+++ b/src/entry/run.rs
@@ -1,160 +1,202 @@
-//! The life of one request: waiting, running, answered.
+//! The life of one request: looked up, waiting, claimed, attempted, answered.
 
 use std::sync::Arc;
-use std::time::Duration;
 
-use http::HeaderName;
+use bytes::Bytes;
 use http::HeaderValue;
-use slog::debug;
+use http::StatusCode;
+use http::header;
 use slog::info;
 use slog::warn;
 use tokio::time;
 use tokio::time::Instant;
 
-use crate::catalogue::Class;
-use crate::decide::queue::Priority;
-use crate::decide::route::Outcome;
-use crate::entry::Grant;
+use crate::decide::retry;
+use crate::decide::retry::Evidence;
+use crate::decide::retry::Layer;
+use crate::decide::retry::Verdict;
 use crate::entry::Hub;
 use crate::entry::Job;
-use crate::entry::dispatch;
+use crate::entry::claim;
+use crate::entry::claim::Known;
+use crate::entry::stage;
+use crate::entry::stage::Checked;
+use crate::entry::stage::Unclaimed;
 use crate::entry::transcript::End;
+use crate::entry::transcript::Head;
 use crate::entry::transcript::Writer;
 use crate::http::Ran;
 use crate::http::Reason;
 use crate::http::Refusal;
-use crate::http::engine;
-use crate::http::engine::Evidence;
-use crate::http::engine::Failure;
-use crate::http::engine::Order;
-use crate::http::engine::Patience;
+use crate::http::answer::Failure;
+use crate::http::forward;
 use crate::id;
-
-/// Names the region that answered.
-pub const REGION: HeaderName = HeaderName::from_static("mastic-region");
-/// Attempts at most for one request: the first, and one on each of two other upstreams.
-const ATTEMPTS: usize = 3;
+use crate::ledger;
 
 /// Runs a request to its end and writes its answer.
 pub async fn run(hub: Arc<Hub>, job: Arc<Job>, out: Arc<Writer>) {
     let _stream = hub.enter();
     let ended = tokio::select! {
-        ended = attempts(&hub, &job, &out) => ended,
-        // Nobody reads, and a request without a key can't be asked for again under its name.
+        ended = answer(&hub, &job, &out) => ended,
+        // Nobody reads, and a request without a key can't be asked for again.
         () = out.abandoned(), if job.key.is_none() => {
-            hub.dispatch().cancel(&job);
             hub.metrics.ended(job.entry.class, "abandoned");
             return;
         }
     };
-    let latency = job.arrived.elapsed();
     match ended {
         Ok(()) => {
             hub.metrics.ended(job.entry.class, "whole");
-            hub.metrics.latency(job.entry.class, latency);
+            hub.metrics.latency(job.entry.class, job.arrived.elapsed());
             out.end(End::Whole);
         }
         Err(refusal) => {
             hub.metrics.ended(job.entry.class, refusal.reason.name());
             info!(hub.log, "request refused"; "request" => %job.request, "entry" => %job.entry.name,
-                "reason" => refusal.reason.name(), "ran" => ?refusal.ran);
+                "reason" => refusal.reason.name(), "ran" => ?refusal.ran, "detail" => &refusal.detail);
             out.end(End::Refused(refusal));
         }
     }
 }
 
-/// Attempts until one is whole, or until another may not be made.
-async fn attempts(hub: &Arc<Hub>, job: &Arc<Job>, out: &Writer) -> Result<(), Refusal> {
-    let mut avoid = Vec::new();
-    let mut ran = Ran::No;
-    let mut last = None;
-    for _ in 0..ATTEMPTS {
-        let grant = match place(hub, job, &avoid).await {
-            Ok(grant) => grant,
-            Err(refusal) => return Err(last.unwrap_or(refusal).with_ran(ran)),
-        };
-        let failure = match attempt(hub, job, &grant, out).await {
-            Ok(()) => return Ok(()),
-            Err(failure) => failure,
-        };
-        warn!(hub.log, "attempt failed"; "request" => %job.request, "upstream" => %grant.upstream.id,
-            "why" => &failure.why, "evidence" => ?failure.evidence);
-        if failure.evidence == Evidence::Sent {
-            ran = Ran::Unknown;
-        }
-        let why = format!("the upstream failed: {}", failure.why);
-        let refusal = Refusal::new(Reason::UpstreamFailed, why);
-        let again = ran == Ran::No || (job.may_repeat() && !out.has_head());
-        if !again {
-            return Err(refusal.with_ran(ran));
+/// Answers from what is known of the request's key, else by running it.
+async fn answer(hub: &Arc<Hub>, job: &Arc<Job>, out: &Writer) -> Result<(), Refusal> {
+    let must_claim = job.key.is_some() && !job.is_forwarded();
+    if !must_claim {
+        return execute(hub, job, out, false).await;
+    }
+    match claim::look(hub, job).await? {
+        Known::Absent => execute(hub, job, out, true).await,
+        Known::Unasked => {
+            // What came of an earlier send is not known, so no refusal of this one may say that nothing ran.
+            execute(hub, job, out, false).await.map_err(|refusal| refusal.with_ran(Ran::Unknown))
         }
-        last = Some(refusal.with_retry_after(Duration::from_secs(1)));
-        avoid.push(grant.upstream.id);
+        known => replay(hub, job, out, known).await,
     }
-    Err(last.unwrap_or_else(dispatch::too_late).with_ran(ran))
 }
 
-/// Waits for a place on an upstream.
-async fn place(hub: &Hub, job: &Arc<Job>, avoid: &[id::Upstream]) -> Result<Grant, Refusal> {
-    let answer = hub.dispatch().submit(job, avoid.to_vec(), Instant::now())?;
-    match time::timeout_at(job.deadline, answer).await {
-        Ok(Ok(granted)) => granted,
-        Ok(Err(_)) | Err(_) => {
-            hub.dispatch().cancel(job);
-            Err(dispatch::too_late())
+/// Answers a request that ran or runs elsewhere.
+async fn replay(hub: &Hub, job: &Job, out: &Writer, known: Known) -> Result<(), Refusal> {
+    match known {
+        Known::Answered(answer) => {
+            let kind = HeaderValue::from_str(&answer.media);
+            let headers = kind.into_iter().map(|kind| (header::CONTENT_TYPE, kind)).collect();
+            let status = StatusCode::from_u16(answer.status).unwrap_or(StatusCode::OK);
+            let events = answer.media.starts_with("text/event-stream");
+            let body = Bytes::copy_from_slice(&answer.body);
+            out.whole_answer(Head { status, headers, events }, body);
+            Ok(())
         }
+        Known::Running(vm) => join(hub, job, out, &vm).await,
+        Known::Absent | Known::Unasked => Err(in_progress("the request was given up elsewhere")),
     }
 }
 
-/// Gives a place back whatever way the attempt ends, also when its task is dropped.
-struct Held<'a> {
-    hub: &'a Hub,
-    job: &'a Job,
-    grant: &'a Grant,
-    outcome: Outcome,
+/// Reads along with the VM that runs the request.
+async fn join(hub: &Hub, job: &Job, out: &Writer, vm: &id::Vm) -> Result<(), Refusal> {
+    let address = hub.site.vms.get(vm).and_then(|vm| Some(vm.entry.as_ref()?.forwards));
+    let Some(address) = address.filter(|_| *vm != hub.me) else {
+        return Err(in_progress("the request was started, and how it ended is being recorded"));
+    };
+    let sink = stage::sink(hub, job, out, &|| true);
+    let joined = forward::ask_join(hub, job, address, &sink).await;
+    joined.map_err(|failure| in_progress(&format!("the request runs on {vm}: {}", failure.why)))
 }
 
-impl Drop for Held<'_> {
-    fn drop(&mut self) {
-        self.hub.dispatch().finished(self.job, self.grant, self.outcome, Instant::now());
-    }
+fn in_progress(detail: &str) -> Refusal {
+    Refusal::new(Reason::OutcomeUnknown, detail)
+        .with_ran(Ran::Unknown)
+        .with_retry_after(claim::RUNNING_BACK)
 }
 
-async fn attempt(hub: &Hub, job: &Job, grant: &Grant, out: &Writer) -> Result<(), Failure> {
-    let mut held = Held { hub, job, grant, outcome: Outcome::Cancelled };
-    let attempt = hub.random(id::Attempt::random);
-    debug!(hub.log, "attempt"; "request" => %job.request, "attempt" => %attempt,
-        "upstream" => %grant.upstream.id);
-    let order = Order {
-        attempt,
-        address: grant.upstream.address,
-        priority: Priority::of(job.entry.class).get(),
-        offset: 0,
-        patience: patience(job.entry.class),
-        marks: marks(hub),
-    };
-    let ended = engine::run(&hub.client, job, &order, out).await;
-    held.outcome = match &ended {
-        Ok(()) => Outcome::Answered,
-        Err(failure) if failure.full => Outcome::Full,
-        Err(_) => Outcome::Failed,
-    };
+/// Runs the request, and settles its claim.
+async fn execute(
+    hub: &Arc<Hub>,
+    job: &Arc<Job>,
+    out: &Writer,
+    must_claim: bool,
+) -> Result<(), Refusal> {
+    if hub.is_draining() && !job.is_forwarded() {
+        return Err(hub.draining_refusal());
+    }
+    let checked = Checked::new(hub.clone(), job.clone(), must_claim);
+    let (step, ended) = attempts(hub, job, out, checked).await;
+    let Some(step) = step else { return ended };
+    match &ended {
+        Ok(()) => {
+            let answer = out.kept_answer().map(Arc::new);
+            claim::finish(hub, job, step, ledger::Outcome::Whole, answer).await;
+        }
+        Err(refusal) if refusal.ran == Ran::No => claim::release(hub, job, step).await,
+        Err(_) => claim::finish(hub, job, step, ledger::Outcome::Broken, None).await,
+    }
     ended
 }
 
-fn marks(hub: &Hub) -> Vec<(HeaderName, HeaderValue)> {
-    let region = HeaderValue::from_str(hub.region().as_str());
-    region.into_iter().map(|value| (REGION, value)).collect()
+type Ended = (Option<ledger::Step>, Result<(), Refusal>);
+
+/// Attempts until one is whole, or until another may not be made.
+async fn attempts(hub: &Arc<Hub>, job: &Arc<Job>, out: &Writer, checked: Checked) -> Ended {
+    let mut checked = checked;
+    let mut avoid = Vec::new();
+    let mut evidence = Vec::new();
+    hub.dispatch().began(job, Instant::now());
+    loop {
+        let placed = match checked.place(&avoid).await {
+            Ok(placed) => placed,
+            Err((checked, refusal)) => {
+                let refusal = refusal.with_ran(Ran::after(&evidence));
+                return (checked.into_step(), Err(refusal));
+            }
+        };
+        let claimed = match placed.claim().await {
+            Ok(claimed) => claimed,
+            Err(Unclaimed::Refused(refusal)) => return (None, Err(refusal)),
+            Err(Unclaimed::Known(known)) => return (None, replay(hub, job, out, known).await),
+        };
+        let (again, upstream, ended) = claimed.attempt(out).await;
+        let Err(failure) = ended else { return (again.into_step(), Ok(())) };
+        warn!(hub.log, "attempt failed"; "request" => %job.request, "upstream" => %upstream,
+            "why" => &failure.why, "evidence" => ?failure.evidence);
+        evidence.push(failure.evidence);
+        if let Err(refusal) = again_after(hub, job, &evidence, &failure).await {
+            return (again.into_step(), Err(refusal));
+        }
+        avoid.push(upstream);
+        checked = again;
+    }
 }
 
-/// How long an upstream may keep silent. An alert's caller is better served by a second attempt after 5 s than by
-/// a first one after 10; a batch prompt of megabytes takes minutes before its first token.
-fn patience(class: Class) -> Patience {
-    let (first, between) = match class {
-        Class::Alert => (5, 3),
-        Class::Short => (10, 5),
-        Class::Long => (60, 15),
-        Class::Batch => (300, 60),
-    };
-    Patience { first: Duration::from_secs(first), between: Duration::from_secs(between) }
+/// Waits until the next attempt may be made; refuses at once where none may.
+async fn again_after(
+    hub: &Hub,
+    job: &Job,
+    evidence: &[Evidence],
+    failure: &Failure,
+) -> Result<(), Refusal> {
+    let now = Instant::now();
+    let layer = if job.is_forwarded() { Layer::Forwarded } else { Layer::First };
+    let verdict = hub.dispatch().failed(job, evidence, layer, now);
+    match verdict {
+        Verdict::Retry { after } => {
+            time::sleep(after).await;
+            Ok(())
+        }
+        Verdict::GiveUp { reason, ran, come_back } => {
+            let why = format!("{}; {}", failure.why, told(reason));
+            let refusal = Refusal::new(Reason::UpstreamFailed, why).with_ran(ran);
+            Err(refusal.with_retry_after(come_back))
+        }
+    }
+}
+
+fn told(reason: retry::Reason) -> &'static str {
+    match reason {
+        retry::Reason::MayHaveRun => "it may have run, and is not run again",
+        retry::Reason::NotOurs => "the VM that was asked first decides",
+        retry::Reason::Attempts => "it was tried often enough",
+        retry::Reason::Deadline => "another attempt would miss the deadline",
+        retry::Reason::OwnerBudget => "the owner's retries are used up",
+        retry::Reason::UpstreamBudget => "the upstreams' retries are used up",
+    }
 }
--- a/src/entry/transcript.rs
+++ b/src/entry/transcript.rs
@@ -7,6 +7,7 @@
 use http::HeaderValue;
 use http::Response;
 use http::StatusCode;
+use http::header;
 use http_body_util::BodyExt;
 use http_body_util::StreamBody;
 use hyper::body::Frame;
@@ -15,6 +16,7 @@
 use crate::http::Body;
 use crate::http::Refusal;
 use crate::http::body::Broken;
+use crate::ledger;
 
 /// What comes before the body of an answer.
 #[derive(Debug, Clone)]
@@ -42,6 +44,7 @@
 struct State {
     head: Option<Head>,
     chunks: Vec<Bytes>,
+    comments: usize,
     end: Option<End>,
 }
 
@@ -90,14 +93,36 @@
         });
     }
 
-    /// Pieces that readers may have seen already.
+    /// Pieces of the answer that readers may have seen already, comments not counted.
     pub fn pushed(&self) -> usize {
-        self.state.borrow().chunks.len()
+        let state = self.state.borrow();
+        state.chunks.len() - state.comments
     }
 
-    /// Whether the head is set, so that no refusal can take its place any more.
-    pub fn has_head(&self) -> bool {
-        self.state.borrow().head.is_some()
+    /// Tells callers who wait for a stream that their request is alive, before its answer begins. The stream is begun
+    /// by it: a refusal that comes later is an event of the stream.
+    pub fn comment(&self, head: Head) {
+        self.state.send_modify(|state| {
+            state.head.get_or_insert(head);
+            state.chunks.push(Bytes::from_static(b": waiting\n\n"));
+            state.comments += 1;
+        });
+    }
+
+    /// Sets a whole answer. Where a stream has begun already, the answer becomes its last event.
+    pub fn whole_answer(&self, head: Head, body: Bytes) {
+        self.state.send_modify(|state| {
+            let begun = state.head.as_ref().is_some_and(|head| head.events);
+            if begun && !head.events {
+                let text = String::from_utf8_lossy(&body).replace('\n', "\ndata: ");
+                let name = if head.status.is_success() { "message" } else { "error" };
+                let event = format!("event: {name}\ndata: {text}\n\n");
+                state.chunks.push(Bytes::from(event));
+                return;
+            }
+            state.head.get_or_insert(head);
+            state.chunks.push(body);
+        });
     }
 
     /// A reader from the start.
@@ -110,13 +135,14 @@
         self.state.closed().await;
     }
 
-    /// The body so far, in one piece, where the answer ended whole.
-    pub fn whole(&self) -> Option<(Head, Bytes)> {
+    /// The answer in one piece, as the ledger keeps it.
+    pub fn kept_answer(&self) -> Option<ledger::Answer> {
         let state = self.state.borrow();
-        if !matches!(state.end, Some(End::Whole)) {
-            return None;
-        }
-        Some((state.head.clone()?, Bytes::from(state.chunks.concat())))
+        let head = state.head.as_ref()?;
+        let kind = head.headers.iter().find(|(name, _)| *name == header::CONTENT_TYPE);
+        let media = kind.and_then(|(_, value)| value.to_str().ok()).unwrap_or_default();
+        let body = state.chunks[state.comments..].concat();
+        Some(ledger::Answer::new(head.status.as_u16(), media, body))
     }
 }
 
--- a/src/http/caller.rs
+++ b/src/http/caller.rs
@@ -35,9 +35,11 @@
 use crate::entry::running::Name;
 use crate::entry::transcript::Writer;
 use crate::http::Body;
+use crate::http::Ran;
 use crate::http::Reason;
 use crate::http::Refusal;
 use crate::http::body;
+use crate::http::forward;
 use crate::id;
 
 /// How long a caller may rely on the directory, in seconds: a lost VM is left out within that.
@@ -46,8 +48,8 @@
 const BODY: Duration = Duration::from_secs(30);
 /// No deadline is longer than this.
 const LONGEST_DEADLINE: Duration = Duration::from_secs(24 * 3600);
-/// When to come back to a VM that is there again, or to the next one.
-const ELSEWHERE: Duration = Duration::from_millis(500);
+/// When to come back to a home region that can't be reached.
+const ELSEWHERE: Duration = Duration::from_secs(2);
 /// Names this system in `Via`, with the VM behind it.
 const VIA_PSEUDONYM: &str = "masticstream-";
 
@@ -96,17 +98,66 @@
 
 /// Answers a caller.
 pub async fn answer(hub: Arc<Hub>, request: Request<Incoming>) -> Response<Body> {
-    let target = match target(&request) {
-        Ok(target) => target,
-        Err(refusal) => return refusal.response(),
+    // Failure: a request ran, its answer was lost, and its resend is refused before the ledger is asked: told "not
+    // run", the caller starts anew under another key, and the request is doubled. So until the ledger was asked, a
+    // refusal of a request with a key doesn't say that nothing ran.
+    let early = match request.headers().contains_key(&hub.site.headers.key) {
+        true => Ran::Unknown,
+        false => Ran::No,
     };
-    let answered = match target {
+    let answered = match target(&request) {
+        Ok(target) => reach(hub, request, target).await,
+        Err(refusal) => Err(refusal),
+    };
+    answered.unwrap_or_else(|refusal| refusal.with_ran(early).response())
+}
+
+async fn reach(
+    hub: Arc<Hub>,
+    request: Request<Incoming>,
+    target: Target,
+) -> Result<Response<Body>, Refusal> {
+    match target {
         Target::Directory => Ok(directory(&hub)),
         Target::Models(entry) => models(&hub, &request, entry.as_deref()),
         Target::Completion { entry, path } => serve(hub, request, entry, path).await,
         Target::Service { entry, path } => serve(hub, request, Some(entry), path).await,
-    };
-    answered.unwrap_or_else(|refusal| refusal.response())
+    }
+}
+
+/// Answers a request that another VM passed on. It has been checked there, and its claim is held there.
+pub async fn forwarded(hub: Arc<Hub>, request: Request<Incoming>) -> Response<Body> {
+    let path = request.uri().path_and_query().map_or("/", |path| path.as_str()).to_owned();
+    let ended = pass(hub, request, path).await;
+    ended.unwrap_or_else(|refusal| refusal.response())
+}
+
+async fn pass(
+    hub: Arc<Hub>,
+    request: Request<Incoming>,
+    path: String,
+) -> Result<Response<Body>, Refusal> {
+    let arrived = Instant::now();
+    let hops = forward::hops(request.headers());
+    if hops.is_empty() || hops.contains(&hub.me) {
+        return Err(Refusal::new(Reason::Loop, "the request has been at this VM before"));
+    }
+    let name = request.headers().get(&hub.site.headers.entry).and_then(|name| name.to_str().ok());
+    let name: Option<id::Entry> = name.and_then(|name| name.parse().ok());
+    let entry = name
+        .and_then(|name| hub.view().entry(&name).cloned())
+        .ok_or_else(|| Refusal::new(Reason::UnknownEntry, "the catalogue has no such entry"))?;
+    // Failure: a VM with an older catalogue passes on what has meanwhile been bound to its region; nothing of it is
+    // read here.
+    if entry.home.is_bound() && entry.home.region() != Some(hub.region()) {
+        return Err(Refusal::new(Reason::HomeUnreachable, "the entry is bound to another region"));
+    }
+    let (parts, incoming) = request.into_parts();
+    let deadline = arrived + deadline(&hub, &entry, &parts.headers)?;
+    let bytes = read_body(&hub, incoming).await?;
+    let times = (arrived, deadline);
+    let job = Job { hops, ..build(&hub, entry, parts, bytes, path, None, times)? };
+    Ok(start(hub, Arc::new(job))?.response().await)
 }
 
 fn target(request: &Request<Incoming>) -> Result<Target, Refusal> {
@@ -206,9 +257,6 @@
     path: String,
 ) -> Result<Response<Body>, Refusal> {
     let arrived = Instant::now();
-    if hub.is_draining() {
-        return Err(draining(&hub));
-    }
     let entry = entry_of(&hub, request.headers(), named.as_deref())?;
     check_kind(&entry, &path)?;
     check_loop(&hub, request.headers())?;
@@ -251,15 +299,6 @@
     }
 }
 
-fn draining(hub: &Hub) -> Refusal {
-    let other = hub.live().first().map(|live| live.callers);
-    let text = match other {
-        Some(address) => format!("this VM shuts down; ask {address}"),
-        None => "this VM shuts down; ask the directory for another".to_owned(),
-    };
-    Refusal::new(Reason::Draining, text).with_retry_after(ELSEWHERE)
-}
-
 fn check_kind(entry: &catalogue::Entry, path: &str) -> Result<(), Refusal> {
     let completion = path == "/v1/chat/completions" || path == "/v1/completions";
     match (&entry.kind, completion) {
@@ -304,7 +343,7 @@
     let Some(address) = there.map(|live| live.callers) else {
         let text =
             format!("{} belongs to region {home}, and no VM there can be reached", entry.name);
-        return Err(Refusal::new(Reason::HomeUnreachable, text).with_retry_after(ELSEWHERE * 4));
+        return Err(Refusal::new(Reason::HomeUnreachable, text).with_retry_after(ELSEWHERE));
     };
     let path = uri.path_and_query().map_or("/", |path| path.as_str());
     let mut response = body::text(StatusCode::TEMPORARY_REDIRECT, "text/plain", "");
--- a/src/http/refusal.rs
+++ b/src/http/refusal.rs
@@ -9,18 +9,10 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::decide::retry::Ran;
 use crate::http::body;
 use crate::http::body::Body;
-
-/// Whether a refused request ran anywhere.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(rename_all = "kebab-case")]
-pub enum Ran {
-    /// It ran nowhere: no byte of any attempt reached an upstream, or the upstream itself said so.
-    No,
-    /// It may have run.
-    Unknown,
-}
+use crate::http::engine;
 
 /// Why a request is refused. The names are stable; programs may rely on them.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
@@ -190,6 +182,11 @@
         let mut response = body::json(self.reason.status(), &self.problem());
         let headers = response.headers_mut();
         headers.insert(header::CONTENT_TYPE, HeaderValue::from_static("application/problem+json"));
+        let ran = match self.ran {
+            Ran::No => "no",
+            Ran::Unknown => "unknown",
+        };
+        headers.insert(engine::RAN, HeaderValue::from_static(ran));
         if let Some(after) = self.retry_after {
             // The header counts whole seconds; rounding up never calls a caller back too early.
             let seconds = after.as_millis().div_ceil(1000).max(1) as u64;
--- a/src/ledger/digest.rs
+++ b/src/ledger/digest.rs
@@ -11,7 +11,7 @@
 use crate::id;
 
 /// The length of a digest in bytes.
-pub(super) const BYTES: usize = 16;
+pub const BYTES: usize = 16;
 
 /// The first half of a SHA-256 digest.
 ///
--- a/src/ledger/mod.rs
+++ b/src/ledger/mod.rs
@@ -23,6 +23,7 @@
 pub use command::Start;
 pub use command::Step;
 pub use command::Withdraw;
+pub use digest::BYTES as DIGEST_BYTES;
 pub use digest::Digest;
 pub use ledger::Ledger;
 pub use limits::Limits;
