Spill to other regions by preference, by one's part of their room, and return gradually

Digests are late and the same for all VMs. A VM hands over no more than its part of the slots that were free when the digest was made, counted from what it had there at that moment.

--- a/src/decide/route/history.rs
+++ b/src/decide/history.rs
@@ -1,17 +1,20 @@
-//! How many requests this VM had inside an upstream at a past moment.
+//! How many of its requests this VM had in one place (an upstream, a region) at a past moment.
+//!
+//! What others report is late. What this VM has sent itself since then is known exactly, and is the difference
+//! between now and the moment that the report was made.
 
 use std::collections::VecDeque;
 use std::time::Duration;
 
 use tokio::time::Instant;
 
-/// How long the past is kept. Reports lag by some 5 s; older ones say nothing of now (see `Tracked::others`).
+/// How long the past is kept. Reports lag by some 5 s; older ones say nothing of now.
 const KEPT: Duration = Duration::from_secs(15);
 
-/// Changes closer together than this are kept as one: 150 entries an upstream at most.
+/// Changes closer together than this are kept as one: 150 entries a place at most.
 const STEP: Duration = Duration::from_millis(100);
 
-/// This VM's requests inside one upstream, now and lately.
+/// This VM's requests in one place, now and lately.
 #[derive(Debug, Default)]
 pub struct History {
     running: u32,
@@ -19,7 +22,7 @@
 }
 
 impl History {
-    /// The requests inside it now.
+    /// The requests there now.
     pub fn running(&self) -> u32 {
         self.running
     }
@@ -34,7 +37,7 @@
         self.set(self.running.saturating_sub(1), now);
     }
 
-    /// The requests inside it at that moment, as far as is kept.
+    /// The requests there at that moment, as far as is kept.
     pub fn at(&self, moment: Instant) -> u32 {
         let earlier = self.past.iter().rev().find(|(time, _)| *time <= moment);
         earlier.map_or(0, |&(_, running)| running)
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -1,6 +1,8 @@
 //! Decisions under load. No module here touches the network: time and state are passed in.
 
 pub mod admission;
+mod history;
 pub mod queue;
 pub mod retry;
 pub mod route;
+pub mod spill;
--- a/src/decide/route.rs
+++ b/src/decide/route.rs
@@ -18,7 +18,6 @@
 mod ewma;
 mod facts;
 mod group;
-mod history;
 mod prefix;
 pub mod rendezvous;
 mod tracked;
--- a/src/decide/route/tracked.rs
+++ b/src/decide/route/tracked.rs
@@ -7,7 +7,7 @@
 use super::ejection::Ejection;
 use super::ewma::Ewma;
 use super::group::Stats;
-use super::history::History;
+use crate::decide::history::History;
 use crate::unit::Slots;
 use crate::upstream::Announcement;
 use crate::upstream::Load;
--- /dev/null
+++ b/src/decide/spill/tests.rs
@@ -0,0 +1,3 @@
+mod choice;
+mod outage;
+mod overload;
