--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod admission;
 mod history;
+pub mod order;
 pub mod queue;
 pub mod retry;
 pub mod route;
--- /dev/null
+++ b/src/decide/order/tests.rs
@@ -0,0 +1,2 @@
+mod holder;
+mod placement;
--- a/src/decide/route.rs
+++ b/src/decide/route.rs
@@ -113,6 +113,13 @@
         }
     }
 
+    /// Whether the upstream is being drained for an order (`order::Step::Drain` and `Resume`).
+    pub fn drained(&mut self, upstream: &id::Upstream, draining: bool) {
+        if let Some(tracked) = self.get_mut(upstream) {
+            tracked.draining = draining;
+        }
+    }
+
     /// The upstream for a request, or none where all that fit are full: then it waits here, not in an engine.
     pub fn pick(
         &mut self,
@@ -236,7 +243,8 @@
 
     fn fitting(&self, number: u32, facts: &Facts<'_>) -> Option<&Tracked> {
         let tracked = self.tracked[number as usize].as_ref()?;
-        (!tracked.leaving && facts.fits(&tracked.announcement)).then_some(tracked)
+        (!tracked.leaving && !tracked.draining && facts.fits(&tracked.announcement))
+            .then_some(tracked)
     }
 
     /// An upstream that fits and isn't ejected, whether it has room or not.
--- a/src/decide/route/tests/choice.rs
+++ b/src/decide/route/tests/choice.rs
@@ -121,6 +121,20 @@
     assert!(route.pick(&facts, now, &mut rng).is_some());
 }
 
+#[test]
+fn a_draining_upstream_gets_nothing() {
+    let now = Instant::now();
+    let mut route = route(2, now);
+    let (model, mut rng) = (model(), rng());
+    let facts = Facts::new(&model, Class::Short);
+    route.drained(&engine(0), true);
+    (0..20).for_each(|_| assert_eq!(route.pick(&facts, now, &mut rng), Some(engine(1))));
+    route.drained(&engine(1), true);
+    assert_eq!(route.pick(&facts, now, &mut rng), None);
+    route.drained(&engine(0), false);
+    assert_eq!(route.pick(&facts, now, &mut rng), Some(engine(0)));
+}
+
 // An upstream leaves with a request in progress and starts again at once: the old request still takes a slot of
 // this VM's count until it ends, and the new start is picked as any other.
 #[test]
--- a/src/decide/route/tracked.rs
+++ b/src/decide/route/tracked.rs
@@ -42,6 +42,8 @@
     pub leased: Option<Slots>,
     /// It takes no new work, but some runs still.
     pub leaving: bool,
+    /// It gets no new work before an order is given to it.
+    pub draining: bool,
     since: Instant,
     report: Option<Report>,
 }
@@ -63,6 +65,7 @@
             slowness: Ewma::default(),
             leased: None,
             leaving: false,
+            draining: false,
             since: now,
             report: None,
         }
@@ -150,7 +153,7 @@
     pub fn has_room(&self, stats: &Stats, now: Instant) -> bool {
         let slots = self.leased.unwrap_or(self.announcement.slots).get();
         let running = u64::from(self.own.running());
-        if self.leaving || running >= slots {
+        if self.leaving || self.draining || running >= slots {
             return false;
         }
         running == 0 || (running as f64) < slots as f64 * self.share(stats, now)
--- a/src/upstream/announcement.rs
+++ b/src/upstream/announcement.rs
@@ -79,7 +79,9 @@
 }
 
 /// Which part of a request an upstream runs.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(
+    Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
 #[serde(rename_all = "kebab-case")]
 pub enum Role {
     /// Whole requests; the usual role, and the only one of plain services.
