--- a/src/upstream/mod.rs
+++ b/src/upstream/mod.rs
@@ -10,6 +10,7 @@
 pub use announcement::Role;
 pub use load::Load;
 pub use pool::Pool;
+pub use registry::LEASE;
 pub use registry::Outcome;
 pub use registry::Record;
 pub use registry::Registry;
