--- a/src/store/tests.rs
+++ b/src/store/tests.rs
@@ -36,7 +36,7 @@
     Act::Append { count: 6, overruled: 3 },
     Act::Snapshot { kept: 0 },
     Act::Append { count: 8, overruled: 0 },
-    Act::Install { ahead: 1 },
+    Act::Install { ahead: -2 },
     Act::Append { count: 2, overruled: 0 },
 ];
 
@@ -148,13 +148,18 @@
     let mut script = Script::new(2);
     script.open().expect("a good disk");
     ACTS.iter().for_each(|act| script.act(*act).expect("a good disk"));
+    let mut opened = script.opened.take().expect("open");
+    opened.log = opened.log.with_segment_bytes(usize::MAX);
+    script.opened = Some(opened);
+    script.act(Act::Append { count: 3, overruled: 0 }).expect("a good disk");
+    script.act(Act::Append { count: 3, overruled: 0 }).expect("a good disk");
     let files: BTreeMap<String, Vec<u8>> = contents(&script.disk);
     let whole = script.acknowledged.entries.len();
-    let last = files.keys().filter(|name| name.starts_with("log-")).next_back().expect("a log");
+    let last = files.keys().rfind(|name| name.starts_with("log-")).expect("a log");
     for (name, bytes) in &files {
         let found = (0..bytes.len()).filter_map(|at| open_changed(&script.disk, name, at));
         for entries in found {
-            assert_eq!((name, entries), (last, whole - 2), "{name} was read though it was changed");
+            assert_eq!((name, entries), (last, whole - 3), "{name} was read though it was changed");
         }
     }
 }
@@ -187,22 +192,23 @@
 }
 
 #[parameterized(
-    identity = { "identity" },
-    snapshot = { "snapshot-" },
-    segment = { "log-0000000000000002" },
+    identity = { "identity", 100 },
+    snapshot = { "snapshot-", 0 },
+    segment = { "log-0000000000000002", 100 },
 )]
-fn refuses_a_folder_that_lacks_a_file(prefix: &str) {
+fn refuses_a_folder_that_lacks_a_file(prefix: &str, kept: u64) {
     // Somebody cleans up and removes a file. A replica that went on without it would vote twice in a term, or
     // forget what it acknowledged.
     let mut script = Script::new(4);
     script.open().expect("a good disk");
     let acts = ACTS.iter().filter(|act| matches!(act, Act::Append { .. } | Act::Vote));
     acts.for_each(|act| script.act(*act).expect("a good disk"));
-    script.act(Act::Snapshot { kept: 100 }).expect("a good disk");
+    script.act(Act::Snapshot { kept }).expect("a good disk");
     let names = script.disk.names().expect("a good disk");
     let name = names.iter().find(|name| name.starts_with(prefix)).expect("a file");
     script.disk.remove(name).expect("a good disk");
-    let error = Opened::new(script.disk.clone(), &mut script.rng).expect_err("a file is missing");
+    let error =
+        Opened::new(script.disk.clone(), &mut script.rng).map(drop).expect_err("a file is missing");
     assert!(matches!(error, Error::Corrupt { .. }), "{error}");
 }
 
@@ -239,6 +245,7 @@
     let mut script = Script::new(6);
     script.open().expect("a good disk");
     script.disk.flip("log-0000000000000001", 3);
-    let error = Opened::new(script.disk.clone(), &mut script.rng).expect_err("another format");
+    let error =
+        Opened::new(script.disk.clone(), &mut script.rng).map(drop).expect_err("another format");
     assert!(matches!(error, Error::Corrupt { damage: Damage::Format(_), .. }), "{error}");
 }
--- a/src/store/tests/fuzz.rs
+++ b/src/store/tests/fuzz.rs
@@ -45,7 +45,7 @@
             5 => (0_u64..9, 0_u64..4).prop_map(|(count, overruled)| Act::Append { count, overruled }).prop_map(Transition::Act),
             1 => Just(Transition::Act(Act::Vote)),
             2 => (0_u64..4).prop_map(|kept| Transition::Act(Act::Snapshot { kept })),
-            1 => (0_u64..4).prop_map(|ahead| Transition::Act(Act::Install { ahead })),
+            1 => (-4_i64..4).prop_map(|ahead| Transition::Act(Act::Install { ahead })),
             2 => (0_u64..14, faults).prop_map(|(after, fault)| Transition::Arm(after, fault)),
             1 => Just(Transition::Kill),
             2 => losses.prop_map(Transition::PowerLoss),
--- a/src/store/tests/script.rs
+++ b/src/store/tests/script.rs
@@ -31,8 +31,9 @@
     Vote,
     /// A snapshot of all there is, and the log is compacted up to a few entries.
     Snapshot { kept: u64 },
-    /// A leader's snapshot arrives, so far ahead; the log starts again after it.
-    Install { ahead: u64 },
+    /// A leader's snapshot arrives, so far ahead of the log's end, and overrules what the log has; the log starts
+    /// again after it.
+    Install { ahead: i64 },
 }
 
 /// The state that a store must give back.
@@ -176,19 +177,21 @@
         if position.index <= self.acknowledged.snapshot.position.index {
             return Ok(());
         }
-        self.save(Snapshot { position, members: Members::new([id::Replica::new(1)]) })?;
+        let entries = self.acknowledged.entries.clone();
+        self.save(Snapshot { position, members: Members::new([id::Replica::new(1)]) }, entries)?;
         let Some(opened) = &mut self.opened else { return Ok(()) };
         let through = Index::new(position.index.get().saturating_sub(kept));
         opened.log.compact(through, &self.acknowledged.snapshot)
     }
 
-    fn install(&mut self, ahead: u64) -> Result<(), Error> {
+    fn install(&mut self, ahead: i64) -> Result<(), Error> {
         self.term += 1;
-        let position =
-            Position::new(Index::new(self.acknowledged.last() + ahead), Term::new(self.term));
+        let first = self.acknowledged.snapshot.position.index.get() + 1;
+        let index = self.acknowledged.last().saturating_add_signed(ahead).max(first);
+        let position = Position::new(Index::new(index), Term::new(self.term));
         let snapshot = Snapshot { position, members: Members::new([id::Replica::new(2)]) };
-        self.save(snapshot.clone())?;
-        let after = State { entries: Vec::new(), ..self.acknowledged.clone() };
+        self.save(snapshot.clone(), Vec::new())?;
+        let after = self.acknowledged.clone();
         let reset = Some(snapshot);
         let persist = Persist {
             sequence: Sequence::ZERO,
@@ -200,13 +203,10 @@
         self.write(persist, after)
     }
 
-    fn save(&mut self, snapshot: Snapshot) -> Result<(), Error> {
+    fn save(&mut self, snapshot: Snapshot, entries: Vec<Entry>) -> Result<(), Error> {
         let data = format!("state at {}", snapshot.position).into_bytes();
-        let after = State {
-            snapshot: snapshot.clone(),
-            data: Some(data.clone()),
-            ..self.acknowledged.clone()
-        };
+        let hard = self.acknowledged.hard;
+        let after = State { hard, snapshot: snapshot.clone(), data: Some(data.clone()), entries };
         let Some(opened) = &mut self.opened else { return Ok(()) };
         self.possible.push(after.clone());
         if let Err(error) = opened.snapshots.save(&snapshot, &data) {
