--- a/src/control/daemon.rs
+++ b/src/control/daemon.rs
@@ -53,7 +53,9 @@
                 future::ready(Reply::Changed(Ok(reply))).boxed()
             }
             Request::Watch { have } => self.newer(have),
-            Request::Ledger(_) | Request::Peek(_) => future::ready(Reply::Unsupported).boxed(),
+            Request::Ledger(_) | Request::Peek(_) | Request::Room => {
+                future::ready(Reply::Unsupported).boxed()
+            }
             Request::InForce => {
                 let version = *self.version.borrow();
                 future::ready(Reply::InForce { version, takes_requests: true }).boxed()
--- a/src/decide/queue.rs
+++ b/src/decide/queue.rs
@@ -68,6 +68,11 @@
         self.spots.len()
     }
 
+    /// The time for which all that waits would occupy a single slot.
+    pub fn work(&self) -> Duration {
+        self.bands.iter().map(Band::work).sum()
+    }
+
     /// Whether nothing waits.
     pub fn is_empty(&self) -> bool {
         self.spots.is_empty()
--- a/src/entry/daemon.rs
+++ b/src/entry/daemon.rs
@@ -14,6 +14,7 @@
 use tokio::time::Instant;
 
 use crate::entry::Hub;
+use crate::entry::digest;
 use crate::entry::peers;
 use crate::http;
 use crate::id;
@@ -171,6 +172,7 @@
     supervisor.child("links", move || mesh.clone().listen(links.clone(), stop.clone()));
     task(supervisor, "catalogue", hub, peers::follow);
     task(supervisor, "greetings", hub, peers::greet);
+    task(supervisor, "digest", hub, digest::tell);
     task(supervisor, "ticks", hub, tick);
 }
 
--- a/src/entry/dispatch.rs
+++ b/src/entry/dispatch.rs
@@ -26,17 +26,27 @@
 use crate::decide::retry::Verdict;
 use crate::decide::route::Outcome;
 use crate::decide::route::Route;
+use crate::decide::spill;
+use crate::decide::spill::Journey;
+use crate::decide::spill::Spill;
 use crate::entry::Job;
 use crate::entry::fleet::Hosted;
 use crate::http::Reason;
 use crate::http::Refusal;
 use crate::id;
+use crate::unit::Incarnation;
 use crate::unit::Slots;
 use crate::upstream::Announcement;
+use crate::upstream::pool as slots;
 
 /// A caller whom no upstream can serve comes back after this: an upstream that starts announces within a second.
 const NO_UPSTREAM_RETRY: Duration = Duration::from_secs(2);
 
+/// Slots that are asked for beyond what runs and waits, so that the next request starts at once.
+const SPARE: u64 = 1;
+/// What a prompt token costs where its prefix isn't cached: engines of today read 10,000 to 50,000 a second.
+const COLD_TOKEN: Duration = Duration::from_micros(50);
+
 /// A place on an upstream, for one attempt.
 #[derive(Debug, Clone)]
 pub struct Grant {
@@ -64,7 +74,13 @@
 
 /// All waiting requests of a VM, and the upstreams that they wait for.
 pub struct Dispatch {
+    me: id::Vm,
     upstreams: BTreeMap<id::Upstream, Hosted>,
+    /// Attempts of this VM on each upstream.
+    busy: HashMap<id::Upstream, u64>,
+    slots: slots::Pool,
+    members: u64,
+    spill: Spill,
     route: Route,
     admission: Admission,
     retry: Retry,
@@ -75,10 +91,15 @@
 
 impl Dispatch {
     /// Nothing waits, and no upstream is known. The seed drives choices and jitter.
-    pub fn new(me: &id::Vm, seed: u64) -> Self {
+    pub fn new(me: &id::Vm, region: &id::Region, incarnation: Incarnation, seed: u64) -> Self {
         let mut rng = SmallRng::seed_from_u64(seed);
         Self {
+            me: me.clone(),
             upstreams: BTreeMap::new(),
+            busy: HashMap::new(),
+            slots: slots::Pool::new(me.clone(), incarnation),
+            members: 1,
+            spill: Spill::new(region.clone(), 1),
             route: Route::new(me),
             admission: Admission::new(SmallRng::from_rng(&mut rng)),
             retry: Retry::new(),
@@ -196,6 +217,7 @@
             return None;
         }
         self.route.sent(&chosen, now);
+        *self.busy.entry(chosen).or_default() += 1;
         pool.capacity.started(job.entry.class);
         Some(Grant { upstream, since: now })
     }
@@ -204,6 +226,7 @@
     pub fn finished(&mut self, job: &Job, grant: &Grant, outcome: Outcome, now: Instant) {
         let class = job.entry.class;
         let took = now.saturating_duration_since(grant.since);
+        self.ended_on(&grant.upstream.id);
         self.route.finished(&grant.upstream.id, &job.facts(&[]), outcome, took, now);
         if outcome == Outcome::Answered {
             self.admission.observe(&job.entry.name, class, took);
@@ -218,25 +241,141 @@
 
     /// An upstream is there, or announces something else.
     pub fn appeared(&mut self, hosted: Hosted, now: Instant) {
-        self.route.announced(&hosted.announcement, now);
-        self.upstreams.insert(hosted.announcement.id.clone(), hosted);
-        self.resize();
-        self.pump_all(now);
+        let announcement = &hosted.announcement;
+        self.route.announced(announcement, now);
+        if hosted.host != self.me {
+            self.slots.follows(&announcement.id, &hosted.host, now);
+        }
+        self.upstreams.insert(announcement.id.clone(), hosted);
+        self.share(now);
+    }
+
+    /// An upstream announces to this VM, or renews; this VM leases its slots out.
+    pub fn hosts(&mut self, announcement: &Announcement, now: Instant) {
+        let known = self.upstreams.get(&announcement.id);
+        let before = known.map(|known| known.announcement.incarnation);
+        let started = before != Some(announcement.incarnation);
+        self.slots.hosts(&announcement.id, announcement.slots, started, now);
     }
 
     /// An upstream takes no new work.
     pub fn gone(&mut self, id: &id::Upstream, now: Instant) {
         self.route.removed(id);
+        self.slots.removed(id);
         self.upstreams.remove(id);
-        self.resize();
+        self.share(now);
+    }
+
+    /// The VMs of the region that are alive.
+    pub fn members(&mut self, members: Vec<id::Vm>) {
+        self.spill.vms(u32::try_from(members.len()).unwrap_or(u32::MAX));
+        self.members = members.len().max(1) as u64;
+        self.slots.members(members);
+    }
+
+    /// What is to be told to other VMs about slots: what this VM needs, as it stands now.
+    pub fn slots_due(&mut self, now: Instant) -> Vec<(id::Vm, slots::Message)> {
+        let wanted = self.wanted();
+        for (id, hosted) in &self.upstreams {
+            let running = self.busy.get(id).copied().unwrap_or_default();
+            let models = hosted.announcement.models.iter();
+            let more = models.filter_map(|model| wanted.get(model)).copied().max().unwrap_or(0);
+            self.slots.demand(id, Slots::new(running), Slots::new(running + SPARE + more));
+        }
+        let due = self.slots.poll(now);
+        self.share(now);
+        due
+    }
+
+    /// Takes what another VM told about slots, and returns the answer.
+    pub fn slots_told(
+        &mut self,
+        from: &id::Vm,
+        message: &slots::Message,
+        now: Instant,
+    ) -> Option<slots::Message> {
+        let answer = self.slots.receive(from, message, now);
+        self.share(now);
+        answer
+    }
+
+    /// For each model, the waiting requests that each of its upstreams would take.
+    fn wanted(&self) -> HashMap<id::Model, u64> {
+        let waiting = self.pools.iter().filter(|(_, pool)| !pool.queue.is_empty());
+        let each = waiting.map(|(model, pool)| {
+            let holders = self.holders(model).count().max(1) as u64;
+            (model.clone(), (pool.queue.len() as u64).div_ceil(holders))
+        });
+        each.collect()
+    }
+
+    fn holders(&self, model: &id::Model) -> impl Iterator<Item = &Hosted> {
+        let model = model.clone();
+        self.upstreams.values().filter(move |hosted| hosted.announcement.models.contains(&model))
+    }
+
+    /// Tells the choice of upstreams how many slots this VM may use now.
+    fn share(&mut self, now: Instant) {
+        for (id, slots) in self.slots.shares(now) {
+            self.route.leased(id, slots);
+        }
+        self.resize(now);
         self.pump_all(now);
     }
 
-    fn resize(&mut self) {
+    /// Another region told how it stands.
+    pub fn digest(&mut self, digest: spill::Digest, now: Instant) {
+        self.spill.digest(digest, now);
+    }
+
+    /// The load of this VM, model by model, for the digest of the region.
+    pub fn room(&self) -> BTreeMap<id::Model, spill::Room> {
+        let room = self.pools.iter().map(|(model, pool)| {
+            let capacity = self.holders(model).map(|hosted| hosted.announcement.slots).sum();
+            let work = pool.queue.work().as_secs_f64() / pool.capacity.slots().get().max(1) as f64;
+            let wait = Duration::from_secs_f64(work);
+            (model.clone(), spill::Room { capacity, free: Slots::new(pool.capacity.busy()), wait })
+        });
+        room.collect()
+    }
+
+    /// The region that a request is to run in. What is handed over is followed by [`Self::returned`].
+    pub fn region_for(&mut self, job: &Job, journey: Journey, now: Instant) -> spill::Decision {
+        let ticket = self.ticket(job);
+        let servable = self.route.is_servable(&job.facts(&[]));
+        let pool = self.pools.get(&job.model).filter(|_| servable);
+        let wait = pool.map(|pool| pool.queue.predicted_wait(&ticket, &pool.capacity));
+        self.spill.here(servable, now);
+        let facts = spill::Facts {
+            home: &job.entry.home,
+            prefers: job.entry.prefers,
+            model: &job.model,
+            wait,
+            service: ticket.service,
+            cold: COLD_TOKEN.mul_f64(job.prompt.get() as f64),
+            left: job.deadline.saturating_duration_since(now),
+            prefix: job.prefix.last().copied().unwrap_or(job.request.get() as u64),
+            journey,
+        };
+        self.spill.decide(&facts, now, &mut self.rng)
+    }
+
+    /// A request that was handed to another region has ended there, or was refused.
+    pub fn returned(&mut self, job: &Job, region: &id::Region, refused: bool, now: Instant) {
+        if refused {
+            self.spill.refused(region);
+        }
+        self.spill.ended(region, &job.model, now);
+    }
+
+    /// The slots that each pool counts on: what is leased, and its part of the rest, which comes when it is asked for.
+    fn resize(&mut self, now: Instant) {
         let mut slots: HashMap<id::Model, Slots> = HashMap::new();
         for upstream in self.upstreams.values().map(|hosted| &hosted.announcement) {
+            let part = Slots::new(upstream.slots.get().div_ceil(self.members));
+            let usable = self.slots.allowed(&upstream.id, now).max(part);
             for model in &upstream.models {
-                *slots.entry(model.clone()).or_default() += upstream.slots;
+                *slots.entry(model.clone()).or_default() += usable;
             }
         }
         for model in slots.keys() {
@@ -286,15 +425,26 @@
             };
             let grant = Grant { upstream: hosted.announcement.clone(), since: now };
             self.route.sent(&chosen, now);
+            *self.busy.entry(chosen.clone()).or_default() += 1;
             pool.capacity.started(ticket.class);
             if waiting.answer.send(Ok(grant)).is_err() {
                 let facts = waiting.job.facts(&[]);
                 self.route.finished(&chosen, &facts, Outcome::Cancelled, Duration::ZERO, now);
                 pool.capacity.finished(ticket.class);
+                self.ended_on(&chosen);
+                return;
             }
         }
     }
 
+    fn ended_on(&mut self, upstream: &id::Upstream) {
+        let Some(busy) = self.busy.get_mut(upstream) else { return };
+        *busy -= 1;
+        if *busy == 0 {
+            self.busy.remove(upstream);
+        }
+    }
+
     /// How many requests of each class hold a place, over all pools.
     pub fn busy(&self) -> u64 {
         self.pools.values().map(|pool| pool.capacity.busy()).sum()
--- a/src/entry/fleet.rs
+++ b/src/entry/fleet.rs
@@ -198,6 +198,11 @@
         alive.filter_map(place).collect()
     }
 
+    /// The VMs of the region that are alive, this one among them.
+    pub fn alive(&self) -> Vec<id::Vm> {
+        self.member.alive().cloned().collect()
+    }
+
     /// Whether a VM of the region is alive.
     pub fn is_alive(&self, vm: &id::Vm) -> bool {
         self.member.alive().any(|alive| alive == vm)
--- a/src/entry/hub.rs
+++ b/src/entry/hub.rs
@@ -14,6 +14,7 @@
 use rand::Rng;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
+use rand::seq::IndexedRandom;
 use slog::Logger;
 use slog::debug;
 use slog::info;
@@ -40,6 +41,7 @@
 use crate::unit::Incarnation;
 use crate::unit::Version;
 use crate::upstream::Announcement;
+use crate::upstream::pool as slots;
 use crate::wire;
 use crate::wire::Cast;
 use crate::wire::Mesh;
@@ -105,7 +107,7 @@
         log: Logger,
     ) -> Self {
         let mut rng = SmallRng::seed_from_u64(seed);
-        let dispatch = Mutex::new(Dispatch::new(&me, rng.random()));
+        let dispatch = Mutex::new(Dispatch::new(&me, &place.region, incarnation, rng.random()));
         let fleet = Mutex::new(Fleet::new(&me, &site, rng.random(), Instant::now()));
         Self {
             me,
@@ -188,7 +190,11 @@
 
     /// Takes an upstream's announcement; false where a newer one is known, or it has left.
     pub fn announce(&self, announcement: Announcement) -> bool {
-        let (taken, effects) = self.fleet().announce(announcement, Instant::now());
+        let now = Instant::now();
+        let (taken, effects) = self.fleet().announce(announcement.clone(), now);
+        if taken {
+            self.dispatch().hosts(&announcement, now);
+        }
         self.carry_out(effects);
         taken
     }
@@ -214,7 +220,36 @@
             fleet.tick(now)
         };
         self.carry_out(effects);
-        self.dispatch().tick(now);
+        let due = {
+            let mut dispatch = self.dispatch();
+            dispatch.tick(now);
+            dispatch.slots_due(now)
+        };
+        for (to, message) in due {
+            self.cast_slots(to, message);
+        }
+    }
+
+    /// Takes what another VM told about slots.
+    pub fn slots_told(&self, from: &id::Vm, message: &slots::Message) {
+        let answer = self.dispatch().slots_told(from, message, Instant::now());
+        if let Some(answer) = answer {
+            self.cast_slots(from.clone(), answer);
+        }
+    }
+
+    fn cast_slots(&self, to: id::Vm, message: slots::Message) {
+        if let Some(mesh) = self.mesh() {
+            mesh.cast(&Peer::new(to, Role::Entry), Cast::Slots(message));
+        }
+    }
+
+    /// Where to hand a request to in another region: any VM there that was reached lately.
+    pub fn forward_address(&self, region: &id::Region) -> Option<SocketAddr> {
+        let there: Vec<Live> =
+            self.away().into_iter().filter(|live| live.region == *region).collect();
+        let chosen = self.random(|rng| there.choose(rng).map(|live| live.vm.clone()))?;
+        self.site.vms.get(&chosen)?.entry.as_ref().map(|entry| entry.forwards)
     }
 
     /// Takes a message of the membership.
@@ -250,8 +285,15 @@
                 }
                 Effect::Alive { vm, alive } => {
                     info!(self.log, "a VM of the region"; "of" => %vm, "alive" => alive);
+                    let members = self.fleet().alive();
+                    self.dispatch().members(members);
+                }
+                Effect::Region(region) => {
+                    let digest = self.fleet().digest(&region, now);
+                    if let Some(digest) = digest {
+                        self.dispatch().digest(digest, now);
+                    }
                 }
-                Effect::Region(_) => (),
             }
         }
     }
--- a/src/entry/job.rs
+++ b/src/entry/job.rs
@@ -54,6 +54,8 @@
     pub events: bool,
     /// The tokens that it will use, prompt and answer together, as far as can be told before.
     pub tokens: Tokens,
+    /// The tokens of the prompt, estimated.
+    pub prompt: Tokens,
     /// Digests of the prompt's prefixes, the shortest first.
     pub prefix: Vec<u64>,
     /// When the answer must be whole.
@@ -87,6 +89,8 @@
     pub events: bool,
     /// The tokens that it will use, prompt and answer together.
     pub tokens: Tokens,
+    /// The tokens of the prompt, estimated.
+    pub prompt: Tokens,
     /// Digests of the prompt's prefixes.
     pub prefix: Vec<u64>,
 }
@@ -99,6 +103,7 @@
                 model: name.clone(),
                 events: false,
                 tokens: Tokens::ZERO,
+                prompt: Tokens::ZERO,
                 prefix: Vec::new(),
             }),
             Kind::Engine { models } => Self::of_engine(models, body),
@@ -124,8 +129,9 @@
         let prompt = text.len() as u64 / BYTES_PER_TOKEN;
         let cut = |length: &usize| xxh3_64(&text.as_bytes()[..(*length).min(text.len())]);
         let prefix = PREFIX_BYTES.iter().filter(|length| **length <= text.len()).map(cut).collect();
-        let tokens = Tokens::new(prompt) + Tokens::new(answer);
-        Ok(Self { model: model.clone(), events: asked.stream, tokens, prefix })
+        let prompt = Tokens::new(prompt);
+        let tokens = prompt + Tokens::new(answer);
+        Ok(Self { model: model.clone(), events: asked.stream, tokens, prompt, prefix })
     }
 }
 
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod claim;
 pub mod daemon;
+pub mod digest;
 pub mod dispatch;
 pub mod fleet;
 pub mod hub;
--- a/src/entry/peers.rs
+++ b/src/entry/peers.rs
@@ -46,12 +46,17 @@
         match request {
             Request::Watch { have } => newer(hub, have).boxed(),
             Request::InForce => future::ready(in_force(&hub)).boxed(),
+            Request::Room => {
+                let room = hub.dispatch().room();
+                future::ready(Reply::Room(room)).boxed()
+            }
             _ => future::ready(Reply::Unsupported).boxed(),
         }
     }
 
     fn cast(&self, from: Peer, cast: Cast) {
         match cast {
+            Cast::Slots(message) => self.hub.slots_told(&from.vm, &message),
             Cast::Membership(message) => self.hub.receive(&from.vm, message),
         }
     }
--- a/src/entry/run.rs
+++ b/src/entry/run.rs
@@ -6,6 +6,7 @@
 use http::HeaderValue;
 use http::StatusCode;
 use http::header;
+use slog::debug;
 use slog::info;
 use slog::warn;
 use tokio::time;
@@ -15,6 +16,8 @@
 use crate::decide::retry::Evidence;
 use crate::decide::retry::Layer;
 use crate::decide::retry::Verdict;
+use crate::decide::spill;
+use crate::decide::spill::Journey;
 use crate::entry::Hub;
 use crate::entry::Job;
 use crate::entry::claim;
@@ -120,7 +123,10 @@
         return Err(hub.draining_refusal());
     }
     let checked = Checked::new(hub.clone(), job.clone(), must_claim);
-    let (step, ended) = attempts(hub, job, out, checked).await;
+    let (step, ended) = match elsewhere(hub, job, out, checked).await {
+        Elsewhere::Stays { checked, evidence } => attempts(hub, job, out, checked, evidence).await,
+        Elsewhere::Ended(ended) => ended,
+    };
     let Some(step) = step else { return ended };
     match &ended {
         Ok(()) => {
@@ -133,13 +139,71 @@
     ended
 }
 
+/// What came of handing a request to another region.
+enum Elsewhere {
+    /// It runs here.
+    Stays {
+        /// The request.
+        checked: Checked,
+        /// What is known of its attempt elsewhere.
+        evidence: Vec<Evidence>,
+    },
+    /// It was answered or refused.
+    Ended(Ended),
+}
+
+/// Hands the request to another region where that is better; what is refused there stays here.
+async fn elsewhere(hub: &Arc<Hub>, job: &Arc<Job>, out: &Writer, checked: Checked) -> Elsewhere {
+    let journey = if job.is_forwarded() { Journey::HandedOver } else { Journey::Fresh };
+    let decision = hub.dispatch().region_for(job, journey, Instant::now());
+    let region = match decision {
+        spill::Decision::HandOver(region) => region,
+        // Bound requests were sent home before their body was read.
+        spill::Decision::Stay | spill::Decision::Redirect(_) => {
+            return Elsewhere::Stays { checked, evidence: Vec::new() };
+        }
+    };
+    let Some(address) = hub.forward_address(&region) else {
+        hub.dispatch().returned(job, &region, true, Instant::now());
+        return Elsewhere::Stays { checked, evidence: Vec::new() };
+    };
+    debug!(hub.log, "handed over"; "request" => %job.request, "region" => %region);
+    let handed = checked.hand_over(address, out).await;
+    let refused = !matches!(handed, Ok((_, Ok(()))));
+    hub.dispatch().returned(job, &region, refused, Instant::now());
+    hub.metrics.handed_over(job.entry.class, refused);
+    match handed {
+        Ok((checked, Ok(()))) => Elsewhere::Ended((checked.into_step(), Ok(()))),
+        Ok((checked, Err(failure))) => {
+            info!(hub.log, "handed back"; "request" => %job.request, "region" => %region,
+                "why" => &failure.why);
+            if failure.evidence.may_repeat(job.entry.repeat) {
+                return Elsewhere::Stays { checked, evidence: vec![failure.evidence] };
+            }
+            let refusal = Refusal::new(Reason::UpstreamFailed, failure.why);
+            let refusal = refusal.with_ran(Ran::after(&[failure.evidence]));
+            Elsewhere::Ended((checked.into_step(), Err(refusal)))
+        }
+        Err(Unclaimed::Refused(refusal)) => Elsewhere::Ended((None, Err(refusal))),
+        Err(Unclaimed::Known(known)) => {
+            Elsewhere::Ended((None, replay(hub, job, out, known).await))
+        }
+    }
+}
+
 type Ended = (Option<ledger::Step>, Result<(), Refusal>);
 
 /// Attempts until one is whole, or until another may not be made.
-async fn attempts(hub: &Arc<Hub>, job: &Arc<Job>, out: &Writer, checked: Checked) -> Ended {
+async fn attempts(
+    hub: &Arc<Hub>,
+    job: &Arc<Job>,
+    out: &Writer,
+    checked: Checked,
+    evidence: Vec<Evidence>,
+) -> Ended {
     let mut checked = checked;
+    let mut evidence = evidence;
     let mut avoid = Vec::new();
-    let mut evidence = Vec::new();
     hub.dispatch().began(job, Instant::now());
     loop {
         let placed = match checked.place(&avoid).await {
--- a/src/entry/stage.rs
+++ b/src/entry/stage.rs
@@ -3,11 +3,11 @@
 //! `Checked` (the ledger knows of no run) → `Placed` (a place on an upstream is held) → `Claimed` (no other attempt
 //! will be granted) → attempted, and back to `Checked` where another attempt may be made.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::time::Duration;
 
-use http::HeaderName;
 use http::HeaderValue;
 use slog::debug;
 use tokio::sync::watch;
@@ -32,15 +32,14 @@
 use crate::http::answer::Failure;
 use crate::http::answer::Fault;
 use crate::http::answer::Patience;
+use crate::http::answer::REGION;
 use crate::http::answer::Sink;
 use crate::http::engine;
 use crate::http::engine::Order;
+use crate::http::forward;
 use crate::id;
 use crate::ledger;
 
-/// Names the region that answered.
-pub const REGION: HeaderName = HeaderName::from_static("mastic-region");
-
 /// A request that has run nowhere, as far as its ledger knows.
 pub struct Checked {
     hub: Arc<Hub>,
@@ -116,6 +115,31 @@
         }
     }
 
+    /// Claims the request's key, and has a VM of another region run it.
+    pub async fn hand_over(
+        mut self,
+        address: SocketAddr,
+        out: &Writer,
+    ) -> Result<(Self, Result<(), Failure>), Unclaimed> {
+        self.claim().await?;
+        let sink = Sink { marks: Vec::new(), ..sink(&self.hub, &self.job, out, &|| true) };
+        let ended = forward::ask_run(&self.hub, &self.job, address, &sink).await;
+        Ok((self, ended))
+    }
+
+    async fn claim(&mut self) -> Result<(), Unclaimed> {
+        if !self.must_claim || self.step.is_some() {
+            return Ok(());
+        }
+        let attempt = self.hub.random(id::Attempt::random);
+        match claim::claim(&self.hub, &self.job, attempt).await {
+            Ok(Claim::Granted(step)) => self.step = Some(step),
+            Ok(Claim::Known(known)) => return Err(Unclaimed::Known(known)),
+            Err(refusal) => return Err(Unclaimed::Refused(refusal)),
+        }
+        Ok(())
+    }
+
     /// The claim that was granted, to be settled when the request ends.
     pub fn into_step(self) -> Option<ledger::Step> {
         self.step
@@ -141,14 +165,7 @@
     /// Claims the request's key, unless it is claimed already or runs without a claim.
     pub async fn claim(self) -> Result<Claimed, Unclaimed> {
         let Self { mut checked, held } = self;
-        if checked.must_claim && checked.step.is_none() {
-            let attempt = checked.hub.random(id::Attempt::random);
-            match claim::claim(&checked.hub, &checked.job, attempt).await {
-                Ok(Claim::Granted(step)) => checked.step = Some(step),
-                Ok(Claim::Known(known)) => return Err(Unclaimed::Known(known)),
-                Err(refusal) => return Err(Unclaimed::Refused(refusal)),
-            }
-        }
+        checked.claim().await?;
         Ok(Claimed { checked, held })
     }
 }
--- a/src/http/answer.rs
+++ b/src/http/answer.rs
@@ -18,6 +18,8 @@
 use crate::entry::transcript::Writer;
 use crate::http::client::Error;
 
+/// Names the region that answered.
+pub const REGION: HeaderName = HeaderName::from_static("mastic-region");
 /// The body of the last event of a whole stream.
 const DONE: &[u8] = b"data: [DONE]";
 /// The largest answer that is held, in bytes; services with larger ones must be called directly.
@@ -127,6 +129,7 @@
                 || **name == header::ETAG
                 || **name == header::CACHE_CONTROL
                 || **name == header::RETRY_AFTER
+                || (self.marks.is_empty() && **name == REGION)
         });
         headers.extend(passed.map(|(name, value)| (name.clone(), value.clone())));
         Head { status: response.status(), headers, events }
--- a/src/http/caller.rs
+++ b/src/http/caller.rs
@@ -260,7 +260,7 @@
     let entry = entry_of(&hub, request.headers(), named.as_deref())?;
     check_kind(&entry, &path)?;
     check_loop(&hub, request.headers())?;
-    if let Some(home) = elsewhere(&hub, &entry) {
+    if let Some(home) = elsewhere(&hub, &entry).filter(|_| entry.home.is_bound()) {
         return home_redirect(&hub, &entry, &home, request.uri());
     }
     let (parts, incoming) = request.into_parts();
@@ -432,6 +432,7 @@
         model: content.model,
         events: content.events,
         tokens: content.tokens,
+        prompt: content.prompt,
         prefix: content.prefix,
         deadline,
         arrived,
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -84,6 +84,12 @@
         self.latency.get_or_create(&labels).observe(latency.as_secs_f64());
     }
 
+    /// Counts a request that was handed to another region, and whether it came back.
+    pub fn handed_over(&self, class: Class, refused: bool) {
+        let outcome = if refused { "handed-back" } else { "handed-over" };
+        self.ended(class, outcome);
+    }
+
     /// Counts a resend that joined.
     pub fn joined(&self) {
         self.joined.inc();
--- a/src/wire/message.rs
+++ b/src/wire/message.rs
@@ -1,15 +1,18 @@
 //! What processes of the system say to each other.
 
+use std::collections::BTreeMap;
 use std::fmt;
 
 use serde::Deserialize;
 use serde::Serialize;
 
 use crate::catalogue;
+use crate::decide::spill;
 use crate::id;
 use crate::ledger;
 use crate::membership;
 use crate::unit::Version;
+use crate::upstream;
 
 /// Which of the two daemons.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
@@ -60,6 +63,8 @@
     Ledger(ledger::Command),
     /// What does the ledger of the peer's region know of a key?
     Peek(ledger::Look),
+    /// How much room does the peer have for each model?
+    Room,
     /// Which version of the catalogue is in force at the peer?
     InForce,
 }
@@ -80,6 +85,8 @@
     },
     /// What came of the command, or of the look.
     Ledger(Result<ledger::Reply, Unavailable>),
+    /// The peer's room: of each model the slots in the region, those that this VM uses, and its wait.
+    Room(BTreeMap<id::Model, spill::Room>),
     /// The peer has no answer to such a request.
     Unsupported,
 }
@@ -98,6 +105,8 @@
 /// What needs no reply.
 #[derive(Debug, Serialize, Deserialize)]
 pub enum Cast {
+    /// A message about the slots of an upstream.
+    Slots(upstream::pool::Message),
     /// A message between the entry VMs' memberships.
     Membership(membership::Message),
 }
