--- a/src/entry/daemon.rs
+++ b/src/entry/daemon.rs
@@ -14,12 +14,14 @@
 use tokio::time::Instant;
 
 use crate::entry::Hub;
+use crate::entry::digest;
 use crate::entry::peers;
 use crate::http;
 use crate::id;
 use crate::settings::Site;
 use crate::settings::site::EntryAddresses;
 use crate::supervisor::Supervisor;
+use crate::unit::Incarnation;
 use crate::wire::Mesh;
 use crate::wire::Peer;
 use crate::wire::Role;
@@ -58,6 +60,7 @@
     upstreams: TcpListener,
     operators: TcpListener,
     links: TcpListener,
+    forwards: TcpListener,
 }
 
 /// A running entry daemon.
@@ -79,13 +82,21 @@
             upstreams: listen(addresses.upstreams).await?,
             operators: listen(addresses.operators).await?,
             links: listen(addresses.links).await?,
+            forwards: listen(addresses.forwards).await?,
         })
     }
 }
 
 impl Daemon {
-    /// Starts the daemon of that VM. The seed drives choices and jitter.
-    pub async fn start(me: id::Vm, site: Arc<Site>, seed: u64, log: Logger) -> Result<Self, Error> {
+    /// Starts the daemon of that VM. The incarnation must be higher than that of any start before; the seed drives
+    /// choices and jitter.
+    pub async fn start(
+        me: id::Vm,
+        site: Arc<Site>,
+        incarnation: Incarnation,
+        seed: u64,
+        log: Logger,
+    ) -> Result<Self, Error> {
         let place = site.vms.get(&me).filter(|vm| vm.entry.is_some()).cloned();
         let place = place.ok_or_else(|| Error::NotHere { vm: me.clone(), role: "entry" })?;
         let addresses = place.entry.clone();
@@ -93,7 +104,7 @@
             addresses.ok_or_else(|| Error::NotHere { vm: me.clone(), role: "entry" })?;
         let bound = Bound::new(&addresses).await?;
         let peer = Peer::new(me.clone(), Role::Entry);
-        let hub = Arc::new(Hub::new(me, place, site.clone(), seed, log.clone()));
+        let hub = Arc::new(Hub::new(me, place, site.clone(), (incarnation, seed), log.clone()));
         let service = Arc::new(peers::Service::new(hub.clone()));
         let mesh = Mesh::new(peer, site.secret.clone(), site.book(), service);
         hub.connect(mesh.clone());
@@ -152,11 +163,16 @@
     listener(supervisor, "operators", bound.operators, move |request| {
         http::operator::answer(operators.clone(), request)
     });
+    let forwards = hub.clone();
+    listener(supervisor, "forwards", bound.forwards, move |request| {
+        http::forward::answer(forwards.clone(), request)
+    });
     let links = Arc::new(bound.links);
     let stop = supervisor.stop();
     supervisor.child("links", move || mesh.clone().listen(links.clone(), stop.clone()));
     task(supervisor, "catalogue", hub, peers::follow);
     task(supervisor, "greetings", hub, peers::greet);
+    task(supervisor, "digest", hub, digest::tell);
     task(supervisor, "ticks", hub, tick);
 }
 
--- a/src/entry/hub.rs
+++ b/src/entry/hub.rs
@@ -6,6 +6,7 @@
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::OnceLock;
+use std::sync::atomic::AtomicU64;
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -13,9 +14,11 @@
 use rand::Rng;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
+use rand::seq::IndexedRandom;
 use slog::Logger;
 use slog::debug;
 use slog::info;
+use slog::warn;
 use tokio::sync::watch;
 use tokio::time::Instant;
 
@@ -27,6 +30,8 @@
 use crate::entry::fleet::Effect;
 use crate::entry::fleet::Place;
 use crate::entry::running::Running;
+use crate::http::Reason;
+use crate::http::Refusal;
 use crate::http::client::Client;
 use crate::id;
 use crate::membership;
@@ -36,6 +41,7 @@
 use crate::unit::Incarnation;
 use crate::unit::Version;
 use crate::upstream::Announcement;
+use crate::upstream::pool as slots;
 use crate::wire;
 use crate::wire::Cast;
 use crate::wire::Mesh;
@@ -45,6 +51,11 @@
 /// A VM of another region that no link reached for this long is left out of the directory.
 const REACHED: Duration = Duration::from_secs(5);
 
+/// When to come back, to another VM.
+const ELSEWHERE: Duration = Duration::from_millis(500);
+/// Incarnations count microseconds, so a second's worth is above any that this VM had before.
+const REINCARNATION_STEP: u64 = 1_000_000;
+
 /// An entry VM that takes requests.
 #[derive(Debug, Clone)]
 pub struct Live {
@@ -81,14 +92,22 @@
     mesh: OnceLock<Mesh>,
     reached: Mutex<BTreeMap<id::Vm, Instant>>,
     draining: watch::Sender<bool>,
+    incarnation: AtomicU64,
+    ledgers: Mutex<BTreeMap<id::Region, id::Vm>>,
     streams: AtomicUsize,
 }
 
 impl Hub {
     /// The state of a daemon on that VM that has just started. The seed drives choices and jitter.
-    pub fn new(me: id::Vm, place: Vm, site: Arc<Site>, seed: u64, log: Logger) -> Self {
+    pub fn new(
+        me: id::Vm,
+        place: Vm,
+        site: Arc<Site>,
+        (incarnation, seed): (Incarnation, u64),
+        log: Logger,
+    ) -> Self {
         let mut rng = SmallRng::seed_from_u64(seed);
-        let dispatch = Mutex::new(Dispatch::new(&me, rng.random()));
+        let dispatch = Mutex::new(Dispatch::new(&me, &place.region, incarnation, rng.random()));
         let fleet = Mutex::new(Fleet::new(&me, &site, rng.random(), Instant::now()));
         Self {
             me,
@@ -105,6 +124,8 @@
             mesh: OnceLock::new(),
             reached: Mutex::default(),
             draining: watch::Sender::new(false),
+            incarnation: AtomicU64::new(incarnation.get()),
+            ledgers: Mutex::default(),
             streams: AtomicUsize::new(0),
         }
     }
@@ -169,7 +190,11 @@
 
     /// Takes an upstream's announcement; false where a newer one is known, or it has left.
     pub fn announce(&self, announcement: Announcement) -> bool {
-        let (taken, effects) = self.fleet().announce(announcement, Instant::now());
+        let now = Instant::now();
+        let (taken, effects) = self.fleet().announce(announcement.clone(), now);
+        if taken {
+            self.dispatch().hosts(&announcement, now);
+        }
         self.carry_out(effects);
         taken
     }
@@ -195,7 +220,36 @@
             fleet.tick(now)
         };
         self.carry_out(effects);
-        self.dispatch().tick(now);
+        let due = {
+            let mut dispatch = self.dispatch();
+            dispatch.tick(now);
+            dispatch.slots_due(now)
+        };
+        for (to, message) in due {
+            self.cast_slots(to, message);
+        }
+    }
+
+    /// Takes what another VM told about slots.
+    pub fn slots_told(&self, from: &id::Vm, message: &slots::Message) {
+        let answer = self.dispatch().slots_told(from, message, Instant::now());
+        if let Some(answer) = answer {
+            self.cast_slots(from.clone(), answer);
+        }
+    }
+
+    fn cast_slots(&self, to: id::Vm, message: slots::Message) {
+        if let Some(mesh) = self.mesh() {
+            mesh.cast(&Peer::new(to, Role::Entry), Cast::Slots(message));
+        }
+    }
+
+    /// Where to hand a request to in another region: any VM there that was reached lately.
+    pub fn forward_address(&self, region: &id::Region) -> Option<SocketAddr> {
+        let there: Vec<Live> =
+            self.away().into_iter().filter(|live| live.region == *region).collect();
+        let chosen = self.random(|rng| there.choose(rng).map(|live| live.vm.clone()))?;
+        self.site.vms.get(&chosen)?.entry.as_ref().map(|entry| entry.forwards)
     }
 
     /// Takes a message of the membership.
@@ -231,8 +285,15 @@
                 }
                 Effect::Alive { vm, alive } => {
                     info!(self.log, "a VM of the region"; "of" => %vm, "alive" => alive);
+                    let members = self.fleet().alive();
+                    self.dispatch().members(members);
+                }
+                Effect::Region(region) => {
+                    let digest = self.fleet().digest(&region, now);
+                    if let Some(digest) = digest {
+                        self.dispatch().digest(digest, now);
+                    }
                 }
-                Effect::Region(_) => (),
             }
         }
     }
@@ -303,11 +364,44 @@
         self.draining.send_replace(true);
     }
 
+    /// Refuses a request because this VM shuts down, and names another VM.
+    pub fn draining_refusal(&self) -> Refusal {
+        let text = match self.live().first() {
+            Some(other) => format!("this VM shuts down; ask {}", other.callers),
+            None => "this VM shuts down; ask the directory for another".to_owned(),
+        };
+        Refusal::new(Reason::Draining, text).with_retry_after(ELSEWHERE)
+    }
+
     /// Whether the daemon takes no more requests.
     pub fn is_draining(&self) -> bool {
         *self.draining.borrow()
     }
 
+    /// The start of this daemon, as ledgers and upstreams' hosts know it.
+    pub fn incarnation(&self) -> Incarnation {
+        Incarnation::new(self.incarnation.load(Ordering::Relaxed))
+    }
+
+    /// Takes a higher incarnation: this one was given up as gone, so its claims are no longer granted.
+    pub fn reincarnate(&self) {
+        let next = self.incarnation.fetch_add(REINCARNATION_STEP, Ordering::Relaxed);
+        warn!(self.log, "this VM was given up as gone and starts anew"; "incarnation" => next);
+    }
+
+    /// Which control VM of a region's ledger answered last.
+    pub fn last_ledger(&self, region: &id::Region) -> Option<id::Vm> {
+        self.ledgers.lock().expect("no panic while locked").get(region).cloned()
+    }
+
+    /// Notes which control VM of a region's ledger answered.
+    pub fn note_ledger(&self, region: &id::Region, vm: &id::Vm) {
+        let mut ledgers = self.ledgers.lock().expect("no panic while locked");
+        if ledgers.get(region) != Some(vm) {
+            ledgers.insert(region.clone(), vm.clone());
+        }
+    }
+
     /// Tells when the daemon begins to drain.
     pub fn drained(&self) -> watch::Receiver<bool> {
         self.draining.subscribe()
--- a/src/entry/job.rs
+++ b/src/entry/job.rs
@@ -8,8 +8,6 @@
 use http::Method;
 use serde::Deserialize;
 use serde_json::value::RawValue;
-use sha2::Digest as _;
-use sha2::Sha256;
 use tokio::time::Instant;
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -19,6 +17,7 @@
 use crate::http::Reason;
 use crate::http::Refusal;
 use crate::id;
+use crate::ledger::Digest;
 use crate::unit::Bytes as Size;
 use crate::unit::Tokens;
 use crate::upstream;
@@ -30,9 +29,6 @@
 /// A prompt's prefixes are told apart at these lengths in bytes: a system prompt, a short and a long history.
 const PREFIX_BYTES: [usize; 4] = [256, 1024, 4096, 16384];
 
-/// The SHA-256 digest of a request's body and path.
-pub type Digest = [u8; 32];
-
 /// A request whose head and body are read and checked.
 #[derive(Debug)]
 pub struct Job {
@@ -58,6 +54,8 @@
     pub events: bool,
     /// The tokens that it will use, prompt and answer together, as far as can be told before.
     pub tokens: Tokens,
+    /// The tokens of the prompt, estimated.
+    pub prompt: Tokens,
     /// Digests of the prompt's prefixes, the shortest first.
     pub prefix: Vec<u64>,
     /// When the answer must be whole.
@@ -91,6 +89,8 @@
     pub events: bool,
     /// The tokens that it will use, prompt and answer together.
     pub tokens: Tokens,
+    /// The tokens of the prompt, estimated.
+    pub prompt: Tokens,
     /// Digests of the prompt's prefixes.
     pub prefix: Vec<u64>,
 }
@@ -103,6 +103,7 @@
                 model: name.clone(),
                 events: false,
                 tokens: Tokens::ZERO,
+                prompt: Tokens::ZERO,
                 prefix: Vec::new(),
             }),
             Kind::Engine { models } => Self::of_engine(models, body),
@@ -128,20 +129,15 @@
         let prompt = text.len() as u64 / BYTES_PER_TOKEN;
         let cut = |length: &usize| xxh3_64(&text.as_bytes()[..(*length).min(text.len())]);
         let prefix = PREFIX_BYTES.iter().filter(|length| **length <= text.len()).map(cut).collect();
-        let tokens = Tokens::new(prompt) + Tokens::new(answer);
-        Ok(Self { model: model.clone(), events: asked.stream, tokens, prefix })
+        let prompt = Tokens::new(prompt);
+        let tokens = prompt + Tokens::new(answer);
+        Ok(Self { model: model.clone(), events: asked.stream, tokens, prompt, prefix })
     }
 }
 
 /// The digest of a request, by which a resend is known from another request under the same key.
-pub fn digest(method: &Method, path: &str, body: &[u8]) -> Digest {
-    let mut hash = Sha256::new();
-    hash.update(method.as_str());
-    hash.update([0]);
-    hash.update(path);
-    hash.update([0]);
-    hash.update(body);
-    hash.finalize().into()
+pub fn digest(entry: &id::Entry, method: &Method, path: &str, body: &[u8]) -> Digest {
+    Digest::of_request(entry, [method.as_str().as_bytes(), path.as_bytes(), body])
 }
 
 impl Job {
@@ -162,6 +158,11 @@
         Size::new(self.body.len() as u64 + self.path.len() as u64)
     }
 
+    /// Whether another VM passed the request on, and decides what becomes of it.
+    pub fn is_forwarded(&self) -> bool {
+        !self.hops.is_empty()
+    }
+
     /// Whether the request may run more than once.
     pub fn may_repeat(&self) -> bool {
         self.entry.repeat == catalogue::Repeat::Allowed
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -1,6 +1,8 @@
 //! The entry daemon: takes requests, decides, runs them on upstreams and answers each once.
 
+pub mod claim;
 pub mod daemon;
+pub mod digest;
 pub mod dispatch;
 pub mod fleet;
 pub mod hub;
@@ -8,6 +10,7 @@
 pub mod peers;
 pub mod run;
 pub mod running;
+pub mod stage;
 pub mod transcript;
 
 pub use daemon::Daemon;
