--- a/src/lib.rs
+++ b/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod http;
 pub mod id;
 pub mod ledger;
+pub mod load;
 pub mod log;
 pub mod membership;
 pub mod metrics;
