--- a/src/entry/daemon.rs
+++ b/src/entry/daemon.rs
@@ -1,6 +1,8 @@
 //! The entry daemon: its listeners and tasks under one supervisor.
 
 use std::io;
+use std::net::IpAddr;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -48,7 +50,7 @@
     #[error("can't listen on {address}: {error}")]
     Listen {
         /// The address.
-        address: std::net::SocketAddr,
+        address: SocketAddr,
         /// Why.
         error: io::Error,
     },
@@ -63,6 +65,30 @@
     forwards: TcpListener,
 }
 
+impl Bound {
+    /// Binds free ports of that address, and tells which.
+    pub async fn any(ip: IpAddr) -> Result<(Self, EntryAddresses), Error> {
+        let free = SocketAddr::new(ip, 0);
+        let addresses = EntryAddresses {
+            callers: free,
+            upstreams: free,
+            operators: free,
+            links: free,
+            forwards: free,
+        };
+        let bound = Self::new(&addresses).await?;
+        let at = |listener: &TcpListener| listener.local_addr().unwrap_or(free);
+        let addresses = EntryAddresses {
+            callers: at(&bound.callers),
+            upstreams: at(&bound.upstreams),
+            operators: at(&bound.operators),
+            links: at(&bound.links),
+            forwards: at(&bound.forwards),
+        };
+        Ok((bound, addresses))
+    }
+}
+
 /// A running entry daemon.
 pub struct Daemon {
     hub: Arc<Hub>,
@@ -70,7 +96,7 @@
 }
 
 /// Binds one address.
-pub async fn listen(address: std::net::SocketAddr) -> Result<TcpListener, Error> {
+pub async fn listen(address: SocketAddr) -> Result<TcpListener, Error> {
     TcpListener::bind(address).await.map_err(|error| Error::Listen { address, error })
 }
 
@@ -97,12 +123,23 @@
         seed: u64,
         log: Logger,
     ) -> Result<Self, Error> {
-        let place = site.vms.get(&me).filter(|vm| vm.entry.is_some()).cloned();
-        let place = place.ok_or_else(|| Error::NotHere { vm: me.clone(), role: "entry" })?;
-        let addresses = place.entry.clone();
+        let addresses = site.vms.get(&me).and_then(|vm| vm.entry.clone());
         let addresses =
             addresses.ok_or_else(|| Error::NotHere { vm: me.clone(), role: "entry" })?;
         let bound = Bound::new(&addresses).await?;
+        Self::start_on(bound, me, site, (incarnation, seed), log).await
+    }
+
+    /// The same on sockets that are bound already, by the addresses that the settings give the VM.
+    pub async fn start_on(
+        bound: Bound,
+        me: id::Vm,
+        site: Arc<Site>,
+        (incarnation, seed): (Incarnation, u64),
+        log: Logger,
+    ) -> Result<Self, Error> {
+        let place = site.vms.get(&me).filter(|vm| vm.entry.is_some()).cloned();
+        let place = place.ok_or_else(|| Error::NotHere { vm: me.clone(), role: "entry" })?;
         let peer = Peer::new(me.clone(), Role::Entry);
         let hub = Arc::new(Hub::new(me, place, site.clone(), (incarnation, seed), log.clone()));
         let service = Arc::new(peers::Service::new(hub.clone()));
@@ -110,7 +147,8 @@
         hub.connect(mesh.clone());
         let mut supervisor = Supervisor::new(log.clone());
         serve(&mut supervisor, &hub, bound, mesh);
-        info!(log, "entry daemon up"; "callers" => %addresses.callers);
+        let version = env!("CARGO_PKG_VERSION");
+        info!(log, "entry daemon up"; "version" => version, "region" => %hub.region());
         Ok(Self { hub, supervisor })
     }
 
--- a/src/settings/site.rs
+++ b/src/settings/site.rs
@@ -248,12 +248,18 @@
     }
 }
 
+impl Default for Headers {
+    fn default() -> Self {
+        Self {
+            entry: "mastic-entry".to_owned(),
+            key: "idempotency-key".to_owned(),
+            deadline: "mastic-deadline-ms".to_owned(),
+        }
+    }
+}
+
 fn headers(top: &Section<'_>) -> Option<Headers> {
-    let usual = Headers {
-        entry: "mastic-entry".to_owned(),
-        key: "idempotency-key".to_owned(),
-        deadline: "mastic-deadline-ms".to_owned(),
-    };
+    let usual = Headers::default();
     let Some(section) = top.optional_section("headers") else { return Some(usual) };
     let header = |key, usual: String| {
         let name: String = section.or(key, usual)?;
--- /dev/null
+++ b/tests/support/mod.rs
@@ -0,0 +1,10 @@
+//! A whole site in one process: the daemons' library on loopback addresses of its own.
+
+#![allow(dead_code, reason = "each test uses its part")]
+
+pub mod caller;
+pub mod site;
+
+pub use caller::Answer;
+pub use caller::Caller;
+pub use site::Local;
