--- a/tests/support/site.rs
+++ b/tests/support/site.rs
@@ -91,7 +91,8 @@
         for (name, bound) in entry_bound {
             let numbers = (Incarnation::new(local.seed()), local.seed());
             let site = local.site.clone();
-            let started = entry::Daemon::start_on(bound, name.clone(), site, numbers, log::silent());
+            let started =
+                entry::Daemon::start_on(bound, name.clone(), site, numbers, log::silent());
             local.entries.insert(name, started.await.expect("an entry daemon"));
         }
         local.settle().await;
@@ -149,7 +150,8 @@
         self.operation += 1;
         let operation = id::Operation::new(self.operation);
         let hub = self.entries.values().next().expect("an entry daemon").hub().clone();
-        let replaces = hub.view().record(edit.name()).map_or(Version::ZERO, |record| record.version);
+        let replaces =
+            hub.view().record(edit.name()).map_or(Version::ZERO, |record| record.version);
         let change = Change::new(operation, replaces, edit);
         let until = Instant::now() + PATIENCE;
         loop {
