--- a/src/bin/mastic-control.rs
+++ b/src/bin/mastic-control.rs
@@ -20,7 +20,7 @@
         Err(findings) => return cli::errors::report(&findings.into()),
     };
     let log = log::logger(&site.logs, &arguments.vm, "control");
-    let daemon = match Daemon::start(arguments.vm, site, log).await {
+    let daemon = match Daemon::start(arguments.vm, site, rand::random(), log).await {
         Ok(daemon) => daemon,
         Err(error) => return cli::errors::report(&cli::Error::Start(error.to_string())),
     };
--- a/src/control/daemon.rs
+++ b/src/control/daemon.rs
@@ -1,5 +1,8 @@
 //! The control daemon: its replicas, links and operators' listener under one supervisor.
 
+use std::net::IpAddr;
+use std::net::SocketAddr;
+use std::path::PathBuf;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::time::Duration;
@@ -9,6 +12,7 @@
 use futures::future::BoxFuture;
 use slog::Logger;
 use slog::info;
+use tokio::net::TcpListener;
 use tokio::sync::watch;
 use tokio::time;
 
@@ -19,6 +23,7 @@
 use crate::entry::peers::WATCH;
 use crate::id;
 use crate::settings::Site;
+use crate::settings::site::ControlAddresses;
 use crate::supervisor::Supervisor;
 use crate::unit::Version;
 use crate::wire::Cast;
@@ -38,6 +43,37 @@
     log: Logger,
 }
 
+/// Sockets that are bound, and nothing served yet.
+pub struct Bound {
+    operators: TcpListener,
+    links: TcpListener,
+}
+
+impl Bound {
+    /// Binds the addresses of a control daemon.
+    pub async fn new(addresses: &ControlAddresses) -> Result<Self, Error> {
+        let operators = listen(addresses.operators).await?;
+        let links = listen(addresses.links).await?;
+        Ok(Self { operators, links })
+    }
+
+    /// Binds free ports of that address, and tells which.
+    pub async fn any(ip: IpAddr, folder: PathBuf) -> Result<(Self, ControlAddresses), Error> {
+        let free = SocketAddr::new(ip, 0);
+        let operators = listen(free).await?;
+        let links = listen(free).await?;
+        let at = |listener: &TcpListener| listener.local_addr().unwrap_or(free);
+        let addresses = ControlAddresses {
+            operators: at(&operators),
+            links: at(&links),
+            folder,
+            witness_of: None,
+            catalogue: true,
+        };
+        Ok((Self { operators, links }, addresses))
+    }
+}
+
 struct Service {
     catalogue: Mutex<Catalogue>,
     version: watch::Sender<Version>,
@@ -83,11 +119,23 @@
 }
 
 impl Daemon {
-    /// Starts the daemon of that VM.
-    pub async fn start(me: id::Vm, site: Arc<Site>, log: Logger) -> Result<Self, Error> {
+    /// Starts the daemon of that VM. The seed drives choices and jitter.
+    pub async fn start(me: id::Vm, site: Arc<Site>, seed: u64, log: Logger) -> Result<Self, Error> {
         let control = site.vms.get(&me).and_then(|vm| vm.control.clone());
         let control = control.ok_or_else(|| Error::NotHere { vm: me.clone(), role: "control" })?;
-        let links = Arc::new(listen(control.links).await?);
+        let bound = Bound::new(&control).await?;
+        Self::start_on(bound, me, site, seed, log).await
+    }
+
+    /// The same on sockets that are bound already, by the addresses that the settings give the VM.
+    pub async fn start_on(
+        bound: Bound,
+        me: id::Vm,
+        site: Arc<Site>,
+        _seed: u64,
+        log: Logger,
+    ) -> Result<Self, Error> {
+        let links = Arc::new(bound.links);
         let service =
             Arc::new(Service { catalogue: Mutex::default(), version: watch::Sender::default() });
         let peer = Peer::new(me, Role::Control);
@@ -95,10 +143,15 @@
         let mut supervisor = Supervisor::new(log.clone());
         let stop = supervisor.stop();
         supervisor.child("links", move || mesh.clone().listen(links.clone(), stop.clone()));
-        info!(log, "control daemon up"; "links" => %control.links);
+        info!(log, "control daemon up");
         Ok(Self { supervisor, log })
     }
 
+    /// Ends at once, as a crash would.
+    pub fn abort(self) {
+        drop(self.supervisor);
+    }
+
     /// Ends in order.
     pub async fn stop(self) {
         self.supervisor.finish(LAST).await;
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -5,6 +5,5 @@
 pub mod caller;
 pub mod site;
 
-pub use caller::Answer;
 pub use caller::Caller;
 pub use site::Local;
