--- /dev/null
+++ b/src/group/snapshot.rs
@@ -0,0 +1,99 @@
+//! Snapshots: taken, fetched from another replica and served to others.
+
+use tokio::time::Instant;
+
+use super::Chunk;
+use super::Driver;
+use super::Machine;
+use super::Message;
+use super::fetch::Next;
+use crate::consensus::Input;
+use crate::consensus::Role;
+use crate::consensus::Snapshot;
+use crate::id;
+use crate::store::Disk;
+use crate::unit::Index;
+
+impl<M: Machine, D: Disk> Driver<M, D> {
+    /// Stores a snapshot that arrived or is due, one at a time.
+    pub(super) fn use_snapshots(&mut self) {
+        if !self.files.has_snapshots() {
+            return;
+        }
+        if let Some((snapshot, data)) = self.arrived.take() {
+            self.files.install(snapshot, data);
+        } else if std::mem::take(&mut self.snapshot_due) {
+            self.snapshot();
+        }
+    }
+
+    /// Writes a snapshot of the machine as it is now, which may be later than what was asked for.
+    pub(super) fn snapshot(&mut self) {
+        let Some(position) = self.replica.log().position(self.applied) else { return };
+        let members = self.replica.log().members_at(self.applied).clone();
+        let mut data = Vec::new();
+        ciborium::into_writer(&self.machine, &mut data)
+            .expect("plain data always encodes to memory");
+        self.files.save(Snapshot { position, members }, data);
+    }
+
+    pub(super) fn compact(&mut self, through: Index) {
+        let snapshot = self.replica.log().snapshot().clone();
+        self.files.compact(through, snapshot);
+    }
+
+    pub(super) fn receive(&mut self, from: id::Replica, message: Message) {
+        match message {
+            Message::Consensus(message) => self.step(Input::Receive { from, message }),
+            Message::Fetch { index, offset } => self.serve(from, index, offset),
+            Message::Chunk(chunk) => self.take_chunk(from, chunk),
+        }
+    }
+
+    /// Sends a piece of the last snapshot to a member that holds data; never to a witness or a stranger.
+    pub(super) fn serve(&mut self, to: id::Replica, index: Index, offset: u64) {
+        let role = self.replica.log().members().role(to);
+        if !matches!(role, Some(Role::Voter | Role::Learner)) {
+            return;
+        }
+        match self.serve.as_mut().filter(|serve| serve.covers(index)) {
+            Some(serve) => {
+                let chunk = serve.piece(offset, Instant::now());
+                self.send(to, Message::Chunk(chunk));
+            }
+            // The piece is asked for again, by when the snapshot has been read.
+            None => self.files.load(),
+        }
+    }
+
+    pub(super) fn take_chunk(&mut self, from: id::Replica, chunk: Chunk) {
+        if let Some(fetch) = &mut self.fetch {
+            let next = fetch.take(from, chunk, Instant::now());
+            self.fetch_next(next);
+        }
+    }
+
+    pub(super) fn fetch_next(&mut self, next: Next) {
+        match next {
+            Next::Wait => {}
+            Next::Ask(to, message) => self.send(to, message),
+            Next::Done(snapshot, data) => {
+                self.fetch = None;
+                self.arrived = Some((snapshot, data));
+            }
+            Next::Failed => {
+                self.fetch = None;
+                self.step(Input::SnapshotFailed);
+            }
+        }
+    }
+
+    /// Takes another replica's machine over, unless this one is further by now.
+    pub(super) fn install(&mut self, snapshot: Snapshot, machine: M) {
+        if snapshot.position.index > self.applied {
+            self.applied = snapshot.position.index;
+            self.machine = machine;
+        }
+        self.step(Input::SnapshotInstalled { snapshot });
+    }
+}
--- /dev/null
+++ b/src/group/status.rs
@@ -0,0 +1,38 @@
+//! What a replica tells of itself, for the state dump and for those who wait for progress.
+
+use serde::Serialize;
+
+use crate::consensus::Members;
+use crate::consensus::Position;
+use crate::id;
+use crate::unit::Index;
+use crate::unit::Term;
+
+/// Where a replica stands.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+pub struct Status {
+    /// Its identity.
+    pub id: id::Replica,
+    /// Its term.
+    pub term: Term,
+    /// The leader that it knows of.
+    pub leader: Option<id::Replica>,
+    /// Whether it leads, as far as it knows.
+    pub leads: bool,
+    /// The last index known to be committed.
+    pub commit: Index,
+    /// The last index that the machine has carried out.
+    pub applied: Index,
+    /// The last snapshot.
+    pub snapshot: Position,
+    /// Bytes of entries in memory.
+    pub log_bytes: usize,
+    /// The members, as of the end of its log.
+    pub members: Members,
+    /// Commands that wait for a batch.
+    pub waiting: usize,
+    /// Commands in the log that are not carried out yet.
+    pub pending: usize,
+    /// Messages that were dropped since the outbox was full.
+    pub dropped: u64,
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod decide;
 #[cfg(test)]
 mod fuzz;
+pub mod group;
 pub mod id;
 pub mod ledger;
 pub mod store;
--- a/src/store/log.rs
+++ b/src/store/log.rs
@@ -80,13 +80,14 @@
     }
 
     fn write(&mut self, writes: &[Persist]) -> Result<(), Error> {
-        if self.size >= self.limit {
-            self.begin_segment()?;
-        }
         let records: Vec<Record> = writes.iter().flat_map(Record::list).collect();
         if records.is_empty() {
             return Ok(());
         }
+        let starts_again = writes.iter().any(|persist| persist.reset.is_some());
+        if self.size >= self.limit || starts_again {
+            self.begin_segment()?;
+        }
         let number = self.current().number;
         let name = segment::name(number);
         let bytes = frame::encode(&record::encode(&records), Salt::new(self.id.get(), number));
@@ -94,7 +95,7 @@
         self.disk.sync(&name).map_err(Error::file(&name))?;
         self.size += bytes.len();
         records.iter().for_each(|record| self.note(record));
-        Ok(())
+        if starts_again { self.remove_through(Index::new(u64::MAX)) } else { Ok(()) }
     }
 
     fn note(&mut self, record: &Record) {
--- a/src/store/mod.rs
+++ b/src/store/mod.rs
@@ -28,4 +28,4 @@
 pub use snapshots::Snapshots;
 
 #[cfg(test)]
-mod tests;
+pub(crate) mod tests;
--- a/src/store/opened.rs
+++ b/src/store/opened.rs
@@ -34,12 +34,22 @@
 
 impl<D: Disk> Opened<D> {
     /// Reads a folder, and gives it an identity if it never had one.
-    pub fn new(mut disk: D, rng: &mut impl Rng) -> Result<Self, Error> {
+    pub fn new(disk: D, rng: &mut impl Rng) -> Result<Self, Error> {
+        Self::open(disk, rng, true)
+    }
+
+    /// The same for a witness, whose log rests on positions alone, without a snapshot's data.
+    pub fn witness(disk: D, rng: &mut impl Rng) -> Result<Self, Error> {
+        Self::open(disk, rng, false)
+    }
+
+    fn open(mut disk: D, rng: &mut impl Rng, has_data: bool) -> Result<Self, Error> {
         let id = identity::open(&mut disk, rng)?;
         let (snapshots, machine) = Snapshots::open(disk.clone(), id)?;
         let (mut log, mut replay) = Log::open(disk, id)?;
-        let overruled =
-            replay.fit(snapshots.last()).map_err(|damage| Error::corrupt("log", 0, damage))?;
+        let overruled = replay
+            .fit(snapshots.last(), has_data)
+            .map_err(|damage| Error::corrupt("log", 0, damage))?;
         if overruled {
             log.append(&[reset(replay.floor.clone())])?;
         }
--- a/src/store/replay.rs
+++ b/src/store/replay.rs
@@ -49,12 +49,12 @@
     ///
     /// Failure: a crash falls between a snapshot's arrival and the log's reset. The log then still has entries that
     /// the group has overruled, and they would be taken for committed ones that follow the snapshot.
-    pub fn fit(&mut self, snapshot: Option<&Snapshot>) -> Result<bool, Damage> {
+    pub fn fit(&mut self, snapshot: Option<&Snapshot>, has_data: bool) -> Result<bool, Damage> {
         let floor = self.floor.position.index;
         let end = self.entries.last().map_or(floor, Entry::index);
         match snapshot {
             Some(snapshot) if snapshot.position.index >= floor => self.floor = snapshot.clone(),
-            _ if floor > Index::ZERO => return Err(Damage::SnapshotMissing(floor)),
+            _ if has_data && floor > Index::ZERO => return Err(Damage::SnapshotMissing(floor)),
             _ => {}
         }
         let position = self.floor.position;
--- a/src/store/tests.rs
+++ b/src/store/tests.rs
@@ -1,4 +1,4 @@
-mod faulty;
+pub(crate) mod faulty;
 mod fuzz;
 mod script;
 
