--- a/src/lib.rs
+++ b/src/lib.rs
@@ -12,6 +12,7 @@
 #[cfg(test)]
 mod fuzz;
 pub mod http;
+pub mod group;
 pub mod id;
 pub mod ledger;
 pub mod log;
