--- a/src/lib.rs
+++ b/src/lib.rs
@@ -11,8 +11,8 @@
 pub mod entry;
 #[cfg(test)]
 mod fuzz;
-pub mod http;
 pub mod group;
+pub mod http;
 pub mod id;
 pub mod ledger;
 pub mod log;
