--- a/src/cli/errors.rs
+++ b/src/cli/errors.rs
@@ -4,6 +4,7 @@
 
 use thiserror::Error;
 
+use crate::load;
 use crate::settings::Findings;
 
 /// Why a command failed.
@@ -26,6 +27,12 @@
     /// The VM refused.
     #[error("{0}")]
     Refused(String),
+    /// A load can't be run.
+    #[error("{0}")]
+    NoLoad(#[from] load::Error),
+    /// A load has shown requests that were lost, wrong, doubled or refused untruly.
+    #[error("requests were lost, wrong, doubled or refused untruly; see the report's columns")]
+    Load(String),
     /// A daemon can't start.
     #[error("{0}")]
     Start(String),
@@ -39,13 +46,22 @@
     pub fn code(&self) -> u8 {
         match self {
             Self::Usage(_) | Self::Findings(_) => 2,
-            Self::Unreachable { .. } | Self::Refused(_) | Self::Start(_) | Self::File(_) => 1,
+            Self::Unreachable { .. }
+            | Self::Refused(_)
+            | Self::NoLoad(_)
+            | Self::Load(_)
+            | Self::Start(_)
+            | Self::File(_) => 1,
         }
     }
 }
 
 /// Prints an error where people look for it, and gives the exit code.
 pub fn report(error: &Error) -> ExitCode {
+    if let Error::Load(text) = error {
+        // The report itself is what was asked for; programs read it where they read a good one.
+        print!("{text}");
+    }
     eprintln!("{}", error.to_string().trim_end());
     ExitCode::from(error.code())
 }
--- a/src/cli/operator.rs
+++ b/src/cli/operator.rs
@@ -22,6 +22,7 @@
 use crate::http::client::Client;
 use crate::http::operator::Wanted;
 use crate::id;
+use crate::load;
 use crate::settings::Site;
 use crate::settings::entry;
 use crate::unit::Version;
@@ -54,7 +55,7 @@
         Action::Status => show(command, Method::GET, "/status").await,
         Action::Dump => show(command, Method::GET, "/dump").await,
         Action::Drain => show(command, Method::POST, "/drain").await,
-        Action::Load(_) => Err(Error::Usage("load is run by its own part".to_owned())),
+        Action::Load(file) => put_load(command, file).await,
     }
 }
 
@@ -71,6 +72,17 @@
     Ok(format!("{}: {what}, without findings\n", file.display()))
 }
 
+/// Puts load on a site and judges what callers receive.
+async fn put_load(command: &Command, file: &Path) -> Result<String, Error> {
+    let scenario = load::Scenario::load(file)?;
+    let report = load::run(&scenario, &load::Options::random()).await?;
+    if let Some(plot) = &command.plot {
+        report.draw(plot)?;
+    }
+    let text = if command.json { report.json() + "\n" } else { report.to_string() };
+    if report.is_clean() { Ok(text) } else { Err(Error::Load(text)) }
+}
+
 async fn show(command: &Command, method: Method, path: &str) -> Result<String, Error> {
     let answer = ask(command, method, path, Bytes::new()).await?;
     let text = pretty(&answer.body);
--- a/src/load/life.rs
+++ b/src/load/life.rs
@@ -26,6 +26,10 @@
 /// The longest one.
 const LONGEST_BACKOFF: Duration = Duration::from_secs(5);
 
+/// A caller that is about to give up still waits that long for the answer to its last sending: cut off in the middle,
+/// an honest refusal that is on its way would count as lost.
+const LAST: Duration = Duration::from_secs(10);
+
 /// How a request ended for its caller.
 #[derive(Debug)]
 pub enum Fate {
@@ -90,7 +94,7 @@
             continue;
         };
         record.sends += 1;
-        let wait = match exchange::ask(client, vm, &question, until).await {
+        let wait = match exchange::ask(client, vm, &question, until + LAST).await {
             Ended::Whole(answer) => {
                 record.said_not_run = false;
                 record.fate = judge(answer, &question, started);
