Run replicas of the catalogue and of the ledgers in the control daemon

Cause: the catalogue was in memory, and nothing answered for the ledger. Change: the settings alone say which VM holds which replica; a first start forms each group once all planned voters have told that their folders have no past, a lost folder joins as a newcomer, and a replica that was replaced while it was away sets its folder aside. Commands go on to the leader once. Conclusion: accepted changes and claims are on disk and agreed on.

--- a/src/control/daemon.rs
+++ b/src/control/daemon.rs
@@ -4,42 +4,45 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::sync::Arc;
-use std::sync::Mutex;
 use std::time::Duration;
 
-use futures::FutureExt;
-use futures::future;
-use futures::future::BoxFuture;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
 use slog::Logger;
 use slog::info;
 use tokio::net::TcpListener;
-use tokio::sync::watch;
-use tokio::time;
-
-use crate::catalogue::Catalogue;
-use crate::catalogue::Command;
+use tokio::task::JoinSet;
+
+use crate::control::Name;
+use crate::control::Routes;
+use crate::control::Seat;
+use crate::control::plan;
+use crate::control::seat;
+use crate::control::service;
+use crate::control::service::Seats;
+use crate::control::service::Service;
 use crate::entry::daemon::Error;
 use crate::entry::daemon::listen;
-use crate::entry::peers::WATCH;
+use crate::http;
 use crate::id;
 use crate::settings::Site;
 use crate::settings::site::ControlAddresses;
 use crate::supervisor::Supervisor;
-use crate::unit::Version;
-use crate::wire::Cast;
 use crate::wire::Mesh;
 use crate::wire::Peer;
-use crate::wire::Reply;
-use crate::wire::Request;
 use crate::wire::Role;
-use crate::wire::link::Handler;
 
 /// What is left of the children after this is aborted.
 const LAST: Duration = Duration::from_secs(2);
+/// A leader that stops hands over first; a message there and back takes a trip between regions.
+const HAND_OVER: Duration = Duration::from_millis(300);
 
 /// A running control daemon.
 pub struct Daemon {
+    service: Arc<Service>,
     supervisor: Supervisor,
+    /// The replicas' tasks; they end with the daemon.
+    replicas: JoinSet<()>,
     log: Logger,
 }
 
@@ -63,61 +66,11 @@
         let operators = listen(free).await?;
         let links = listen(free).await?;
         let at = |listener: &TcpListener| listener.local_addr().unwrap_or(free);
-        let addresses = ControlAddresses {
-            operators: at(&operators),
-            links: at(&links),
-            folder,
-            witness_of: None,
-            catalogue: true,
-        };
+        let addresses = ControlAddresses { operators: at(&operators), links: at(&links), folder };
         Ok((Self { operators, links }, addresses))
     }
 }
 
-struct Service {
-    catalogue: Mutex<Catalogue>,
-    version: watch::Sender<Version>,
-}
-
-impl Handler for Service {
-    fn call(&self, _from: Peer, request: Request) -> BoxFuture<'static, Reply> {
-        match request {
-            Request::Change(change) => {
-                let mut catalogue = self.catalogue.lock().expect("no panic while locked");
-                let reply = catalogue.apply(&Command::Change(change));
-                self.version.send_replace(catalogue.view().version());
-                future::ready(Reply::Changed(Ok(reply))).boxed()
-            }
-            Request::Watch { have } => self.newer(have),
-            Request::Ledger(_) | Request::Peek(_) | Request::Room => {
-                future::ready(Reply::Unsupported).boxed()
-            }
-            Request::InForce => {
-                let version = *self.version.borrow();
-                future::ready(Reply::InForce { version, takes_requests: true }).boxed()
-            }
-        }
-    }
-
-    fn cast(&self, _from: Peer, _cast: Cast) {}
-}
-
-impl Service {
-    fn newer(&self, have: Version) -> BoxFuture<'static, Reply> {
-        let delta = self.catalogue.lock().expect("no panic while locked").view().delta(have);
-        if delta.is_some() {
-            return future::ready(Reply::Delta(delta)).boxed();
-        }
-        let mut version = self.version.subscribe();
-        async move {
-            // Whoever asks again gets what came meanwhile.
-            time::timeout(WATCH, version.wait_for(|version| *version > have)).await.ok();
-            Reply::Delta(None)
-        }
-        .boxed()
-    }
-}
-
 impl Daemon {
     /// Starts the daemon of that VM. The seed drives choices and jitter.
     pub async fn start(me: id::Vm, site: Arc<Site>, seed: u64, log: Logger) -> Result<Self, Error> {
@@ -132,29 +85,110 @@
         bound: Bound,
         me: id::Vm,
         site: Arc<Site>,
-        _seed: u64,
+        seed: u64,
         log: Logger,
     ) -> Result<Self, Error> {
-        let links = Arc::new(bound.links);
-        let service =
-            Arc::new(Service { catalogue: Mutex::default(), version: watch::Sender::default() });
-        let peer = Peer::new(me, Role::Control);
-        let mesh = Mesh::new(peer, site.secret.clone(), site.book(), service);
+        let missing = || Error::NotHere { vm: me.clone(), role: "control" };
+        let place = site.vms.get(&me).ok_or_else(missing)?.clone();
+        let folder = place.control.as_ref().ok_or_else(missing)?.folder.clone();
+        let routes = Arc::new(Routes::default());
+        let service = Arc::new(Service::new(place.region.clone(), routes.clone()));
+        let handler = Arc::new(service::Shared(service.clone()));
+        let peer = Peer::new(me.clone(), Role::Control);
+        let mesh = Mesh::new(peer, site.secret.clone(), site.book(), handler);
+        let shared = Arc::new(seat::Shared {
+            me: me.clone(),
+            site: site.clone(),
+            routes,
+            mesh: mesh.clone(),
+            log: log.clone(),
+        });
+        let mut replicas = JoinSet::new();
+        let seats = open_seats(&shared, &folder, seed, &mut replicas);
+        service.serve(seats, mesh.clone());
         let mut supervisor = Supervisor::new(log.clone());
-        let stop = supervisor.stop();
-        supervisor.child("links", move || mesh.clone().listen(links.clone(), stop.clone()));
-        info!(log, "control daemon up");
-        Ok(Self { supervisor, log })
+        serve(&mut supervisor, &service, &site, bound, mesh);
+        info!(log, "control daemon up"; "version" => env!("CARGO_PKG_VERSION"));
+        Ok(Self { service, supervisor, replicas, log })
+    }
+
+    /// The replicas, for tests.
+    pub fn service(&self) -> &Arc<Service> {
+        &self.service
     }
 
     /// Ends at once, as a crash would.
     pub fn abort(self) {
-        drop(self.supervisor);
+        drop(self);
     }
 
-    /// Ends in order.
-    pub async fn stop(self) {
+    /// Hands leaderships over and ends.
+    pub async fn stop(mut self) {
+        self.service.hand_over().await;
+        tokio::time::sleep(HAND_OVER).await;
+        self.replicas.shutdown().await;
         self.supervisor.finish(LAST).await;
         info!(self.log, "control daemon down");
     }
 }
+
+impl Service {
+    async fn hand_over(&self) {
+        let Some(seats) = self.seats() else { return };
+        if let Some(group) = seats.catalogue.as_ref().and_then(Seat::group) {
+            group.hand_over(None).await.ok();
+        }
+        for group in seats.ledgers.values().filter_map(Seat::group) {
+            group.hand_over(None).await.ok();
+        }
+    }
+}
+
+fn open_seats(
+    shared: &Arc<seat::Shared>,
+    folder: &std::path::Path,
+    seed: u64,
+    replicas: &mut JoinSet<()>,
+) -> Seats {
+    let mut rng = SmallRng::seed_from_u64(seed);
+    let mut seats = Seats::default();
+    for (name, role) in plan::groups(&shared.site, &shared.me) {
+        let place = folder.join(name.to_string());
+        let seed = seat::seed(&mut rng);
+        match &name {
+            Name::Catalogue => {
+                let (seat, task) = Seat::new(shared.clone(), name, role, place, seed);
+                replicas.spawn(task);
+                seats.catalogue = Some(seat);
+            }
+            Name::Ledger(region) => {
+                let region = region.clone();
+                let (seat, task) = Seat::new(shared.clone(), name, role, place, seed);
+                replicas.spawn(task);
+                seats.ledgers.insert(region, seat);
+            }
+        }
+    }
+    seats
+}
+
+fn serve(
+    supervisor: &mut Supervisor,
+    service: &Arc<Service>,
+    site: &Arc<Site>,
+    bound: Bound,
+    mesh: Mesh,
+) {
+    let links = Arc::new(bound.links);
+    let stop = supervisor.stop();
+    supervisor.child("links", move || mesh.clone().listen(links.clone(), stop.clone()));
+    let operators = Arc::new(bound.operators);
+    let stop = supervisor.stop();
+    let (service, site) = (service.clone(), site.clone());
+    supervisor.child("operators", move || {
+        let (service, site) = (service.clone(), site.clone());
+        http::server::serve(operators.clone(), stop.clone(), move |request, _| {
+            http::control::answer(service.clone(), site.clone(), request)
+        })
+    });
+}
--- /dev/null
+++ b/src/control/routes.rs
@@ -0,0 +1,27 @@
+//! Which VM holds which replica: replicas are named by their data folders, links by VMs.
+
+use std::collections::HashMap;
+use std::sync::Mutex;
+
+use crate::id;
+
+/// The VMs of replicas, as they tell themselves.
+#[derive(Debug, Default)]
+pub struct Routes {
+    vms: Mutex<HashMap<id::Replica, id::Vm>>,
+}
+
+impl Routes {
+    /// Notes where a replica is.
+    pub fn learn(&self, replica: id::Replica, vm: &id::Vm) {
+        let mut vms = self.vms.lock().expect("no panic while locked");
+        if vms.get(&replica) != Some(vm) {
+            vms.insert(replica, vm.clone());
+        }
+    }
+
+    /// Where a replica is.
+    pub fn vm(&self, replica: id::Replica) -> Option<id::Vm> {
+        self.vms.lock().expect("no panic while locked").get(&replica).cloned()
+    }
+}
--- /dev/null
+++ b/src/control/seat.rs
@@ -0,0 +1,342 @@
+//! The place of one replica: its folder, its group, and the task that runs it for as long as the daemon lives.
+
+use std::path::PathBuf;
+use std::sync::Arc;
+use std::time::Duration;
+
+use rand::Rng;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use slog::Logger;
+use slog::error;
+use slog::info;
+use slog::warn;
+use thiserror::Error;
+use tokio::sync::mpsc;
+use tokio::sync::watch;
+use tokio::task::JoinHandle;
+use tokio::time;
+
+use crate::consensus;
+use crate::consensus::Role;
+use crate::control::Name;
+use crate::control::Routes;
+use crate::control::form;
+use crate::control::form::Step;
+use crate::control::plan;
+use crate::control::plan::Planned;
+use crate::group;
+use crate::group::Driver;
+use crate::group::Group;
+use crate::group::Machine;
+use crate::id;
+use crate::settings::Site;
+use crate::store::Folder;
+use crate::store::Opened;
+use crate::wire::Cast;
+use crate::wire::Mesh;
+use crate::wire::Peer;
+use crate::wire::Reply;
+use crate::wire::Request;
+use crate::wire::message::Identity;
+
+/// Planned VMs are asked who they are this often while a group forms, and while members are not all known.
+const FORMING: Duration = Duration::from_millis(150);
+/// The same once it runs: a VM that lost its disk is taken in within seconds.
+const RUNNING: Duration = Duration::from_secs(1);
+/// A VM that does not answer within this is left out.
+const ASK: Duration = Duration::from_millis(500);
+/// A voter silent for so long is replaced by a learner. A restart takes seconds and a reboot a minute or two; a
+/// replaced VM comes back as a learner itself, so replacing one too early costs a copy of the state only.
+const REPLACE_AFTER: Duration = Duration::from_secs(180);
+/// A replica that failed starts again after this; the disk may have room then.
+const FAILED_PAUSE: Duration = Duration::from_secs(2);
+/// After so many rounds in which the leader did not list this replica, it knows that it was replaced.
+const UNLISTED: u32 = 10;
+/// Messages to or from other replicas that wait; more are dropped, which the protocol bears.
+const BACKLOG: usize = 2048;
+
+/// What all seats of a daemon share.
+pub struct Shared {
+    /// This VM.
+    pub me: id::Vm,
+    /// The site's settings.
+    pub site: Arc<Site>,
+    /// Where replicas are.
+    pub routes: Arc<Routes>,
+    /// The links to other processes.
+    pub mesh: Mesh,
+    /// The log.
+    pub log: Logger,
+}
+
+/// The place of one replica, for those who ask it.
+pub struct Seat<M: Machine> {
+    /// The group.
+    pub name: Name,
+    group: watch::Receiver<Option<Group<M>>>,
+    identity: watch::Receiver<Option<Identity>>,
+    inbox: mpsc::Sender<(id::Replica, group::Message)>,
+}
+
+/// Why a replica's run ended.
+#[derive(Debug, Error)]
+enum Ended {
+    /// Its folder can't be opened or read.
+    #[error("{0}")]
+    Folder(#[from] crate::store::Error),
+    /// It can keep no more promises.
+    #[error("{0}")]
+    Stopped(#[from] group::Stopped),
+    /// The blocking task that opens the folder failed.
+    #[error("the folder was not opened: {0}")]
+    Open(#[from] tokio::task::JoinError),
+    /// Another replica took its place; its identity never comes back.
+    #[error("it was replaced while it was away")]
+    Replaced,
+}
+
+/// The task's side of a seat.
+struct Keeper<M: Machine> {
+    shared: Arc<Shared>,
+    name: Name,
+    role: Role,
+    planned: Vec<Planned>,
+    folder: PathBuf,
+    group: watch::Sender<Option<Group<M>>>,
+    identity: watch::Sender<Option<Identity>>,
+    rng: SmallRng,
+}
+
+impl<M: Machine> Seat<M> {
+    /// A seat, and the task that keeps it. The seed drives election timeouts.
+    pub fn new(
+        shared: Arc<Shared>,
+        name: Name,
+        role: Role,
+        folder: PathBuf,
+        seed: u64,
+    ) -> (Self, impl Future<Output = ()> + Send + 'static) {
+        let (group, group_seen) = watch::channel(None);
+        let (identity, identity_seen) = watch::channel(None);
+        let (inbox, messages) = mpsc::channel(BACKLOG);
+        let planned = plan::members(&shared.site, &name);
+        let rng = SmallRng::seed_from_u64(seed);
+        let keeper =
+            Keeper { shared, name: name.clone(), role, planned, folder, group, identity, rng };
+        let seat = Self { name, group: group_seen, identity: identity_seen, inbox };
+        (seat, keeper.keep(messages))
+    }
+
+    /// The replica, while it runs.
+    pub fn group(&self) -> Option<Group<M>> {
+        self.group.borrow().clone()
+    }
+
+    /// Who the replica is, as far as its folder is open.
+    pub fn identity(&self) -> Option<Identity> {
+        let mut identity = self.identity.borrow().clone()?;
+        if let Some(group) = self.group() {
+            let status = group.status();
+            identity.pristine = false;
+            identity.members = status.members;
+            identity.leads = status.leads;
+        }
+        Some(identity)
+    }
+
+    /// Hands in a message for the replica; it may be dropped.
+    pub fn receive(&self, from: id::Replica, message: group::Message) {
+        self.inbox.try_send((from, message)).ok();
+    }
+}
+
+impl<M: Machine> Keeper<M> {
+    async fn keep(mut self, mut messages: mpsc::Receiver<(id::Replica, group::Message)>) {
+        loop {
+            let ended = self.run(&mut messages).await;
+            self.group.send_replace(None);
+            self.identity.send_replace(None);
+            match ended {
+                Ok(()) => return,
+                Err(Ended::Replaced) => self.set_aside(),
+                Err(error) => {
+                    error!(self.shared.log, "a replica stopped and starts again";
+                        "group" => %self.name, "why" => %error);
+                }
+            }
+            time::sleep(FAILED_PAUSE).await;
+        }
+    }
+
+    /// An identity that was replaced never comes back: the folder is kept beside, and a new one joins.
+    fn set_aside(&self) {
+        let aside = self.folder.with_extension("replaced");
+        warn!(self.shared.log, "this VM's replica was replaced while it was away, and joins anew";
+            "group" => %self.name, "kept" => %aside.display());
+        std::fs::remove_dir_all(&aside).ok();
+        if let Err(error) = std::fs::rename(&self.folder, &aside) {
+            error!(self.shared.log, "the folder can't be set aside"; "why" => %error);
+        }
+    }
+
+    async fn run(
+        &mut self,
+        messages: &mut mpsc::Receiver<(id::Replica, group::Message)>,
+    ) -> Result<(), Ended> {
+        let mut opened = self.open().await?;
+        let own = opened.id;
+        self.shared.routes.learn(own, &self.shared.me);
+        self.tell(&opened);
+        if opened.is_pristine() {
+            match self.form(own).await {
+                Step::Begin(members) => {
+                    info!(self.shared.log, "group formed"; "group" => %self.name);
+                    opened.bootstrap(members)?;
+                }
+                Step::Join | Step::Wait => {
+                    info!(self.shared.log, "joining a group"; "group" => %self.name);
+                }
+            }
+        }
+        let (outbox, sent) = mpsc::channel(BACKLOG);
+        let rng = SmallRng::from_rng(&mut self.rng);
+        let (group, driver) = Driver::<M, Folder>::new(self.config(own), opened, outbox, rng)?;
+        let sender = Aborted(tokio::spawn(send(self.shared.clone(), self.name.clone(), own, sent)));
+        self.group.send_replace(Some(group.clone()));
+        let ended = tokio::select! {
+            ended = driver.run() => ended.map_err(Ended::from),
+            () = feed(&group, messages) => Ok(()),
+            () = self.stay(own, &group) => Err(Ended::Replaced),
+        };
+        drop(sender);
+        ended
+    }
+
+    async fn open(&mut self) -> Result<Opened<Folder>, Ended> {
+        let folder = self.folder.clone();
+        let mut rng = SmallRng::from_rng(&mut self.rng);
+        let is_witness = self.role == Role::Witness;
+        let opened = tokio::task::spawn_blocking(move || {
+            let disk = Folder::open(&folder)?;
+            if is_witness { Opened::witness(disk, &mut rng) } else { Opened::new(disk, &mut rng) }
+        });
+        Ok(opened.await??)
+    }
+
+    fn tell(&self, opened: &Opened<Folder>) {
+        let identity = Identity {
+            replica: opened.id,
+            pristine: opened.is_pristine(),
+            members: opened.restored.snapshot.members.clone(),
+            leads: false,
+        };
+        self.identity.send_replace(Some(identity));
+    }
+
+    fn config(&self, own: id::Replica) -> group::Config {
+        let voters = self.planned.iter().filter(|planned| planned.role == Role::Voter).count();
+        let mut consensus =
+            consensus::Config::new(own).with_replacement(REPLACE_AFTER, voters.max(1));
+        if self.role == Role::Witness {
+            consensus = consensus.with_witness();
+        }
+        group::Config::new(own).with_consensus(consensus)
+    }
+
+    async fn form(&self, own: id::Replica) -> Step {
+        loop {
+            let told = self.ask_all().await;
+            let step = form::step(&self.shared.me, own, &self.planned, &told);
+            if step != Step::Wait {
+                return step;
+            }
+            time::sleep(FORMING).await;
+        }
+    }
+
+    /// Asks the other planned VMs who they are, and notes where replicas are.
+    async fn ask_all(&self) -> Vec<(id::Vm, Identity)> {
+        let others = self.planned.iter().filter(|planned| planned.vm != self.shared.me);
+        let asked = others.map(|planned| async {
+            let peer = Peer::new(planned.vm.clone(), crate::wire::Role::Control);
+            let request = Request::Identity(self.name.clone());
+            match self.shared.mesh.call(&peer, request, ASK).await {
+                Ok(Reply::Identity(Some(identity))) => Some((planned.vm.clone(), identity)),
+                _ => None,
+            }
+        });
+        let told: Vec<_> = futures::future::join_all(asked).await.into_iter().flatten().collect();
+        for (vm, identity) in &told {
+            self.shared.routes.learn(identity.replica, vm);
+        }
+        told
+    }
+
+    /// Keeps this replica a member: asks to be taken in while it is none, and returns when it was replaced.
+    async fn stay(&self, own: id::Replica, group: &Group<M>) {
+        let mut unlisted = 0;
+        loop {
+            let told = self.ask_all().await;
+            let status = group.status();
+            let known = status.members.iter().all(|(id, _)| self.shared.routes.vm(id).is_some());
+            let leader = told.iter().find(|(_, identity)| identity.leads);
+            let listed = leader.is_none_or(|(_, leader)| leader.members.contains(own));
+            if status.members.is_empty() && !listed {
+                self.ask_in(own, &told).await;
+            } else if listed {
+                unlisted = 0;
+            } else {
+                unlisted += 1;
+            }
+            if unlisted >= UNLISTED {
+                return;
+            }
+            time::sleep(if known { RUNNING } else { FORMING }).await;
+        }
+    }
+
+    async fn ask_in(&self, own: id::Replica, told: &[(id::Vm, Identity)]) {
+        let Some((leader, _)) = told.iter().find(|(_, identity)| identity.leads) else { return };
+        let peer = Peer::new(leader.clone(), crate::wire::Role::Control);
+        let witness = self.role == Role::Witness;
+        let request = Request::Join { name: self.name.clone(), replica: own, witness };
+        self.shared.mesh.call(&peer, request, ASK * 4).await.ok();
+    }
+}
+
+/// A task that ends with its holder.
+struct Aborted(JoinHandle<()>);
+
+impl Drop for Aborted {
+    fn drop(&mut self) {
+        self.0.abort();
+    }
+}
+
+async fn feed<M: Machine>(
+    group: &Group<M>,
+    messages: &mut mpsc::Receiver<(id::Replica, group::Message)>,
+) {
+    while let Some((from, message)) = messages.recv().await {
+        group.receive(from, message).await.ok();
+    }
+}
+
+async fn send(
+    shared: Arc<Shared>,
+    name: Name,
+    from: id::Replica,
+    mut sent: mpsc::Receiver<(id::Replica, group::Message)>,
+) {
+    while let Some((to, message)) = sent.recv().await {
+        let Some(vm) = shared.routes.vm(to) else { continue };
+        let peer = Peer::new(vm, crate::wire::Role::Control);
+        shared.mesh.cast(&peer, Cast::Group { name: name.clone(), from, to, message });
+    }
+}
+
+/// A seed for one seat, so that replicas of one VM don't time out together.
+pub fn seed(rng: &mut impl Rng) -> u64 {
+    rng.random()
+}
--- a/src/dump.rs
+++ b/src/dump.rs
@@ -2,7 +2,9 @@
 
 use serde::Serialize;
 
+use crate::control::service::Service;
 use crate::entry::Hub;
+use crate::group;
 use crate::id;
 use crate::unit::Slots;
 use crate::unit::Version;
@@ -90,3 +92,26 @@
         links: links.iter().map(ToString::to_string).collect(),
     }
 }
+
+/// A replica of a control daemon.
+#[derive(Debug, Serialize)]
+pub struct Replica {
+    /// The group.
+    pub group: String,
+    /// Where it stands; none while it opens its folder or joins.
+    pub status: Option<group::Status>,
+}
+
+/// The replicas of a control daemon.
+pub fn replicas(service: &Service) -> Vec<Replica> {
+    let Some(seats) = service.seats() else { return Vec::new() };
+    let catalogue = seats.catalogue.iter().map(|seat| Replica {
+        group: seat.name.to_string(),
+        status: seat.group().map(|group| group.status()),
+    });
+    let ledgers = seats.ledgers.values().map(|seat| Replica {
+        group: seat.name.to_string(),
+        status: seat.group().map(|group| group.status()),
+    });
+    catalogue.chain(ledgers).collect()
+}
--- a/src/entry/claim.rs
+++ b/src/entry/claim.rs
@@ -21,6 +21,7 @@
 use crate::ledger;
 use crate::ledger::Command;
 use crate::ledger::Reply;
+use crate::settings::site::Vm;
 use crate::unit::Version;
 use crate::wire;
 use crate::wire::Peer;
@@ -263,10 +264,7 @@
     /// The control daemons that hold a region's ledger, the one that answered last first.
     pub fn ledger_peers(&self, region: &id::Region) -> Vec<Peer> {
         let last = self.last_ledger(region);
-        let holds = |vm: &crate::settings::site::Vm| {
-            vm.region == *region
-                && vm.control.as_ref().is_some_and(|control| control.witness_of.is_none())
-        };
+        let holds = |vm: &Vm| vm.region == *region && vm.control.is_some();
         let vms = self.site.vms.iter().filter(|(_, vm)| holds(vm));
         let mut names: Vec<id::Vm> = vms.map(|(name, _)| name.clone()).collect();
         names.sort_by_key(|name| last.as_ref() != Some(name));
--- a/src/entry/hub.rs
+++ b/src/entry/hub.rs
@@ -441,9 +441,8 @@
 
     /// The control daemons that hold the catalogue, those of the own region first.
     pub fn controls(&self) -> Vec<Peer> {
-        let holds = |vm: &Vm| vm.control.as_ref().is_some_and(|control| control.catalogue);
         let mut vms: Vec<(&id::Vm, &Vm)> =
-            self.site.vms.iter().filter(|(_, vm)| holds(vm)).collect();
+            self.site.vms.iter().filter(|(_, vm)| vm.control.is_some()).collect();
         vms.sort_by_key(|(_, vm)| vm.region != self.place.region);
         vms.into_iter().map(|(name, _)| Peer::new(name.clone(), Role::Control)).collect()
     }
--- a/src/entry/peers.rs
+++ b/src/entry/peers.rs
@@ -56,6 +56,7 @@
 
     fn cast(&self, from: Peer, cast: Cast) {
         match cast {
+            Cast::Group { .. } => (),
             Cast::Slots(message) => self.hub.slots_told(&from.vm, &message),
             Cast::Membership(message) => self.hub.receive(&from.vm, message),
         }
--- a/src/http/mod.rs
+++ b/src/http/mod.rs
@@ -5,6 +5,7 @@
 pub mod body;
 pub mod caller;
 pub mod client;
+pub mod control;
 pub mod engine;
 pub mod forward;
 pub mod operator;
--- a/src/http/operator.rs
+++ b/src/http/operator.rs
@@ -21,6 +21,7 @@
 use crate::http::Body;
 use crate::http::body;
 use crate::id;
+use crate::settings::Site;
 use crate::unit::Version;
 use crate::wire::message::Unavailable;
 
@@ -83,7 +84,7 @@
         "/metrics" if get => return metrics(&hub),
         _ => (),
     }
-    if !is_allowed(&hub, &request) {
+    if !is_allowed(&hub.site, &request) {
         let next = "give the operators' token with --token-file";
         return wrong(StatusCode::UNAUTHORIZED, "the operators' token is missing or wrong", next);
     }
@@ -107,8 +108,9 @@
     }
 }
 
-fn is_allowed(hub: &Hub, request: &Request<Incoming>) -> bool {
-    let Some(token) = &hub.site.operator_token else { return true };
+/// Whether a request shows the operators' token, where there is one.
+pub fn is_allowed(site: &Site, request: &Request<Incoming>) -> bool {
+    let Some(token) = &site.operator_token else { return true };
     let shown = request.headers().get(header::AUTHORIZATION);
     let shown = shown.and_then(|value| value.as_bytes().strip_prefix(b"Bearer "));
     shown.is_some_and(|shown| shown.ct_eq(token.as_bytes()).into())
--- a/src/ledger/answers.rs
+++ b/src/ledger/answers.rs
@@ -43,6 +43,11 @@
         self.trim(now, limits);
     }
 
+    /// A kept answer, without counting that it was given out.
+    pub fn get(&self, key: &Digest) -> Option<Arc<Answer>> {
+        Some(Arc::clone(&self.kept.get(key)?.answer))
+    }
+
     /// Gives an answer out, unless that was done too often.
     pub fn fetch(&mut self, key: &Digest, limits: &Limits) -> Option<Arc<Answer>> {
         let kept = self.kept.get_mut(key)?;
--- a/src/ledger/ledger.rs
+++ b/src/ledger/ledger.rs
@@ -97,6 +97,18 @@
         Reply::Granted
     }
 
+    /// What a look would be told, without any effect on the ledger.
+    pub fn peek(&self, look: &Look) -> Reply {
+        let key = Digest::of_key(&look.owner, &look.key);
+        if let Some(ended) = self.keys.ended(&key) {
+            if ended.body != look.body {
+                return Reply::Mismatch;
+            }
+            return Reply::Finished { outcome: ended.outcome, answer: self.answers.get(&key) };
+        }
+        self.open(&key, &look.body, None).unwrap_or(Reply::Absent)
+    }
+
     /// What a resend is told of a key; nothing if the key is new.
     fn known(
         &mut self,
@@ -109,6 +121,11 @@
             let same = ended.body == *body;
             return Some(if same { self.finished(key, outcome) } else { Reply::Mismatch });
         }
+        self.open(key, body, attempt)
+    }
+
+    /// What a resend is told of a key that has not ended; nothing if there is no such key.
+    fn open(&self, key: &Digest, body: &Digest, attempt: Option<id::Attempt>) -> Option<Reply> {
         let open = self.keys.open(key)?;
         Some(match open {
             _ if open.body != *body => Reply::Mismatch,
--- a/src/settings/site.rs
+++ b/src/settings/site.rs
@@ -77,10 +77,6 @@
     pub links: SocketAddr,
     /// The data folder.
     pub folder: PathBuf,
-    /// Whether this replica votes without ever holding payload, for a region that has two VMs with a disk.
-    pub witness_of: Option<id::Region>,
-    /// Whether it holds a replica of the catalogue.
-    pub catalogue: bool,
 }
 
 /// The names of the headers that callers use.
@@ -206,16 +202,8 @@
         let operators = control.required("operators");
         let links = control.required("links");
         let data: Option<PathBuf> = control.required("folder");
-        let witness_of = control.optional("witness_of");
-        let catalogue = control.or("catalogue", true);
         control.finish();
-        Some(ControlAddresses {
-            operators: operators?,
-            links: links?,
-            folder: folder.join(data?),
-            witness_of,
-            catalogue: catalogue?,
-        })
+        Some(ControlAddresses { operators: operators?, links: links?, folder: folder.join(data?) })
     });
     if entry.is_none() && control.is_none() {
         section.note("", "the VM runs neither an entry nor a control daemon");
@@ -313,11 +301,7 @@
     let regions: std::collections::BTreeSet<&id::Region> =
         vms.values().filter(|vm| vm.entry.is_some()).map(|vm| &vm.region).collect();
     for region in regions {
-        let holds = |vm: &&Vm| {
-            vm.control.as_ref().is_some_and(|control| control.witness_of.is_none())
-                && vm.region == *region
-        };
-        if !vms.values().any(|vm| holds(&vm)) {
+        if !vms.values().any(|vm| vm.control.is_some() && vm.region == *region) {
             let text =
                 format!("region {region} has no control daemon, so nothing holds its ledger");
             top.note("vms", text);
--- a/src/wire/message.rs
+++ b/src/wire/message.rs
@@ -7,7 +7,10 @@
 use serde::Serialize;
 
 use crate::catalogue;
+use crate::consensus::Members;
+use crate::control::Name;
 use crate::decide::spill;
+use crate::group;
 use crate::id;
 use crate::ledger;
 use crate::membership;
@@ -63,6 +66,17 @@
     Ledger(ledger::Command),
     /// What does the ledger of the peer's region know of a key?
     Peek(ledger::Look),
+    /// Who is the peer's replica of a group?
+    Identity(Name),
+    /// Take a newcomer into a group that the peer leads.
+    Join {
+        /// The group.
+        name: Name,
+        /// The newcomer.
+        replica: id::Replica,
+        /// Whether it is to be the witness.
+        witness: bool,
+    },
     /// How much room does the peer have for each model?
     Room,
     /// Which version of the catalogue is in force at the peer?
@@ -85,12 +99,29 @@
     },
     /// What came of the command, or of the look.
     Ledger(Result<ledger::Reply, Unavailable>),
+    /// Who the peer's replica is; none where it has none, or its folder isn't open.
+    Identity(Option<Identity>),
+    /// Whether the newcomer was taken in.
+    Joined(bool),
     /// The peer's room: of each model the slots in the region, those that this VM uses, and its wait.
     Room(BTreeMap<id::Model, spill::Room>),
     /// The peer has no answer to such a request.
     Unsupported,
 }
 
+/// Who a replica is.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Identity {
+    /// The identity of its folder.
+    pub replica: id::Replica,
+    /// Whether it has never taken part in any group.
+    pub pristine: bool,
+    /// The members that it knows of.
+    pub members: Members,
+    /// Whether it leads, as far as it knows.
+    pub leads: bool,
+}
+
 /// Why a group of replicas gives no answer.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize, thiserror::Error)]
 pub enum Unavailable {
@@ -105,6 +136,17 @@
 /// What needs no reply.
 #[derive(Debug, Serialize, Deserialize)]
 pub enum Cast {
+    /// A message between the replicas of a group.
+    Group {
+        /// The group.
+        name: Name,
+        /// The sending replica.
+        from: id::Replica,
+        /// The receiving replica.
+        to: id::Replica,
+        /// The message.
+        message: group::Message,
+    },
     /// A message about the slots of an upstream.
     Slots(upstream::pool::Message),
     /// A message between the entry VMs' memberships.
