--- a/src/entry/daemon.rs
+++ b/src/entry/daemon.rs
@@ -16,6 +16,7 @@
 use tokio::time::Instant;
 
 use crate::entry::Hub;
+use crate::entry::abandon;
 use crate::entry::digest;
 use crate::entry::peers;
 use crate::http;
@@ -210,6 +211,7 @@
     supervisor.child("links", move || mesh.clone().listen(links.clone(), stop.clone()));
     task(supervisor, "catalogue", hub, peers::follow);
     task(supervisor, "greetings", hub, peers::greet);
+    task(supervisor, "abandon", hub, abandon::watch);
     task(supervisor, "digest", hub, digest::tell);
     task(supervisor, "ticks", hub, tick);
 }
--- a/src/entry/fleet.rs
+++ b/src/entry/fleet.rs
@@ -35,6 +35,8 @@
     pub data_centre: id::DataCentre,
     /// Whether it takes no more requests.
     pub draining: bool,
+    /// The start of its daemon, as ledgers know it.
+    pub incarnation: Incarnation,
 }
 
 /// An upstream, and the VM that holds its lease.
--- a/src/entry/hub.rs
+++ b/src/entry/hub.rs
@@ -264,6 +264,7 @@
             callers: entry.callers,
             data_centre: self.place.data_centre.clone(),
             draining: self.is_draining(),
+            incarnation: self.incarnation(),
         })
     }
 
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -1,5 +1,6 @@
 //! The entry daemon: takes requests, decides, runs them on upstreams and answers each once.
 
+pub mod abandon;
 pub mod claim;
 pub mod daemon;
 pub mod digest;
