Answer stale appends without a round, and run small groups at random

Cause: a follower answered an append of an earlier term with the round of that term. Its receiver could lead the follower's term by then, took the round for one of its own, and answered reads that no majority had confirmed. Change: Body::Stale says only that there is a later term.

Change: it starts in the term of its log, without a vote.

--- a/src/consensus/errors.rs
+++ b/src/consensus/errors.rs
@@ -2,8 +2,32 @@
 
 use thiserror::Error;
 
+use super::Position;
 use crate::id;
 
+/// Durable state that no replica may start from: parts of it are missing or from elsewhere.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Error)]
+pub enum Broken {
+    /// Entries are missing.
+    #[error("the log has a gap after {after}")]
+    Gap {
+        /// The last entry before it.
+        after: Position,
+    },
+    /// Terms fall from one entry to the next.
+    #[error("the term falls at {at}")]
+    Term {
+        /// The entry with the lower term.
+        at: Position,
+    },
+    /// The log has entries of a term that the replica says it never entered.
+    #[error("the term on record is lower than that of {at}")]
+    HardState {
+        /// The entry with the higher term.
+        at: Position,
+    },
+}
+
 /// A refused proposal, read, change or transfer. Nothing of it is in the log or will be.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Error)]
 pub enum Refusal {
--- a/src/consensus/follower.rs
+++ b/src/consensus/follower.rs
@@ -32,7 +32,7 @@
             return self.answer_stale(from, &body);
         }
         match body {
-            Body::PreVote { .. } => {}
+            Body::PreVote { .. } | Body::Stale => {}
             Body::PreVoteAnswer { granted } => self.take_pre_vote(from, term, granted, now),
             Body::Vote { last } => self.answer_vote(from, last, now),
             Body::VoteAnswer { granted } => self.take_vote(from, granted, now),
@@ -54,11 +54,12 @@
     }
 
     /// Tells a leader or candidate of an earlier term that its time is over.
+    ///
+    /// The answer carries no round: its sender may lead this very term by the time it comes, and would take a
+    /// round of its former term for one of this term, and answer reads that nobody confirmed.
     fn answer_stale(&mut self, from: id::Replica, body: &Body) {
         match *body {
-            Body::Append { round, .. } | Body::Snapshot { round, .. } => {
-                self.send_synced(from, Body::Mismatched { hint: Index::ZERO, round });
-            }
+            Body::Append { .. } | Body::Snapshot { .. } => self.send_synced(from, Body::Stale),
             Body::Vote { .. } => self.send_synced(from, Body::VoteAnswer { granted: false }),
             _ => {}
         }
--- a/src/consensus/log.rs
+++ b/src/consensus/log.rs
@@ -39,7 +39,8 @@
 }
 
 impl Log {
-    /// The log as restored: all of it is synced.
+    /// The log as restored: all of it is synced. Entries that a later snapshot replaced are dropped: a crash
+    /// between the snapshot's sync and the write that starts the log anew leaves them behind.
     pub fn new(snapshot: Snapshot, entries: Vec<Entry>) -> Self {
         let mut log = Self {
             synced: snapshot.position.index,
@@ -54,8 +55,11 @@
         for entry in entries {
             log.push(entry);
         }
-        if log.entries.back().is_some_and(|e| e.index() < log.snapshot.position.index) {
+        let covered = log.snapshot.position;
+        let differs = log.get(covered.index).is_some_and(|entry| entry.position != covered);
+        if differs || log.entries.back().is_some_and(|entry| entry.index() < covered.index) {
             log.entries.clear();
+            log.members.clear();
             log.bytes = 0;
         }
         log.synced = log.last().index;
--- a/src/consensus/message.rs
+++ b/src/consensus/message.rs
@@ -86,6 +86,8 @@
         /// The round of the message that this answers.
         round: Round,
     },
+    /// An append or snapshot came from an earlier term: there is a later one.
+    Stale,
     /// The leader hands over: start an election at once.
     TimeoutNow,
 }
--- a/src/consensus/mod.rs
+++ b/src/consensus/mod.rs
@@ -32,6 +32,7 @@
 pub use entry::Entry;
 pub use entry::Payload;
 pub use entry::Position;
+pub use errors::Broken;
 pub use errors::Refusal;
 pub use input::Input;
 pub use input::Token;
--- a/src/consensus/replica.rs
+++ b/src/consensus/replica.rs
@@ -72,10 +72,14 @@
         let log = Log::new(restored.snapshot, restored.log);
         let announced = log.members().clone();
         let commit = log.snapshot().position.index;
+        // A snapshot may come from a term that this replica had not entered on disk yet; it never voted in it.
+        let term = log.last().term;
+        let hard =
+            if restored.hard.term < term { HardState { term, vote: None } } else { restored.hard };
         Self {
             config,
             rng,
-            hard: restored.hard,
+            hard,
             log,
             commit,
             applied: commit,
--- a/src/consensus/restored.rs
+++ b/src/consensus/restored.rs
@@ -3,6 +3,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use super::Broken;
 use super::Entry;
 use super::Members;
 use super::Position;
@@ -47,6 +48,28 @@
         Self { hard: HardState::default(), snapshot, log: Vec::new() }
     }
 
+    /// Whether a replica may start from this: a store that can't tell must not guess.
+    pub fn verify(&self) -> Result<(), Broken> {
+        let mut last = self.log.first().map_or(self.snapshot.position, |entry| entry.position);
+        if last.index > self.snapshot.position.index.next() {
+            return Err(Broken::Gap { after: self.snapshot.position });
+        }
+        for entry in self.log.iter().skip(1) {
+            if entry.index() != last.index.next() {
+                return Err(Broken::Gap { after: last });
+            }
+            if entry.term() < last.term {
+                return Err(Broken::Term { at: entry.position });
+            }
+            last = entry.position;
+        }
+        // A snapshot may be synced before the write that enters its term; entries are in the same write or later.
+        if last.index > self.snapshot.position.index && self.hard.term < last.term {
+            return Err(Broken::HardState { at: last });
+        }
+        Ok(())
+    }
+
     /// The same with a term and vote.
     #[must_use]
     pub const fn with_hard(mut self, hard: HardState) -> Self {
--- /dev/null
+++ b/tests/cluster/group.rs
@@ -0,0 +1,308 @@
+//! The group, its network and what befalls them.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use masticstream::consensus::Change;
+use masticstream::consensus::Config;
+use masticstream::consensus::Input;
+use masticstream::consensus::Members;
+use masticstream::consensus::Message;
+use masticstream::consensus::Role;
+use masticstream::consensus::Token;
+use masticstream::id;
+use rand::Rng;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use rand::seq::IteratorRandom;
+use tokio::time::Instant;
+
+use super::oracle::Oracle;
+use super::server::Server;
+
+/// The time between two looks at the group.
+const STEP: Duration = Duration::from_millis(10);
+/// How long faults go on.
+const SUFFERING: Duration = Duration::from_secs(90);
+/// How long a healed group may take to accept values again and agree.
+const RECOVERY: Duration = Duration::from_secs(20);
+/// The silence after which a voter is replaced.
+const SILENCE: Duration = Duration::from_secs(8);
+/// Messages lost and doubled, of a thousand.
+const LOST: u32 = 30;
+const DOUBLED: u32 = 20;
+
+/// Who is in the group.
+#[derive(Debug, Clone, Copy)]
+pub struct Shape {
+    pub voters: usize,
+    pub witness: bool,
+}
+
+struct Packet {
+    due: Instant,
+    from: id::Replica,
+    to: id::Replica,
+    message: Message,
+}
+
+/// A group on a clock of its own.
+pub struct Group {
+    shape: Shape,
+    servers: Vec<Server>,
+    packets: Vec<Packet>,
+    /// Pairs of identities, from and to, between which nothing gets through.
+    cuts: BTreeSet<(id::Replica, id::Replica)>,
+    pub oracle: Oracle,
+    rng: SmallRng,
+    now: Instant,
+    tokens: u64,
+    calm: bool,
+}
+
+impl Group {
+    pub fn new(shape: Shape, seed: u64) -> Self {
+        let mut rng = SmallRng::seed_from_u64(seed);
+        let now = Instant::now();
+        let data: Vec<id::Replica> =
+            (0..shape.voters).map(|_| id::Replica::random(&mut rng)).collect();
+        let witness = shape.witness.then(|| id::Replica::random(&mut rng));
+        let members = Members::new(data.iter().copied());
+        let members =
+            witness.into_iter().fold(members, |members, id| members.with_member(id, Role::Witness));
+        let mut configs: Vec<Config> = data.iter().map(|&id| config(id, shape)).collect();
+        configs.extend(witness.map(|id| config(id, shape).with_witness()));
+        Self {
+            shape,
+            servers: configs
+                .into_iter()
+                .map(|config| Server::new(config, members.clone(), now))
+                .collect(),
+            packets: Vec::new(),
+            cuts: BTreeSet::new(),
+            oracle: Oracle::new(format!("{shape:?} seed {seed}")),
+            rng,
+            now,
+            tokens: 0,
+            calm: false,
+        }
+    }
+
+    /// Runs under faults.
+    pub fn suffer(&mut self) {
+        let end = self.now + SUFFERING;
+        while self.now < end {
+            if self.rng.random_ratio(1, 60) {
+                self.hurt();
+            }
+            self.advance();
+        }
+    }
+
+    /// Ends all faults; from then on values are accepted, and all replicas come to hold the same.
+    pub fn heal(&mut self) {
+        self.calm = true;
+        self.cuts.clear();
+        for server in &mut self.servers {
+            server.down = server.down.map(|_| self.now);
+            server.frozen = server.frozen.map(|_| self.now);
+        }
+        let before = self.oracle.accepted();
+        let end = self.now + RECOVERY;
+        while self.now < end {
+            self.advance();
+        }
+        if self.oracle.accepted() < before + 100 {
+            self.oracle.stuck("no progress after all was healed");
+        }
+        let data =
+            self.servers.iter().filter(|server| server.replica().role() == Some(Role::Voter));
+        let behind = data
+            .filter(|server| server.machine().len() as u64 + 50 < self.oracle.end().get())
+            .count();
+        if behind > 0 {
+            self.oracle.stuck("a voter is behind after all was healed");
+        }
+        for server in &self.servers {
+            self.oracle.compare(server.machine());
+        }
+    }
+
+    fn advance(&mut self) {
+        self.now += STEP;
+        self.deliver();
+        for at in 0..self.servers.len() {
+            self.run(at);
+        }
+        self.propose();
+        self.adopt();
+        self.post();
+    }
+
+    fn deliver(&mut self) {
+        let mut due: Vec<Packet> =
+            self.packets.extract_if(.., |packet| packet.due <= self.now).collect();
+        due.sort_by_key(|packet| packet.due);
+        for packet in due {
+            let Some(server) =
+                self.servers.iter_mut().find(|server| server.replica().id() == packet.to)
+            else {
+                continue;
+            };
+            if server.frozen.is_some() {
+                // The connection is open and nobody reads: it all comes at once when the process wakes.
+                self.packets.push(Packet { due: self.now + STEP, ..packet });
+            } else if server.down.is_none() {
+                let input = Input::Receive { from: packet.from, message: packet.message };
+                server.step(input, self.now, &mut self.rng, &mut self.oracle);
+            }
+        }
+    }
+
+    fn run(&mut self, at: usize) {
+        let (now, rng) = (self.now, &mut self.rng);
+        let server = &mut self.servers[at];
+        if server.down.is_some_and(|until| until <= now) {
+            server.restart(now, rng);
+        }
+        if server.frozen.is_some_and(|until| until <= now) {
+            server.frozen = None;
+        }
+        if !server.is_running() {
+            return;
+        }
+        server.sync(now, rng, &mut self.oracle);
+        if server.replica().deadline() <= now {
+            server.step(Input::Tick, now, rng, &mut self.oracle);
+        }
+        if let Some(from) = server.wanted.filter(|_| rng.random_ratio(1, 10)) {
+            server.wanted = None;
+            let source = self
+                .servers
+                .iter()
+                .find(|other| other.replica().id() == from && other.is_running());
+            let fetched = source.map(|source| source.saved().clone());
+            self.servers[at].install(fetched, now, rng, &mut self.oracle);
+        }
+    }
+
+    /// Callers ask every replica that says it leads.
+    fn propose(&mut self) {
+        for server in self.servers.iter_mut().filter(|server| server.is_running()) {
+            if !server.replica().is_leader() || !self.rng.random_ratio(1, 3) {
+                continue;
+            }
+            self.tokens += 1;
+            let token = Token::new(self.tokens);
+            let input = if self.rng.random_ratio(1, 4) {
+                self.oracle.ask(token);
+                Input::Read { token }
+            } else {
+                Input::Propose { data: self.tokens.to_be_bytes().to_vec().into(), token }
+            };
+            server.step(input, self.now, &mut self.rng, &mut self.oracle);
+        }
+    }
+
+    /// A newcomer announces itself, and the leader takes it in as a learner.
+    fn adopt(&mut self) {
+        let strangers = self.servers.iter().map(|server| server.replica().id());
+        let strangers: Vec<id::Replica> = strangers.collect();
+        for server in self
+            .servers
+            .iter_mut()
+            .filter(|server| server.is_running() && server.replica().is_leader())
+        {
+            let members = server.replica().log().members();
+            if let Some(&id) = strangers.iter().find(|&&id| !members.contains(id)) {
+                let input = Input::Change { change: Change::AddLearner(id), token: Token::new(0) };
+                server.step(input, self.now, &mut self.rng, &mut self.oracle);
+            }
+        }
+    }
+
+    fn post(&mut self) {
+        for server in &mut self.servers {
+            let from = server.replica().id();
+            for (to, message) in std::mem::take(&mut server.outgoing) {
+                if self.cuts.contains(&(from, to)) || self.rng.random_ratio(LOST, 1000) {
+                    continue;
+                }
+                let copies = if self.rng.random_ratio(DOUBLED, 1000) { 2 } else { 1 };
+                for _ in 0..copies {
+                    let due = self.now + Duration::from_millis(self.rng.random_range(1..80));
+                    self.packets.push(Packet { due, from, to, message: message.clone() });
+                }
+            }
+        }
+    }
+
+    /// One more fault, or the end of one.
+    fn hurt(&mut self) {
+        let Some(at) = (0..self.servers.len()).choose(&mut self.rng) else {
+            return;
+        };
+        let id = self.servers[at].replica().id();
+        let span = Duration::from_millis(self.rng.random_range(50..6_000));
+        let others: Vec<id::Replica> =
+            self.servers.iter().map(|s| s.replica().id()).filter(|&o| o != id).collect();
+        match self.rng.random_range(0..100) {
+            0..25 if self.servers[at].is_running() => {
+                self.servers[at].crash(self.now + span, &mut self.rng);
+            }
+            25..35 if self.servers[at].is_running() => {
+                self.servers[at].frozen = Some(self.now + span);
+            }
+            35..37 if self.servers[at].is_running() => {
+                self.servers[at].frozen = Some(self.now + 5 * span);
+            }
+            37..47 => self.cuts.extend(others.iter().flat_map(|&other| [(id, other), (other, id)])),
+            47..55 => self.cuts.extend(others.iter().map(|&other| (id, other))),
+            55..63 => self.cuts.extend(others.iter().map(|&other| (other, id))),
+            63..70 => self.cuts.extend(others.first().map(|&other| (other, id))),
+            70..75 => self.lose_folder(at),
+            75..80 if self.servers[at].is_running() => {
+                self.servers[at].step(
+                    Input::Transfer { to: None },
+                    self.now,
+                    &mut self.rng,
+                    &mut self.oracle,
+                );
+            }
+            _ => self.cuts.clear(),
+        }
+    }
+
+    /// A data voter loses its folder for good, at a moment when all others hold all that was accepted: what
+    /// is held by one folder alone no protocol can keep. A newcomer starts in its place.
+    fn lose_folder(&mut self, at: usize) {
+        let lost = self.servers[at].replica().id();
+        let end = self.oracle.end();
+        let others = self.servers.iter().filter(|server| server.replica().id() != lost);
+        let last = others.clone().map(|server| server.replica().log().last()).max();
+        let data = others.clone().filter(|server| server.replica().role() == Some(Role::Voter));
+        let held = |server: &Server| server.replica().log().synced() >= end;
+        // What a witness heard of, and a data voter that missed its heartbeats did not, is on one folder alone.
+        let known =
+            |server: &Server| !self.shape.witness || Some(server.replica().log().last()) == last;
+        let safe = others.clone().all(|server| server.is_running() && held(server))
+            && data.clone().all(known);
+        // Right after a repair is soon enough: the last newcomer votes, and the lost voter is let go.
+        let ids: BTreeSet<id::Replica> =
+            self.servers.iter().map(|server| server.replica().id()).collect();
+        let repaired =
+            |server: &Server| server.replica().log().members().voters().eq(ids.iter().copied());
+        let settled = others.clone().all(repaired);
+        if !(safe && settled) || self.servers[at].replica().role() != Some(Role::Voter) {
+            return;
+        }
+        self.cuts.clear();
+        self.packets.retain(|packet| packet.from != lost);
+        let id = id::Replica::random(&mut self.rng);
+        self.servers[at] = Server::new(config(id, self.shape), Members::default(), self.now);
+    }
+}
+
+fn config(id: id::Replica, shape: Shape) -> Config {
+    Config::new(id).with_snapshot_entries(40).with_replacement(SILENCE, shape.voters)
+}
--- a/tests/model.rs
+++ b/tests/model.rs
@@ -255,3 +255,14 @@
         Bounds { elections: 1, reads: 1, ..Bounds::NONE },
     );
 }
+
+/// A caller reads an old value after a change was accepted. A leader crashes and is elected again; a follower answers
+/// an append of its former term, and by then is in the new one. The answer's round, counted in the former term, was
+/// taken for one of the new term, and confirmed reads that no majority had confirmed.
+#[test]
+fn reads_across_terms() {
+    let once =
+        Bounds { proposals: 1, reads: 1, crashes: 1, crashing: standing(&[1]), ..Bounds::NONE };
+    let bounds = Bounds { elections: 2, standing: standing(&[1, 2]), cut: vec![(1, 3)], ..once };
+    holds_once_led("reads across terms", Group::new(3), bounds);
+}
--- a/tests/models/bounds.rs
+++ b/tests/models/bounds.rs
@@ -17,6 +17,8 @@
     pub heartbeats: u8,
     pub duplicates: u8,
     pub crashes: u8,
+    /// Who may crash; without a list, everybody may.
+    pub crashing: Vec<id::Replica>,
     pub lost_folders: u8,
     pub silences: u8,
     pub reads: u8,
@@ -35,6 +37,7 @@
         heartbeats: 0,
         duplicates: 0,
         crashes: 0,
+        crashing: Vec::new(),
         lost_folders: 0,
         silences: 0,
         reads: 0,
--- a/tests/models/packet.rs
+++ b/tests/models/packet.rs
@@ -26,7 +26,7 @@
             Body::VoteAnswer { granted } => {
                 term < own || (term == own && !(granted && receiver.is_candidate()))
             }
-            Body::PreVoteAnswer { .. } => term <= own,
+            Body::PreVoteAnswer { .. } | Body::Stale => term <= own,
             _ => false,
         }
     }
--- a/tests/models/world.rs
+++ b/tests/models/world.rs
@@ -174,7 +174,9 @@
         if peer.offered.is_some() {
             add(Event::Install, "installs a snapshot", |_| {});
         }
-        if self.bounds.crashes > 0 {
+        let crashing = &self.bounds.crashing;
+        if self.bounds.crashes > 0 && (crashing.is_empty() || crashing.contains(&peer.replica.id()))
+        {
             for writes in 0..peer.pending.len().max(1) {
                 add(Event::Crash(writes), "crashes", |bounds| bounds.crashes -= 1);
             }
