--- a/src/group/tests/storm.rs
+++ b/src/group/tests/storm.rs
@@ -99,7 +99,7 @@
     // Callers resend a few keys to any replica while replicas are cut off, killed and lose power, disks fill up or
     // fail a sync, and messages get lost. No key is ever granted to two attempts, what was told as finished stays
     // so on every leader, and every folder opens again. At the end all replicas agree.
-    for seed in 0..fuzz::config(6).cases {
+    for seed in 0..fuzz::config(24).cases {
         let mut rng = SmallRng::seed_from_u64(u64::from(seed));
         let mut cluster = Cluster::<Ledger>::new(REPLICAS, false, 15);
         let mut told = Told::default();
