--- /dev/null
+++ b/src/http/engine.rs
@@ -0,0 +1,114 @@
+//! Model engines and plain services: the wire details of an attempt.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::Method;
+use http::Request;
+use http::Response;
+use http::StatusCode;
+use http::header;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use tokio::time;
+
+use crate::decide::retry::Evidence;
+use crate::entry::Job;
+use crate::http::answer::Failure;
+use crate::http::answer::Fault;
+use crate::http::answer::Sink;
+use crate::http::client::Client;
+use crate::id;
+
+/// Carries the attempt's id to the upstream and back.
+pub const ATTEMPT: &str = "mastic-attempt";
+/// Carries the scheduling priority; a lower number runs first.
+pub const PRIORITY: &str = "mastic-priority";
+/// Asks for the answer from this event on.
+pub const RESUME: &str = "mastic-resume-offset";
+/// Says on a refusal whether the request ran.
+pub const RAN: &str = "mastic-ran";
+/// Whether an upstream is there at all is asked within this.
+const PROBE: Duration = Duration::from_secs(1);
+
+/// What an attempt is told besides the request.
+#[derive(Debug, Clone)]
+pub struct Order {
+    /// The attempt's id.
+    pub attempt: id::Attempt,
+    /// Where the upstream takes requests.
+    pub address: SocketAddr,
+    /// The scheduling priority.
+    pub priority: u8,
+    /// Events that the caller has already.
+    pub offset: usize,
+}
+
+/// Runs one attempt and passes its answer on. `Ok` only when the answer is whole.
+pub async fn run(
+    client: &Client,
+    job: &Job,
+    order: &Order,
+    sink: &Sink<'_>,
+) -> Result<(), Failure> {
+    let request = request(job, order)?;
+    let sent = time::timeout(sink.patience.first, client.send(order.address, request)).await;
+    let (response, lease) = sent.map_err(|_| Failure::silent("no answer began in time"))??;
+    check(&response, order)?;
+    sink.pass(response).await?;
+    client.keep(lease);
+    Ok(())
+}
+
+fn request(job: &Job, order: &Order) -> Result<Request<Full<Bytes>>, Failure> {
+    let mut request = Request::builder()
+        .method(job.method.clone())
+        .uri(&job.path)
+        .header(header::HOST, order.address.to_string())
+        .header(ATTEMPT, order.attempt.to_string())
+        .header(PRIORITY, order.priority.to_string());
+    if order.offset > 0 {
+        request = request.header(RESUME, order.offset.to_string());
+    }
+    for (name, value) in &job.headers {
+        request = request.header(name, value);
+    }
+    request.body(Full::new(job.body.clone())).map_err(|error| Failure {
+        evidence: Evidence::NothingSent,
+        why: error.to_string(),
+        fault: Fault::Superseded,
+    })
+}
+
+/// Refuses an answer that is not this attempt's, and tells a refusal of the upstream from an answer.
+fn check(response: &Response<Incoming>, order: &Order) -> Result<(), Failure> {
+    let status = response.status();
+    if status == StatusCode::SERVICE_UNAVAILABLE || status == StatusCode::TOO_MANY_REQUESTS {
+        let said = response.headers().get(RAN).is_some_and(|value| value == "no");
+        let evidence = if said { Evidence::SaidNotRun } else { Evidence::BytesSent };
+        let why = format!("the upstream refused with {status}");
+        return Err(Failure { evidence, why, fault: Fault::Full });
+    }
+    // Failure: an answer comes late on a connection that carries another request by now, or an engine mixes two up,
+    // and a caller reads somebody else's mandates. The echoed id is compared before any byte is passed on.
+    if let Some(echoed) = response.headers().get(ATTEMPT)
+        && echoed.as_bytes() != order.attempt.to_string().as_bytes()
+    {
+        return Err(Failure::lost("the answer belongs to another attempt"));
+    }
+    Ok(())
+}
+
+/// Whether an upstream that went silent on one connection answers on a fresh one. Kept connections are closed
+/// first: something on the way may have lost track of all of them.
+pub async fn probe(client: &Client, address: SocketAddr) -> bool {
+    client.forget(Some(address));
+    let request = Request::builder()
+        .method(Method::GET)
+        .uri("/load")
+        .header(header::HOST, address.to_string())
+        .body(Full::new(Bytes::new()));
+    let Ok(request) = request else { return false };
+    matches!(time::timeout(PROBE, client.send(address, request)).await, Ok(Ok(_)))
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -3,12 +3,25 @@
 //! A request enters at an entry VM, is decided on ([`decide`]), runs on an upstream and is answered once.
 
 pub mod catalogue;
+pub mod cli;
 pub mod consensus;
+pub mod control;
 pub mod decide;
+pub mod dump;
+pub mod entry;
 #[cfg(test)]
 mod fuzz;
 pub mod group;
+pub mod http;
 pub mod id;
 pub mod ledger;
+pub mod log;
+pub mod membership;
+pub mod metrics;
+pub mod settings;
+pub mod signal;
 pub mod store;
+pub mod supervisor;
 pub mod unit;
+pub mod upstream;
+pub mod wire;
