--- a/src/group/batch.rs
+++ b/src/group/batch.rs
@@ -132,3 +132,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/src/group/files.rs
+++ b/src/group/files.rs
@@ -106,7 +106,7 @@
     pub fn save(&mut self, snapshot: Snapshot, data: Vec<u8>) {
         let Some(mut snapshots) = self.snapshots.take() else { return };
         self.tasks.spawn_blocking(move || {
-            save_newer(&mut snapshots, &snapshot, &data)?;
+            snapshots.save(&snapshot, &data)?;
             Ok(Done::Saved { snapshots, snapshot })
         });
     }
@@ -118,7 +118,7 @@
             let Ok(machine) = ciborium::from_reader::<M, _>(data.as_slice()) else {
                 return Ok(Done::Undecodable { snapshots });
             };
-            save_newer(&mut snapshots, &snapshot, &data)?;
+            snapshots.save(&snapshot, &data)?;
             Ok(Done::Installed { snapshots, snapshot, machine })
         });
     }
@@ -172,15 +172,3 @@
         Ok(())
     }
 }
-
-/// Keeps the later one, whichever of two comes last.
-fn save_newer<D: Disk>(
-    snapshots: &mut Snapshots<D>,
-    snapshot: &Snapshot,
-    data: &[u8],
-) -> Result<(), Error> {
-    if snapshots.last().is_some_and(|last| last.position.index >= snapshot.position.index) {
-        return Ok(());
-    }
-    snapshots.save(snapshot, data)
-}
--- a/src/group/tests.rs
+++ b/src/group/tests.rs
@@ -1,27 +1,45 @@
 mod cluster;
 mod storm;
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use futures::future::join_all;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use tokio::sync::mpsc;
 use tokio::time::sleep;
 use tokio::time::timeout;
 
 use self::cluster::Cluster;
+use super::Config;
+use super::Driver;
 use super::Error;
 use super::Message;
 use super::Stopped;
+use crate::consensus;
+use crate::consensus::Body;
+use crate::consensus::Entry;
+use crate::consensus::Members;
+use crate::consensus::Payload;
+use crate::consensus::Position;
 use crate::consensus::Refusal;
+use crate::consensus::Snapshot;
+use crate::id;
 use crate::ledger::Command;
 use crate::ledger::Digest;
 use crate::ledger::Ledger;
 use crate::ledger::Reply;
 use crate::ledger::Start;
 use crate::store::Disk;
+use crate::store::Memory;
+use crate::store::Opened;
 use crate::store::tests::faulty::Fault;
 use crate::store::tests::faulty::Loss;
 use crate::unit::Incarnation;
 use crate::unit::Index;
+use crate::unit::Round;
+use crate::unit::Term;
 use crate::unit::Version;
 
 /// What is enough for a few heartbeats and syncs.
@@ -33,7 +51,7 @@
         entry: "drafts".parse().expect("an entry"),
         key: format!("key-{key}").parse().expect("a key"),
         body: Digest::new([1; 16]),
-        attempt: crate::id::Attempt::new(attempt),
+        attempt: id::Attempt::new(attempt),
         vm: "vm0".parse().expect("a VM"),
         incarnation: Incarnation::new(1),
         home_since: Version::new(1),
@@ -150,7 +168,7 @@
     assert_eq!(group.propose(claim(3, 1)).await, Err(Error::Stopped));
     let again = cluster.propose(|| claim(1, 2)).await;
     assert!(matches!(again, Ok(Reply::Running { .. })), "{again:?}");
-    cluster.disks[leader].lose_power(Loss::All, &mut rand::SeedableRng::seed_from_u64(1));
+    cluster.disks[leader].lose_power(Loss::All, &mut SmallRng::seed_from_u64(1));
     cluster.start(leader).expect("a good disk");
     sleep(SETTLED).await;
     assert_eq!(len(&cluster, leader).await, len(&cluster, cluster.leader().await).await);
@@ -200,3 +218,55 @@
     let limit = Duration::from_secs(4 * 24 * 60 * 60);
     timeout(limit, forgotten).await.expect("forgotten after three days");
 }
+
+#[tokio::test(start_paused = true)]
+async fn witness_drops_data_that_it_is_sent() {
+    // A faulty leader sends data to the witness. None of it reaches the witness's disk.
+    let mut cluster = Cluster::<Ledger>::new(3, true, 20);
+    cluster.kill(0, None).await;
+    cluster.kill(1, None).await;
+    let position = Position::new(Index::new(1), Term::new(50));
+    let entry = Entry::new(position, Payload::Data(b"key-1".as_slice().into()));
+    let previous = Position::default();
+    let (commit, round) = (Index::ZERO, Round::ZERO);
+    let body = Body::Append { previous, entries: vec![entry], commit, round };
+    let message = Message::Consensus(consensus::Message::new(Term::new(50), body));
+    cluster.group(2).receive(cluster.ids[0], message).await.expect("runs");
+    sleep(SETTLED).await;
+    let names = cluster.disks[2].names().expect("a good disk");
+    let bytes: Vec<u8> =
+        names.iter().flat_map(|name| cluster.disks[2].read(name).expect("a file")).collect();
+    let holds = |text: &[u8]| bytes.windows(text.len()).any(|part| part == text);
+    assert!(holds(b"Withheld") && !holds(b"key-1"));
+}
+
+#[tokio::test(start_paused = true)]
+async fn snapshot_is_served_to_members_that_hold_data_alone() {
+    // A witness or a stranger asks for the snapshot. Served, bound data would leave the region.
+    let mut rng = SmallRng::seed_from_u64(12);
+    let mut opened = Opened::new(Memory::default(), &mut rng).expect("new");
+    let [member, witness, stranger] = [1, 2, 3].map(id::Replica::new);
+    let members = Members::new([opened.id, member]).with_member(witness, consensus::Role::Witness);
+    let position = Position::new(Index::new(9), Term::new(1));
+    let mut data = Vec::new();
+    ciborium::into_writer(&Ledger::default(), &mut data).expect("encodes");
+    let snapshot = Snapshot { position, members };
+    opened.snapshots.save(&snapshot, &data).expect("writes");
+    opened.restored.snapshot = snapshot;
+    let (outbox, mut sent) = mpsc::channel(1000);
+    let (group, driver) =
+        Driver::<Ledger, Memory>::new(Config::new(opened.id), opened, outbox, rng).expect("starts");
+    tokio::spawn(driver.run());
+    for from in [stranger, witness, member].into_iter().cycle().take(9) {
+        let fetch = Message::Fetch { index: Index::new(9), offset: 0 };
+        group.receive(from, fetch).await.expect("runs");
+        sleep(Duration::from_millis(10)).await;
+    }
+    let mut served = BTreeSet::new();
+    while let Ok((to, message)) = sent.try_recv() {
+        if matches!(message, Message::Chunk(_)) {
+            served.insert(to);
+        }
+    }
+    assert_eq!(served, BTreeSet::from([member]));
+}
--- a/src/store/snapshots.rs
+++ b/src/store/snapshots.rs
@@ -47,11 +47,15 @@
         self.last.as_ref().map(|last| self.read(&name(last))).transpose()
     }
 
-    /// Writes and syncs a snapshot, then removes the one before.
+    /// Writes and syncs a snapshot, then removes the one before. Does nothing if that one is as late or later: of
+    /// an own snapshot and a leader's that are under way together, either may come last.
     pub fn save(&mut self, snapshot: &Snapshot, data: &[u8]) -> Result<(), Error> {
         if self.poisoned {
             return Err(Error::Poisoned);
         }
+        if self.last.as_ref().is_some_and(|last| last.position.index >= snapshot.position.index) {
+            return Ok(());
+        }
         self.poisoned = true;
         let before = self.last.as_ref().map(name);
         let name = name(snapshot);
@@ -60,7 +64,7 @@
         let body = frame::encode(data, salt);
         replace(&mut self.disk, NEW, &name, &[&head, &body])?;
         self.last = Some(snapshot.clone());
-        self.remove(before.filter(|before| *before != name).as_slice())?;
+        self.remove(before.as_slice())?;
         self.poisoned = false;
         Ok(())
     }
--- a/src/store/tests.rs
+++ b/src/store/tests.rs
@@ -20,6 +20,8 @@
 use super::Memory;
 use super::Opened;
 use crate::consensus::Members;
+use crate::consensus::Position;
+use crate::consensus::Snapshot;
 use crate::id;
 
 /// All that a store does, with several segments and two snapshots.
@@ -239,6 +241,21 @@
     assert_ne!(other.id, first);
 }
 
+#[test]
+fn later_snapshot_is_kept_whichever_is_saved_last() {
+    // The own snapshot is being written while a leader's later one arrives. If the older one were to replace it,
+    // the log, which rests on the later one, couldn't be read any more.
+    let mut script = Script::new(10);
+    script.open().expect("a good disk");
+    script.act(Act::Install { ahead: 9 }).expect("a good disk");
+    let late = script.acknowledged.snapshot.clone();
+    let opened = script.opened.as_mut().expect("open");
+    let early = Snapshot { position: Position::default(), ..late.clone() };
+    opened.snapshots.save(&early, b"older").expect("a good disk");
+    assert_eq!(opened.snapshots.last(), Some(&late));
+    script.open().expect("reads the later one");
+}
+
 #[test]
 fn unknown_format_is_named() {
     // A newer version wrote the folder, and an older one is started on it by mistake.
