Ledger::peek: what is known of a key, changing nothing

Cause: the entry asks before a request waits, through a confirmed read that has no right to change the ledger. Change: a pure look beside the committed one. It counts no answer as given out, so the limit on giving out one answer binds only asks that go through the log.

--- a/src/ledger/answers.rs
+++ b/src/ledger/answers.rs
@@ -43,16 +43,19 @@
         self.trim(now, limits);
     }
 
-    /// Gives an answer out, unless that was done too often.
-    pub fn fetch(&mut self, key: &Digest, limits: &Limits) -> Option<Arc<Answer>> {
-        let kept = self.kept.get_mut(key)?;
-        if kept.fetches >= limits.fetches {
-            return None;
-        }
-        kept.fetches += 1;
+    /// The answer kept under a key, unless it was given out too often.
+    pub fn get(&self, key: &Digest, limits: &Limits) -> Option<Arc<Answer>> {
+        let kept = self.kept.get(key).filter(|kept| kept.fetches < limits.fetches)?;
         Some(Arc::clone(&kept.answer))
     }
 
+    /// Counts that an answer was given out.
+    pub fn count(&mut self, key: &Digest) {
+        if let Some(kept) = self.kept.get_mut(key) {
+            kept.fetches = kept.fetches.saturating_add(1);
+        }
+    }
+
     /// Drops what is too old or too much.
     pub fn trim(&mut self, now: Duration, limits: &Limits) {
         while self.exceeds(now, limits) {
--- a/src/ledger/ledger.rs
+++ b/src/ledger/ledger.rs
@@ -13,7 +13,6 @@
 use super::Finish;
 use super::Limits;
 use super::Look;
-use super::Outcome;
 use super::Reply;
 use super::Start;
 use super::Step;
@@ -72,6 +71,12 @@
         self.len() == 0
     }
 
+    /// What is known of a key, changing nothing: no fence is raised, and no answer is counted as given out.
+    pub fn peek(&self, look: &Look) -> Reply {
+        let key = Digest::of_key(&look.owner, &look.key);
+        self.story(&key, &look.body, None).unwrap_or(Reply::Absent)
+    }
+
     fn start(&mut self, start: &Start) -> Reply {
         let key = Digest::of_key(&start.owner, &start.key);
         // A replay of a granted start, or a resend of a known key, is told what became of it before all else.
@@ -97,17 +102,25 @@
         Reply::Granted
     }
 
-    /// What a resend is told of a key; nothing if the key is new.
+    /// What a resend is told of a key, counting the answer that it gets; nothing if the key is new.
     fn known(
         &mut self,
         key: &Digest,
         body: &Digest,
         attempt: Option<id::Attempt>,
     ) -> Option<Reply> {
+        let reply = self.story(key, body, attempt)?;
+        if matches!(reply, Reply::Finished { answer: Some(_), .. }) {
+            self.answers.count(key);
+        }
+        Some(reply)
+    }
+
+    fn story(&self, key: &Digest, body: &Digest, attempt: Option<id::Attempt>) -> Option<Reply> {
         if let Some(ended) = self.keys.ended(key) {
-            let outcome = ended.outcome;
-            let same = ended.body == *body;
-            return Some(if same { self.finished(key, outcome) } else { Reply::Mismatch });
+            let answer = self.answers.get(key, &self.limits);
+            let told = Reply::Finished { outcome: ended.outcome, answer };
+            return Some(if ended.body == *body { told } else { Reply::Mismatch });
         }
         let open = self.keys.open(key)?;
         Some(match open {
@@ -118,10 +131,6 @@
         })
     }
 
-    fn finished(&mut self, key: &Digest, outcome: Outcome) -> Reply {
-        Reply::Finished { outcome, answer: self.answers.fetch(key, &self.limits) }
-    }
-
     fn finish(&mut self, finish: &Finish) -> Reply {
         let key = Digest::of_key(&finish.step.owner, &finish.step.key);
         // A VM that was given up may still tell how its attempt ended: that is better than `Unknown`.
--- a/src/ledger/ledger/fuzz.rs
+++ b/src/ledger/ledger/fuzz.rs
@@ -320,6 +320,9 @@
     fn apply(mut state: Self, oracle: &Oracle, transition: Transition) -> Self {
         match transition {
             Transition::Command(command) => {
+                if let Command::Look(look) = &command {
+                    assert_eq!(Some(state.0.peek(look)), oracle.expected, "before {command:?}");
+                }
                 let reply = state.0.apply(&command);
                 assert_eq!(Some(reply), oracle.expected, "after {command:?}");
             }
--- a/src/ledger/ledger/tests.rs
+++ b/src/ledger/ledger/tests.rs
@@ -135,6 +135,9 @@
     let mut ledger = Ledger::default();
     let Start { owner, entry, key, body, .. } = start(1, 0, 1);
     let look = Look { owner, entry, key, body, home_since: Version::new(5) };
+    assert_eq!(ledger.peek(&look), Reply::Absent);
+    assert_eq!(run(&mut ledger, start(1, 0, 1)), Reply::Granted, "a peek raises no fence");
+    ledger.apply(&Command::Release(step(1, 1)));
     assert_eq!(ledger.apply(&Command::Look(look)), Reply::Absent);
     assert_eq!(run(&mut ledger, start(1, 0, 2)), Reply::Moved { home_since: Version::new(5) });
     let back = Start { home_since: Version::new(6), ..start(1, 0, 3) };
