Ask for slots by what waits, hold released ones for a quarter of a second, and split the route

Route::demand sums what runs and waits over the models of an upstream, for the pool. A release that is told at once costs two messages for each request; mostly the next request comes first. The choice itself has a file of its own.

--- a/src/decide/route.rs
+++ b/src/decide/route.rs
@@ -14,6 +14,7 @@
 //!
 //! The grounds for each figure stand beside it; the ways weighed are in `docs/design/route.md`.
 
+mod choice;
 mod ejection;
 mod ewma;
 mod facts;
@@ -26,7 +27,6 @@
 use std::time::Duration;
 
 use rand::Rng;
-use rand::seq::IndexedRandom;
 use tokio::time::Instant;
 
 use self::group::Group;
@@ -42,28 +42,27 @@
 pub use prefix::Change;
 pub use prefix::Event;
 
-/// How far above the mean the load of a prefix's holder may be before the prefix is computed elsewhere. The bound
-/// of 1.25 is that of consistent hashing with bounded loads, where it costs few moves; one request more is
-/// always allowed, as upstreams have few slots.
-const BOUND: f64 = 1.25;
-
 /// An upstream so many times slower than the median of its like is ejected; see `Ewma` for why that is no accident.
 const OUTLIER: f64 = 3.0;
 
 /// How many answers must be in before an upstream is called slow.
 const ENOUGH: u32 = 5;
 
-/// How many upstreams are drawn at random, of which the best is taken. Measured over 8 seeds at a load of 75%:
-/// three make 0.15% of requests late where two make 0.23%; with one slow upstream 0.7% against 1.3%.
-const CHOICES: usize = 3;
-
-/// The most random draws before all candidates are looked through.
-const DRAWS: usize = 12;
-
 /// How many upstreams of a model a VM picks from. With 117 VMs of a region and 283 upstreams each upstream is
-/// followed by 32 VMs give or take 5, and the shared slots even out the rest.
+/// followed by 13 VMs give or take 4, and the shared slots even out the rest.
 pub const FOLLOWED: usize = 32;
 
+/// What a VM has inside an upstream, and could have.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Demand {
+    /// The upstream.
+    pub upstream: id::Upstream,
+    /// The slots that its requests take.
+    pub running: Slots,
+    /// The slots that it could use.
+    pub wanted: Slots,
+}
+
 /// Chooses upstreams and learns from what becomes of the attempts.
 #[derive(Debug, Default)]
 pub struct Route {
@@ -140,6 +139,30 @@
         group.members.iter().any(|&u| self.fitting(u, facts).is_some())
     }
 
+    /// What this VM has inside each upstream that it follows, and could have if it had slots enough for the requests
+    /// that wait here, by model; for `upstream::Pool::demand`.
+    pub fn demand(&self, waiting: &HashMap<id::Model, usize>) -> Vec<Demand> {
+        let mut wanted: HashMap<u32, u64> = HashMap::new();
+        for (model, group) in &self.groups {
+            let count = waiting.get(model).copied().unwrap_or(0);
+            let each = count.div_ceil(group.followed.len().max(1)) as u64;
+            group.followed.iter().for_each(|&u| *wanted.entry(u).or_default() += each);
+        }
+        let demand = |(number, tracked): (usize, &Option<Tracked>)| {
+            let tracked = tracked.as_ref()?;
+            let running = u64::from(tracked.own.running());
+            let more = u32::try_from(number).ok().and_then(|number| wanted.get(&number));
+            let followed = more.is_some() || running > 0;
+            let wanted = running + more.copied().unwrap_or(0);
+            followed.then(|| Demand {
+                upstream: tracked.announcement.id.clone(),
+                running: Slots::new(running),
+                wanted: Slots::new(wanted.min(tracked.announcement.slots.get())),
+            })
+        };
+        self.tracked.iter().enumerate().filter_map(demand).collect()
+    }
+
     /// An attempt is sent to the upstream.
     pub fn sent(&mut self, upstream: &id::Upstream, now: Instant) {
         if let Some(tracked) = self.get_mut(upstream) {
@@ -252,89 +275,6 @@
         self.fitting(number, facts).filter(|tracked| !tracked.ejection.is_ejected(now))
     }
 
-    /// The better of two holders of the request's prefix, where its load is within bounds.
-    fn affine(&mut self, facts: &Facts<'_>, now: Instant, rng: &mut impl Rng) -> Option<u32> {
-        let &root = facts.prefix.first()?;
-        let stats = self.groups.get(facts.model)?.stats;
-        let limit = |t: &Tracked| (BOUND * stats.utilisation).max(1.0 / t.slots());
-        let usable = |route: &Self, u: u32| {
-            route.healthy(u, facts, now).is_some_and(|t| {
-                t.has_room(&stats, now)
-                    && t.utilisation(&stats, now) <= limit(t)
-                    && t.relative_slowness(&stats) < OUTLIER
-            })
-        };
-        let known = self.index.holders(facts.prefix);
-        let known: Vec<u32> = known.into_iter().filter(|&u| usable(self, u)).collect();
-        if !known.is_empty() {
-            return self.better(known.choose_multiple(rng, 2).copied(), &stats, now);
-        }
-        let homes = self.homes(facts.model, root);
-        homes.into_iter().flatten().find(|&u| usable(self, u))
-    }
-
-    /// The two upstreams that all VMs find for a prefix that none is known to hold, the first choice first.
-    fn homes(&mut self, model: &id::Model, root: u64) -> [Option<u32>; 2] {
-        let Some(group) = self.groups.get_mut(model) else { return [None; 2] };
-        if let Some(&homes) = group.homes.get(&root) {
-            return homes;
-        }
-        let names = group.members.iter().filter_map(|&member| {
-            let tracked = self.tracked[member as usize].as_ref()?;
-            Some((member, tracked.announcement.id.as_str()))
-        });
-        let top = rendezvous::top(root, names, 2);
-        let homes = [top.first().copied(), top.get(1).copied()];
-        group.remember(root, homes);
-        homes
-    }
-
-    /// The best of a few random upstreams with room. Ejected ones are used only where no other fits.
-    fn any(&self, facts: &Facts<'_>, now: Instant, rng: &mut impl Rng) -> Option<u32> {
-        let group = self.groups.get(facts.model)?;
-        let stats = &group.stats;
-        let usable = |u: u32| self.healthy(u, facts, now).is_some_and(|t| t.has_room(stats, now));
-        let mut drawn = [None; CHOICES];
-        let mut found = 0;
-        for _ in 0..DRAWS {
-            let &number = group.followed.choose(rng)?;
-            if drawn.contains(&Some(number)) || !usable(number) {
-                continue;
-            }
-            drawn[found] = Some(number);
-            found += 1;
-            if found == CHOICES {
-                break;
-            }
-        }
-        if found > 0 {
-            return self.better(drawn.into_iter().flatten(), stats, now);
-        }
-        let with_room: Vec<u32> = group.members.iter().copied().filter(|&u| usable(u)).collect();
-        if !with_room.is_empty() {
-            return self.better(with_room.choose_multiple(rng, 2).copied(), stats, now);
-        }
-        if group.members.iter().any(|&u| self.healthy(u, facts, now).is_some()) {
-            return None;
-        }
-        let last = |&u: &u32| self.fitting(u, facts).is_some_and(|t| t.has_room(stats, now));
-        let ejected: Vec<u32> = group.members.iter().copied().filter(last).collect();
-        self.better(ejected.choose_multiple(rng, 2).copied(), stats, now)
-    }
-
-    fn better(
-        &self,
-        numbers: impl Iterator<Item = u32>,
-        stats: &group::Stats,
-        now: Instant,
-    ) -> Option<u32> {
-        let score = |number: u32| {
-            self.tracked[number as usize].as_ref().map_or(f64::MAX, |t| t.score(stats, now))
-        };
-        let scored = numbers.map(|number| (score(number), number));
-        scored.min_by(|(a, _), (b, _)| a.total_cmp(b)).map(|(_, number)| number)
-    }
-
     fn answered(
         &mut self,
         number: u32,
--- a/src/decide/route/tests/choice.rs
+++ b/src/decide/route/tests/choice.rs
@@ -155,6 +155,22 @@
     assert!(!route.is_servable(&facts));
 }
 
+// An upstream holds two models, and requests for both wait: what this VM asks of its host is the sum.
+#[test]
+fn demand_counts_what_runs_and_what_waits() {
+    let now = Instant::now();
+    let mut route = Route::new(&"vm-1".parse().unwrap());
+    let mut both = announcement(0, 8);
+    both.models.insert("hail".parse().unwrap());
+    route.announced(&both, now);
+    route.announced(&announcement(1, 8), now);
+    route.sent(&engine(0), now);
+    let waiting = [(model(), 4), ("hail".parse().unwrap(), 1)].into();
+    let demand = route.demand(&waiting);
+    let wanted = demand.iter().map(|demand| (demand.running.get(), demand.wanted.get()));
+    assert_eq!(wanted.collect::<Vec<_>>(), [(1, 4), (0, 2)]);
+}
+
 // In a large region each VM picks from its own subset, and yet each upstream is picked by some VM.
 #[test]
 fn subsets_cover_a_large_region() {
--- a/src/entry/claim.rs
+++ b/src/entry/claim.rs
@@ -105,8 +105,7 @@
 /// Claims the key for an attempt of this VM. To be called when the request has a place, before a byte is sent.
 pub async fn claim(hub: &Hub, job: &Job, attempt: id::Attempt) -> Result<Claim, Refusal> {
     let Some(key) = key_of(job) else { return Err(unreachable_ledger()) };
-    let step =
-        ledger::Step { owner: job.entry.owner.clone(), key: key.clone(), attempt };
+    let step = ledger::Step { owner: job.entry.owner.clone(), key: key.clone(), attempt };
     let start = ledger::Start {
         owner: step.owner.clone(),
         entry: job.entry.name.clone(),
@@ -185,11 +184,7 @@
     warn!(hub.log, "the ledger was not told how a request ended"; "request" => %job.request);
 }
 
-fn known(
-    hub: &Hub,
-    job: &Job,
-    asked: Result<Reply, Unavailable>,
-) -> Result<Known, Refusal> {
+fn known(hub: &Hub, job: &Job, asked: Result<Reply, Unavailable>) -> Result<Known, Refusal> {
     let unknown = |text: &str| Refusal::new(Reason::OutcomeUnknown, text).with_ran(Ran::Unknown);
     match asked {
         Ok(Reply::Absent | Reply::Withdrawn | Reply::Done | Reply::Stale) => Ok(Known::Absent),
@@ -227,19 +222,11 @@
 }
 
 /// Has a command committed by the ledger of a region.
-pub async fn ask(
-    hub: &Hub,
-    region: &id::Region,
-    command: Command,
-) -> Result<Reply, Unavailable> {
+pub async fn ask(hub: &Hub, region: &id::Region, command: Command) -> Result<Reply, Unavailable> {
     at_ledger(hub, region, || wire::Request::Ledger(command.clone())).await
 }
 
-async fn peek(
-    hub: &Hub,
-    region: &id::Region,
-    look: ledger::Look,
-) -> Result<Reply, Unavailable> {
+async fn peek(hub: &Hub, region: &id::Region, look: ledger::Look) -> Result<Reply, Unavailable> {
     at_ledger(hub, region, || wire::Request::Peek(look.clone())).await
 }
 
--- a/src/entry/job.rs
+++ b/src/entry/job.rs
@@ -29,7 +29,6 @@
 /// A prompt's prefixes are told apart at these lengths in bytes: a system prompt, a short and a long history.
 const PREFIX_BYTES: [usize; 4] = [256, 1024, 4096, 16384];
 
-
 /// A request whose head and body are read and checked.
 #[derive(Debug)]
 pub struct Job {
--- a/src/upstream/pool.rs
+++ b/src/upstream/pool.rs
@@ -28,6 +28,7 @@
 use crate::unit::Incarnation;
 use crate::unit::Slots;
 
+pub use holder::RELEASE;
 pub use holder::RENEW;
 pub use holder::SOONEST;
 pub use host::FALLBACK;
@@ -94,7 +95,8 @@
         }
     }
 
-    /// The messages that are due now, each with the VM that it is for. Call it each [`SOONEST`].
+    /// The messages that are due now, each with the VM that it is for. Call it each [`SOONEST`], and after a demand
+    /// that rises.
     pub fn poll(&mut self, now: Instant) -> Vec<(id::Vm, Message)> {
         let mut due = Vec::new();
         for (upstream, holder) in &mut self.held {
--- a/src/upstream/pool/holder.rs
+++ b/src/upstream/pool/holder.rs
@@ -20,6 +20,10 @@
 /// that a burst of arrivals makes one ask.
 pub const SOONEST: Duration = Duration::from_millis(20);
 
+/// How long slots that are no longer needed are held: mostly the next request comes first, and two messages for each
+/// request would be most of what a VM may spend on control.
+pub const RELEASE: Duration = Duration::from_millis(250);
+
 /// The most asks whose sending time is remembered.
 const ASKS: usize = 8;
 
@@ -37,7 +41,7 @@
     fallback: Option<u64>,
     running: u64,
     wanted: u64,
-    changed: bool,
+    hurry: Option<Duration>,
     since: Instant,
 }
 
@@ -60,7 +64,7 @@
             fallback: None,
             running: 0,
             wanted: 0,
-            changed: true,
+            hurry: Some(SOONEST),
             since: now,
         }
     }
@@ -70,29 +74,31 @@
         if self.host != host {
             self.host = host;
             self.asks.clear();
-            self.changed = true;
+            self.hurry = Some(SOONEST);
         }
     }
 
     /// What this VM has inside the upstream, and could have if it had slots enough.
     pub fn demand(&mut self, running: Slots, wanted: Slots) {
         let (running, wanted) = (running.get(), wanted.get());
-        // More demand than slots, or slots to give back; mere turnover needs no ask.
-        let matters = wanted != self.wanted && (wanted > self.granted || self.wanted > wanted);
-        self.changed |= matters;
+        if wanted != self.wanted && wanted > self.granted {
+            self.hurry = Some(SOONEST);
+        } else if wanted < self.granted {
+            self.hurry = self.hurry.or(Some(RELEASE));
+        }
         self.running = running;
         self.wanted = wanted;
     }
 
     /// The ask that is due now, if one is, under that number, which is above those of all asks before it.
     pub fn poll(&mut self, number: u64, now: Instant) -> Option<Ask> {
-        let pause = if self.changed { SOONEST } else { RENEW };
+        let pause = self.hurry.unwrap_or(RENEW);
         let due =
             self.asks.back().is_none_or(|&(_, sent)| now.saturating_duration_since(sent) >= pause);
         if !due {
             return None;
         }
-        self.changed = false;
+        self.hurry = None;
         self.asks.push_back((number, now));
         if self.asks.len() > ASKS {
             self.asks.pop_front();
