--- a/src/entry/daemon.rs
+++ b/src/entry/daemon.rs
@@ -1,6 +1,8 @@
 //! The entry daemon: its listeners and tasks under one supervisor.
 
 use std::io;
+use std::net::IpAddr;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -14,6 +16,7 @@
 use tokio::time::Instant;
 
 use crate::entry::Hub;
+use crate::entry::digest;
 use crate::entry::peers;
 use crate::http;
 use crate::id;
@@ -47,7 +50,7 @@
     #[error("can't listen on {address}: {error}")]
     Listen {
         /// The address.
-        address: std::net::SocketAddr,
+        address: SocketAddr,
         /// Why.
         error: io::Error,
     },
@@ -59,6 +62,31 @@
     upstreams: TcpListener,
     operators: TcpListener,
     links: TcpListener,
+    forwards: TcpListener,
+}
+
+impl Bound {
+    /// Binds free ports of that address, and tells which.
+    pub async fn any(ip: IpAddr) -> Result<(Self, EntryAddresses), Error> {
+        let free = SocketAddr::new(ip, 0);
+        let addresses = EntryAddresses {
+            callers: free,
+            upstreams: free,
+            operators: free,
+            links: free,
+            forwards: free,
+        };
+        let bound = Self::new(&addresses).await?;
+        let at = |listener: &TcpListener| listener.local_addr().unwrap_or(free);
+        let addresses = EntryAddresses {
+            callers: at(&bound.callers),
+            upstreams: at(&bound.upstreams),
+            operators: at(&bound.operators),
+            links: at(&bound.links),
+            forwards: at(&bound.forwards),
+        };
+        Ok((bound, addresses))
+    }
 }
 
 /// A running entry daemon.
@@ -68,7 +96,7 @@
 }
 
 /// Binds one address.
-pub async fn listen(address: std::net::SocketAddr) -> Result<TcpListener, Error> {
+pub async fn listen(address: SocketAddr) -> Result<TcpListener, Error> {
     TcpListener::bind(address).await.map_err(|error| Error::Listen { address, error })
 }
 
@@ -80,6 +108,7 @@
             upstreams: listen(addresses.upstreams).await?,
             operators: listen(addresses.operators).await?,
             links: listen(addresses.links).await?,
+            forwards: listen(addresses.forwards).await?,
         })
     }
 }
@@ -94,12 +123,23 @@
         seed: u64,
         log: Logger,
     ) -> Result<Self, Error> {
-        let place = site.vms.get(&me).filter(|vm| vm.entry.is_some()).cloned();
-        let place = place.ok_or_else(|| Error::NotHere { vm: me.clone(), role: "entry" })?;
-        let addresses = place.entry.clone();
+        let addresses = site.vms.get(&me).and_then(|vm| vm.entry.clone());
         let addresses =
             addresses.ok_or_else(|| Error::NotHere { vm: me.clone(), role: "entry" })?;
         let bound = Bound::new(&addresses).await?;
+        Self::start_on(bound, me, site, (incarnation, seed), log).await
+    }
+
+    /// The same on sockets that are bound already, by the addresses that the settings give the VM.
+    pub async fn start_on(
+        bound: Bound,
+        me: id::Vm,
+        site: Arc<Site>,
+        (incarnation, seed): (Incarnation, u64),
+        log: Logger,
+    ) -> Result<Self, Error> {
+        let place = site.vms.get(&me).filter(|vm| vm.entry.is_some()).cloned();
+        let place = place.ok_or_else(|| Error::NotHere { vm: me.clone(), role: "entry" })?;
         let peer = Peer::new(me.clone(), Role::Entry);
         let hub = Arc::new(Hub::new(me, place, site.clone(), (incarnation, seed), log.clone()));
         let service = Arc::new(peers::Service::new(hub.clone()));
@@ -107,7 +147,8 @@
         hub.connect(mesh.clone());
         let mut supervisor = Supervisor::new(log.clone());
         serve(&mut supervisor, &hub, bound, mesh);
-        info!(log, "entry daemon up"; "callers" => %addresses.callers);
+        let version = env!("CARGO_PKG_VERSION");
+        info!(log, "entry daemon up"; "version" => version, "region" => %hub.region());
         Ok(Self { hub, supervisor })
     }
 
@@ -160,11 +201,16 @@
     listener(supervisor, "operators", bound.operators, move |request| {
         http::operator::answer(operators.clone(), request)
     });
+    let forwards = hub.clone();
+    listener(supervisor, "forwards", bound.forwards, move |request| {
+        http::forward::answer(forwards.clone(), request)
+    });
     let links = Arc::new(bound.links);
     let stop = supervisor.stop();
     supervisor.child("links", move || mesh.clone().listen(links.clone(), stop.clone()));
     task(supervisor, "catalogue", hub, peers::follow);
     task(supervisor, "greetings", hub, peers::greet);
+    task(supervisor, "digest", hub, digest::tell);
     task(supervisor, "ticks", hub, tick);
 }
 
--- a/src/entry/fleet.rs
+++ b/src/entry/fleet.rs
@@ -96,7 +96,7 @@
     /// A VM that knows its seeds from the settings: the entry VMs of the site.
     pub fn new(me: &id::Vm, site: &Site, seed: u64, now: Instant) -> Self {
         let region = |vm: &id::Vm| site.vms.get(vm).map(|vm| vm.region.clone());
-        let mut config = Config::new(me.clone(), region(me).unwrap_or_else(|| no_region()));
+        let mut config = Config::new(me.clone(), region(me).unwrap_or_else(no_region));
         for (name, vm) in site.vms.iter().filter(|(_, vm)| vm.entry.is_some()) {
             config = config.with_seed(name.clone(), vm.region.clone());
         }
@@ -198,6 +198,11 @@
         alive.filter_map(place).collect()
     }
 
+    /// The VMs of the region that are alive, this one among them.
+    pub fn alive(&self) -> Vec<id::Vm> {
+        self.member.alive().cloned().collect()
+    }
+
     /// Whether a VM of the region is alive.
     pub fn is_alive(&self, vm: &id::Vm) -> bool {
         self.member.alive().any(|alive| alive == vm)
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod claim;
 pub mod daemon;
+pub mod digest;
 pub mod dispatch;
 pub mod fleet;
 pub mod hub;
@@ -9,6 +10,7 @@
 pub mod peers;
 pub mod run;
 pub mod running;
+pub mod stage;
 pub mod transcript;
 
 pub use daemon::Daemon;
