--- a/src/lib.rs
+++ b/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod entry;
 #[cfg(test)]
 mod fuzz;
+pub mod group;
 pub mod http;
 pub mod id;
 pub mod ledger;
