--- a/src/decide/route/tests/load.rs
+++ b/src/decide/route/tests/load.rs
@@ -5,6 +5,7 @@
 
 struct Row {
     ours: Result,
+    shared: Result,
     round_robin: Result,
     least_reported: Result,
 }
@@ -12,10 +13,12 @@
 fn row(name: &str, setting: &Setting) -> Row {
     let row = Row {
         ours: run(setting, Policy::Ours),
+        shared: run(setting, Policy::Shared),
         round_robin: run(setting, Policy::RoundRobin),
         least_reported: run(setting, Policy::LeastReported),
     };
     print(name, "ours", &row.ours);
+    print(name, "ours, shared slots", &row.shared);
     print(name, "round robin", &row.round_robin);
     print(name, "least reported", &row.least_reported);
     row
@@ -23,9 +26,9 @@
 
 /// A row of the table in docs/MEASUREMENTS.md; `--nocapture` shows it.
 fn print(name: &str, policy: &str, got: &Result) {
-    let Result { sent, late, failed, median, p99, recomputed, busiest_share } = got;
+    let Result { sent, late, failed, median, p99, recomputed, busiest_share, fullest } = got;
     println!(
-        "| {name} | {policy} | {sent} | {late} | {failed} | {median:.2} | {p99:.2} | {recomputed} | {busiest_share:.3} |"
+        "| {name} | {policy} | {sent} | {late} | {failed} | {median:.2} | {p99:.2} | {recomputed} | {busiest_share:.3} | {fullest} |"
     );
 }
 
@@ -94,3 +97,11 @@
     println!("late with slow start {with}, without {without}");
     assert!(with < without);
 }
+
+#[test]
+fn skew() {
+    row("calm", &Setting::default());
+    row("skew", &Setting { skew: 0.5, ..Setting::default() });
+    row("skew lag5", &Setting { skew: 0.5, report_lag: 5.0, ..Setting::default() });
+    row("95%", &Setting { rate: 0.95 * 48.0, ..Setting::default() });
+}
--- a/src/decide/route/tests/sim.rs
+++ b/src/decide/route/tests/sim.rs
@@ -1,5 +1,9 @@
 //! Several VMs before several engines, event by event, with one policy or another on each VM.
 
+mod names;
+mod setting;
+mod timed;
+
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
 use std::collections::VecDeque;
@@ -10,6 +14,7 @@
 use rand::rngs::SmallRng;
 use tokio::time::Instant;
 
+use self::timed::Timed;
 use crate::catalogue::Class;
 use crate::decide::route::Change;
 use crate::decide::route::Event;
@@ -19,87 +24,20 @@
 use crate::id;
 use crate::unit::Incarnation;
 use crate::unit::Slots;
-use crate::upstream::Announcement;
-use crate::upstream::Kind;
 use crate::upstream::Load;
-use crate::upstream::Role;
+use crate::upstream::Pool;
+use crate::upstream::pool::Message;
+use crate::upstream::pool::SOONEST;
 
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Policy {
-    Ours,
-    RoundRobin,
-    LeastReported,
-}
+pub use names::announcement;
+pub use names::engine;
+pub use names::model;
+pub use setting::Policy;
+pub use setting::Result;
+pub use setting::Setting;
 
-/// The load; seconds throughout.
 #[derive(Debug, Clone)]
-pub struct Setting {
-    pub vms: usize,
-    pub engines: usize,
-    pub slots: u64,
-    /// The mean time of the answer alone, which varies evenly by half of it.
-    pub service: f64,
-    /// The time of the prompt's prefix where it isn't cached.
-    pub prefill: f64,
-    /// Requests a second.
-    pub rate: f64,
-    pub seconds: f64,
-    pub report_lag: f64,
-    pub deadline: f64,
-    /// How many prefixes there are; request `i` has the first with chance `hot`.
-    pub prefixes: u64,
-    pub hot: f64,
-    /// How many prefixes an engine keeps.
-    pub cache: usize,
-    /// The first engine takes this many times as long.
-    pub slow: f64,
-    /// The first engine fails each request after 10 ms.
-    pub broken: bool,
-    /// The first engine joins late, and is slow until it has run this many requests.
-    pub warm_after: Option<usize>,
-    /// Whether the VMs know that it is new.
-    pub known_new: bool,
-    pub seed: u64,
-}
-
-impl Default for Setting {
-    fn default() -> Self {
-        Self {
-            vms: 8,
-            engines: 12,
-            slots: 4,
-            service: 1.0,
-            prefill: 0.0,
-            rate: 0.75 * 48.0,
-            seconds: 120.0,
-            report_lag: 1.0,
-            deadline: 2.5,
-            prefixes: 0,
-            hot: 0.0,
-            cache: 20,
-            slow: 1.0,
-            broken: false,
-            warm_after: None,
-            known_new: true,
-            seed: 7,
-        }
-    }
-}
-
-/// What callers received.
-#[derive(Debug)]
-pub struct Result {
-    pub sent: usize,
-    pub late: usize,
-    pub failed: usize,
-    pub median: f64,
-    pub p99: f64,
-    pub recomputed: usize,
-    pub busiest_share: f64,
-}
-
-#[derive(Debug, Clone)]
-struct Job {
+pub struct Job {
     vm: usize,
     arrived: f64,
     begun: f64,
@@ -108,13 +46,15 @@
 }
 
 #[derive(Debug)]
-enum Step {
+pub enum Step {
     Arrive,
     Join,
     Done { engine: usize, job: Job },
     Measure,
     Report { engine: usize, load: Load },
     Cached { engine: usize, event: Event },
+    Tick,
+    Slots { from: usize, to: usize, message: Message },
 }
 
 struct Engine {
@@ -123,25 +63,7 @@
     cache: VecDeque<u64>,
     events: u64,
     served: usize,
-}
-
-struct Timed(u64, u64, Step);
-
-impl PartialEq for Timed {
-    fn eq(&self, other: &Self) -> bool {
-        (self.0, self.1) == (other.0, other.1)
-    }
-}
-impl Eq for Timed {}
-impl PartialOrd for Timed {
-    fn partial_cmp(&self, other: &Self) -> Option<std::cmp::Ordering> {
-        Some(self.cmp(other))
-    }
-}
-impl Ord for Timed {
-    fn cmp(&self, other: &Self) -> std::cmp::Ordering {
-        (self.0, self.1).cmp(&(other.0, other.1))
-    }
+    fullest: u32,
 }
 
 /// When a late engine joins, in seconds.
@@ -158,6 +80,7 @@
     count: u64,
     engines: Vec<Engine>,
     routes: Vec<Route>,
+    pools: Vec<Pool>,
     held: Vec<VecDeque<Job>>,
     turn: Vec<usize>,
     reported: Vec<Vec<u32>>,
@@ -166,36 +89,28 @@
     recomputed: usize,
 }
 
-pub fn model() -> id::Model {
-    "storm".parse().unwrap()
+pub fn run(setting: &Setting, policy: Policy) -> Result {
+    let mut world = World::new(setting.clone(), policy);
+    world.run();
+    world.result()
 }
 
-pub fn engine(number: usize) -> id::Upstream {
-    format!("engine-{number}").parse().unwrap()
+fn vm(number: usize) -> id::Vm {
+    format!("vm-{number}").parse().unwrap()
 }
 
-pub fn announcement(number: usize, slots: u64) -> Announcement {
-    Announcement {
-        id: engine(number),
-        address: "127.0.0.1:9".parse().unwrap(),
-        region: "gulf".parse().unwrap(),
-        data_centre: "gulf-a".parse().unwrap(),
-        kind: Kind::Engine,
-        slots: Slots::new(slots),
-        models: [model()].into(),
-        adapters: [].into(),
-        versions: [].into(),
-        role: Role::Mixed,
-        incarnation: Incarnation::new(1),
-        checks_fence: true,
-        sequence: 1,
+fn pool(number: usize, setting: &Setting, now: Instant) -> Pool {
+    let mut pool = Pool::new(vm(number), Incarnation::new(1)).with_spare(Slots::new(1));
+    pool.members((0..setting.vms).map(vm).collect());
+    for engine in 0..setting.engines {
+        let host = engine % setting.vms;
+        if host == number {
+            pool.hosts(&self::engine(engine), Slots::new(setting.slots), true, now);
+        } else {
+            pool.follows(&self::engine(engine), &vm(host), now);
+        }
     }
-}
-
-pub fn run(setting: &Setting, policy: Policy) -> Result {
-    let mut world = World::new(setting.clone(), policy);
-    world.run();
-    world.result()
+    pool
 }
 
 impl World {
@@ -216,6 +131,7 @@
             cache: VecDeque::new(),
             events: 0,
             served: 0,
+            fullest: 0,
         });
         let mut world = Self {
             rng: SmallRng::seed_from_u64(setting.seed),
@@ -225,6 +141,7 @@
             steps: BinaryHeap::new(),
             count: 0,
             engines: engines.collect(),
+            pools: (0..setting.vms).map(|vm| pool(vm, &setting, start)).collect(),
             routes,
             held: vec![VecDeque::new(); setting.vms],
             turn: (0..setting.vms).collect(),
@@ -237,6 +154,9 @@
         };
         world.at(0.0, Step::Arrive);
         world.at(0.0, Step::Measure);
+        if policy == Policy::Shared {
+            world.at(0.0, Step::Tick);
+        }
         if world.setting.warm_after.is_some() {
             world.at(JOINS, Step::Join);
         }
@@ -261,6 +181,8 @@
                 Step::Done { engine, job } => self.done(engine, job),
                 Step::Measure => self.measure(),
                 Step::Report { engine, load } => self.report(engine, &load),
+                Step::Tick => self.tick(),
+                Step::Slots { from, to, message } => self.slots(from, to, &message),
                 Step::Cached { engine, event } => {
                     let id = self::engine(engine);
                     self.routes.iter_mut().for_each(|route| route.cached(&id, &event));
@@ -278,7 +200,8 @@
         let others = self.setting.prefixes;
         let prefix = (others > 0).then(|| if hot { 0 } else { self.rng.random_range(0..others) });
         let service = self.rng.random_range(0.5..1.5) * self.setting.service;
-        let vm = self.rng.random_range(0..self.setting.vms);
+        let skewed = self.rng.random_bool(self.setting.skew);
+        let vm = if skewed { 0 } else { self.rng.random_range(0..self.setting.vms) };
         self.try_send(Job { vm, arrived: self.now, begun: self.now, service, prefix });
     }
 
@@ -301,12 +224,14 @@
         } else {
             self.engines[engine].waiting.push_back(job);
         }
+        let inside = &mut self.engines[engine];
+        inside.fullest = inside.fullest.max(inside.running + inside.waiting.len() as u32);
     }
 
     fn choose(&mut self, job: &Job) -> Option<usize> {
         let engines = self.setting.engines;
         match self.policy {
-            Policy::Ours => {
+            Policy::Ours | Policy::Shared => {
                 let (model, prefix) = (model(), job.prefix.as_slice().to_vec());
                 let facts = Facts::new(&model, Class::Short).with_prefix(&prefix);
                 let now = self.instant();
@@ -384,11 +309,59 @@
         } else {
             self.latencies.push(self.now - job.arrived);
         }
-        if let Some(next) = self.held[job.vm].pop_front() {
+        self.send_held(job.vm);
+    }
+
+    fn send_held(&mut self, vm: usize) {
+        for _ in 0..self.held[vm].len() {
+            let Some(next) = self.held[vm].pop_front() else { return };
+            if self.choose(&next).is_none() {
+                self.held[vm].push_front(next);
+                return;
+            }
             self.try_send(next);
         }
     }
 
+    /// The VMs tell each other what slots they need; a trip takes a millisecond.
+    fn tick(&mut self) {
+        if self.now < self.setting.seconds + 30.0 {
+            self.at(self.now + SOONEST.as_secs_f64(), Step::Tick);
+        }
+        let now = self.instant();
+        for vm in 0..self.setting.vms {
+            for engine in (vm..self.setting.engines).step_by(self.setting.vms) {
+                let slots = Slots::new(self.setting.slots);
+                self.pools[vm].hosts(&self::engine(engine), slots, false, now);
+            }
+            let waiting = [(model(), self.held[vm].len())].into();
+            for demand in self.routes[vm].demand(&waiting) {
+                self.pools[vm].demand(&demand.upstream, demand.running, demand.wanted);
+            }
+            for (to, message) in self.pools[vm].poll(now) {
+                let to = to.as_str()[3..].parse().unwrap();
+                self.at(self.now + 0.001, Step::Slots { from: vm, to, message });
+            }
+            self.share(vm);
+        }
+    }
+
+    fn slots(&mut self, from: usize, to: usize, message: &Message) {
+        let now = self.instant();
+        if let Some(answer) = self.pools[to].receive(&vm(from), message, now) {
+            self.at(self.now + 0.001, Step::Slots { from: to, to: from, message: answer });
+        }
+        self.share(to);
+    }
+
+    fn share(&mut self, vm: usize) {
+        let now = self.instant();
+        for (upstream, slots) in self.pools[vm].shares(now) {
+            self.routes[vm].leased(upstream, slots);
+        }
+        self.send_held(vm);
+    }
+
     /// Each engine measures its load once a second, and all VMs hear of it after the lag.
     fn measure(&mut self) {
         if self.now < self.setting.seconds {
@@ -420,6 +393,7 @@
         let rank = |share: f64| self.latencies[((count - 1) as f64 * share) as usize];
         let most = self.engines.iter().map(|engine| engine.served).max().unwrap_or(0);
         Result {
+            fullest: self.engines.iter().map(|engine| engine.fullest).max().unwrap_or(0),
             sent: count + self.failed,
             late: self.latencies.iter().filter(|&&time| time > self.setting.deadline).count(),
             failed: self.failed,
