--- a/src/decide/admission.rs
+++ b/src/decide/admission.rs
@@ -23,15 +23,19 @@
 use crate::decide::queue::Ticket;
 use crate::id;
 
+mod bookings;
 mod estimator;
 
 pub use estimator::Estimator;
 
+use bookings::Bookings;
+use bookings::MAX_RETRY;
+
 /// The shortest time that a refused caller is told to stay away. Derived: a trip between regions and back.
 const MIN_RETRY: Duration = Duration::from_millis(200);
 
-/// The longest time that a refused caller is told to stay away: longer, and capacity that returns would idle.
-const MAX_RETRY: Duration = Duration::from_secs(60);
+/// The part of the time away that jitter adds: callers refused in the same instant don't return in the same instant.
+const JITTER: f64 = 0.25;
 
 /// The first guesses of service times, in the order of [`Class::ALL`]; measurements replace them soon.
 const GUESSES: [Duration; Class::COUNT] = [
@@ -70,14 +74,14 @@
     rng: SmallRng,
     classes: [Estimator; Class::COUNT],
     entries: HashMap<id::Entry, Estimator>,
-    booked: [Option<Instant>; Class::COUNT],
+    bookings: [Bookings; Class::COUNT],
 }
 
 impl Admission {
     /// Nothing measured yet.
     pub fn new(rng: SmallRng) -> Self {
         let classes = GUESSES.map(Estimator::new);
-        Self { rng, classes, entries: HashMap::new(), booked: [None; Class::COUNT] }
+        Self { rng, classes, entries: HashMap::new(), bookings: Default::default() }
     }
 
     /// Takes in how long a request of this entry occupied its slot.
@@ -90,9 +94,9 @@
         self.entries.insert(entry.clone(), Estimator::new(service));
     }
 
-    /// How long a request of this entry is expected to occupy a slot.
-    pub fn expected(&self, entry: &id::Entry, class: Class) -> Duration {
-        self.entries.get(entry).unwrap_or(&self.classes[class.index()]).expected()
+    /// How long requests of this entry occupy a slot.
+    pub fn estimate(&self, entry: &id::Entry, class: Class) -> &Estimator {
+        self.entries.get(entry).unwrap_or(&self.classes[class.index()])
     }
 
     /// Whether this request may wait.
@@ -103,32 +107,45 @@
         capacity: &Capacity,
         now: Instant,
     ) -> Decision {
-        let wait = queue.predicted_wait(ticket, capacity);
+        let wait = queue.predicted_wait(ticket, capacity, now);
         let reason = match queue.check(ticket, now) {
             Err(refusal) => Reason::Queue(refusal),
-            Ok(()) if now + wait + ticket.service > ticket.deadline => Reason::Overload,
+            Ok(()) if !wait.is_zero() && now + wait + ticket.tail > ticket.deadline => {
+                Reason::Overload
+            }
             Ok(()) => return Decision::Accept,
         };
-        let retry_after = self.book(ticket, wait, capacity, now);
+        let retry_after = self.book(ticket, wait, queue, capacity, now);
         Decision::Refuse { reason, retry_after }
     }
 
-    /// Gives a refused caller the next place behind the backlog and behind those refused before.
+    /// When the caller of a request that the queue gave up on should come back.
+    pub fn retry_after(
+        &mut self,
+        ticket: &Ticket,
+        queue: &Queue,
+        capacity: &Capacity,
+        now: Instant,
+    ) -> Duration {
+        let wait = queue.predicted_wait(ticket, capacity, now);
+        self.book(ticket, wait, queue, capacity, now)
+    }
+
+    /// Gives a refused caller a place behind the backlog and behind those of its owner that were refused before.
     fn book(
         &mut self,
         ticket: &Ticket,
         wait: Duration,
+        queue: &Queue,
         capacity: &Capacity,
         now: Instant,
     ) -> Duration {
-        let slack = ticket.deadline.saturating_duration_since(now).saturating_sub(ticket.service);
+        let slack = ticket.deadline.saturating_duration_since(now).saturating_sub(ticket.tail);
         let earliest = now + wait.saturating_sub(slack).clamp(MIN_RETRY, MAX_RETRY);
-        let booked = &mut self.booked[ticket.class.index()];
-        let turn = booked.map_or(earliest, |last| last.max(earliest));
-        let pace = ticket.service.div_f64(capacity.share(ticket.class).max(1) as f64);
-        *booked = Some((turn + pace).min(now + MAX_RETRY));
+        let pace = ticket.service.div_f64(queue.share(ticket.class, capacity, now) as f64);
+        let turn = self.bookings[ticket.class.index()].book(&ticket.owner, earliest, pace, now);
         let away = turn.saturating_duration_since(now);
-        away.mul_f64(self.rng.random_range(1.0..1.25))
+        away.mul_f64(self.rng.random_range(1.0..1.0 + JITTER))
     }
 }
 
--- a/src/decide/admission/estimator.rs
+++ b/src/decide/admission/estimator.rs
@@ -12,21 +12,28 @@
 /// 70% with each sample.
 const CLIP: f64 = 8.0;
 
-/// The average service time of one kind of request, robust to a few very long ones.
+/// The tail is the average and so many mean deviations.
+///
+/// Derived: for service times of a shifted exponential distribution, nine of ten requests end by then.
+const DEVIATIONS: f64 = 2.0;
+
+/// The service time of one kind of request, robust to a few very long ones.
 #[derive(Debug, Clone, Copy)]
 pub struct Estimator {
     seconds: f64,
+    deviation: f64,
 }
 
 impl Estimator {
     /// Starts from a guess.
     pub fn new(guess: Duration) -> Self {
-        Self { seconds: guess.as_secs_f64() }
+        Self { seconds: guess.as_secs_f64(), deviation: 0.0 }
     }
 
     /// Takes a measured service time in.
     pub fn observe(&mut self, service: Duration) {
         let sample = service.as_secs_f64().min(self.seconds * CLIP);
+        self.deviation += GAIN * ((sample - self.seconds).abs() - self.deviation);
         self.seconds += GAIN * (sample - self.seconds);
     }
 
@@ -34,4 +41,9 @@
     pub fn expected(&self) -> Duration {
         Duration::from_secs_f64(self.seconds)
     }
+
+    /// The time within which all but a few end.
+    pub fn tail(&self) -> Duration {
+        Duration::from_secs_f64(self.seconds + DEVIATIONS * self.deviation)
+    }
 }
--- a/src/decide/admission/tests.rs
+++ b/src/decide/admission/tests.rs
@@ -14,6 +14,7 @@
         weight: 1,
         deadline: now + patience,
         service: SECOND,
+        tail: SECOND,
         size: Bytes::new(1_000),
         arrived: now,
     }
--- a/src/decide/queue.rs
+++ b/src/decide/queue.rs
@@ -8,7 +8,7 @@
 //!
 //! **Order of service.** Alerts first. Then the classes share by start-time fair queueing with steep weights, owners
 //! share within a class, and the earliest deadline goes first within an owner. Some slots are kept for short work
-//! and alerts ([`Capacity`]). What can no longer meet its deadline is not run and is handed back at once.
+//! and alerts. What can no longer meet its deadline is not run and is handed back at once.
 
 use std::collections::HashMap;
 use std::time::Duration;
@@ -22,6 +22,7 @@
 mod bounds;
 mod capacity;
 mod lane;
+mod reserve;
 mod ticket;
 
 pub use bounds::Bounds;
@@ -33,6 +34,7 @@
 use band::Band;
 use band::Spot;
 use bounds::Fill;
+use reserve::Reserve;
 
 /// Each class's share of the service time while all classes wait, in the order of [`Class::ALL`].
 ///
@@ -53,6 +55,7 @@
     virtual_time: u64,
     spots: HashMap<id::Request, (Class, Spot)>,
     fill: Fill,
+    reserve: Reserve,
     seq: u64,
     lapsed: Vec<Ticket>,
 }
@@ -94,6 +97,7 @@
         if self.bands[index].is_empty() {
             self.tags[index] = self.tags[index].max(self.virtual_time);
         }
+        self.reserve.add(class, ticket.service, now);
         let spot = self.bands[index].insert(self.seq, ticket);
         self.spots.insert(request, (class, spot));
         Ok(())
@@ -135,7 +139,7 @@
     }
 
     /// How long a request of this owner and class would wait for a slot.
-    pub fn predicted_wait(&self, ticket: &Ticket, capacity: &Capacity) -> Duration {
+    pub fn predicted_wait(&self, ticket: &Ticket, capacity: &Capacity, now: Instant) -> Duration {
         let own = &self.bands[ticket.class.index()];
         let ahead: Duration = Class::ALL
             .into_iter()
@@ -143,10 +147,15 @@
             .map(|class| self.bands[class.index()].work())
             .sum();
         let ahead = ahead + own.work_ahead(&ticket.owner, ticket.weight);
-        if ahead.is_zero() && capacity.allows(ticket.class) {
+        if ahead.is_zero() && self.reserve.allows(ticket.class, capacity, now) {
             return Duration::ZERO;
         }
-        (ahead + ticket.service).div_f64(capacity.share(ticket.class).max(1) as f64)
+        (ahead + ticket.service).div_f64(self.share(ticket.class, capacity, now) as f64)
+    }
+
+    /// The slots that a request of this class may count on.
+    pub fn share(&self, class: Class, capacity: &Capacity, now: Instant) -> u64 {
+        self.reserve.share(class, capacity, now)
     }
 
     fn lapse(&mut self, now: Instant) {
@@ -159,11 +168,12 @@
     }
 
     fn next_class(&self, now: Instant, capacity: &Capacity) -> Option<Class> {
-        let waits = |class: Class| !self.bands[class.index()].is_empty() && capacity.allows(class);
+        let waits = |class: Class| {
+            !self.bands[class.index()].is_empty() && self.reserve.allows(class, capacity, now)
+        };
         if waits(Class::Alert) {
             return Some(Class::Alert);
         }
-        let _ = now;
         Class::ALL
             .into_iter()
             .filter(|&class| waits(class))
@@ -180,7 +190,7 @@
     /// Whether batch work would miss deadlines at its usual share.
     fn is_pressing(&self, now: Instant, capacity: &Capacity) -> bool {
         let band = &self.bands[Class::Batch.index()];
-        let slots = capacity.share(Class::Batch).max(1) as u32;
+        let slots = self.share(Class::Batch, capacity, now) as u32;
         let Some(latest_start) = band.first_latest_start() else { return false };
         latest_start.saturating_duration_since(now) < band.work() * PRESSING / slots
     }
--- a/src/decide/queue/tests.rs
+++ b/src/decide/queue/tests.rs
@@ -12,6 +12,7 @@
         weight: 1,
         deadline,
         service,
+        tail: service,
         size: Bytes::new(1_000),
         arrived: deadline - 600 * SECOND,
     }
@@ -85,12 +86,21 @@
 
 #[test]
 fn long_work_leaves_slots_for_short_and_alert_work() {
-    // Briefings fill every slot that they may have; then a lookup and an alert arrive.
-    // Without reserved slots both would wait for a briefing to end, a minute later.
-    let now = Instant::now() + 1_000 * SECOND;
+    // Two lookups and an alert a second were asked for lately; then briefings fill every slot that they may have.
+    // Without reserved slots the next lookup and alert would wait for a briefing to end, a minute later.
+    // Reserved slots follow the demand: two and some headroom, so both start at once.
+    let mut now = Instant::now() + 1_000 * SECOND;
     let mut queue = Queue::default();
     let mut capacity = Capacity::new(Slots::new(8));
-    for number in 0..20 {
+    for number in 0..240 {
+        let class = if number % 3 == 0 { Class::Alert } else { Class::Short };
+        now += SECOND / 3;
+        queue
+            .push(ticket(number, "one", class, SECOND * 2 / 3, now + 60 * SECOND), now)
+            .expect("room");
+        assert!(queue.pop(now, &capacity).is_some());
+    }
+    for number in 300..320 {
         queue
             .push(ticket(number, "one", Class::Long, SECOND, now + 600 * SECOND), now)
             .expect("room");
@@ -98,8 +108,8 @@
     while let Some(ticket) = queue.pop(now, &capacity) {
         capacity.started(ticket.class);
     }
-    assert_eq!(capacity.busy(), 5);
-    for (number, class) in [(100, Class::Short), (101, Class::Alert)] {
+    assert_eq!(capacity.busy(), Slots::new(5));
+    for (number, class) in [(400, Class::Short), (401, Class::Alert)] {
         queue.push(ticket(number, "one", class, SECOND, now + 5 * SECOND), now).expect("room");
         assert_eq!(queue.pop(now, &capacity).map(|ticket| ticket.class), Some(class));
         capacity.started(class);
--- a/src/decide/queue/ticket.rs
+++ b/src/decide/queue/ticket.rs
@@ -24,6 +24,8 @@
     pub deadline: Instant,
     /// How long the request is expected to occupy a slot.
     pub service: Duration,
+    /// The time within which all but a few such requests end.
+    pub tail: Duration,
     /// The memory that the request holds while it waits.
     pub size: Bytes,
     /// When the request arrived.
