--- a/tests/load/main.rs
+++ b/tests/load/main.rs
@@ -10,6 +10,7 @@
 mod agenda;
 mod caller;
 mod job;
+mod limits;
 mod overload;
 mod policy;
 mod pool;
