--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -3,6 +3,7 @@
 pub mod admission;
 mod history;
 pub mod order;
+pub mod limit;
 pub mod queue;
 pub mod retry;
 pub mod route;
