Charge requests to their owners' limits, leased from each entry's home VM

Cause: the limits of catalogue entries were not kept. Change: entry::Quota spends leased parts, asks each entry's home for more, and is the home of others; a request is charged before it waits and settled by the tokens it took. Conclusion: limits hold for the system and not for each VM.

--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -2,8 +2,8 @@
 
 pub mod admission;
 mod history;
-pub mod order;
 pub mod limit;
+pub mod order;
 pub mod queue;
 pub mod retry;
 pub mod route;
--- a/src/entry/dispatch.rs
+++ b/src/entry/dispatch.rs
@@ -153,13 +153,15 @@
 
     fn ticket(&self, job: &Job) -> Ticket {
         let class = job.entry.class;
+        let estimate = self.admission.estimate(&job.entry.name, class);
         Ticket {
             request: job.request,
             owner: job.entry.owner.clone(),
             class,
             weight: job.entry.weight,
             deadline: job.deadline,
-            service: self.admission.expected(&job.entry.name, class),
+            service: estimate.expected(),
+            tail: estimate.tail(),
             size: job.size(),
             arrived: job.arrived,
         }
@@ -193,7 +195,7 @@
             evidence,
             layer,
             left: job.deadline.saturating_duration_since(now),
-            expected: self.admission.expected(&job.entry.name, job.entry.class),
+            expected: self.expected(&job.entry.name, job.entry.class),
         };
         self.retry.decide(&failure, now, &mut self.rng)
     }
@@ -208,7 +210,7 @@
         let avoid = [busy.clone()];
         let pool = self.pools.get_mut(&job.model)?;
         // Waiting requests go first: a second attempt is worth less than another request's first.
-        if !pool.queue.is_empty() || !pool.capacity.allows(job.entry.class) {
+        if !pool.queue.is_empty() || !pool.capacity.is_free() {
             return None;
         }
         let chosen = self.route.pick(&job.facts(&avoid), now, &mut self.rng)?;
@@ -334,7 +336,7 @@
             let capacity = self.holders(model).map(|hosted| hosted.announcement.slots).sum();
             let work = pool.queue.work().as_secs_f64() / pool.capacity.slots().get().max(1) as f64;
             let wait = Duration::from_secs_f64(work);
-            (model.clone(), spill::Room { capacity, free: Slots::new(pool.capacity.busy()), wait })
+            (model.clone(), spill::Room { capacity, free: pool.capacity.busy(), wait })
         });
         room.collect()
     }
@@ -344,7 +346,7 @@
         let ticket = self.ticket(job);
         let servable = self.route.is_servable(&job.facts(&[]));
         let pool = self.pools.get(&job.model).filter(|_| servable);
-        let wait = pool.map(|pool| pool.queue.predicted_wait(&ticket, &pool.capacity));
+        let wait = pool.map(|pool| pool.queue.predicted_wait(&ticket, &pool.capacity, now));
         self.spill.here(&job.model, servable, now);
         let facts = spill::Facts {
             home: &job.entry.home,
@@ -402,9 +404,9 @@
     fn pump(&mut self, model: &id::Model, now: Instant) {
         let Some(pool) = self.pools.get_mut(model) else { return };
         for ticket in pool.queue.expired(now) {
-            if let Some(waiting) = pool.waiting.remove(&ticket.request) {
-                waiting.answer.send(Err(too_late())).ok();
-            }
+            let Some(waiting) = pool.waiting.remove(&ticket.request) else { continue };
+            let after = self.admission.retry_after(&ticket, &pool.queue, &pool.capacity, now);
+            waiting.answer.send(Err(too_late().with_retry_after(after))).ok();
         }
         while let Some(ticket) = pool.queue.pop(now, &pool.capacity) {
             let Some(waiting) = pool.waiting.remove(&ticket.request) else { continue };
@@ -447,12 +449,12 @@
 
     /// How many requests of each class hold a place, over all pools.
     pub fn busy(&self) -> u64 {
-        self.pools.values().map(|pool| pool.capacity.busy()).sum()
+        self.pools.values().map(|pool| pool.capacity.busy().get()).sum()
     }
 
     /// The service time that a class is expected to take for an entry.
     pub fn expected(&self, entry: &id::Entry, class: Class) -> Duration {
-        self.admission.expected(entry, class)
+        self.admission.estimate(entry, class).expected()
     }
 }
 
--- a/src/entry/hub.rs
+++ b/src/entry/hub.rs
@@ -25,10 +25,14 @@
 use crate::catalogue;
 use crate::catalogue::Progress;
 use crate::catalogue::View;
+use crate::decide::limit;
 use crate::entry::Dispatch;
 use crate::entry::Fleet;
+use crate::entry::Job;
 use crate::entry::fleet::Effect;
 use crate::entry::fleet::Place;
+use crate::entry::quota::Quota;
+use crate::entry::quota::Sharers;
 use crate::entry::running::Running;
 use crate::http::Reason;
 use crate::http::Refusal;
@@ -88,6 +92,7 @@
     view: watch::Sender<Arc<View>>,
     dispatch: Mutex<Dispatch>,
     fleet: Mutex<Fleet>,
+    quota: Mutex<Quota>,
     rng: Mutex<SmallRng>,
     mesh: OnceLock<Mesh>,
     reached: Mutex<BTreeMap<id::Vm, Instant>>,
@@ -108,6 +113,7 @@
     ) -> Self {
         let mut rng = SmallRng::seed_from_u64(seed);
         let dispatch = Mutex::new(Dispatch::new(&me, &place.region, incarnation, rng.random()));
+        let quota = Mutex::new(Quota::new(me.clone()));
         let fleet = Mutex::new(Fleet::new(&me, &site, rng.random(), Instant::now()));
         Self {
             me,
@@ -120,6 +126,7 @@
             view: watch::Sender::new(Arc::default()),
             dispatch,
             fleet,
+            quota,
             rng: Mutex::new(rng),
             mesh: OnceLock::new(),
             reached: Mutex::default(),
@@ -155,6 +162,53 @@
         self.fleet.lock().expect("no panic while locked")
     }
 
+    /// The limits of owners; held for the length of one step, never across an await.
+    pub fn quota(&self) -> MutexGuard<'_, Quota> {
+        self.quota.lock().expect("no panic while locked")
+    }
+
+    /// The VMs that share an entry's limits: those of its home, and all where it has none.
+    pub fn sharers(&self, entry: &catalogue::Entry) -> Sharers {
+        let home = entry.home.region();
+        let shares = |region: &id::Region| home.is_none_or(|home| home == region);
+        let all = self.site.vms.values().filter(|vm| vm.entry.is_some() && shares(&vm.region));
+        let mut alive = match shares(self.region()) {
+            true => self.fleet().alive(),
+            false => Vec::new(),
+        };
+        let away = self.away().into_iter().filter(|live| shares(&live.region));
+        alive.extend(away.map(|live| live.vm));
+        Sharers { alive, all: all.count() }
+    }
+
+    /// Whether this VM charges a request to its owner: a VM of the entry's home does, and of requests that other
+    /// regions hand home as well; a VM that runs what another region hands away does not.
+    pub fn charges(&self, job: &Job) -> bool {
+        match job.entry.home.region() {
+            Some(home) => home == self.region(),
+            None => !job.is_forwarded(),
+        }
+    }
+
+    /// Answers a VM that takes this one for an entry's home.
+    pub fn demanded(&self, from: &id::Vm, demand: &limit::Demand) {
+        let Some(entry) = self.view().entry(&demand.entry).cloned() else { return };
+        let all = self.sharers(&entry).all;
+        let grant = self.quota().demanded(&entry, demand, all, Instant::now());
+        if let (Some(grant), Some(mesh)) = (grant, self.mesh()) {
+            mesh.cast(&Peer::new(from.clone(), Role::Entry), Cast::Grant(grant));
+        }
+    }
+
+    /// Sends the demands for parts of limits that are due.
+    pub fn demand(&self) {
+        let due = self.quota().due(|entry| self.sharers(entry), Instant::now());
+        let Some(mesh) = self.mesh() else { return };
+        for (home, demand) in due {
+            mesh.cast(&Peer::new(home, Role::Entry), Cast::Demand(demand));
+        }
+    }
+
     /// Does something with the random numbers of this process.
     pub fn random<T>(&self, draw: impl FnOnce(&mut SmallRng) -> T) -> T {
         draw(&mut self.rng.lock().expect("no panic while locked"))
@@ -220,6 +274,7 @@
             fleet.tick(now)
         };
         self.carry_out(effects);
+        self.demand();
         let due = {
             let mut dispatch = self.dispatch();
             dispatch.tick(now);
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -1,6 +1,7 @@
 //! The entry daemon: takes requests, decides, runs them on upstreams and answers each once.
 
 pub mod abandon;
+pub mod charged;
 pub mod claim;
 pub mod daemon;
 pub mod digest;
@@ -9,6 +10,7 @@
 pub mod hub;
 pub mod job;
 pub mod peers;
+pub mod quota;
 pub mod run;
 pub mod running;
 pub mod stage;
--- a/src/entry/peers.rs
+++ b/src/entry/peers.rs
@@ -8,6 +8,7 @@
 use futures::future::BoxFuture;
 use tokio::sync::watch;
 use tokio::time;
+use tokio::time::Instant;
 
 use crate::entry::Hub;
 use crate::id;
@@ -57,6 +58,8 @@
     fn cast(&self, from: Peer, cast: Cast) {
         match cast {
             Cast::Group { .. } => (),
+            Cast::Demand(demand) => self.hub.demanded(&from.vm, &demand),
+            Cast::Grant(grant) => self.hub.quota().granted(&grant, Instant::now()),
             Cast::Slots(message) => self.hub.slots_told(&from.vm, &message),
             Cast::Membership(message) => self.hub.receive(&from.vm, message),
         }
--- /dev/null
+++ b/src/entry/quota.rs
@@ -0,0 +1,148 @@
+//! The limits of owners on this VM: parts leased from each entry's home VM, and the homes that this VM is.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::time::Instant;
+
+use crate::catalogue;
+use crate::decide::limit;
+use crate::decide::limit::Allowance;
+use crate::decide::limit::Charge;
+use crate::decide::limit::Demand;
+use crate::decide::limit::Grant;
+use crate::decide::limit::Home;
+use crate::decide::limit::Refusal;
+use crate::id;
+use crate::unit::Tokens;
+
+/// A home that nobody has asked for so long is dropped; what it granted has long expired.
+const FORGOTTEN: Duration = Duration::from_secs(60);
+
+/// The VMs that share an entry's limits.
+#[derive(Debug, Clone, Default)]
+pub struct Sharers {
+    /// Those that are alive.
+    pub alive: Vec<id::Vm>,
+    /// All, alive or not.
+    pub all: usize,
+}
+
+#[derive(Debug)]
+struct Part {
+    allowance: Allowance,
+    entry: Arc<catalogue::Entry>,
+}
+
+#[derive(Debug)]
+struct Hosted {
+    home: Home,
+    asked: Instant,
+}
+
+/// The limits of owners on one VM.
+#[derive(Debug)]
+pub struct Quota {
+    me: id::Vm,
+    parts: HashMap<id::Entry, Part>,
+    hosted: HashMap<id::Entry, Hosted>,
+}
+
+impl Quota {
+    /// Nothing is leased yet.
+    pub fn new(me: id::Vm) -> Self {
+        Self { me, parts: HashMap::new(), hosted: HashMap::new() }
+    }
+
+    /// Charges a request, if the limits allow it.
+    pub fn charge(
+        &mut self,
+        entry: &Arc<catalogue::Entry>,
+        estimated: Tokens,
+        sharers: &Sharers,
+        now: Instant,
+    ) -> Result<Charge, Refusal> {
+        let part = self.parts.entry(entry.name.clone()).or_insert_with(|| Part {
+            allowance: Allowance::new(
+                entry.name.clone(),
+                self.me.clone(),
+                &entry.limits,
+                sharers.all,
+                now,
+            ),
+            entry: entry.clone(),
+        });
+        if part.entry.limits != entry.limits {
+            part.allowance.set_limits(&entry.limits, sharers.all);
+        }
+        part.entry = entry.clone();
+        part.allowance.charge(estimated, now)
+    }
+
+    /// Ends a request that took so many tokens in truth.
+    pub fn settle(&mut self, entry: &id::Entry, charge: Charge, real: Tokens, now: Instant) {
+        if let Some(part) = self.parts.get_mut(entry) {
+            part.allowance.settle(charge, real, now);
+        }
+    }
+
+    /// The demands that are due, each with the home that it goes to.
+    pub fn due(
+        &mut self,
+        sharers: impl Fn(&catalogue::Entry) -> Sharers,
+        now: Instant,
+    ) -> Vec<(id::Vm, Demand)> {
+        let mut due = Vec::new();
+        self.hosted.retain(|_, hosted| now < hosted.asked + FORGOTTEN);
+        self.parts.retain(|_, part| !part.allowance.is_idle());
+        let names: Vec<id::Entry> = self.parts.keys().cloned().collect();
+        for name in names {
+            let Some(part) = self.parts.get_mut(&name) else { continue };
+            let entry = part.entry.clone();
+            let sharers = sharers(&entry);
+            let Some(home) = limit::home(&name, &sharers.alive, sharers.all).cloned() else {
+                continue;
+            };
+            let Some(demand) = part.allowance.demand(now) else { continue };
+            if home != self.me {
+                due.push((home, demand));
+                continue;
+            }
+            let grant = self.demanded(&entry, &demand, sharers.all, now);
+            if let (Some(grant), Some(part)) = (grant, self.parts.get_mut(&name)) {
+                part.allowance.grant(&grant, now);
+            }
+        }
+        due
+    }
+
+    /// Answers a VM that takes this one for an entry's home.
+    pub fn demanded(
+        &mut self,
+        entry: &catalogue::Entry,
+        demand: &Demand,
+        all: usize,
+        now: Instant,
+    ) -> Option<Grant> {
+        let hosted = self.hosted.entry(entry.name.clone()).or_insert_with(|| Hosted {
+            home: Home::new(entry.limits, all, entry.deadline, now),
+            asked: now,
+        });
+        hosted.asked = now;
+        hosted.home.set_limits(entry.limits);
+        hosted.home.demand(demand, now)
+    }
+
+    /// Takes a grant in.
+    pub fn granted(&mut self, grant: &Grant, now: Instant) {
+        if let Some(part) = self.parts.get_mut(&grant.entry) {
+            part.allowance.grant(grant, now);
+        }
+    }
+
+    /// The entries of which this VM uses a part, and of which it is the home.
+    pub fn len(&self) -> (usize, usize) {
+        (self.parts.len(), self.hosted.len())
+    }
+}
--- a/src/entry/run.rs
+++ b/src/entry/run.rs
@@ -20,6 +20,7 @@
 use crate::decide::spill::Journey;
 use crate::entry::Hub;
 use crate::entry::Job;
+use crate::entry::charged::Charged;
 use crate::entry::claim;
 use crate::entry::claim::Known;
 use crate::entry::stage;
@@ -122,11 +123,18 @@
     if hub.is_draining() && !job.is_forwarded() {
         return Err(hub.draining_refusal());
     }
+    let mut charged = match hub.charges(job) {
+        true => Some(Charged::new(hub, job).await?),
+        false => None,
+    };
     let checked = Checked::new(hub.clone(), job.clone(), must_claim);
     let (step, ended) = match elsewhere(hub, job, out, checked).await {
         Elsewhere::Stays { checked, evidence } => attempts(hub, job, out, checked, evidence).await,
         Elsewhere::Ended(ended) => ended,
     };
+    if let Some(charged) = &mut charged {
+        charged.took(out.tokens(job.prompt));
+    }
     let Some(step) = step else { return ended };
     match &ended {
         Ok(()) => {
--- a/src/entry/transcript.rs
+++ b/src/entry/transcript.rs
@@ -11,12 +11,14 @@
 use http_body_util::BodyExt;
 use http_body_util::StreamBody;
 use hyper::body::Frame;
+use serde::Deserialize;
 use tokio::sync::watch;
 
 use crate::http::Body;
 use crate::http::Refusal;
 use crate::http::body::Broken;
 use crate::ledger;
+use crate::unit::Tokens;
 
 /// What comes before the body of an answer.
 #[derive(Debug, Clone)]
@@ -54,6 +56,17 @@
     state: watch::Sender<State>,
 }
 
+/// The upstream's own count, in a whole answer.
+#[derive(Deserialize)]
+struct Counted {
+    usage: Usage,
+}
+
+#[derive(Deserialize)]
+struct Usage {
+    total_tokens: u64,
+}
+
 /// The reading side of one caller; when the last reader goes, the writer hears it.
 #[derive(Debug, Clone)]
 pub struct Reader {
@@ -135,6 +148,19 @@
         self.state.closed().await;
     }
 
+    /// The tokens that the request took, its prompt of so many among them: by the upstream's own count where it gave
+    /// one, else one for each event.
+    pub fn tokens(&self, prompt: Tokens) -> Tokens {
+        let state = self.state.borrow();
+        let pieces = &state.chunks[state.comments..];
+        let Some(head) = &state.head else { return Tokens::ZERO };
+        if head.events {
+            return prompt + Tokens::new(pieces.len() as u64);
+        }
+        let counted = pieces.first().and_then(|body| serde_json::from_slice(body).ok());
+        counted.map_or(prompt, |Counted { usage }| Tokens::new(usage.total_tokens))
+    }
+
     /// The answer in one piece, as the ledger keeps it.
     pub fn kept_answer(&self) -> Option<ledger::Answer> {
         let state = self.state.borrow();
--- a/src/ledger/answers.rs
+++ b/src/ledger/answers.rs
@@ -43,24 +43,9 @@
         self.trim(now, limits);
     }
 
-<<<<<<< HEAD
-    /// A kept answer, without counting that it was given out.
-    pub fn get(&self, key: &Digest) -> Option<Arc<Answer>> {
-        Some(Arc::clone(&self.kept.get(key)?.answer))
-    }
-
-    /// Gives an answer out, unless that was done too often.
-    pub fn fetch(&mut self, key: &Digest, limits: &Limits) -> Option<Arc<Answer>> {
-        let kept = self.kept.get_mut(key)?;
-        if kept.fetches >= limits.fetches {
-            return None;
-        }
-        kept.fetches += 1;
-=======
     /// The answer kept under a key, unless it was given out too often.
     pub fn get(&self, key: &Digest, limits: &Limits) -> Option<Arc<Answer>> {
         let kept = self.kept.get(key).filter(|kept| kept.fetches < limits.fetches)?;
->>>>>>> state
         Some(Arc::clone(&kept.answer))
     }
 
--- a/src/ledger/ledger.rs
+++ b/src/ledger/ledger.rs
@@ -102,23 +102,7 @@
         Reply::Granted
     }
 
-<<<<<<< HEAD
-    /// What a look would be told, without any effect on the ledger.
-    pub fn peek(&self, look: &Look) -> Reply {
-        let key = Digest::of_key(&look.owner, &look.key);
-        if let Some(ended) = self.keys.ended(&key) {
-            if ended.body != look.body {
-                return Reply::Mismatch;
-            }
-            return Reply::Finished { outcome: ended.outcome, answer: self.answers.get(&key) };
-        }
-        self.open(&key, &look.body, None).unwrap_or(Reply::Absent)
-    }
-
-    /// What a resend is told of a key; nothing if the key is new.
-=======
     /// What a resend is told of a key, counting the answer that it gets; nothing if the key is new.
->>>>>>> state
     fn known(
         &mut self,
         key: &Digest,
@@ -138,11 +122,6 @@
             let told = Reply::Finished { outcome: ended.outcome, answer };
             return Some(if ended.body == *body { told } else { Reply::Mismatch });
         }
-        self.open(key, body, attempt)
-    }
-
-    /// What a resend is told of a key that has not ended; nothing if there is no such key.
-    fn open(&self, key: &Digest, body: &Digest, attempt: Option<id::Attempt>) -> Option<Reply> {
         let open = self.keys.open(key)?;
         Some(match open {
             _ if open.body != *body => Reply::Mismatch,
--- a/src/wire/message.rs
+++ b/src/wire/message.rs
@@ -9,6 +9,7 @@
 use crate::catalogue;
 use crate::consensus::Members;
 use crate::control::Name;
+use crate::decide::limit;
 use crate::decide::spill;
 use crate::group;
 use crate::id;
@@ -147,6 +148,10 @@
         /// The message.
         message: group::Message,
     },
+    /// A VM needs a part of an entry's limits from the receiver, the entry's home.
+    Demand(limit::Demand),
+    /// The home leases a part of an entry's limits.
+    Grant(limit::Grant),
     /// A message about the slots of an upstream.
     Slots(upstream::pool::Message),
     /// A message between the entry VMs' memberships.
