--- a/resources/site/site.sh
+++ b/resources/site/site.sh
@@ -4,6 +4,7 @@
 #     resources/site/site.sh up [bayou|prehod]   six VMs with both daemons, and nine fakes that announce themselves
 #     resources/site/site.sh show                the VMs' states
 #     resources/site/site.sh load                the deployment's scenario
+#     resources/site/site.sh kill NAME           kills one process at once, such as gulf-1-entry or gulf-engine-2
 #     resources/site/site.sh down                ends what `up` started, by process id
 #
 # MASTIC_BIN: the folder of the programs (target/release, built if missing). MASTIC_RUN: the run folder (target/site).
@@ -105,6 +106,15 @@
     [ -e "/proc/$1/exe" ] && case $(readlink "/proc/$1/exe") in */mastic-*) true ;; *) false ;; esac
 }
 
+# kill NAME, but for the shell's own word
+end() {
+    local id name found=
+    while read -r id name; do
+        if [ "$name" = "$1" ] && ours "$id"; then kill -KILL "$id" && found=1; fi
+    done <"$run/pids"
+    [ -n "$found" ] || { echo "no process $1 runs; $run/pids names them" >&2; exit 1; }
+}
+
 down() {
     [ -e "$run/pids" ] || { echo "no site is up" >&2; exit 1; }
     local id name
@@ -131,5 +141,6 @@
 
 case ${1:-} in
 up | show | load | down) "$@" ;;
-*) sed -n '2,9p' "$0" | cut -c3- >&2; exit 2 ;;
+kill) end "${2:?the name of a process}" ;;
+*) sed -n '2,10p' "$0" | cut -c3- >&2; exit 2 ;;
 esac
