Wait for the catalogue to be in force before the small site counts as up

Cause: a load right after up got unknown-entry from a VM that hadn't the entries yet. Change: site.sh up compares the versions of all VMs.

--- a/resources/site/site.sh
+++ b/resources/site/site.sh
@@ -27,7 +27,7 @@
     echo "$! $name" >>"$run/pids"
 }
 
-# engine REGION NUMBER MODEL ENTRIES
+# fakes PLACE REGION MODEL SERVICE FIRST SECOND: two engines and a service, announced to the VMs first and second
 fakes() {
     local at=$1 region=$2 model=$3 service=$4 first=$5 second=$6
     local place="--region $region --data-centre $region-a"
@@ -52,6 +52,15 @@
     exit 1
 }
 
+# Whether all VMs have the same catalogue, with that many changes at least.
+in_force() {
+    local vm version
+    for vm in 1 2 3 4 5 6; do
+        version=$("$mastic" status --vm "127.0.0.1:7${vm}03" | sed -n 's/.*"version": \([0-9]*\).*/\1/p')
+        [ "${version:-0}" -ge "$1" ] || { echo "VM $vm has version ${version:-none} of $1" >&2; return 1; }
+    done
+}
+
 up() {
     local site=${1:-bayou} regions model service
     case $site in
@@ -81,10 +90,12 @@
     for vm in 1 2 3 4 5 6; do
         until_done "VM $vm" "$mastic" status --vm "127.0.0.1:7${vm}03"
     done
-    local entry
+    local entry entries=0
     for entry in resources/site/"$site"/*.yaml; do
         until_done "$entry" "$mastic" put "$entry"
+        entries=$((entries + 1))
     done
+    until_done "catalogue" in_force "$entries"
     echo "the $site site is up: six VMs, nine fakes, logs in $run"
 }
 
