Let a leader that stood still blame nobody, and test the replica step by step

Cause: after a suspension of all VMs a leader had heard nobody for the whole of it; a learner that answered before a voter made it replace the voter. Change: a tick that comes an election timeout late counts all silence from now on. The new test fails without the change.

--- a/src/consensus/members.rs
+++ b/src/consensus/members.rs
@@ -118,3 +118,6 @@
         Ok(next)
     }
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/consensus/members/tests.rs
@@ -0,0 +1,37 @@
+//! Changes to the members of a group.
+
+use yare::parameterized;
+
+use super::*;
+
+fn id(number: u128) -> id::Replica {
+    id::Replica::new(number)
+}
+
+fn group() -> Members {
+    Members::new([id(1), id(2)]).with_member(id(3), Role::Witness).with_member(id(4), Role::Learner)
+}
+
+#[parameterized(
+    a_member_again = { Change::AddLearner(id(1)), Refusal::Unsuitable },
+    a_second_witness = { Change::AddWitness(id(5)), Refusal::SecondWitness },
+    a_witness_to_lead = { Change::Promote(id(3)), Refusal::Unsuitable },
+    a_stranger = { Change::Promote(id(9)), Refusal::Unsuitable },
+    nobody = { Change::Remove(id(9)), Refusal::Unsuitable },
+)]
+fn refuses(change: Change, refusal: Refusal) {
+    assert_eq!(group().changed(change), Err(refusal));
+}
+
+#[test]
+fn the_last_data_voter_stays() {
+    let one = Members::new([id(1)]).with_member(id(3), Role::Witness);
+    assert_eq!(one.changed(Change::Remove(id(1))), Err(Refusal::Unsuitable));
+}
+
+#[test]
+fn learners_are_in_no_majority() {
+    assert_eq!(group().majority(), 2);
+    assert!(!group().has_majority(|member| member == id(1) || member == id(4)));
+    assert!(group().has_majority(|member| member == id(1) || member == id(3)));
+}
--- a/src/consensus/progress.rs
+++ b/src/consensus/progress.rs
@@ -68,6 +68,12 @@
         self.round = self.round.max(round);
     }
 
+    /// What looks like silence may be the leader's own.
+    pub(super) const fn excuse(&mut self, now: Instant) {
+        self.heard_at = now;
+        self.advanced_at = now;
+    }
+
     /// Its log agrees up to an index, of the leader's whose last index is given.
     pub(super) fn advance(&mut self, index: Index, last: Index, now: Instant) {
         while let Some(&(_, bytes)) = self.in_flight.front().filter(|(last, _)| *last <= index) {
--- a/src/consensus/replica.rs
+++ b/src/consensus/replica.rs
@@ -188,3 +188,6 @@
         self.held.push_back(Held { until: Sequence::new(u64::MAX), to, message });
     }
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/consensus/replica/tests.rs
@@ -0,0 +1,324 @@
+//! What callers and operators see of a small group, step by step.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use bytes::Bytes;
+use rand::SeedableRng;
+
+use super::*;
+use crate::consensus::Change;
+use crate::consensus::Entry;
+use crate::consensus::Payload;
+use crate::consensus::Position;
+use crate::consensus::Role;
+use crate::consensus::Snapshot;
+use crate::unit::Round;
+
+const HEARTBEAT: Duration = Duration::from_millis(100);
+
+fn id(number: u128) -> id::Replica {
+    id::Replica::new(number)
+}
+
+/// Replicas whose messages arrive at once, and whose writes are synced at once.
+struct Group {
+    replicas: Vec<Replica>,
+    /// Identities that nothing reaches, and that reach nothing.
+    cut: BTreeSet<id::Replica>,
+    now: Instant,
+    seen: Vec<(id::Replica, Output)>,
+}
+
+impl Group {
+    fn new(members: &Members, configure: impl Fn(Config) -> Config) -> Self {
+        let now = Instant::now();
+        let replica = |(id, role)| {
+            let config = configure(Config::new(id));
+            let config = if role == Role::Witness { config.with_witness() } else { config };
+            Replica::new(config, Restored::new(members.clone()), SmallRng::seed_from_u64(1), now)
+        };
+        let replicas = members.iter().map(replica).collect();
+        Self { replicas, cut: BTreeSet::new(), now, seen: Vec::new() }
+    }
+
+    /// The first replica leads.
+    fn led(members: &Members, configure: impl Fn(Config) -> Config) -> Self {
+        let mut group = Self::new(members, configure);
+        let term = group.replicas[0].term();
+        group.input(
+            1,
+            Input::Receive { from: id(1), message: Message::new(term, Body::TimeoutNow) },
+        );
+        group.pass(HEARTBEAT * 2);
+        assert!(group.replica(1).is_leader());
+        group
+    }
+
+    fn replica(&self, number: u128) -> &Replica {
+        self.replicas.iter().find(|replica| replica.id() == id(number)).expect("a known number")
+    }
+
+    fn input(&mut self, number: u128, input: Input) {
+        let mut inputs = vec![(id(number), input)];
+        while !inputs.is_empty() {
+            let (to, input) = inputs.remove(0);
+            let Some(replica) = self.replicas.iter_mut().find(|replica| replica.id() == to) else {
+                continue;
+            };
+            for output in replica.step(input, self.now) {
+                match &output {
+                    Output::Persist(write) => {
+                        inputs.push((to, Input::Persisted { sequence: write.sequence }));
+                    }
+                    Output::Send { to: other, message }
+                        if !self.cut.contains(&to) && !self.cut.contains(other) =>
+                    {
+                        inputs
+                            .push((*other, Input::Receive { from: to, message: message.clone() }));
+                    }
+                    _ => {}
+                }
+                self.seen.push((to, output));
+            }
+        }
+    }
+
+    fn propose(&mut self, number: u128, token: u64) {
+        self.input(
+            number,
+            Input::Propose { data: Bytes::from_static(b"value"), token: Token::new(token) },
+        );
+    }
+
+    /// Lets time pass, a tenth of a heartbeat at a time.
+    fn pass(&mut self, span: Duration) {
+        let end = self.now + span;
+        while self.now < end {
+            self.now += HEARTBEAT / 10;
+            let due: Vec<u128> = self
+                .replicas
+                .iter()
+                .filter(|r| r.deadline() <= self.now)
+                .map(|r| r.id().get())
+                .collect();
+            due.into_iter().for_each(|number| self.input(number, Input::Tick));
+        }
+    }
+
+    fn saw(&self, number: u128, what: impl Fn(&Output) -> bool) -> bool {
+        self.seen.iter().any(|(at, output)| *at == id(number) && what(output))
+    }
+
+    fn leader(&self) -> u128 {
+        let leads = |replica: &&Replica| replica.is_leader() && !self.cut.contains(&replica.id());
+        self.replicas.iter().find(leads).expect("a leader").id().get()
+    }
+}
+
+fn three() -> Members {
+    Members::new([id(1), id(2), id(3)])
+}
+
+/// Callers of a control VM that is cut off wait for answers that never come. Its replica leads when the cut begins: it
+/// must neither accept nor answer as current, and must say so once it has heard no majority for a while.
+#[test]
+fn a_leader_that_is_cut_off_answers_nothing_and_steps_down() {
+    let mut group = Group::led(&three(), |config| config);
+    group.cut.insert(id(1));
+    let commit = group.replica(1).commit();
+    group.propose(1, 1);
+    group.input(1, Input::Read { token: Token::new(2) });
+    group.pass(Duration::from_secs(4));
+    assert!(!group.replica(1).is_leader() && group.replica(1).commit() == commit);
+    assert!(!group.saw(1, |output| matches!(output, Output::ReadReady { .. })));
+    let refusal = Refusal::NotLeader { leader: None };
+    assert!(group.saw(1, |output| *output == Output::Rejected { token: Token::new(2), refusal }));
+    assert_ne!(group.leader(), 1);
+}
+
+/// A control VM comes back after a long cut, and every change is refused for a second. Without pre-votes it would have
+/// raised its term all the while, and unseated a leader that works well.
+#[test]
+fn a_follower_that_was_cut_off_unseats_nobody() {
+    let mut group = Group::led(&three(), |config| config);
+    let term = group.replica(1).term();
+    group.cut.insert(id(3));
+    group.pass(Duration::from_secs(60));
+    group.cut.clear();
+    group.pass(Duration::from_secs(5));
+    assert_eq!((group.leader(), group.replica(3).term()), (1, term));
+}
+
+#[test]
+fn nothing_is_acknowledged_before_its_write_is_synced() {
+    let now = Instant::now();
+    let mut follower =
+        Replica::new(Config::new(id(2)), Restored::new(three()), SmallRng::seed_from_u64(1), now);
+    let entry = Entry::new(Position::new(Index::new(1), Term::new(1)), Payload::Empty);
+    let body = Body::Append {
+        previous: Position::default(),
+        entries: vec![entry],
+        commit: Index::new(1),
+        round: Round::ZERO,
+    };
+    let outputs = follower
+        .step(Input::Receive { from: id(1), message: Message::new(Term::new(1), body) }, now);
+    let early = |output: &Output| matches!(output, Output::Send { .. } | Output::Apply(_));
+    assert!(!outputs.iter().any(early));
+    let outputs = follower.step(Input::Persisted { sequence: Sequence::new(1) }, now);
+    assert_eq!(outputs.iter().filter(|output| early(output)).count(), 2);
+}
+
+/// A VM that returns after an hour gets the whole backlog at once: heartbeats wait behind it, and the leader is taken for
+/// dead. What is in flight to one replica is bounded instead.
+#[test]
+fn entries_in_flight_are_bounded() {
+    let configure = |mut config: Config| {
+        (config.in_flight_appends, config.append_bytes) = (4, 200);
+        config
+    };
+    let mut group = Group::led(&three(), configure);
+    group.cut.insert(id(3));
+    (0..100).for_each(|token| group.propose(1, token));
+    let sent = |group: &Group| {
+        let entries = group.seen.iter().filter_map(|(_, output)| match output {
+            Output::Send { to, message: Message { body: Body::Append { entries, .. }, .. } }
+                if *to == id(3) =>
+            {
+                Some(entries.len())
+            }
+            _ => None,
+        });
+        entries.sum::<usize>()
+    };
+    assert!(sent(&group) <= 8, "{} entries sent to a replica that answers nothing", sent(&group));
+    group.cut.clear();
+    group.pass(HEARTBEAT * 5);
+    assert_eq!(group.replica(3).log().last(), group.replica(1).log().last());
+}
+
+#[test]
+fn a_full_log_refuses_at_once() {
+    let mut group = Group::led(&three(), |mut config| {
+        config.log_bytes = 500;
+        config
+    });
+    group.cut.extend([id(2), id(3)]);
+    (0..20).for_each(|token| group.propose(1, token));
+    assert!(
+        group.saw(1, |output| matches!(output, Output::Rejected { refusal: Refusal::Full, .. }))
+    );
+    assert!(group.replica(1).log().bytes() < 600);
+}
+
+/// A control VM stops for an update, and callers wait a second for an election. It hands over instead.
+#[test]
+fn a_leader_hands_over_without_an_election_timeout() {
+    let mut group = Group::led(&three(), |config| config);
+    group.propose(1, 1);
+    group.input(1, Input::Transfer { to: None });
+    assert_ne!(group.leader(), 1);
+    assert_eq!(group.replicas.iter().filter(|replica| replica.is_leader()).count(), 1);
+}
+
+/// A control VM is lost at night, and with the next one the group stops. A learner takes its place in time.
+#[test]
+fn a_dead_voter_is_replaced_by_a_learner() {
+    let members = three().with_member(id(4), Role::Learner);
+    let mut group =
+        Group::led(&members, |config| config.with_replacement(Duration::from_secs(10), 3));
+    group.cut.insert(id(2));
+    group.pass(Duration::from_secs(9));
+    assert!(group.replica(1).log().members().contains(id(2)));
+    group.pass(Duration::from_secs(3));
+    assert_eq!(*group.replica(1).log().members(), Members::new([id(1), id(3), id(4)]));
+    group.cut.insert(id(3));
+    group.propose(1, 1);
+    assert_eq!(group.replica(1).commit(), group.replica(1).log().last().index);
+}
+
+/// All VMs are suspended for a minute, and a control VM that is well is let go when they wake. The leader had heard
+/// nobody for that minute, and a learner answered sooner than a voter.
+#[test]
+fn a_leader_that_stood_still_replaces_nobody() {
+    let members = three().with_member(id(4), Role::Learner);
+    let mut group =
+        Group::led(&members, |config| config.with_replacement(Duration::from_secs(10), 3));
+    group.now += Duration::from_secs(60);
+    group.cut.insert(id(2));
+    group.input(1, Input::Tick);
+    group.pass(HEARTBEAT * 3);
+    group.cut.clear();
+    group.pass(Duration::from_secs(5));
+    assert!(group.replicas.iter().all(|replica| *replica.log().members() == members));
+}
+
+/// A region with two VMs loses its leader's VM, and stops: the witness had counted for an entry that the other VM lacked,
+/// and refuses it its vote. So it hears of an entry only once the other VM holds it, or has missed its heartbeats.
+#[test]
+fn the_witness_counts_once_the_other_data_voter_missed_its_heartbeats() {
+    let members = Members::new([id(1), id(2)]).with_member(id(3), Role::Witness);
+    let mut group = Group::led(&members, |config| config);
+    let commit = group.replica(1).commit();
+    group.cut.insert(id(2));
+    group.propose(1, 1);
+    assert_eq!((group.replica(1).commit(), group.replica(3).log().last().index), (commit, commit));
+    group.pass(HEARTBEAT * 7);
+    assert_eq!(
+        (group.replica(1).commit(), group.replica(3).log().last().index),
+        (commit.next(), commit.next())
+    );
+    let log = group.replica(3).log();
+    assert_eq!(log.get(commit.next()).map(|entry| &entry.payload), Some(&Payload::Withheld));
+}
+
+#[test]
+fn a_lost_leader_beside_a_witness_is_followed_by_the_other_data_voter() {
+    let members = Members::new([id(1), id(2)]).with_member(id(3), Role::Witness);
+    let mut group = Group::led(&members, |config| config);
+    (0..10).for_each(|token| group.propose(1, token));
+    let commit = group.replica(1).commit();
+    group.cut.insert(id(1));
+    group.pass(Duration::from_secs(5));
+    assert_eq!(group.leader(), 2);
+    group.propose(2, 11);
+    assert!(group.replica(2).commit() > commit);
+}
+
+#[test]
+fn a_change_waits_for_the_last_one() {
+    let mut group = Group::led(&three(), |config| config);
+    group.cut.extend([id(2), id(3)]);
+    for learner in [4, 5] {
+        group.input(
+            1,
+            Input::Change { change: Change::AddLearner(id(learner)), token: Token::new(1) },
+        );
+    }
+    assert!(group.saw(1, |output| matches!(
+        output,
+        Output::Rejected { refusal: Refusal::ChangePending, .. }
+    )));
+}
+
+#[test]
+fn messages_survive_their_encoding_and_data_costs_no_more_than_its_bytes() {
+    let data = Bytes::from(vec![255; 1000]);
+    let entry = Entry::new(Position::new(Index::new(7), Term::new(3)), Payload::Data(data));
+    let snapshot = Snapshot { position: entry.position, members: three() };
+    let append = Body::Append {
+        previous: Position::default(),
+        entries: vec![entry],
+        commit: Index::new(7),
+        round: Round::new(2),
+    };
+    for body in [append, Body::Snapshot { snapshot, round: Round::new(2) }] {
+        let message = Message::new(Term::new(3), body);
+        let mut bytes = Vec::new();
+        ciborium::into_writer(&message, &mut bytes).expect("a message can be encoded");
+        assert!(bytes.len() < 1200);
+        let decoded: Message = ciborium::from_reader(&bytes[..]).expect("it can be decoded");
+        assert_eq!(decoded, message);
+    }
+}
--- a/src/consensus/timer.rs
+++ b/src/consensus/timer.rs
@@ -65,6 +65,9 @@
         if self.timers.heartbeat > now {
             return;
         }
+        if self.timers.heartbeat + self.config.election <= now {
+            self.excuse(now);
+        }
         for id in self.silent(now) {
             self.timeout(Timeout::Silent(id), now);
         }
@@ -109,6 +112,16 @@
         self.restart_election(now);
     }
 
+    /// This process itself stood still, for as long as an election takes at least.
+    ///
+    /// All others then look as if they had been silent, and the first to answer would be taken for the last ones
+    /// alive: voters that are well would be replaced. So their silence counts from now on.
+    fn excuse(&mut self, now: Instant) {
+        if let State::Leader(leader) = &mut self.state {
+            leader.progress.values_mut().for_each(|progress| progress.excuse(now));
+        }
+    }
+
     /// The members that have missed their heartbeats or make no headway.
     fn silent(&self, now: Instant) -> Vec<id::Replica> {
         let State::Leader(leader) = &self.state else {
