--- /dev/null
+++ b/tests/promises/refusals.rs
@@ -0,0 +1,85 @@
+//! Every refusal is honest, comes at once, and says when to come back.
+
+use std::time::Duration;
+
+use tokio::time;
+use tokio::time::Instant;
+
+use crate::LOOKUP;
+use crate::engine;
+use crate::support::Caller;
+use crate::support::Local;
+
+// One slot, held by a long answer. A short request with little time can't be served: it is refused at once and not
+// when its time is over, is told that it did not run, and indeed it did not.
+#[tokio::test]
+async fn what_can_not_be_in_time_is_refused_at_once_and_did_not_run() {
+    let mut site = Local::start(&["a@gulf"]).await;
+    site.put(LOOKUP).await;
+    let engine = engine(&site, "e1", "gulf", "a", 1).await;
+    let warm = Caller::chat("lookup", "warm", 40, true);
+    warm.send(site.callers("a")).await.unwrap();
+    engine.slow_down(20.0);
+    let at = site.callers("a");
+    let long = tokio::spawn(async move { Caller::chat("lookup", "long", 40, true).send(at).await });
+    while engine.ran().len() < 2 {
+        time::sleep(Duration::from_millis(5)).await;
+    }
+    let begun = Instant::now();
+    let short = Caller::chat("lookup", "short", 2, true).with("mastic-deadline-ms", "150");
+    let refused = short.send(at).await.unwrap().problem();
+    assert!(begun.elapsed() < Duration::from_millis(160), "{:?}", begun.elapsed());
+    assert_eq!(serde_json::to_value(refused.ran).unwrap(), "no");
+    assert!(refused.retry_after_ms.is_some(), "{refused:?}");
+    let answer = long.await.unwrap().unwrap();
+    assert_eq!(answer.streamed(), Some(fakes::answer("long", 40)));
+    assert_eq!(engine.ran().len(), 2, "the refused request ran nowhere");
+}
+
+// One owner asks for far more than its limit through two VMs at once. What is beyond the limit of the whole system
+// is refused as not run, and another owner's requests are served as if nothing happened.
+#[tokio::test]
+async fn a_hot_owner_is_held_to_its_limit_and_harms_no_other() {
+    let mut site = Local::start(&["a@gulf", "b@gulf"]).await;
+    site.put(LOOKUP).await;
+    let limited = LOOKUP
+        .replace("name: lookup", "name: hot")
+        .replace("owner: bayou", "owner: hot")
+        .replace("requests: 1000/s", "requests: 5/s");
+    site.put(&limited).await;
+    let engine = engine(&site, "e1", "gulf", "a", 8).await;
+    let calls = (0..80).map(|number| {
+        let to = site.callers(if number % 2 == 0 { "a" } else { "b" });
+        async move {
+            let answer = Caller::chat("hot", "again", 1, true).send(to).await.unwrap();
+            answer.status.is_success()
+        }
+    });
+    let served = futures::future::join_all(calls).await.into_iter().filter(|ok| *ok).count();
+    // The burst is two seconds' worth; the other VM's floor and one more second come on top at the most.
+    assert!((1..=20).contains(&served), "{served} of 80 at once were served by a limit of 5/s");
+    assert_eq!(engine.ran().len(), served, "what was refused ran nowhere");
+    let other = Caller::chat("lookup", "calm", 2, true).send(site.callers("b")).await.unwrap();
+    assert_eq!(other.streamed(), Some(fakes::answer("calm", 2)));
+}
+
+#[tokio::test]
+async fn bad_requests_are_told_what_is_wrong() {
+    let mut site = Local::start(&["a@gulf"]).await;
+    site.put(LOOKUP).await;
+    let at = site.callers("a");
+    let cases = [
+        (Caller::raw("lookup", "{"), "bad-request"),
+        (Caller::raw("lookup", "{\"model\":\"small\"}"), "bad-request"),
+        (Caller::raw("lookup", "{\"model\":\"huge\",\"prompt\":\"x\"}"), "unknown-model"),
+        (Caller::raw("lookup", &"x".repeat(2 << 20)), "too-large"),
+        (Caller::raw("nobody", "{}"), "unknown-entry"),
+        (Caller::raw("no body", "{}"), "unknown-entry"),
+        (Caller::raw("lookup", "{}").with("mastic-deadline-ms", "soon"), "bad-request"),
+    ];
+    for (request, expected) in cases {
+        let refused = request.send(at).await.unwrap().problem();
+        assert_eq!(refused.kind, format!("urn:masticstream:refusal:{expected}"));
+        assert_eq!(serde_json::to_value(refused.ran).unwrap(), "no");
+    }
+}
--- /dev/null
+++ b/tests/promises/whole.rs
@@ -0,0 +1,105 @@
+//! Every caller gets the whole answer to its own request, or hears that it didn't.
+
+use std::time::Duration;
+
+use fakes::Fault;
+use http::StatusCode;
+
+use crate::LOOKUP;
+use crate::MANDATE;
+use crate::engine;
+use crate::support::Caller;
+use crate::support::Local;
+
+// The engine breaks off in the middle of a stream whose first half the caller has. Another attempt can't be
+// spliced on. The stream must end in an error and must not end as a whole one does.
+#[tokio::test]
+async fn a_broken_stream_does_not_look_whole() {
+    let mut site = Local::start(&["a@gulf"]).await;
+    site.put(MANDATE).await;
+    let engine = engine(&site, "e1", "gulf", "a", 4).await;
+    engine.fail_next(Fault::CutAfter(3));
+    let request = Caller::chat("mandate", "draft it", 10, true).with_key("k1");
+    let answer = request.send(site.callers("a")).await.unwrap();
+    assert_eq!(answer.status, StatusCode::OK);
+    assert!(answer.body.contains("event: error"), "{}", answer.body);
+    assert!(!answer.body.contains("[DONE]"));
+    assert!(answer.body.contains("\"ran\":\"unknown\""), "{}", answer.body);
+}
+
+// The engine breaks off an answer of which nothing was passed on, and the request may repeat. Another engine
+// answers it, and the caller never knows.
+#[tokio::test]
+async fn a_broken_attempt_is_replaced_where_that_is_allowed() {
+    let mut site = Local::start(&["a@gulf"]).await;
+    site.put(LOOKUP).await;
+    let one = engine(&site, "e1", "gulf", "a", 4).await;
+    let two = engine(&site, "e2", "gulf", "a", 4).await;
+    one.fail_next(Fault::CutAfter(2));
+    two.fail_next(Fault::CutAfter(2));
+    let answer = Caller::chat("lookup", "where?", 6, false).send(site.callers("a")).await.unwrap();
+    assert_eq!(answer.status, StatusCode::OK, "{answer:?}");
+    assert!(answer.body.contains(&fakes::answer("where?", 6)));
+    assert_eq!(one.ran().len() + two.ran().len(), 3);
+}
+
+// The engine mixes two requests up and sends somebody else's answer. Its attempt's id gives it away: not a byte of
+// it reaches the caller.
+#[tokio::test]
+async fn a_crossed_answer_is_not_passed_on() {
+    let mut site = Local::start(&["a@gulf"]).await;
+    site.put(LOOKUP).await;
+    let one = engine(&site, "e1", "gulf", "a", 4).await;
+    let two = engine(&site, "e2", "gulf", "a", 4).await;
+    one.fail_next(Fault::Crossed);
+    two.fail_next(Fault::Crossed);
+    let answer = Caller::chat("lookup", "mine?", 6, true).send(site.callers("a")).await.unwrap();
+    assert_eq!(answer.streamed(), Some(fakes::answer("mine?", 6)), "{answer:?}");
+}
+
+// The connection to the engine goes silent for good in the middle of a stream, while new connections work: a
+// middlebox has forgotten it. The stream goes on over a fresh connection from where it was, and the caller gets
+// each piece once.
+#[tokio::test]
+async fn a_silent_connection_is_replaced_and_the_stream_goes_on() {
+    let mut site = Local::start(&["a@gulf"]).await;
+    site.put(LOOKUP).await;
+    let engine = engine(&site, "e1", "gulf", "a", 4).await;
+    engine.fail_next(Fault::SilentAfter(3));
+    let answer = Caller::chat("lookup", "go on", 9, true).send(site.callers("a")).await.unwrap();
+    assert_eq!(answer.streamed(), Some(fakes::answer("go on", 9)), "{answer:?}");
+}
+
+// A crowd of callers asks at once, each for something else, while engines fail at random. Whoever gets an answer
+// gets its own.
+#[tokio::test]
+async fn answers_are_never_mixed_up_in_a_crowd() {
+    let mut site = Local::start(&["a@gulf", "b@gulf"]).await;
+    site.put(LOOKUP).await;
+    let one = engine(&site, "e1", "gulf", "a", 4).await;
+    let two = engine(&site, "e2", "gulf", "b", 4).await;
+    for _ in 0..5 {
+        one.fail_next(Fault::Crossed);
+        two.fail_next(Fault::CutAfter(1));
+        two.fail_next(Fault::Late(Duration::from_millis(50)));
+    }
+    let calls = (0..60).map(|number| {
+        let to = site.callers(if number % 2 == 0 { "a" } else { "b" });
+        async move {
+            let prompt = format!("question {number}");
+            let answer =
+                Caller::chat("lookup", &prompt, 5, number % 3 == 0).send(to).await.unwrap();
+            let own = fakes::answer(&prompt, 5);
+            match answer.streamed() {
+                Some(text) => assert_eq!(text, own),
+                None if answer.status == StatusCode::OK && answer.complete => {
+                    assert!(answer.body.contains(&own) || answer.body.contains("event: error"));
+                }
+                None => assert!(!answer.status.is_success() || !answer.complete),
+            }
+            answer.status == StatusCode::OK
+        }
+    });
+    let answered = futures::future::join_all(calls).await.into_iter().filter(|ok| *ok).count();
+    assert!(answered >= 50, "{answered} of 60 were answered");
+}
--- a/tests/support/caller.rs
+++ b/tests/support/caller.rs
@@ -50,6 +50,11 @@
         }
     }
 
+    /// A model request with that body, whatever it is.
+    pub fn raw(entry: &str, body: &str) -> Self {
+        Self { body: body.to_owned(), ..Self::chat(entry, "", 1, false) }
+    }
+
     /// A call of a plain service.
     pub fn service(entry: &str, path: &str, body: &str) -> Self {
         Self {
--- a/tests/support/site.rs
+++ b/tests/support/site.rs
@@ -186,6 +186,47 @@
         }
     }
 
+    /// How many upstreams a VM knows now.
+    pub fn known(&self, vm: &str) -> usize {
+        self.hub(vm).dispatch().upstreams().count()
+    }
+
+    /// Waits until a version is in force on one entry VM.
+    pub async fn hub_has(&self, vm: &str, version: Version) {
+        while self.hub(vm).version() < version {
+            time::sleep(Duration::from_millis(1)).await;
+        }
+    }
+
+    /// Tells a VM that an upstream leaves.
+    pub async fn leave(&self, vm: &str, upstream: &str, incarnation: u64) {
+        let id = upstream.parse().expect("a name");
+        self.hub(vm).leave(&id, Incarnation::new(incarnation));
+    }
+
+    /// Throws a control daemon's data folder away; the daemon must have ended.
+    pub fn lose_folder(&self, vm: &str) {
+        std::fs::remove_dir_all(self.folder.path().join(vm)).expect("a folder");
+    }
+
+    /// Waits until a control daemon's replica of the catalogue holds all that is committed.
+    pub async fn caught_up(&self, vm: &str) {
+        let until = Instant::now() + PATIENCE;
+        let commit = |daemon: &control::Daemon| {
+            let seats = daemon.service().seats()?;
+            Some(seats.catalogue.as_ref()?.group()?.status().applied)
+        };
+        loop {
+            let most = self.controls.values().filter_map(commit).max();
+            let own = commit(&self.controls[&vm.parse().expect("a name")]);
+            if own.is_some() && own == most {
+                return;
+            }
+            assert!(Instant::now() < until, "{vm} has {own:?} of {most:?}");
+            time::sleep(Duration::from_millis(20)).await;
+        }
+    }
+
     /// Ends an entry daemon as a crash would.
     pub fn crash_entry(&mut self, vm: &str) {
         let daemon = self.entries.remove(&vm.parse().expect("a name"));
