Give each daemon of a test site its own runtime; mend what the promises found

Cause: a crash in tests left connections behind; a new entry's first request was refused by a guess longer than its deadline; retries found no upstream once each had failed; a resumed stream took itself for superseded; an entry VM that followed a control VM cut off from the others learned nothing more. Change: one runtime a daemon, a guess bounded by the deadline, upstreams that failed are tried again where no other is left, and a second round that compares catalogues with all others.

--- a/src/decide/admission.rs
+++ b/src/decide/admission.rs
@@ -94,6 +94,11 @@
         self.entries.insert(entry.clone(), Estimator::new(service));
     }
 
+    /// Whether any request of this entry was measured.
+    pub fn has_measured(&self, entry: &id::Entry) -> bool {
+        self.entries.contains_key(entry)
+    }
+
     /// How long requests of this entry occupy a slot.
     pub fn estimate(&self, entry: &id::Entry, class: Class) -> &Estimator {
         self.entries.get(entry).unwrap_or(&self.classes[class.index()])
--- a/src/entry/daemon.rs
+++ b/src/entry/daemon.rs
@@ -210,6 +210,7 @@
     let stop = supervisor.stop();
     supervisor.child("links", move || mesh.clone().listen(links.clone(), stop.clone()));
     task(supervisor, "catalogue", hub, peers::follow);
+    task(supervisor, "comparison", hub, peers::compare);
     task(supervisor, "greetings", hub, peers::greet);
     task(supervisor, "abandon", hub, abandon::watch);
     task(supervisor, "digest", hub, digest::tell);
--- a/src/entry/dispatch.rs
+++ b/src/entry/dispatch.rs
@@ -126,7 +126,7 @@
         avoid: Vec<id::Upstream>,
         now: Instant,
     ) -> Result<oneshot::Receiver<Answer>, Refusal> {
-        self.check_offered(job, &avoid)?;
+        let avoid = self.check_offered(job, avoid)?;
         let ticket = self.ticket(job);
         let pool = self.pools.entry(job.model.clone()).or_insert_with(Pool::new);
         match self.admission.admit(&ticket, &pool.queue, &pool.capacity, now) {
@@ -142,10 +142,18 @@
         Ok(receiver)
     }
 
-    /// Refuses what nothing can run: waiting for an upstream that nobody announced is no use to the caller.
-    fn check_offered(&self, job: &Job, avoid: &[id::Upstream]) -> Result<(), Refusal> {
-        if self.route.is_servable(&job.facts(avoid)) {
-            return Ok(());
+    /// Refuses what nothing can run: waiting for an upstream that nobody announced is no use to the caller. Where all
+    /// upstreams that could run it have failed it already, they are tried again.
+    fn check_offered(
+        &self,
+        job: &Job,
+        avoid: Vec<id::Upstream>,
+    ) -> Result<Vec<id::Upstream>, Refusal> {
+        if self.route.is_servable(&job.facts(&avoid)) {
+            return Ok(avoid);
+        }
+        if self.route.is_servable(&job.facts(&[])) {
+            return Ok(Vec::new());
         }
         let detail = format!("no upstream holds {}", job.model);
         Err(Refusal::new(Reason::NoUpstream, detail).with_retry_after(NO_UPSTREAM_RETRY))
@@ -154,14 +162,20 @@
     fn ticket(&self, job: &Job) -> Ticket {
         let class = job.entry.class;
         let estimate = self.admission.estimate(&job.entry.name, class);
+        // Failure: the first request of a new entry is refused by a guess that is longer than its deadline, none is
+        // ever measured, and all are refused for good. Until one was measured, the owner's deadline is the better guess.
+        let most = match self.admission.has_measured(&job.entry.name) {
+            true => Duration::MAX,
+            false => job.deadline.saturating_duration_since(job.arrived) / 4,
+        };
         Ticket {
             request: job.request,
             owner: job.entry.owner.clone(),
             class,
             weight: job.entry.weight,
             deadline: job.deadline,
-            service: estimate.expected(),
-            tail: estimate.tail(),
+            service: estimate.expected().min(most),
+            tail: estimate.tail().min(most),
             size: job.size(),
             arrived: job.arrived,
         }
--- a/src/entry/fleet.rs
+++ b/src/entry/fleet.rs
@@ -200,6 +200,15 @@
         alive.filter_map(place).collect()
     }
 
+    /// The VM of the region with the newest catalogue in force.
+    pub fn newest(&self, now: Instant) -> Option<(id::Vm, Version)> {
+        let versions = self.member.alive().filter_map(|vm| {
+            let fact = self.member.get(&Key::Catalogue(vm.clone()), now)?;
+            Some((vm.clone(), decode::<Version>(&fact.payload)?))
+        });
+        versions.max_by_key(|(_, version)| *version)
+    }
+
     /// The VMs of the region that are alive, this one among them.
     pub fn alive(&self) -> Vec<id::Vm> {
         self.member.alive().cloned().collect()
--- a/src/entry/peers.rs
+++ b/src/entry/peers.rs
@@ -81,12 +81,11 @@
     Reply::Delta(delta)
 }
 
-/// Follows the catalogue at a control VM of the own region, else at any, else at another entry VM.
+/// Follows the catalogue at the nearest control VM that answers.
 pub async fn follow(hub: Arc<Hub>, mut stop: watch::Receiver<bool>) {
     let mut turn = 0;
-    while !*stop.borrow() {
-        let mut sources = hub.controls();
-        sources.extend(hub.neighbours());
+    loop {
+        let sources = hub.controls();
         let asked = tokio::select! {
             asked = watch_one(&hub, &sources, turn) => asked,
             _ = stop.wait_for(|stop| *stop) => return,
@@ -98,6 +97,29 @@
     }
 }
 
+/// Follows the catalogue at all others in turn, those first that tell of a newer one.
+///
+/// Failure: the control VM that this one follows is cut off from the others but not from here. It answers that
+/// nothing has changed, for hours, while changes are accepted elsewhere. Membership tells which neighbour is ahead,
+/// and the round through all finds out the rest.
+pub async fn compare(hub: Arc<Hub>, mut stop: watch::Receiver<bool>) {
+    let mut turn = 0;
+    loop {
+        let sources = match hub.newest() {
+            Some(vm) => vec![Peer::new(vm, Role::Entry)],
+            None => hub.controls().into_iter().chain(hub.neighbours()).collect(),
+        };
+        turn += 1;
+        let asked = tokio::select! {
+            asked = watch_one(&hub, &sources, turn) => asked,
+            _ = stop.wait_for(|stop| *stop) => return,
+        };
+        if !asked {
+            time::sleep(PAUSE).await;
+        }
+    }
+}
+
 async fn watch_one(hub: &Hub, sources: &[Peer], turn: usize) -> bool {
     let Some(mesh) = hub.mesh() else { return false };
     if sources.is_empty() {
@@ -132,6 +154,12 @@
 }
 
 impl Hub {
+    /// A VM of the region that has a newer catalogue in force, by membership.
+    fn newest(&self) -> Option<id::Vm> {
+        let (vm, version) = self.fleet().newest(Instant::now())?;
+        (version > self.version()).then_some(vm)
+    }
+
     /// Which version of the catalogue is in force on each entry VM; none where a VM can't be asked.
     pub async fn versions(&self) -> Vec<(id::Vm, Option<Version>)> {
         let entries = self.site.vms.iter().filter(|(_, vm)| vm.entry.is_some());
--- a/src/entry/stage.rs
+++ b/src/entry/stage.rs
@@ -191,8 +191,11 @@
         Self { race: Mutex::new(Race::new(first)), winner: watch::Sender::new(None) }
     }
 
-    /// Whether this attempt may pass its answer on.
+    /// Whether this attempt may pass its answer on; one that has begun may go on.
     fn begins(&self, attempt: id::Attempt) -> bool {
+        if *self.winner.borrow() == Some(attempt) {
+            return true;
+        }
         let answer = self.race.lock().expect("no panic while locked").answers(attempt);
         let wins = matches!(answer, Answer::Wins { .. });
         if wins {
--- a/tests/promises/leaving.rs
+++ b/tests/promises/leaving.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use fakes::Settings;
+use fakes::Upstream;
 use tokio::time;
 
 use crate::LOOKUP;
@@ -15,11 +17,14 @@
 async fn a_leaving_upstream_gets_no_new_work_from_any_vm() {
     let mut site = Local::start(&["a@gulf", "b@gulf"]).await;
     site.put(LOOKUP).await;
-    let leaves = engine(&site, "e1", "gulf", "a", 4).await;
     let stays = engine(&site, "e2", "gulf", "a", 4).await;
-    let id = leaves.id().to_owned();
-    site.leave("a", &id, leaves.incarnation()).await;
-    time::sleep(Duration::from_secs(2)).await;
+    let leaves = Upstream::start(Settings::engine("e1")).await.unwrap();
+    assert!(site.announce("a", &leaves, 1));
+    site.upstreams_known("gulf", 2).await;
+    assert!(site.announce("a", &leaves, 2));
+    site.leave("a", leaves.id(), 1).await;
+    assert!(!site.announce("a", &leaves, 3), "a renewal that was late brings nothing back");
+    time::sleep(Duration::from_millis(1900)).await;
     let before = leaves.ran().len();
     for number in 0..20 {
         let to = site.callers(if number % 2 == 0 { "a" } else { "b" });
--- a/tests/support/site.rs
+++ b/tests/support/site.rs
@@ -23,6 +23,8 @@
 use masticstream::unit::Incarnation;
 use masticstream::unit::Version;
 use tempfile::TempDir;
+use tokio::runtime::Builder;
+use tokio::runtime::Runtime;
 use tokio::time;
 use tokio::time::Instant;
 
@@ -40,12 +42,43 @@
     IpAddr::V4(Ipv4Addr::from(bytes))
 }
 
+/// A daemon in a runtime of its own, so that a crash takes all of its tasks and connections at once.
+struct Process<D> {
+    runtime: Option<Runtime>,
+    daemon: Option<D>,
+}
+
+impl<D> Process<D> {
+    fn daemon(&self) -> &D {
+        self.daemon.as_ref().expect("a daemon")
+    }
+}
+
+impl<D> Drop for Process<D> {
+    fn drop(&mut self) {
+        drop(self.daemon.take());
+        if let Some(runtime) = self.runtime.take() {
+            runtime.shutdown_background();
+        }
+    }
+}
+
+/// Runs something in a new runtime, which then goes on.
+async fn isolated<T: Send + 'static>(
+    run: impl Future<Output = T> + Send + 'static,
+) -> (Runtime, T) {
+    let runtime = Builder::new_multi_thread().worker_threads(1).enable_all().build();
+    let runtime = runtime.expect("a runtime");
+    let done = runtime.spawn(run).await.expect("no panic");
+    (runtime, done)
+}
+
 /// A site whose daemons run in this process.
 pub struct Local {
     /// Its settings.
     pub site: Arc<Site>,
-    entries: BTreeMap<id::Vm, entry::Daemon>,
-    controls: BTreeMap<id::Vm, control::Daemon>,
+    entries: BTreeMap<id::Vm, Process<entry::Daemon>>,
+    controls: BTreeMap<id::Vm, Process<control::Daemon>>,
     starts: u64,
     operation: u128,
     folder: TempDir,
@@ -61,12 +94,14 @@
         for text in vms {
             let (name, region) = text.split_once('@').expect("name@region");
             let ip = address();
-            let (bound, addresses) = entry::daemon::Bound::any(ip).await.expect("free ports");
             let name: id::Vm = name.parse().expect("a name");
-            entry_bound.push((name.clone(), bound));
             let data = folder.path().join(name.as_str());
-            let (bound, control) = control::daemon::Bound::any(ip, data).await.expect("free ports");
-            control_bound.push((name.clone(), bound));
+            let (runtime, bound) = isolated(entry::daemon::Bound::any(ip)).await;
+            let (bound, addresses) = bound.expect("free ports");
+            entry_bound.push((name.clone(), runtime, bound));
+            let (runtime, bound) = isolated(control::daemon::Bound::any(ip, data)).await;
+            let (bound, control) = bound.expect("free ports");
+            control_bound.push((name.clone(), runtime, bound));
             all.insert(name, vm(region, addresses, control));
         }
         let site = Arc::new(site(all));
@@ -78,22 +113,18 @@
             operation: 0,
             folder,
         };
-        for (name, bound) in control_bound {
-            let started = control::Daemon::start_on(
-                bound,
-                name.clone(),
-                local.site.clone(),
-                local.seed(),
-                log::silent(),
-            );
-            local.controls.insert(name, started.await.expect("a control daemon"));
+        for (name, runtime, bound) in control_bound {
+            let (site, seed) = (local.site.clone(), local.seed());
+            let start = control::Daemon::start_on(bound, name.clone(), site, seed, log::silent());
+            let daemon = runtime.spawn(start).await.expect("no panic").expect("a control daemon");
+            local.controls.insert(name, Process { runtime: Some(runtime), daemon: Some(daemon) });
         }
-        for (name, bound) in entry_bound {
+        for (name, runtime, bound) in entry_bound {
             let numbers = (Incarnation::new(local.seed()), local.seed());
             let site = local.site.clone();
-            let started =
-                entry::Daemon::start_on(bound, name.clone(), site, numbers, log::silent());
-            local.entries.insert(name, started.await.expect("an entry daemon"));
+            let start = entry::Daemon::start_on(bound, name.clone(), site, numbers, log::silent());
+            let daemon = runtime.spawn(start).await.expect("no panic").expect("an entry daemon");
+            local.entries.insert(name, Process { runtime: Some(runtime), daemon: Some(daemon) });
         }
         local.settle().await;
         local
@@ -107,7 +138,7 @@
     /// Waits until every entry VM knows all others of its region.
     async fn settle(&self) {
         let until = Instant::now() + PATIENCE;
-        for hub in self.entries.values().map(entry::Daemon::hub) {
+        for hub in self.hubs() {
             while hub.live().len() < self.entries.len() {
                 assert!(Instant::now() < until, "the VMs did not find each other");
                 time::sleep(Duration::from_millis(20)).await;
@@ -115,9 +146,13 @@
         }
     }
 
+    fn hubs(&self) -> impl Iterator<Item = &Arc<entry::Hub>> {
+        self.entries.values().map(|process| process.daemon().hub())
+    }
+
     /// A VM's entry daemon.
     pub fn hub(&self, vm: &str) -> &Arc<entry::Hub> {
-        self.entries[&vm.parse().expect("a name")].hub()
+        self.entries[&vm.parse().expect("a name")].daemon().hub()
     }
 
     /// Where callers of a VM go.
@@ -149,13 +184,17 @@
     pub async fn change(&mut self, edit: Edit) -> catalogue::Reply {
         self.operation += 1;
         let operation = id::Operation::new(self.operation);
-        let hub = self.entries.values().next().expect("an entry daemon").hub().clone();
+        let process = self.entries.values().next().expect("an entry daemon");
+        let (hub, runtime) = (process.daemon().hub().clone(), process.runtime.as_ref());
+        let runtime = runtime.expect("a runtime").handle().clone();
         let replaces =
             hub.view().record(edit.name()).map_or(Version::ZERO, |record| record.version);
         let change = Change::new(operation, replaces, edit);
         let until = Instant::now() + PATIENCE;
         loop {
-            if let Ok(reply) = hub.change(&change).await {
+            let (hub, change) = (hub.clone(), change.clone());
+            let asked = runtime.spawn(async move { hub.change(&change).await });
+            if let Ok(reply) = asked.await.expect("no panic") {
                 return reply;
             }
             assert!(Instant::now() < until, "no majority took the change");
@@ -166,7 +205,7 @@
     /// Waits until a version is in force on all entry VMs that run.
     pub async fn in_force(&self, version: Version) {
         let until = Instant::now() + PATIENCE;
-        for hub in self.entries.values().map(entry::Daemon::hub) {
+        for hub in self.hubs() {
             while hub.version() < version {
                 assert!(Instant::now() < until, "version {version} is not in force on {}", hub.me);
                 time::sleep(Duration::from_millis(5)).await;
@@ -177,7 +216,7 @@
     /// Waits until that many upstreams are known on all entry VMs of a region.
     pub async fn upstreams_known(&self, region: &str, count: usize) {
         let until = Instant::now() + PATIENCE;
-        let hubs = self.entries.values().map(entry::Daemon::hub);
+        let hubs = self.hubs();
         for hub in hubs.filter(|hub| hub.region().as_str() == region) {
             while hub.dispatch().upstreams().count() != count {
                 assert!(Instant::now() < until, "{} does not know {count} upstreams", hub.me);
@@ -198,6 +237,23 @@
         }
     }
 
+    /// Announces an engine to a VM, as its renewal of that number; false where the VM does not take it.
+    pub fn announce(&self, vm: &str, engine: &fakes::Upstream, sequence: u64) -> bool {
+        let hub = self.hub(vm);
+        let announcement = serde_json::json!({
+            "id": engine.id(),
+            "address": engine.address().to_string(),
+            "region": hub.region().as_str(),
+            "data_centre": hub.place.data_centre.as_str(),
+            "kind": "engine",
+            "slots": 4,
+            "models": ["small"],
+            "incarnation": 1,
+            "sequence": sequence,
+        });
+        hub.announce(serde_json::from_value(announcement).expect("an announcement"))
+    }
+
     /// Tells a VM that an upstream leaves.
     pub async fn leave(&self, vm: &str, upstream: &str, incarnation: u64) {
         let id = upstream.parse().expect("a name");
@@ -217,8 +273,8 @@
             Some(seats.catalogue.as_ref()?.group()?.status().applied)
         };
         loop {
-            let most = self.controls.values().filter_map(commit).max();
-            let own = commit(&self.controls[&vm.parse().expect("a name")]);
+            let most = self.controls.values().map(Process::daemon).filter_map(commit).max();
+            let own = commit(self.controls[&vm.parse().expect("a name")].daemon());
             if own.is_some() && own == most {
                 return;
             }
@@ -229,56 +285,71 @@
 
     /// Ends an entry daemon as a crash would.
     pub fn crash_entry(&mut self, vm: &str) {
-        let daemon = self.entries.remove(&vm.parse().expect("a name"));
-        daemon.expect("an entry daemon").abort();
+        let process = self.entries.remove(&vm.parse().expect("a name"));
+        drop(process.expect("an entry daemon"));
     }
 
     /// Starts an entry daemon that had ended.
     pub async fn start_entry(&mut self, vm: &str) {
         let name: id::Vm = vm.parse().expect("a name");
-        let numbers = (Incarnation::new(self.seed()), self.seed());
-        let site = self.site.clone();
+        let (incarnation, seed) = (Incarnation::new(self.seed()), self.seed());
         let until = Instant::now() + PATIENCE;
-        let daemon = loop {
-            let (incarnation, seed) = numbers;
-            let started =
-                entry::Daemon::start(name.clone(), site.clone(), incarnation, seed, log::silent());
-            match started.await {
-                Ok(daemon) => break daemon,
+        loop {
+            let (name, site) = (name.clone(), self.site.clone());
+            let start = entry::Daemon::start(name.clone(), site, incarnation, seed, log::silent());
+            let (runtime, started) = isolated(start).await;
+            match started {
+                Ok(daemon) => {
+                    let process = Process { runtime: Some(runtime), daemon: Some(daemon) };
+                    self.entries.insert(name, process);
+                    return;
+                }
                 // The sockets of the one before close when its last task ends.
                 Err(error) => assert!(Instant::now() < until, "{error}"),
             }
+            runtime.shutdown_background();
             time::sleep(Duration::from_millis(20)).await;
-        };
-        self.entries.insert(name, daemon);
+        }
     }
 
     /// Ends a control daemon as a crash would.
     pub fn crash_control(&mut self, vm: &str) {
-        let daemon = self.controls.remove(&vm.parse().expect("a name"));
-        daemon.expect("a control daemon").abort();
+        let process = self.controls.remove(&vm.parse().expect("a name"));
+        drop(process.expect("a control daemon"));
     }
 
     /// Starts a control daemon that had ended, on the folder that it had.
     pub async fn start_control(&mut self, vm: &str) {
         let name: id::Vm = vm.parse().expect("a name");
-        let until = Instant::now() + PATIENCE;
         let seed = self.seed();
-        let daemon = loop {
-            let site = self.site.clone();
-            match control::Daemon::start(name.clone(), site, seed, log::silent()).await {
-                Ok(daemon) => break daemon,
+        let until = Instant::now() + PATIENCE;
+        loop {
+            let (name, site) = (name.clone(), self.site.clone());
+            let start = control::Daemon::start(name.clone(), site, seed, log::silent());
+            let (runtime, started) = isolated(start).await;
+            match started {
+                Ok(daemon) => {
+                    let process = Process { runtime: Some(runtime), daemon: Some(daemon) };
+                    self.controls.insert(name, process);
+                    return;
+                }
                 Err(error) => assert!(Instant::now() < until, "{error}"),
             }
+            runtime.shutdown_background();
             time::sleep(Duration::from_millis(20)).await;
-        };
-        self.controls.insert(name, daemon);
+        }
     }
 
     /// Drains an entry daemon; the future ends when it has ended.
-    pub fn drain_entry(&mut self, vm: &str) -> impl Future<Output = ()> + use<> {
-        let daemon = self.entries.remove(&vm.parse().expect("a name")).expect("an entry daemon");
-        daemon.drain(std::future::pending())
+    pub fn drain_entry(&mut self, vm: &str) -> impl Future<Output = ()> + Send + use<> {
+        let process = self.entries.remove(&vm.parse().expect("a name"));
+        let mut process = process.expect("an entry daemon");
+        async move {
+            let daemon = process.daemon.take().expect("a daemon");
+            let runtime = process.runtime.as_ref().expect("a runtime");
+            runtime.spawn(daemon.drain(std::future::pending())).await.expect("no panic");
+            drop(process);
+        }
     }
 }
 
