--- a/benches/decide.rs
+++ b/benches/decide.rs
@@ -117,7 +117,7 @@
 
 fn limits(c: &mut Criterion) {
     let now = Instant::now();
-    let rate = Rate::per_second(1e9);
+    let rate = Rate::per_second(1e15);
     let limits = Limits { requests: rate, tokens: rate, concurrency: 1_000_000 };
     let entry: id::Entry = "storm-summaries".parse().expect("a name");
     let names: Vec<id::Vm> =
--- a/tests/load/main.rs
+++ b/tests/load/main.rs
@@ -19,4 +19,5 @@
 mod table;
 mod tally;
 mod waiting;
+mod what_if;
 mod world;
--- a/tests/load/policy.rs
+++ b/tests/load/policy.rs
@@ -18,6 +18,7 @@
 use tokio::time::Instant;
 
 use crate::job::Job;
+use crate::what_if::WhatIf;
 
 /// What a caller hears at once.
 pub enum Reply {
@@ -35,7 +36,7 @@
     /// The request that starts now, if one may.
     fn next(&mut self, now: Instant) -> Option<id::Request>;
     /// A request ended.
-    fn finished(&mut self, job: &Job, service: Duration);
+    fn finished(&mut self, request: id::Request, job: &Job, service: Duration);
     /// The caller of a waiting request has gone.
     fn gone(&mut self, _request: id::Request) {}
     /// Requests that were given up on, and when their callers should come back.
@@ -74,7 +75,7 @@
         }
     }
 
-    fn finished(&mut self, _: &Job, _: Duration) {}
+    fn finished(&mut self, _: id::Request, _: &Job, _: Duration) {}
 
     fn gone(&mut self, request: id::Request) {
         if self.notices_gone {
@@ -100,6 +101,20 @@
     }
 }
 
+impl Ours {
+    /// The expected service time of a job.
+    pub fn expected(&self, job: &Job) -> Duration {
+        self.admission.estimate(&job.entry, job.class).expected()
+    }
+
+    /// Starts a waiting request out of turn.
+    pub fn take(&mut self, request: id::Request) {
+        if let Some(ticket) = self.queue.cancel(request) {
+            self.capacity.started(ticket.class);
+        }
+    }
+}
+
 impl Policy for Ours {
     fn arrive(
         &mut self,
@@ -135,7 +150,7 @@
         Some(ticket.request)
     }
 
-    fn finished(&mut self, job: &Job, service: Duration) {
+    fn finished(&mut self, _: id::Request, job: &Job, service: Duration) {
         self.capacity.finished(job.class);
         self.admission.observe(&job.entry, job.class, service);
     }
@@ -169,6 +184,7 @@
     Fifo,
     FifoNoticing,
     Ours,
+    WhatIf,
 }
 
 impl Kind {
@@ -177,6 +193,7 @@
             Self::Fifo => Box::new(Fifo::default()),
             Self::FifoNoticing => Box::new(Fifo { notices_gone: true, ..Fifo::default() }),
             Self::Ours => Box::new(Ours::new(slots)),
+            Self::WhatIf => Box::new(WhatIf::new(slots)),
         }
     }
 
@@ -185,6 +202,7 @@
             Self::Fifo => "FIFO",
             Self::FifoNoticing => "FIFO, drops requests whose callers left",
             Self::Ours => "ours",
+            Self::WhatIf => "ours, order by what-if runs",
         }
     }
 }
--- a/tests/load/table.rs
+++ b/tests/load/table.rs
@@ -83,3 +83,12 @@
         Scenario::all().iter().flat_map(|scenario| rows(scenario, &[Kind::Ours])).collect();
     println!("{}", markdown(&all));
 }
+
+/// Prints the trial of what-if runs beside the library's order.
+#[test]
+fn what_if() {
+    let kinds = [Kind::Ours, Kind::WhatIf];
+    let all: Vec<Row> =
+        Scenario::all().iter().flat_map(|scenario| rows(scenario, &kinds)).collect();
+    println!("{}", markdown(&all));
+}
--- a/tests/load/world.rs
+++ b/tests/load/world.rs
@@ -213,7 +213,7 @@
         self.setting.pool.finish(upstream);
         let attempt = self.tries.remove(&request).expect("only known requests end");
         let job = &self.setting.jobs[attempt.job];
-        self.policy.finished(job, service);
+        self.policy.finished(request, job, service);
         if !attempt.open {
             self.wasted += service;
             return;
