--- a/tests/load/main.rs
+++ b/tests/load/main.rs
@@ -9,6 +9,7 @@
 
 mod agenda;
 mod caller;
+mod crashes;
 mod job;
 mod limits;
 mod overload;
@@ -18,4 +19,5 @@
 mod table;
 mod tally;
 mod waiting;
+mod what_if;
 mod world;
