Ask for slots on the least used upstreams only, and release sooner

Each waiting request asked for a slot on each of 12 upstreams: most were granted in vain and idle until released. Now on two, and released after 100 ms.

--- a/src/decide/route.rs
+++ b/src/decide/route.rs
@@ -52,6 +52,9 @@
 /// followed by 13 VMs give or take 4, and the shared slots even out the rest.
 pub const FOLLOWED: usize = 32;
 
+/// For each waiting request, slots are asked for on so many upstreams.
+const ASKED: usize = 2;
+
 /// What a VM has inside an upstream, and could have.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Demand {
@@ -128,8 +131,14 @@
     ) -> Option<id::Upstream> {
         let group = self.groups.get_mut(facts.model)?;
         group.refresh(&self.tracked, now);
-        let affine = self.affine(facts, now, rng);
-        let number = affine.or_else(|| self.any(facts, now, rng))?;
+        let number = match self.affine(facts, now, rng) {
+            Some(number) => number,
+            None => {
+                let number = self.any(facts, now, rng)?;
+                self.note_missed(facts, now);
+                number
+            }
+        };
         self.tracked[number as usize].as_ref().map(|tracked| tracked.announcement.id.clone())
     }
 
@@ -141,19 +150,22 @@
 
     /// What this VM has inside each upstream that it follows, and could have if it had slots enough for the requests
     /// that wait here, by model; for `upstream::Pool::demand`.
-    pub fn demand(&self, waiting: &HashMap<id::Model, usize>) -> Vec<Demand> {
+    pub fn demand(&self, waiting: &HashMap<id::Model, usize>, now: Instant) -> Vec<Demand> {
         let mut wanted: HashMap<u32, u64> = HashMap::new();
         for (model, group) in &self.groups {
+            group.followed.iter().for_each(|&u| *wanted.entry(u).or_default() += 0);
             let count = waiting.get(model).copied().unwrap_or(0);
-            let each = count.div_ceil(group.followed.len().max(1)) as u64;
-            group.followed.iter().for_each(|&u| *wanted.entry(u).or_default() += each);
+            if count > 0 {
+                self.spread(group, count * ASKED, now, &mut wanted);
+            }
         }
         let demand = |(number, tracked): (usize, &Option<Tracked>)| {
             let tracked = tracked.as_ref()?;
             let running = u64::from(tracked.own.running());
             let more = u32::try_from(number).ok().and_then(|number| wanted.get(&number));
-            let followed = more.is_some() || running > 0;
-            let wanted = running + more.copied().unwrap_or(0);
+            let followed = more.is_some() || running > 0 || tracked.missed(now) > 0.5;
+            let missed = tracked.missed(now).round() as u64;
+            let wanted = running + more.copied().unwrap_or(0) + missed;
             followed.then(|| Demand {
                 upstream: tracked.announcement.id.clone(),
                 running: Slots::new(running),
@@ -163,6 +175,22 @@
         self.tracked.iter().enumerate().filter_map(demand).collect()
     }
 
+    /// Spreads a number of wanted slots over the least used upstreams of a group, one after the other.
+    fn spread(&self, group: &Group, count: usize, now: Instant, wanted: &mut HashMap<u32, u64>) {
+        let usable = |&u: &u32| {
+            let tracked = self.tracked[u as usize].as_ref()?;
+            let out = tracked.draining || tracked.ejection.is_ejected(now);
+            (!out).then(|| (tracked.score(&group.stats, now), u))
+        };
+        let mut scored: Vec<(f64, u32)> = group.followed.iter().filter_map(usable).collect();
+        scored.sort_unstable_by(|(a, _), (b, _)| a.total_cmp(b));
+        let members = scored.len();
+        for (place, (_, number)) in scored.into_iter().enumerate().take(count) {
+            let rounds = count / members + usize::from(place < count % members);
+            *wanted.entry(number).or_default() += rounds as u64;
+        }
+    }
+
     /// An attempt is sent to the upstream.
     pub fn sent(&mut self, upstream: &id::Upstream, now: Instant) {
         if let Some(tracked) = self.get_mut(upstream) {
--- a/src/decide/route/choice.rs
+++ b/src/decide/route/choice.rs
@@ -51,6 +51,21 @@
         homes.into_iter().flatten().find(|&u| usable(self, u))
     }
 
+    /// Notes where a request would have found its prefix, so that a slot is asked for there for the next one. Without
+    /// that the slots of a prefix's upstream go to whichever VM happened to ask, and affinity is lost.
+    pub(super) fn note_missed(&mut self, facts: &Facts<'_>, now: Instant) {
+        let Some(&root) = facts.prefix.first() else { return };
+        let known = self.index.holders(facts.prefix);
+        let homes = if known.is_empty() { self.homes(facts.model, root) } else { [None; 2] };
+        let wished = known.into_iter().chain(homes.into_iter().flatten()).take(2);
+        for number in wished.collect::<Vec<u32>>() {
+            let well = self.healthy(number, facts, now).is_some();
+            if let Some(tracked) = self.tracked[number as usize].as_mut().filter(|_| well) {
+                tracked.miss(now);
+            }
+        }
+    }
+
     /// The two upstreams that all VMs find for a prefix that none is known to hold, the first choice first.
     fn homes(&mut self, model: &id::Model, root: u64) -> [Option<u32>; 2] {
         let Some(group) = self.groups.get_mut(model) else { return [None; 2] };
--- a/src/decide/route/tests/choice.rs
+++ b/src/decide/route/tests/choice.rs
@@ -166,7 +166,7 @@
     route.announced(&announcement(1, 8), now);
     route.sent(&engine(0), now);
     let waiting = [(model(), 4), ("hail".parse().unwrap(), 1)].into();
-    let demand = route.demand(&waiting);
+    let demand = route.demand(&waiting, now);
     let wanted = demand.iter().map(|demand| (demand.running.get(), demand.wanted.get()));
     assert_eq!(wanted.collect::<Vec<_>>(), [(1, 4), (0, 2)]);
 }
--- a/src/decide/route/tests/load.rs
+++ b/src/decide/route/tests/load.rs
@@ -26,9 +26,10 @@
 
 /// A row of the table in docs/MEASUREMENTS.md; `--nocapture` shows it.
 fn print(name: &str, policy: &str, got: &Result) {
-    let Result { sent, late, failed, median, p99, recomputed, busiest_share, fullest } = got;
+    let Result { sent, late, failed, median, p99, recomputed, busiest_share, fullest, messages } =
+        got;
     println!(
-        "| {name} | {policy} | {sent} | {late} | {failed} | {median:.2} | {p99:.2} | {recomputed} | {busiest_share:.3} | {fullest} |"
+        "| {name} | {policy} | {sent} | {late} | {failed} | {median:.2} | {p99:.2} | {recomputed} | {busiest_share:.3} | {fullest} | {messages:.0} |"
     );
 }
 
--- a/src/decide/route/tests/sim.rs
+++ b/src/decide/route/tests/sim.rs
@@ -87,6 +87,7 @@
     latencies: Vec<f64>,
     failed: usize,
     recomputed: usize,
+    messages: usize,
 }
 
 pub fn run(setting: &Setting, policy: Policy) -> Result {
@@ -149,6 +150,7 @@
             latencies: Vec::new(),
             failed: 0,
             recomputed: 0,
+            messages: 0,
             setting,
             policy,
         };
@@ -335,7 +337,7 @@
                 self.pools[vm].hosts(&self::engine(engine), slots, false, now);
             }
             let waiting = [(model(), self.held[vm].len())].into();
-            for demand in self.routes[vm].demand(&waiting) {
+            for demand in self.routes[vm].demand(&waiting, now) {
                 self.pools[vm].demand(&demand.upstream, demand.running, demand.wanted);
             }
             for (to, message) in self.pools[vm].poll(now) {
@@ -347,6 +349,7 @@
     }
 
     fn slots(&mut self, from: usize, to: usize, message: &Message) {
+        self.messages += 1;
         let now = self.instant();
         if let Some(answer) = self.pools[to].receive(&vm(from), message, now) {
             self.at(self.now + 0.001, Step::Slots { from: to, to: from, message: answer });
@@ -393,6 +396,7 @@
         let rank = |share: f64| self.latencies[((count - 1) as f64 * share) as usize];
         let most = self.engines.iter().map(|engine| engine.served).max().unwrap_or(0);
         Result {
+            messages: self.messages as f64 / self.setting.seconds / self.setting.vms as f64,
             fullest: self.engines.iter().map(|engine| engine.fullest).max().unwrap_or(0),
             sent: count + self.failed,
             late: self.latencies.iter().filter(|&&time| time > self.setting.deadline).count(),
--- a/src/decide/route/tests/sim/setting.rs
+++ b/src/decide/route/tests/sim/setting.rs
@@ -71,6 +71,8 @@
 /// What callers received.
 #[derive(Debug)]
 pub struct Result {
+    /// Messages about slots that a VM gets in a second.
+    pub messages: f64,
     /// The most requests inside one engine at once.
     pub fullest: u32,
     pub sent: usize,
--- a/src/decide/route/tracked.rs
+++ b/src/decide/route/tracked.rs
@@ -24,6 +24,9 @@
 /// The share that a new upstream starts with.
 pub const FIRST_SHARE: f64 = 0.1;
 
+/// The time over which missed requests count: so long at least must a slot be held for the next one of a prefix.
+const MISSED: Duration = Duration::from_secs(1);
+
 /// The most that slowness counts in a score; beyond it an upstream is ejected anyway.
 const MOST_SLOWNESS: f64 = 10.0;
 
@@ -46,6 +49,7 @@
     pub draining: bool,
     since: Instant,
     report: Option<Report>,
+    missed: Option<(f64, Instant)>,
 }
 
 #[derive(Debug)]
@@ -68,6 +72,7 @@
             draining: false,
             since: now,
             report: None,
+            missed: None,
         }
     }
 
@@ -149,6 +154,18 @@
         (FIRST_SHARE + (1.0 - FIRST_SHARE) * grown).min(1.0)
     }
 
+    /// A request would have found its prefix here, and ran elsewhere for lack of a slot of this VM's.
+    pub fn miss(&mut self, now: Instant) {
+        self.missed = Some((self.missed(now) + 1.0, now));
+    }
+
+    /// How many requests it was missed for within about the last [`MISSED`].
+    pub fn missed(&self, now: Instant) -> f64 {
+        let fade =
+            |at: Instant| now.saturating_duration_since(at).as_secs_f64() / MISSED.as_secs_f64();
+        self.missed.map_or(0.0, |(count, at)| count * (-fade(at)).exp())
+    }
+
     /// Whether it may get one request more from this VM.
     pub fn has_room(&self, stats: &Stats, now: Instant) -> bool {
         let slots = self.leased.unwrap_or(self.announcement.slots).get();
--- a/src/upstream/pool/holder.rs
+++ b/src/upstream/pool/holder.rs
@@ -22,7 +22,7 @@
 
 /// How long slots that are no longer needed are held: mostly the next request comes first, and two messages for each
 /// request would be most of what a VM may spend on control.
-pub const RELEASE: Duration = Duration::from_millis(250);
+pub const RELEASE: Duration = Duration::from_millis(100);
 
 /// The most asks whose sending time is remembered.
 const ASKS: usize = 8;
