--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod admission;
 mod history;
+pub mod limit;
 pub mod order;
 pub mod queue;
 pub mod retry;
