--- a/benches/route.rs
+++ b/benches/route.rs
@@ -4,8 +4,6 @@
 use std::time::Duration;
 
 use criterion::Criterion;
-use criterion::criterion_group;
-use criterion::criterion_main;
 use masticstream::catalogue::Class;
 use masticstream::catalogue::Home;
 use masticstream::catalogue::Preference;
@@ -178,7 +176,7 @@
         journey: Journey::Fresh,
     };
     c.bench_function("spill: decide", |b| {
-        b.iter(|| black_box(spill.decide(&facts, now, &mut rng)))
+        b.iter(|| black_box(spill.decide(&facts, now, &mut rng)));
     });
 }
 
@@ -219,11 +217,15 @@
     });
 }
 
-criterion_group! {
-    name = benches;
-    config = Criterion::default()
+fn main() {
+    let mut criterion = Criterion::default()
         .warm_up_time(Duration::from_millis(500))
-        .measurement_time(Duration::from_secs(2));
-    targets = routing, retries, spilling, sharing, placing
+        .measurement_time(Duration::from_secs(2))
+        .configure_from_args();
+    routing(&mut criterion);
+    retries(&mut criterion);
+    spilling(&mut criterion);
+    sharing(&mut criterion);
+    placing(&mut criterion);
+    criterion.final_summary();
 }
-criterion_main!(benches);
--- a/src/decide/route/tests.rs
+++ b/src/decide/route/tests.rs
@@ -1,4 +1,3 @@
 mod choice;
-mod load;
+mod names;
 mod prefix;
-mod sim;
--- a/src/decide/route/tests/choice.rs
+++ b/src/decide/route/tests/choice.rs
@@ -6,9 +6,9 @@
 use tokio::time::Instant;
 use yare::parameterized;
 
-use super::sim::announcement;
-use super::sim::engine;
-use super::sim::model;
+use super::names::announcement;
+use super::names::engine;
+use super::names::model;
 use crate::catalogue::Class;
 use crate::decide::route::Facts;
 use crate::decide::route::Outcome;
--- a/src/decide/route/tests/sim/names.rs
+++ b/src/decide/route/tests/names.rs
@@ -1,5 +1,3 @@
-//! The engines and their model.
-
 use crate::id;
 use crate::unit::Incarnation;
 use crate::unit::Slots;
--- a/src/decide/spill/tests.rs
+++ b/src/decide/spill/tests.rs
@@ -1,3 +1,1 @@
 mod choice;
-mod outage;
-mod overload;
--- a/src/decide/route/tests/sim.rs
+++ b/tests/load/fleet.rs
@@ -2,32 +2,29 @@
 
 mod names;
 mod setting;
-mod timed;
 
-use std::cmp::Reverse;
-use std::collections::BinaryHeap;
 use std::collections::VecDeque;
 use std::time::Duration;
 
+use masticstream::catalogue::Class;
+use masticstream::decide::route::Change;
+use masticstream::decide::route::Event;
+use masticstream::decide::route::Facts;
+use masticstream::decide::route::Outcome;
+use masticstream::decide::route::Route;
+use masticstream::id;
+use masticstream::unit::Incarnation;
+use masticstream::unit::Slots;
+use masticstream::upstream::Load;
+use masticstream::upstream::Pool;
+use masticstream::upstream::pool::Message;
+use masticstream::upstream::pool::SOONEST;
 use rand::Rng;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 use tokio::time::Instant;
 
-use self::timed::Timed;
-use crate::catalogue::Class;
-use crate::decide::route::Change;
-use crate::decide::route::Event;
-use crate::decide::route::Facts;
-use crate::decide::route::Outcome;
-use crate::decide::route::Route;
-use crate::id;
-use crate::unit::Incarnation;
-use crate::unit::Slots;
-use crate::upstream::Load;
-use crate::upstream::Pool;
-use crate::upstream::pool::Message;
-use crate::upstream::pool::SOONEST;
+use crate::agenda::Agenda;
 
 pub use names::announcement;
 pub use names::engine;
@@ -77,10 +74,8 @@
     policy: Policy,
     rng: SmallRng,
     choices: SmallRng,
-    start: Instant,
     now: f64,
-    steps: BinaryHeap<Reverse<Timed>>,
-    count: u64,
+    agenda: Agenda<Step>,
     engines: Vec<Engine>,
     routes: Vec<Route>,
     pools: Vec<Pool>,
@@ -119,7 +114,8 @@
 
 impl World {
     fn new(setting: Setting, policy: Policy) -> Self {
-        let start = Instant::now();
+        let agenda = Agenda::new();
+        let start = agenda.now();
         let mut routes = Vec::new();
         for vm in 0..setting.vms {
             let mut route = Route::new(&format!("vm-{vm}").parse().unwrap());
@@ -140,10 +136,8 @@
         let mut world = Self {
             rng: SmallRng::seed_from_u64(setting.seed),
             choices: SmallRng::seed_from_u64(setting.seed + 1),
-            start,
             now: 0.0,
-            steps: BinaryHeap::new(),
-            count: 0,
+            agenda,
             engines: engines.collect(),
             pools: (0..setting.vms).map(|vm| pool(vm, &setting, start)).collect(),
             routes,
@@ -169,17 +163,16 @@
     }
 
     fn at(&mut self, seconds: f64, step: Step) {
-        self.count += 1;
-        self.steps.push(Reverse(Timed((seconds * 1e6) as u64, self.count, step)));
+        self.agenda.after(Duration::from_secs_f64((seconds - self.now).max(0.0)), step);
     }
 
     fn instant(&self) -> Instant {
-        self.start + Duration::from_secs_f64(self.now)
+        self.agenda.now()
     }
 
     fn run(&mut self) {
-        while let Some(Reverse(Timed(micros, _, step))) = self.steps.pop() {
-            self.now = micros as f64 / 1e6;
+        while let Some(step) = self.agenda.next() {
+            self.now = self.agenda.elapsed().as_secs_f64();
             match step {
                 Step::Arrive => self.arrive(),
                 Step::Join => self.join(),
@@ -263,7 +256,6 @@
         let first = number == 0;
         self.engines[number].running += 1;
         self.engines[number].served += 1;
-        let served = self.engines[number].served;
         let engine = &mut self.engines[number];
         let mut time = job.service;
         if let Some(prefix) = job.prefix {
@@ -285,7 +277,7 @@
                 self.tell(number, Change::Removed(removed));
             }
         }
-        if first && self.setting.warm_after.is_none_or(|warm| served <= warm) {
+        if first && self.setting.warm_after.is_none_or(|warm| self.now < JOINS + warm) {
             time *= self.setting.slow;
         }
         if first && self.setting.broken {
--- a/src/decide/route/tests/sim/setting.rs
+++ b/tests/load/fleet/setting.rs
@@ -36,8 +36,8 @@
     pub slow: f64,
     /// The first engine fails each request after 10 ms.
     pub broken: bool,
-    /// The first engine joins late, and is slow until it has run this many requests.
-    pub warm_after: Option<usize>,
+    /// The first engine joins late, and is slow for so many seconds.
+    pub warm_after: Option<f64>,
     /// Whether the VMs know that it is new.
     pub known_new: bool,
     pub seed: u64,
--- a/tests/load/main.rs
+++ b/tests/load/main.rs
@@ -10,11 +10,16 @@
 mod agenda;
 mod caller;
 mod crashes;
+mod fleet;
+mod hedging;
 mod job;
 mod limits;
 mod overload;
 mod policy;
 mod pool;
+mod regions;
+mod returning;
+mod routing;
 mod scenario;
 mod table;
 mod tally;
--- a/src/decide/spill/tests/overload.rs
+++ b/tests/load/regions.rs
@@ -1,22 +1,23 @@
+//! Spill: one region short of capacity beside two with room.
+
 use std::collections::VecDeque;
 use std::time::Duration;
 
+use masticstream::catalogue::Home;
+use masticstream::catalogue::Preference;
+use masticstream::decide::spill::Decision;
+use masticstream::decide::spill::Digest;
+use masticstream::decide::spill::Facts;
+use masticstream::decide::spill::Journey;
+use masticstream::decide::spill::Room;
+use masticstream::decide::spill::Spill;
+use masticstream::id;
+use masticstream::unit::Slots;
 use rand::Rng;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 use tokio::time::Instant;
 
-use crate::catalogue::Home;
-use crate::catalogue::Preference;
-use crate::decide::spill::Decision;
-use crate::decide::spill::Digest;
-use crate::decide::spill::Facts;
-use crate::decide::spill::Journey;
-use crate::decide::spill::Room;
-use crate::decide::spill::Spill;
-use crate::id;
-use crate::unit::Slots;
-
 const REGIONS: [&str; 3] = ["gulf", "piedmont", "delta"];
 const VMS: usize = 8;
 const SLOTS: usize = 40;
--- a/src/decide/spill/tests/outage.rs
+++ b/tests/load/returning.rs
@@ -1,23 +1,24 @@
+//! Spill: the return of a region after an outage.
+
 use std::collections::HashSet;
 use std::collections::VecDeque;
 use std::time::Duration;
 
+use masticstream::catalogue::Home;
+use masticstream::catalogue::Preference;
+use masticstream::decide::spill::Decision;
+use masticstream::decide::spill::Digest;
+use masticstream::decide::spill::Facts;
+use masticstream::decide::spill::Journey;
+use masticstream::decide::spill::Room;
+use masticstream::decide::spill::Spill;
+use masticstream::id;
+use masticstream::unit::Slots;
 use rand::Rng;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 use tokio::time::Instant;
 
-use crate::catalogue::Home;
-use crate::catalogue::Preference;
-use crate::decide::spill::Decision;
-use crate::decide::spill::Digest;
-use crate::decide::spill::Facts;
-use crate::decide::spill::Journey;
-use crate::decide::spill::Room;
-use crate::decide::spill::Spill;
-use crate::id;
-use crate::unit::Slots;
-
 const SLOTS: usize = 40;
 const PREFIXES: usize = 400;
 const STEP: f64 = 0.01;
--- a/src/decide/route/tests/load.rs
+++ b/tests/load/routing.rs
@@ -1,7 +1,9 @@
-use super::sim::Policy;
-use super::sim::Result;
-use super::sim::Setting;
-use super::sim::run;
+//! Routing: several VMs before several engines, with slots of their own or shared.
+
+use crate::fleet::Policy;
+use crate::fleet::Result;
+use crate::fleet::Setting;
+use crate::fleet::run;
 
 struct Row {
     ours: Result,
@@ -85,22 +87,21 @@
     assert!(row.shared.recomputed * 4 < row.round_robin.recomputed * 3);
 }
 
-// A new engine joins, five times as slow until it has run 30 requests. A full share at once makes these late.
+// A new engine joins, five times as slow for its first half minute, as it compiles and its caches are empty. A full
+// share at once makes these requests late.
 #[test]
 fn slow_start_of_a_new_upstream() {
-    let late = |known_new: bool| -> usize {
-        let setting = Setting {
-            slow: 5.0,
-            warm_after: Some(30),
-            known_new,
-            rate: 34.0,
-            ..Setting::default()
+    for policy in [Policy::Ours, Policy::Shared] {
+        let late = |known_new: bool| -> usize {
+            let warm_after = Some(30.0);
+            let setting =
+                Setting { slow: 5.0, warm_after, known_new, rate: 34.0, ..Setting::default() };
+            (1..=8).map(|seed| run(&Setting { seed, ..setting.clone() }, policy).late).sum()
         };
-        (1..=8).map(|seed| run(&Setting { seed, ..setting.clone() }, Policy::Ours).late).sum()
-    };
-    let (with, without) = (late(true), late(false));
-    println!("late with slow start {with}, without {without}");
-    assert!(with < without);
+        let (with, without) = (late(true), late(false));
+        println!("{policy:?}: late with slow start {with}, without {without}");
+        assert!(with < without);
+    }
 }
 
 // Half of all callers come to one VM of eight, and the reports are 5 s old. That VM has to get the slots that the others
