--- a/src/decide/route.rs
+++ b/src/decide/route.rs
@@ -158,7 +158,7 @@
             group.followed.iter().for_each(|&u| *wanted.entry(u).or_default() += 0);
             let count = waiting.get(model).copied().unwrap_or(0);
             if count > 0 {
-                self.spread(group, count * ASKED, now, &mut wanted);
+                self.spread(group, count, now, &mut wanted);
             }
         }
         let demand = |(number, tracked): (usize, &Option<Tracked>)| {
@@ -177,8 +177,9 @@
         self.tracked.iter().enumerate().filter_map(demand).collect()
     }
 
-    /// Spreads a number of wanted slots over the least used upstreams of a group, one after the other.
-    fn spread(&self, group: &Group, count: usize, now: Instant, wanted: &mut HashMap<u32, u64>) {
+    /// Spreads the slots that waiting requests ask for over the least used upstreams of a group, one after the other;
+    /// no request asks twice on the same one.
+    fn spread(&self, group: &Group, waiting: usize, now: Instant, wanted: &mut HashMap<u32, u64>) {
         let usable = |&u: &u32| {
             let tracked = self.tracked[u as usize].as_ref()?;
             let out = tracked.draining || tracked.ejection.is_ejected(now);
@@ -186,10 +187,10 @@
         };
         let mut scored: Vec<(f64, u32)> = group.followed.iter().filter_map(usable).collect();
         scored.sort_unstable_by(|(a, _), (b, _)| a.total_cmp(b));
-        let members = scored.len();
+        let (members, count) = (scored.len(), waiting * ASKED);
         for (place, (_, number)) in scored.into_iter().enumerate().take(count) {
             let rounds = count / members + usize::from(place < count % members);
-            *wanted.entry(number).or_default() += rounds as u64;
+            *wanted.entry(number).or_default() += rounds.min(waiting) as u64;
         }
     }
 
