--- a/src/decide/queue.rs
+++ b/src/decide/queue.rs
@@ -124,6 +124,22 @@
         Some(ticket)
     }
 
+    /// Puts back a request that was popped and found no place that suits it; others may be popped meanwhile.
+    ///
+    /// Pushed as if it were new it would be charged a second time, and wait the longer the more often it was tried.
+    pub fn give_back(&mut self, ticket: Ticket, now: Instant, capacity: &Capacity) {
+        self.fill.add(&ticket);
+        self.seq += 1;
+        let (class, request) = (ticket.class, ticket.request);
+        if class != Class::Alert {
+            let cost = ticket.service.as_nanos() as u64 / self.class_weight(class, now, capacity);
+            let tag = &mut self.tags[class.index()];
+            *tag = tag.saturating_sub(cost);
+        }
+        let spot = self.bands[class.index()].give_back(self.seq, ticket);
+        self.spots.insert(request, (class, spot));
+    }
+
     /// Takes out a request whose caller has gone.
     pub fn cancel(&mut self, request: id::Request) -> Option<Ticket> {
         let (class, spot) = self.spots.remove(&request)?;
