--- a/src/entry/dispatch.rs
+++ b/src/entry/dispatch.rs
@@ -42,8 +42,8 @@
 /// A caller whom no upstream can serve comes back after this: an upstream that starts announces within a second.
 const NO_UPSTREAM_RETRY: Duration = Duration::from_secs(2);
 
-/// Slots that are asked for beyond what runs and waits, so that the next request starts at once.
-const SPARE: u64 = 1;
+/// Slots that are held beyond what runs and waits while nobody else needs them, so that the next request starts at once.
+const SPARE: Slots = Slots::new(1);
 /// What a prompt token costs where its prefix isn't cached: engines of today read 10,000 to 50,000 a second.
 const COLD_TOKEN: Duration = Duration::from_micros(50);
 
@@ -97,7 +97,7 @@
             me: me.clone(),
             upstreams: BTreeMap::new(),
             busy: HashMap::new(),
-            slots: slots::Pool::new(me.clone(), incarnation),
+            slots: slots::Pool::new(me.clone(), incarnation).with_spare(SPARE),
             members: 1,
             spill: Spill::new(region.clone(), 1),
             route: Route::new(me),
@@ -153,13 +153,15 @@
 
     fn ticket(&self, job: &Job) -> Ticket {
         let class = job.entry.class;
+        let estimate = self.admission.estimate(&job.entry.name, class);
         Ticket {
             request: job.request,
             owner: job.entry.owner.clone(),
             class,
             weight: job.entry.weight,
             deadline: job.deadline,
-            service: self.admission.expected(&job.entry.name, class),
+            service: estimate.expected(),
+            tail: estimate.tail(),
             size: job.size(),
             arrived: job.arrived,
         }
@@ -193,7 +195,7 @@
             evidence,
             layer,
             left: job.deadline.saturating_duration_since(now),
-            expected: self.admission.expected(&job.entry.name, job.entry.class),
+            expected: self.expected(&job.entry.name, job.entry.class),
         };
         self.retry.decide(&failure, now, &mut self.rng)
     }
@@ -208,7 +210,7 @@
         let avoid = [busy.clone()];
         let pool = self.pools.get_mut(&job.model)?;
         // Waiting requests go first: a second attempt is worth less than another request's first.
-        if !pool.queue.is_empty() || !pool.capacity.allows(job.entry.class) {
+        if !pool.queue.is_empty() || !pool.capacity.is_free() {
             return None;
         }
         let chosen = self.route.pick(&job.facts(&avoid), now, &mut self.rng)?;
@@ -280,7 +282,7 @@
             let running = self.busy.get(id).copied().unwrap_or_default();
             let models = hosted.announcement.models.iter();
             let more = models.filter_map(|model| wanted.get(model)).copied().max().unwrap_or(0);
-            self.slots.demand(id, Slots::new(running), Slots::new(running + SPARE + more));
+            self.slots.demand(id, Slots::new(running), Slots::new(running + more));
         }
         let due = self.slots.poll(now);
         self.share(now);
@@ -334,7 +336,7 @@
             let capacity = self.holders(model).map(|hosted| hosted.announcement.slots).sum();
             let work = pool.queue.work().as_secs_f64() / pool.capacity.slots().get().max(1) as f64;
             let wait = Duration::from_secs_f64(work);
-            (model.clone(), spill::Room { capacity, free: Slots::new(pool.capacity.busy()), wait })
+            (model.clone(), spill::Room { capacity, free: pool.capacity.busy(), wait })
         });
         room.collect()
     }
@@ -344,8 +346,8 @@
         let ticket = self.ticket(job);
         let servable = self.route.is_servable(&job.facts(&[]));
         let pool = self.pools.get(&job.model).filter(|_| servable);
-        let wait = pool.map(|pool| pool.queue.predicted_wait(&ticket, &pool.capacity));
-        self.spill.here(servable, now);
+        let wait = pool.map(|pool| pool.queue.predicted_wait(&ticket, &pool.capacity, now));
+        self.spill.here(&job.model, servable, now);
         let facts = spill::Facts {
             home: &job.entry.home,
             prefers: job.entry.prefers,
@@ -402,9 +404,9 @@
     fn pump(&mut self, model: &id::Model, now: Instant) {
         let Some(pool) = self.pools.get_mut(model) else { return };
         for ticket in pool.queue.expired(now) {
-            if let Some(waiting) = pool.waiting.remove(&ticket.request) {
-                waiting.answer.send(Err(too_late())).ok();
-            }
+            let Some(waiting) = pool.waiting.remove(&ticket.request) else { continue };
+            let after = self.admission.retry_after(&ticket, &pool.queue, &pool.capacity, now);
+            waiting.answer.send(Err(too_late().with_retry_after(after))).ok();
         }
         while let Some(ticket) = pool.queue.pop(now, &pool.capacity) {
             let Some(waiting) = pool.waiting.remove(&ticket.request) else { continue };
@@ -447,12 +449,12 @@
 
     /// How many requests of each class hold a place, over all pools.
     pub fn busy(&self) -> u64 {
-        self.pools.values().map(|pool| pool.capacity.busy()).sum()
+        self.pools.values().map(|pool| pool.capacity.busy().get()).sum()
     }
 
     /// The service time that a class is expected to take for an entry.
     pub fn expected(&self, entry: &id::Entry, class: Class) -> Duration {
-        self.admission.expected(entry, class)
+        self.admission.estimate(entry, class).expected()
     }
 }
 
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod http;
 pub mod id;
 pub mod ledger;
+pub mod load;
 pub mod log;
 pub mod membership;
 pub mod metrics;
