--- a/benches/state.rs
+++ b/benches/state.rs
@@ -11,8 +11,6 @@
 
 use criterion::Criterion;
 use criterion::Throughput;
-use criterion::criterion_group;
-use criterion::criterion_main;
 use hdrhistogram::Histogram;
 use masticstream::consensus::Entry;
 use masticstream::consensus::Members;
@@ -25,6 +23,7 @@
 use masticstream::group::Group;
 use masticstream::group::Message;
 use masticstream::id;
+use masticstream::ledger::Answer;
 use masticstream::ledger::Command;
 use masticstream::ledger::Digest;
 use masticstream::ledger::Finish;
@@ -64,9 +63,9 @@
     }
 }
 
-fn end(start: Start) -> Command {
+fn end(start: Start, answer: Option<Arc<Answer>>) -> Command {
     let step = Step { owner: start.owner, key: start.key, attempt: start.attempt };
-    Command::Finish(Finish { step, outcome: Outcome::Whole, answer: None })
+    Command::Finish(Finish { step, outcome: Outcome::Whole, answer })
 }
 
 /// Three replicas in this process, each with a folder of its own on the disk.
@@ -77,15 +76,15 @@
 }
 
 impl Region {
-    fn new() -> Self {
+    fn new(batch_bytes: usize) -> Self {
         let runtime = Runtime::new().expect("a runtime");
         let folder = tempfile::tempdir_in("target").expect("a folder");
-        let leader = runtime.block_on(elect(folder.path()));
+        let leader = runtime.block_on(elect(folder.path(), batch_bytes));
         Self { runtime, leader, _folder: folder }
     }
 }
 
-async fn elect(folder: &Path) -> Group<Ledger> {
+async fn elect(folder: &Path, batch_bytes: usize) -> Group<Ledger> {
     let mut rng = SmallRng::seed_from_u64(1);
     let mut opened: Vec<Opened<Folder>> = Vec::new();
     for number in 0..3 {
@@ -99,7 +98,8 @@
         let id = opened.id;
         let (outbox, sent) = mpsc::channel(100_000);
         let rng = SmallRng::seed_from_u64(seed as u64);
-        let (group, driver) = Driver::new(Config::new(id), opened, outbox, rng).expect("starts");
+        let config = Config { batch_bytes, ..Config::new(id) };
+        let (group, driver) = Driver::new(config, opened, outbox, rng).expect("starts");
         peers.write().expect("whole").insert(id, group);
         tokio::spawn(driver.run());
         tokio::spawn(carry(id, sent, peers.clone()));
@@ -124,19 +124,27 @@
     }
 }
 
-/// So many callers that each claim and finish one key after the other; latencies of the claims in microseconds.
-async fn claims(leader: &Group<Ledger>, first: u64, count: u64, callers: u64) -> Histogram<u64> {
+/// What callers do, one key after the other.
+#[derive(Clone)]
+struct Load {
+    callers: u64,
+    answer: Option<Arc<Answer>>,
+}
+
+/// Claims and finishes so many keys; latencies of the claims in microseconds.
+async fn claims(leader: &Group<Ledger>, first: u64, count: u64, load: &Load) -> Histogram<u64> {
     let mut tasks = Vec::new();
-    for caller in 0..callers.min(count) {
-        let leader = leader.clone();
+    for caller in 0..load.callers.min(count) {
+        let (leader, load) = (leader.clone(), load.clone());
         tasks.push(tokio::spawn(async move {
             let mut latencies = Histogram::<u64>::new(3).expect("a histogram");
-            for key in (first + caller..first + count).step_by(callers as usize) {
+            for key in (first + caller..first + count).step_by(load.callers as usize) {
                 let begun = Instant::now();
                 let reply = leader.propose(Command::Start(start(key))).await;
                 assert_eq!(reply, Ok(Reply::Granted));
                 latencies.record(begun.elapsed().as_micros() as u64).expect("in range");
-                assert_eq!(leader.propose(end(start(key))).await, Ok(Reply::Done));
+                let ended = leader.propose(end(start(key), load.answer.clone())).await;
+                assert_eq!(ended, Ok(Reply::Done));
             }
             latencies
         }));
@@ -149,19 +157,29 @@
 }
 
 fn claim(c: &mut Criterion) {
-    let region = Region::new();
+    let load = |callers| Load { callers, answer: None };
+    let answered = Load {
+        callers: 16,
+        answer: Some(Arc::new(Answer::new(200, "application/json", vec![b'a'; 16 << 10]))),
+    };
+    let batch = Config::new(id::Replica::new(0)).batch_bytes;
+    measure(c, "batches", batch, &[load(1), load(16), load(256), load(1024)]);
+    measure(c, "one command an entry", 0, &[load(1), load(16), load(256)]);
+    measure(c, "answers of 16 KiB", batch, &[answered]);
+}
+
+fn measure(c: &mut Criterion, name: &str, batch_bytes: usize, loads: &[Load]) {
+    let region = Region::new(batch_bytes);
     let mut next = 0;
-    let mut group = c.benchmark_group("claim and finish");
-    group
-        .sample_size(10)
-        .measurement_time(Duration::from_secs(5))
-        .throughput(Throughput::Elements(1));
-    for callers in [1, 16, 256, 1024] {
+    let mut group = c.benchmark_group(format!("claim and finish, {name}"));
+    group.sample_size(10).throughput(Throughput::Elements(1));
+    for load in loads {
+        let callers = load.callers;
         let mut latencies = Histogram::<u64>::new(3).expect("a histogram");
         group.bench_function(format!("{callers} callers"), |b| {
             b.iter_custom(|count| {
                 let begun = Instant::now();
-                let some = region.runtime.block_on(claims(&region.leader, next, count, callers));
+                let some = region.runtime.block_on(claims(&region.leader, next, count, load));
                 next += count;
                 latencies.add(some).expect("same bounds");
                 begun.elapsed()
@@ -169,7 +187,9 @@
         });
         let at = |quantile| latencies.value_at_quantile(quantile);
         let (p50, p99, worst) = (at(0.5), at(0.99), latencies.max());
-        println!("claim/{callers} callers: a claim's p50 {p50} us, p99 {p99} us, worst {worst} us");
+        println!(
+            "{name}, {callers} callers: a claim's p50 {p50} us, p99 {p99} us, worst {worst} us"
+        );
     }
     group.finish();
 }
@@ -247,7 +267,7 @@
     for key in 0..KEYS {
         let start = start(key);
         ledger.apply(&Command::Start(start.clone()));
-        ledger.apply(&end(start));
+        ledger.apply(&end(start, None));
     }
     let grown = resident_bytes().saturating_sub(before);
     println!("keys: {} bytes resident for each of {KEYS} ended keys", grown / KEYS);
@@ -276,5 +296,10 @@
     group.finish();
 }
 
-criterion_group!(benches, keys, restarts, claim);
-criterion_main!(benches);
+fn main() {
+    let mut criterion = Criterion::default().configure_from_args();
+    keys(&mut criterion);
+    restarts(&mut criterion);
+    claim(&mut criterion);
+    criterion.final_summary();
+}
