Cut the power of whole groups in random runs, and show that the oracle sees planted faults

Cause: no run lost unsynced writes on a majority, so counting them would have passed unseen. Change: all processes may end at once.

--- a/tests/cluster/group.rs
+++ b/tests/cluster/group.rs
@@ -10,6 +10,7 @@
 use masticstream::consensus::Message;
 use masticstream::consensus::Role;
 use masticstream::consensus::Token;
+use masticstream::consensus::fault::Fault;
 use masticstream::id;
 use rand::Rng;
 use rand::SeedableRng;
@@ -37,6 +38,8 @@
 pub struct Shape {
     pub voters: usize,
     pub witness: bool,
+    /// The planted fault.
+    pub fault: Option<Fault>,
 }
 
 struct Packet {
@@ -269,10 +272,20 @@
                     &mut self.oracle,
                 );
             }
+            80..85 => self.cut_power(span),
             _ => self.cuts.clear(),
         }
     }
 
+    /// All processes end at once, each with writes that are not synced.
+    fn cut_power(&mut self, span: Duration) {
+        let (until, rng) = (self.now + span, &mut self.rng);
+        self.servers
+            .iter_mut()
+            .filter(|server| server.is_running())
+            .for_each(|server| server.crash(until, rng));
+    }
+
     /// A data voter loses its folder for good, at a moment when all others hold all that was accepted: what
     /// is held by one folder alone no protocol can keep. A newcomer starts in its place.
     fn lose_folder(&mut self, at: usize) {
@@ -304,5 +317,6 @@
 }
 
 fn config(id: id::Replica, shape: Shape) -> Config {
-    Config::new(id).with_snapshot_entries(40).with_replacement(SILENCE, shape.voters)
+    let config = Config::new(id).with_snapshot_entries(40).with_replacement(SILENCE, shape.voters);
+    shape.fault.into_iter().fold(config, Config::with_fault)
 }
--- a/tests/cluster/main.rs
+++ b/tests/cluster/main.rs
@@ -12,8 +12,12 @@
 
 use group::Group;
 use group::Shape;
+use masticstream::consensus::fault::Fault;
 use yare::parameterized;
 
+/// Seeds within which a planted fault has to show.
+const FAULT_SEEDS: u64 = 200;
+
 /// Seeds of each shape in CI.
 const SEEDS: u64 = 8;
 
@@ -21,18 +25,37 @@
     env::var("MASTIC_SEEDS").ok().and_then(|count| count.parse().ok()).unwrap_or(SEEDS)
 }
 
+const fn shape(voters: usize, witness: bool) -> Shape {
+    Shape { voters, witness, fault: None }
+}
+
 #[parameterized(
-    three = { Shape { voters: 3, witness: false } },
-    five = { Shape { voters: 5, witness: false } },
-    two_and_a_witness = { Shape { voters: 2, witness: true } },
+    three = { shape(3, false) },
+    five = { shape(5, false) },
+    two_and_a_witness = { shape(2, true) },
 )]
 fn accepted_values_stay_and_the_group_goes_on(shape: Shape) {
-    let mut accepted = 0;
-    for seed in 0..seeds() {
-        let mut group = Group::new(shape, seed);
-        group.suffer();
-        group.heal();
-        accepted += group.oracle.accepted();
-    }
+    let accepted: usize = (0..seeds()).map(|seed| run(shape, seed)).sum();
     println!("{shape:?}: {} seeds, {accepted} values accepted", seeds());
 }
+
+fn run(shape: Shape, seed: u64) -> usize {
+    let mut group = Group::new(shape, seed);
+    group.suffer();
+    group.heal();
+    group.oracle.accepted()
+}
+
+/// The oracle is not blind: with a planted fault, a run comes to a bad end.
+#[parameterized(
+    unsynced = { Fault::CountUnsynced },
+    unconfirmed = { Fault::UnconfirmedRead },
+    twice = { Fault::VoteTwice },
+)]
+#[should_panic(expected = "Shape")]
+fn a_planted_fault_is_found(fault: Fault) {
+    let shape = Shape { fault: Some(fault), ..shape(3, false) };
+    (0..FAULT_SEEDS).for_each(|seed| {
+        run(shape, seed);
+    });
+}
