--- a/src/consensus/change.rs
+++ b/src/consensus/change.rs
@@ -8,6 +8,7 @@
 use super::Members;
 use super::Output;
 use super::Payload;
+use super::Peer;
 use super::Position;
 use super::Refusal;
 use super::Replica;
@@ -71,6 +72,21 @@
         position
     }
 
+    /// What the leader knows of the other members; nothing elsewhere.
+    pub fn peers(&self, now: Instant) -> Vec<Peer> {
+        let members = self.log.members().iter();
+        let known = members.filter_map(|(id, role)| Some((id, role, self.progress(id)?)));
+        known
+            .map(|(id, role, p)| Peer {
+                id,
+                role,
+                matched: p.matched,
+                in_touch: !p.missed,
+                silence: p.silence(now),
+            })
+            .collect()
+    }
+
     fn progress(&self, id: id::Replica) -> Option<&Progress> {
         match &self.state {
             State::Leader(leader) => leader.progress.get(&id),
@@ -93,7 +109,8 @@
     /// Keeps up the number of data voters without an operator: promotes a learner that is caught up where one
     /// is wanting, and lets go of a voter that has been silent for long while such a learner waits.
     ///
-    /// The dead one goes first: from then on the group needs no more replicas alive than before.
+    /// The dead one goes first: from then on the group needs no more replicas alive than before. Learners that fell
+    /// silent go too, or a VM without a disk, which has a new identity at each start, would leave one behind each time.
     pub(super) fn repair(&mut self, now: Instant) {
         let Some(silence) = self.config.replace_after else {
             return;
@@ -106,12 +123,16 @@
 
     fn next_repair(&self, silence: Duration, now: Instant) -> Option<Change> {
         let members = self.log.members();
-        let learner = members.with_role(Role::Learner).find(|&id| self.is_caught_up(id))?;
+        let silent =
+            |&id: &id::Replica| self.progress(id).is_some_and(|p| p.silence(now) >= silence);
+        let lost = || members.with_role(Role::Learner).find(silent);
+        let Some(learner) = members.with_role(Role::Learner).find(|&id| self.is_caught_up(id))
+        else {
+            return lost().map(Change::Remove);
+        };
         if members.with_role(Role::Voter).count() < self.config.voters {
             return Some(Change::Promote(learner));
         }
-        let silent =
-            |&id: &id::Replica| self.progress(id).is_some_and(|p| p.is_silent(silence, now));
-        members.with_role(Role::Voter).find(silent).map(Change::Remove)
+        members.with_role(Role::Voter).find(silent).or_else(lost).map(Change::Remove)
     }
 }
--- a/src/consensus/input.rs
+++ b/src/consensus/input.rs
@@ -71,7 +71,7 @@
         /// What it stands for.
         snapshot: Snapshot,
     },
-    /// The snapshot offered could not be fetched or stored; it may be offered again.
+    /// The snapshot offered could not be fetched or stored, or the one due not be taken; either may be asked for again.
     SnapshotFailed,
     /// Hand over the leadership, as before a graceful stop.
     Transfer {
--- a/src/consensus/leader.rs
+++ b/src/consensus/leader.rs
@@ -92,12 +92,12 @@
     }
 
     pub(super) fn send_all(&mut self) {
-        for to in self.peers() {
+        for to in self.others() {
             self.send_entries(to, false);
         }
     }
 
-    fn peers(&self) -> Vec<id::Replica> {
+    fn others(&self) -> Vec<id::Replica> {
         match &self.state {
             State::Leader(leader) => leader.progress.keys().copied().collect(),
             _ => Vec::new(),
@@ -112,7 +112,7 @@
         if let State::Leader(leader) = &mut self.state {
             leader.mark = commit;
         }
-        for to in self.peers() {
+        for to in self.others() {
             self.send_entries(to, true);
         }
     }
--- a/src/consensus/members.rs
+++ b/src/consensus/members.rs
@@ -28,7 +28,7 @@
     AddWitness(id::Replica),
     /// Makes a learner that is caught up a voter.
     Promote(id::Replica),
-    /// Lets a member go; its identity never comes back.
+    /// Lets a member go. With its folder intact it may come back as a learner.
     Remove(id::Replica),
 }
 
--- a/src/consensus/progress.rs
+++ b/src/consensus/progress.rs
@@ -149,9 +149,9 @@
         !self.missed && (stuck || self.heard_at + heartbeats <= now)
     }
 
-    /// Whether nothing was heard for that long.
-    pub(super) fn is_silent(&self, span: Duration, now: Instant) -> bool {
-        self.heard_at + span <= now
+    /// How long nothing was heard.
+    pub(super) fn silence(&self, now: Instant) -> Duration {
+        now.saturating_duration_since(self.heard_at)
     }
 
     /// What decides on what it is sent next, for checks that compare states.
--- a/src/consensus/replica.rs
+++ b/src/consensus/replica.rs
@@ -106,7 +106,7 @@
             Input::Persisted { sequence } => self.persisted(sequence),
             Input::SnapshotTaken { index } => self.compact(index),
             Input::SnapshotInstalled { snapshot } => self.install(snapshot),
-            Input::SnapshotFailed => self.installing = false,
+            Input::SnapshotFailed => (self.installing, self.snapshot_due) = (false, false),
             Input::Transfer { to } => self.transfer(to, now),
         }
         self.finish(now)
--- a/src/consensus/replica/tests.rs
+++ b/src/consensus/replica/tests.rs
@@ -238,6 +238,30 @@
     assert_eq!(group.replica(1).commit(), group.replica(1).log().last().index);
 }
 
+/// A group is started as one voter, and its first loss ends it unless it has grown by then, with no operator.
+#[test]
+fn one_voter_grows_to_three() {
+    let members =
+        Members::new([id(1)]).with_member(id(2), Role::Learner).with_member(id(3), Role::Learner);
+    let mut group =
+        Group::led(&members, |config| config.with_replacement(Duration::from_secs(10), 3));
+    group.pass(HEARTBEAT * 5);
+    assert_eq!(*group.replica(1).log().members(), three());
+}
+
+/// A VM without a disk restarts every night, each time with a new identity, and the list of members grows for good.
+#[test]
+fn learners_that_fell_silent_are_let_go() {
+    let members = three().with_member(id(4), Role::Learner).with_member(id(5), Role::Learner);
+    let mut group =
+        Group::led(&members, |config| config.with_replacement(Duration::from_secs(10), 3));
+    group.cut.insert(id(4));
+    group.pass(Duration::from_secs(12));
+    assert_eq!(*group.replica(1).log().members(), three().with_member(id(5), Role::Learner));
+    let peers = group.replica(1).peers(group.now);
+    assert!(peers.iter().all(|peer| peer.in_touch && peer.silence <= HEARTBEAT));
+}
+
 /// All VMs are suspended for a minute, and a control VM that is well is let go when they wake. The leader had heard
 /// nobody for that minute, and a learner answered sooner than a voter.
 #[test]
