Let site.sh say which process ended at once, such as for a port that is taken

Cause: while another site ran on the same ports its VMs answered in place of ours, and put was refused. Change: up ends with the name and last log line of each process that has ended. Result: with port 7801 taken, up names gulf-engine-1 and ends with 1.

--- a/resources/site/site.sh
+++ b/resources/site/site.sh
@@ -61,6 +61,18 @@
     done
 }
 
+# Ends if a process has ended already. Where another site holds the ports, its VMs would answer in place of ours.
+all_run() {
+    local id name ended=
+    while read -r id name; do
+        if ! ours "$id"; then
+            echo "$name ended: $(tail -n 1 "$run/$name.log")" >&2
+            ended=1
+        fi
+    done <"$run/pids"
+    [ -z "$ended" ] || { echo "take the site down with: $0 down" >&2; exit 1; }
+}
+
 up() {
     local site=${1:-bayou} regions model service
     case $site in
@@ -90,6 +102,7 @@
     for vm in 1 2 3 4 5 6; do
         until_done "VM $vm" "$mastic" status --vm "127.0.0.1:7${vm}03"
     done
+    all_run
     local entry entries=0
     for entry in resources/site/"$site"/*.yaml; do
         until_done "$entry" "$mastic" put "$entry"
