Stop requests that upstreams die of, on all VMs of the region

Cause: a request that crashes what runs it took one engine after another. Change: an attempt that broke off asks whether its upstream is still there; a dead one charges what ran on it, VMs share the charges, suspects run apart and the convicted are refused. Conclusion: decide::quarantine stands on the real path.

--- a/src/entry/dispatch.rs
+++ b/src/entry/dispatch.rs
@@ -13,6 +13,9 @@
 use crate::catalogue::Class;
 use crate::decide::admission;
 use crate::decide::admission::Admission;
+use crate::decide::quarantine::Quarantine;
+use crate::decide::quarantine::Report;
+use crate::decide::quarantine::Standing;
 use crate::decide::queue;
 use crate::decide::queue::Bounds;
 use crate::decide::queue::Capacity;
@@ -44,6 +47,8 @@
 
 /// Slots that are held beyond what runs and waits while nobody else needs them, so that the next request starts at once.
 const SPARE: Slots = Slots::new(1);
+/// Requests that are looked past at once because no place suits them: suspects that must run apart from others.
+const UNPLACED: usize = 8;
 /// What a prompt token costs where its prefix isn't cached: engines of today read 10,000 to 50,000 a second.
 const COLD_TOKEN: Duration = Duration::from_micros(50);
 
@@ -76,8 +81,7 @@
 pub struct Dispatch {
     me: id::Vm,
     upstreams: BTreeMap<id::Upstream, Hosted>,
-    /// Attempts of this VM on each upstream.
-    busy: HashMap<id::Upstream, u64>,
+    quarantine: Quarantine,
     slots: slots::Pool,
     members: u64,
     spill: Spill,
@@ -96,7 +100,7 @@
         Self {
             me: me.clone(),
             upstreams: BTreeMap::new(),
-            busy: HashMap::new(),
+            quarantine: Quarantine::new(0),
             slots: slots::Pool::new(me.clone(), incarnation).with_spare(SPARE),
             members: 1,
             spill: Spill::new(region.clone(), 1),
@@ -233,7 +237,6 @@
             return None;
         }
         self.route.sent(&chosen, now);
-        *self.busy.entry(chosen).or_default() += 1;
         pool.capacity.started(job.entry.class);
         Some(Grant { upstream, since: now })
     }
@@ -242,7 +245,7 @@
     pub fn finished(&mut self, job: &Job, grant: &Grant, outcome: Outcome, now: Instant) {
         let class = job.entry.class;
         let took = now.saturating_duration_since(grant.since);
-        self.ended_on(&grant.upstream.id);
+        self.quarantine.stopped(&job.suspicion, &grant.upstream.id);
         self.route.finished(&grant.upstream.id, &job.facts(&[]), outcome, took, now);
         if outcome == Outcome::Answered {
             self.admission.observe(&job.entry.name, class, took);
@@ -291,12 +294,9 @@
 
     /// What is to be told to other VMs about slots: what this VM needs, as it stands now.
     pub fn slots_due(&mut self, now: Instant) -> Vec<(id::Vm, slots::Message)> {
-        let wanted = self.wanted();
-        for (id, hosted) in &self.upstreams {
-            let running = self.busy.get(id).copied().unwrap_or_default();
-            let models = hosted.announcement.models.iter();
-            let more = models.filter_map(|model| wanted.get(model)).copied().max().unwrap_or(0);
-            self.slots.demand(id, Slots::new(running), Slots::new(running + more));
+        let waiting = self.pools.iter().map(|(model, pool)| (model.clone(), pool.queue.len()));
+        for demand in self.route.demand(&waiting.collect(), now) {
+            self.slots.demand(&demand.upstream, demand.running, demand.wanted);
         }
         let due = self.slots.poll(now);
         self.share(now);
@@ -315,26 +315,22 @@
         answer
     }
 
-    /// For each model, the waiting requests that each of its upstreams would take.
-    fn wanted(&self) -> HashMap<id::Model, u64> {
-        let waiting = self.pools.iter().filter(|(_, pool)| !pool.queue.is_empty());
-        let each = waiting.map(|(model, pool)| {
-            let holders = self.holders(model).count().max(1) as u64;
-            (model.clone(), (pool.queue.len() as u64).div_ceil(holders))
-        });
-        each.collect()
-    }
-
     fn holders(&self, model: &id::Model) -> impl Iterator<Item = &Hosted> {
         let model = model.clone();
         self.upstreams.values().filter(move |hosted| hosted.announcement.models.contains(&model))
     }
 
+    /// How many upstreams the region has.
+    fn count(&mut self) {
+        self.quarantine.set_upstreams(self.upstreams.len());
+    }
+
     /// Tells the choice of upstreams how many slots this VM may use now.
     fn share(&mut self, now: Instant) {
         for (id, slots) in self.slots.shares(now) {
             self.route.leased(id, slots);
         }
+        self.count();
         self.resize(now);
         self.pump_all(now);
     }
@@ -422,43 +418,59 @@
             let after = self.admission.retry_after(&ticket, &pool.queue, &pool.capacity, now);
             waiting.answer.send(Err(too_late().with_retry_after(after))).ok();
         }
-        while let Some(ticket) = pool.queue.pop(now, &pool.capacity) {
+        let mut unplaced = Vec::new();
+        while unplaced.len() < UNPLACED
+            && let Some(ticket) = pool.queue.pop(now, &pool.capacity)
+        {
             let Some(waiting) = pool.waiting.remove(&ticket.request) else { continue };
             if waiting.answer.is_closed() {
                 continue;
             }
             let facts = waiting.job.facts(&waiting.avoid);
-            let Some(chosen) = self.route.pick(&facts, now, &mut self.rng) else {
-                // All places that fit are taken by requests for other models: it keeps its place in the queue.
-                pool.waiting.insert(ticket.request, waiting);
-                pool.queue.push(ticket, now).ok();
-                return;
-            };
-            let Some(hosted) = self.upstreams.get(&chosen) else {
+            let picked = self.route.pick(&facts, now, &mut self.rng);
+            let chosen = picked.and_then(|id| self.upstreams.get_key_value(&id));
+            let allowed =
+                chosen.filter(|(id, _)| self.quarantine.may_start(&waiting.job.suspicion, id));
+            let Some((chosen, hosted)) = allowed else {
                 pool.waiting.insert(ticket.request, waiting);
-                pool.queue.push(ticket, now).ok();
-                return;
+                unplaced.push(ticket);
+                continue;
             };
+            let chosen = chosen.clone();
             let grant = Grant { upstream: hosted.announcement.clone(), since: now };
             self.route.sent(&chosen, now);
-            *self.busy.entry(chosen.clone()).or_default() += 1;
+            self.quarantine.started(waiting.job.suspicion, &chosen, now);
             pool.capacity.started(ticket.class);
             if waiting.answer.send(Ok(grant)).is_err() {
                 let facts = waiting.job.facts(&[]);
                 self.route.finished(&chosen, &facts, Outcome::Cancelled, Duration::ZERO, now);
                 pool.capacity.finished(ticket.class);
-                self.ended_on(&chosen);
-                return;
+                self.quarantine.stopped(&waiting.job.suspicion, &chosen);
             }
         }
+        for ticket in unplaced {
+            pool.queue.give_back(ticket, now, &pool.capacity);
+        }
     }
 
-    fn ended_on(&mut self, upstream: &id::Upstream) {
-        let Some(busy) = self.busy.get_mut(upstream) else { return };
-        *busy -= 1;
-        if *busy == 0 {
-            self.busy.remove(upstream);
-        }
+    /// How a request stands that upstreams may have died of.
+    pub fn standing(&mut self, job: &Job, now: Instant) -> Standing {
+        self.quarantine.standing(&job.suspicion, now)
+    }
+
+    /// An upstream died, with all that ran there; the report is for the other VMs of the region.
+    pub fn died(&mut self, upstream: &Announcement, now: Instant) -> Report {
+        self.quarantine.died(&upstream.id, upstream.incarnation, now)
+    }
+
+    /// A request was answered whole; the report is for the other VMs of the region.
+    pub fn cleared(&mut self, job: &Job, upstream: &id::Upstream, now: Instant) -> Report {
+        self.quarantine.answered(&job.suspicion, upstream, now)
+    }
+
+    /// Takes what another VM saw of upstreams that died.
+    pub fn reported(&mut self, report: &Report, now: Instant) {
+        self.quarantine.merge(report, now);
     }
 
     /// How many requests of each class hold a place, over all pools.
--- a/src/entry/hub.rs
+++ b/src/entry/hub.rs
@@ -26,6 +26,7 @@
 use crate::catalogue::Progress;
 use crate::catalogue::View;
 use crate::decide::limit;
+use crate::decide::quarantine;
 use crate::entry::Dispatch;
 use crate::entry::Fleet;
 use crate::entry::Job;
@@ -313,6 +314,17 @@
         self.carry_out(effects);
     }
 
+    /// Tells the VMs of the region what this one saw of upstreams that died; a report without content is not sent.
+    pub fn tell(&self, report: &quarantine::Report) {
+        if report.charges.is_empty() && report.cleared.is_empty() {
+            return;
+        }
+        let Some(mesh) = self.mesh() else { return };
+        for peer in self.neighbours() {
+            mesh.cast(&peer, Cast::Quarantine(report.clone()));
+        }
+    }
+
     fn place_fact(&self) -> Option<Place> {
         let entry = self.place.entry.as_ref()?;
         Some(Place {
--- a/src/entry/job.rs
+++ b/src/entry/job.rs
@@ -13,6 +13,7 @@
 
 use crate::catalogue;
 use crate::catalogue::Kind;
+use crate::decide::quarantine;
 use crate::decide::route::Facts;
 use crate::http::Reason;
 use crate::http::Refusal;
@@ -46,6 +47,8 @@
     pub headers: Vec<(HeaderName, HeaderValue)>,
     /// The body.
     pub body: Bytes,
+    /// Tells the request from others that upstreams may have died of, whatever their keys.
+    pub suspicion: quarantine::Digest,
     /// Tells the request from others under the same key.
     pub digest: Digest,
     /// The model, or the service's name.
--- a/src/entry/peers.rs
+++ b/src/entry/peers.rs
@@ -58,6 +58,7 @@
     fn cast(&self, from: Peer, cast: Cast) {
         match cast {
             Cast::Group { .. } => (),
+            Cast::Quarantine(report) => self.hub.dispatch().reported(&report, Instant::now()),
             Cast::Demand(demand) => self.hub.demanded(&from.vm, &demand),
             Cast::Grant(grant) => self.hub.quota().granted(&grant, Instant::now()),
             Cast::Slots(message) => self.hub.slots_told(&from.vm, &message),
--- a/src/entry/run.rs
+++ b/src/entry/run.rs
@@ -12,6 +12,7 @@
 use tokio::time;
 use tokio::time::Instant;
 
+use crate::decide::quarantine::Standing;
 use crate::decide::retry;
 use crate::decide::retry::Evidence;
 use crate::decide::retry::Layer;
@@ -214,6 +215,10 @@
     let mut avoid = Vec::new();
     hub.dispatch().began(job, Instant::now());
     loop {
+        match acquitted(hub, job).await {
+            Ok(upstreams) => avoid.extend(upstreams),
+            Err(refusal) => return (checked.into_step(), Err(refusal)),
+        }
         let placed = match checked.place(&avoid).await {
             Ok(placed) => placed,
             Err((checked, refusal)) => {
@@ -239,6 +244,24 @@
     }
 }
 
+/// Refuses a request that upstreams die of, and else names those that died under it.
+async fn acquitted(hub: &Hub, job: &Job) -> Result<Vec<id::Upstream>, Refusal> {
+    loop {
+        let standing = hub.dispatch().standing(job, Instant::now());
+        match standing {
+            Standing::Clear => return Ok(Vec::new()),
+            Standing::Suspect { avoid } => return Ok(avoid),
+            Standing::Held { left } => time::sleep(left).await,
+            Standing::Convicted { left } => {
+                let text = "each upstream that ran this request died; it is not run again for now";
+                // It did run, by an earlier send or attempt.
+                let refusal = Refusal::new(Reason::Quarantined, text).with_ran(Ran::Unknown);
+                return Err(refusal.with_retry_after(left));
+            }
+        }
+    }
+}
+
 /// Waits until the next attempt may be made; refuses at once where none may.
 async fn again_after(
     hub: &Hub,
--- a/src/entry/stage.rs
+++ b/src/entry/stage.rs
@@ -10,6 +10,7 @@
 
 use http::HeaderValue;
 use slog::debug;
+use slog::warn;
 use tokio::sync::watch;
 use tokio::time;
 use tokio::time::Instant;
@@ -282,6 +283,7 @@
             fault: Fault::Superseded,
         }),
     };
+    suspect(&hub, &job, &held.grant, &ended).await;
     held.outcome = match &ended {
         Ok(()) => Outcome::Answered,
         Err(failure) => match failure.fault {
@@ -293,6 +295,23 @@
     ended
 }
 
+/// Finds out whether the upstream died of what ran there, and charges it to those requests.
+async fn suspect(hub: &Hub, job: &Job, grant: &Grant, ended: &Result<(), Failure>) {
+    let now = Instant::now();
+    let report = match ended {
+        Ok(()) => hub.dispatch().cleared(job, &grant.upstream.id, now),
+        Err(failure) if failure.fault == Fault::Failed && !failure.evidence.is_surely_not_run() => {
+            if engine::probe(&hub.client, grant.upstream.address).await {
+                return;
+            }
+            warn!(hub.log, "an upstream died"; "upstream" => %grant.upstream.id);
+            hub.dispatch().died(&grant.upstream, Instant::now())
+        }
+        Err(_) => return,
+    };
+    hub.tell(&report);
+}
+
 /// Where the answer of an attempt goes.
 pub fn sink<'a>(
     hub: &Hub,
--- a/src/http/caller.rs
+++ b/src/http/caller.rs
@@ -26,6 +26,7 @@
 use crate::catalogue;
 use crate::catalogue::Kind;
 use crate::catalogue::Repeat;
+use crate::decide::quarantine;
 use crate::entry::Hub;
 use crate::entry::Job;
 use crate::entry::job;
@@ -422,6 +423,7 @@
     let content = Content::read(&entry, &body)?;
     Ok(Job {
         request: hub.random(id::Request::random),
+        suspicion: quarantine::Digest::of(&entry.name, &body),
         digest: job::digest(&entry.name, &parts.method, &path, &body),
         headers: passed_on(hub, &parts),
         method: parts.method,
--- a/src/wire/message.rs
+++ b/src/wire/message.rs
@@ -10,6 +10,7 @@
 use crate::consensus::Members;
 use crate::control::Name;
 use crate::decide::limit;
+use crate::decide::quarantine;
 use crate::decide::spill;
 use crate::group;
 use crate::id;
@@ -148,6 +149,8 @@
         /// The message.
         message: group::Message,
     },
+    /// What a VM saw of upstreams that died, and of requests that were cleared.
+    Quarantine(quarantine::Report),
     /// A VM needs a part of an entry's limits from the receiver, the entry's home.
     Demand(limit::Demand),
     /// The home leases a part of an entry's limits.
