Hold a new home of an entry's limits to what VMs hold only as long as another was home

Cause: a crowd at a site that had just started was held to the floor of a tenth of its limit for as long as a request may run. Change: the home of an entry counts from when the same VMs are alive, and what a VM that is cut off still runs counts for 10 s. Conclusion: a start or a change of homes costs seconds.

--- a/src/entry/hub.rs
+++ b/src/entry/hub.rs
@@ -114,7 +114,7 @@
     ) -> Self {
         let mut rng = SmallRng::seed_from_u64(seed);
         let dispatch = Mutex::new(Dispatch::new(&me, &place.region, incarnation, rng.random()));
-        let quota = Mutex::new(Quota::new(me.clone()));
+        let quota = Mutex::new(Quota::new(me.clone(), Instant::now()));
         let fleet = Mutex::new(Fleet::new(&me, &site, rng.random(), Instant::now()));
         Self {
             me,
@@ -355,6 +355,7 @@
                     info!(self.log, "a VM of the region"; "of" => %vm, "alive" => alive);
                     let members = self.fleet().alive();
                     self.dispatch().members(members);
+                    self.quota().moved(now);
                 }
                 Effect::Region(region) => {
                     let digest = self.fleet().digest(&region, now);
--- a/src/entry/quota.rs
+++ b/src/entry/quota.rs
@@ -20,6 +20,11 @@
 /// A home that nobody has asked for so long is dropped; what it granted has long expired.
 const FORGOTTEN: Duration = Duration::from_secs(60);
 
+/// A new home counts what other VMs hold, by their own demands, before it grants more. Requests of a VM that can't
+/// reach it are counted out after this long, though batch work may run on for hours: otherwise each change of homes
+/// would hold an owner to the floor for as long.
+const LONGEST: Duration = Duration::from_secs(10);
+
 /// The VMs that share an entry's limits.
 #[derive(Debug, Clone, Default)]
 pub struct Sharers {
@@ -45,14 +50,21 @@
 #[derive(Debug)]
 pub struct Quota {
     me: id::Vm,
+    /// Since when the same VMs are alive: whoever is an entry's home now has been it since then.
+    stable: Instant,
     parts: HashMap<id::Entry, Part>,
     hosted: HashMap<id::Entry, Hosted>,
 }
 
 impl Quota {
     /// Nothing is leased yet.
-    pub fn new(me: id::Vm) -> Self {
-        Self { me, parts: HashMap::new(), hosted: HashMap::new() }
+    pub fn new(me: id::Vm, now: Instant) -> Self {
+        Self { me, stable: now, parts: HashMap::new(), hosted: HashMap::new() }
+    }
+
+    /// Another set of VMs is alive, so entries may have other homes.
+    pub fn moved(&mut self, now: Instant) {
+        self.stable = now;
     }
 
     /// Charges a request, if the limits allow it.
@@ -130,8 +142,9 @@
         all: usize,
         now: Instant,
     ) -> Option<Grant> {
+        let longest = entry.deadline.min(LONGEST);
         let hosted = self.hosted.entry(entry.name.clone()).or_insert_with(|| Hosted {
-            home: Home::new(entry.limits, all, entry.deadline, now),
+            home: Home::new(entry.limits, all, longest, self.stable),
             asked: now,
         });
         hosted.asked = now;
