Send a learner nothing before it said that it is no witness

Cause: a wider trial of the model let a witness lose its folder; its newcomer was added as a learner, and the leader sent it data, which must not leave the region. Change: answers say whether their sender is a witness, and a learner gets entries only after one that says it is not.

--- a/src/consensus/change.rs
+++ b/src/consensus/change.rs
@@ -101,9 +101,9 @@
     /// Whether a learner holds, synced, all that is committed. A voter that lacks some of it adds nothing to
     /// the next majority, and the group is as thin as before while it looks repaired.
     fn is_caught_up(&self, id: id::Replica) -> bool {
-        let commit = self.commit;
-        self.progress(id)
-            .is_some_and(|p| !p.missed && p.mode == Mode::Stream && p.matched >= commit)
+        let ready =
+            |p: &Progress| !p.missed && p.holds_data == Some(true) && p.mode == Mode::Stream;
+        self.progress(id).is_some_and(|p| ready(p) && p.matched >= self.commit)
     }
 
     /// Keeps up the number of data voters without an operator: promotes a learner that is caught up where one
--- a/src/consensus/commit.rs
+++ b/src/consensus/commit.rs
@@ -12,21 +12,29 @@
 
 impl Replica {
     /// How far a member may be sent entries.
-    ///
-    /// A witness that heard of an entry refuses its vote to all that lack it. So it hears of one only once
-    /// it is synced here, and on each data voter that is in touch: otherwise the loss of this one
-    /// replica leaves a data voter that could go on, and a witness that doesn't let it. A voter that has
-    /// missed its heartbeats is not waited for, or its loss would stop the group.
     pub(super) fn limit(&self, to: id::Replica) -> Index {
-        if self.log.members().role(to) == Some(Role::Witness)
-            && !self.has_fault(Fault::EarlyWitness)
-        {
-            self.witness_limit()
-        } else {
-            self.log.last().index
+        match self.log.members().role(to) {
+            Some(Role::Witness) if !self.has_fault(Fault::EarlyWitness) => self.witness_limit(),
+            // A witness taken in as a learner by mistake would be sent data that must stay in the region. So a
+            // learner gets none before it said what it is.
+            Some(Role::Learner) if !self.holds_data(to) => Index::ZERO,
+            _ => self.log.last().index,
+        }
+    }
+
+    fn holds_data(&self, id: id::Replica) -> bool {
+        match &self.state {
+            State::Leader(leader) => {
+                leader.progress.get(&id).is_some_and(|p| p.holds_data == Some(true))
+            }
+            _ => false,
         }
     }
 
+    /// A witness that heard of an entry refuses its vote to all that lack it. So it hears of one only once
+    /// it is synced here, and on each data voter that is in touch: otherwise the loss of this one
+    /// replica leaves a data voter that could go on, and a witness that doesn't let it. A voter that has
+    /// missed its heartbeats is not waited for, or its loss would stop the group.
     fn witness_limit(&self) -> Index {
         let State::Leader(leader) = &self.state else {
             return Index::ZERO;
@@ -87,6 +95,7 @@
         &mut self,
         from: id::Replica,
         index: Index,
+        witness: bool,
         round: Round,
         now: Instant,
     ) {
@@ -99,6 +108,7 @@
             return;
         };
         progress.hear(round, now);
+        progress.holds_data = Some(!witness);
         progress.advance(index, last, now);
         if progress.matched >= leader.mark.min(commit) {
             progress.missed = false;
@@ -114,10 +124,12 @@
         &mut self,
         from: id::Replica,
         hint: Index,
+        witness: bool,
         round: Round,
         now: Instant,
     ) {
         if let Some(progress) = self.heard(from, round, now) {
+            progress.holds_data = Some(!witness);
             // An answer that was overtaken: what it denies was acknowledged since.
             if hint < progress.matched {
                 return;
--- a/src/consensus/follower.rs
+++ b/src/consensus/follower.rs
@@ -46,8 +46,12 @@
                     self.take_snapshot(from, snapshot, round);
                 }
             }
-            Body::Matched { index, round } => self.take_matched(from, index, round, now),
-            Body::Mismatched { hint, round } => self.take_mismatched(from, hint, round, now),
+            Body::Matched { index, witness, round } => {
+                self.take_matched(from, index, witness, round, now);
+            }
+            Body::Mismatched { hint, witness, round } => {
+                self.take_mismatched(from, hint, witness, round, now);
+            }
             Body::Installing { round } => self.take_installing(from, round, now),
             Body::TimeoutNow => self.take_over(now),
         }
@@ -85,12 +89,18 @@
     ) {
         if !self.log.agrees(previous) {
             let hint = self.hint(previous);
-            return self.send_synced(from, Body::Mismatched { hint, round });
+            let witness = self.config.witness;
+            return self.send_synced(from, Body::Mismatched { hint, witness, round });
         }
         let index = entries.last().map_or(previous.index, Entry::index);
         self.log.merge(entries);
         self.commit = self.commit.max(commit.min(index));
-        self.send_synced(from, Body::Matched { index, round });
+        self.answer_matched(from, index, round);
+    }
+
+    fn answer_matched(&mut self, to: id::Replica, index: Index, round: Round) {
+        let witness = self.config.witness;
+        self.send_synced(to, Body::Matched { index, witness, round });
     }
 
     /// The last index at which the logs may agree: before the whole term that differs.
@@ -114,12 +124,12 @@
     fn take_snapshot(&mut self, from: id::Replica, snapshot: Snapshot, round: Round) {
         let index = snapshot.position.index;
         if index <= self.commit {
-            return self.send_synced(from, Body::Matched { index, round });
+            return self.answer_matched(from, index, round);
         }
         if self.config.witness {
             // There is no data to fetch: the position and the members are all that a witness keeps.
             self.install(snapshot);
-            return self.send_synced(from, Body::Matched { index, round });
+            return self.answer_matched(from, index, round);
         }
         if !self.installing {
             self.installing = true;
@@ -139,7 +149,7 @@
         self.commit = self.commit.max(index);
         self.applied = index;
         if let State::Follower { leader: Some(leader) } = self.state {
-            self.send_synced(leader, Body::Matched { index, round: Round::ZERO });
+            self.answer_matched(leader, index, Round::ZERO);
         }
     }
 }
--- a/src/consensus/message.rs
+++ b/src/consensus/message.rs
@@ -64,6 +64,8 @@
     Matched {
         /// That index.
         index: Index,
+        /// Whether the follower is a witness, whatever the leader takes it for.
+        witness: bool,
         /// The round of the message that this answers.
         round: Round,
     },
@@ -71,6 +73,8 @@
     Mismatched {
         /// The last index at which the two logs may agree.
         hint: Index,
+        /// Whether the follower is a witness, whatever the leader takes it for.
+        witness: bool,
         /// The round of the message that this answers.
         round: Round,
     },
--- a/src/consensus/progress.rs
+++ b/src/consensus/progress.rs
@@ -35,6 +35,8 @@
     pub(super) heard: bool,
     /// Missed its heartbeats and has not caught up since.
     pub(super) missed: bool,
+    /// Whether it holds data, by its own word; unknown until it answers.
+    pub(super) holds_data: Option<bool>,
     /// The last round that it answered.
     pub(super) round: Round,
     /// Messages with entries in flight: the last index and the size of each.
@@ -53,6 +55,7 @@
             mode: Mode::Probe { sent: false },
             heard: true,
             missed: false,
+            holds_data: None,
             round: Round::ZERO,
             in_flight: VecDeque::new(),
             in_flight_bytes: 0,
@@ -159,6 +162,15 @@
     pub(super) fn digest(&self, hasher: &mut impl std::hash::Hasher) {
         use std::hash::Hash;
 
-        (self.matched, self.next, self.mode, self.missed, self.round, &self.in_flight).hash(hasher);
+        (
+            self.matched,
+            self.next,
+            self.mode,
+            self.missed,
+            self.holds_data,
+            self.round,
+            &self.in_flight,
+        )
+            .hash(hasher);
     }
 }
--- a/tests/model.rs
+++ b/tests/model.rs
@@ -270,3 +270,11 @@
     let bounds = Bounds { elections: 2, standing: standing(&[1, 2]), cut: vec![(1, 3)], ..once };
     holds_once_led("reads across terms", Group::new(3), bounds);
 }
+
+/// Data leaves its region. A witness elsewhere lost its folder, and was taken in again as a learner by mistake: the
+/// leader sent it entries with their data. A learner gets none before it said that it is no witness.
+#[test]
+fn a_witness_taken_for_a_learner() {
+    let bounds = Bounds { proposals: 1, lost_folders: 1, changes: replacement(3), ..Bounds::NONE };
+    holds_once_led("witness taken for a learner", with_witness(), bounds);
+}
