--- a/src/decide/queue/lane.rs
+++ b/src/decide/queue/lane.rs
@@ -57,7 +57,15 @@
 
     /// Charges the owner for a service time, in proportion to its share.
     pub fn charge(&mut self, service: Duration) {
-        let cost = service.as_nanos() as u64 / u64::from(self.weight);
-        self.tag = self.tag.saturating_add(cost.max(1));
+        self.tag = self.tag.saturating_add(self.cost(service));
+    }
+
+    /// Takes a charge back.
+    pub fn refund(&mut self, service: Duration) {
+        self.tag = self.tag.saturating_sub(self.cost(service));
+    }
+
+    fn cost(&self, service: Duration) -> u64 {
+        (service.as_nanos() as u64 / u64::from(self.weight)).max(1)
     }
 }
