limit: a VM that stays cut off from the home takes its even part; the table names the worst owner

Cause: while the home couldn't be reached a VM had a floor of a tenth of its even part, and none of a limit below 80 in progress on 8 VMs: an isolated region would have refused nearly all of its own callers. Change: after 6 s without a lease a VM that is asked takes limit / VMs, one request in progress at least. With the home lost the parts add up to the limit; parted from a living home they exceed it by the even parts of the VMs that are cut off. The harness shows the share in time of the owner that fares worst.

--- a/src/decide/limit.rs
+++ b/src/decide/limit.rs
@@ -7,8 +7,9 @@
 //!
 //! **Decision.** One VM, chosen by rendezvous hash, is the entry's [`Home`]. The others lease an [`Allowance`] from it,
 //! in proportion to what they need, spend it without asking, and ask for more before it runs out. While the
-//! home can't be reached a VM falls back to an even part, which it never exceeds, so that the sum stays
-//! within the limit whoever can talk to whom.
+//! home can't be reached a VM falls back to a floor that is never leased out, and after some seconds to its even part. The
+//! sum stays within the limit, but for VMs that are parted from a living home: these must go on serving, and
+//! exceed it by their even parts at most.
 
 use std::time::Duration;
 
--- a/src/decide/limit/allowance.rs
+++ b/src/decide/limit/allowance.rs
@@ -11,6 +11,7 @@
 use crate::decide::limit::RENEWAL;
 use crate::decide::limit::TTL;
 use crate::decide::limit::bucket::Bucket;
+use crate::decide::limit::home::even;
 use crate::decide::limit::home::floor;
 use crate::id;
 use crate::unit::Rate;
@@ -22,6 +23,11 @@
 /// The shortest time between two demands: what a trip between regions takes, so that no answer is outrun.
 const SOONEST: Duration = Duration::from_millis(200);
 
+/// A VM that has had no lease for so long, although callers asked, takes the home to be out of reach.
+///
+/// Whatever the home leased out before it was lost has expired by then.
+const CUT_OFF: Duration = TTL.saturating_mul(2);
+
 /// The part of the ratio of real to estimated tokens that one answer corrects. Derived: 20 answers suffice.
 const CORRECTION: f64 = 0.1;
 
@@ -71,6 +77,8 @@
     entry: id::Entry,
     vm: id::Vm,
     floor: Limits,
+    even: Limits,
+    unleased: Option<Instant>,
     lease: Option<(Limits, Instant)>,
     share: Limits,
     requests: Bucket,
@@ -96,6 +104,8 @@
             entry,
             vm,
             floor,
+            even: even(limits, vms),
+            unleased: None,
             lease: None,
             share: floor,
             requests: Bucket::new(floor.requests, now),
@@ -117,12 +127,22 @@
     /// Takes over changed limits: what is leased holds until it is renewed.
     pub fn set_limits(&mut self, limits: &Limits, vms: usize) {
         self.floor = floor(limits, vms);
+        self.even = even(limits, vms);
+    }
+
+    /// Whether the home has been out of reach for long.
+    pub fn is_cut_off(&self, now: Instant) -> bool {
+        self.unleased.is_some_and(|since| now >= since + CUT_OFF)
     }
 
     /// Charges a request of so many estimated tokens, if the limits allow it.
     pub fn charge(&mut self, estimated: Tokens, now: Instant) -> Result<Charge, Refusal> {
         self.update(now);
         let charged = estimated.get() as f64 * self.ratio;
+        let leased = self.lease.is_some_and(|(_, sent)| now < sent + TTL);
+        if !leased {
+            self.unleased.get_or_insert(now);
+        }
         self.interval.requests += 1.0;
         self.interval.tokens += charged;
         self.interval.most_wanted = self.interval.most_wanted.max(self.running) + 1;
@@ -178,6 +198,7 @@
         self.answered = true;
         self.taken = grant.seq;
         self.lease = Some((grant.share, sent));
+        self.unleased = None;
         self.update(now);
         self.helped = !self.pressed || exceeds(&self.share, &before);
         self.pressed = false;
@@ -195,7 +216,7 @@
     }
 
     fn check(&mut self, now: Instant) -> Result<(), Refusal> {
-        let unleased = self.lease.is_none();
+        let unleased = self.lease.is_none() && !self.is_cut_off(now);
         if self.running >= self.share.concurrency {
             return Err(if unleased { Refusal::Unleased } else { Refusal::Concurrency });
         }
@@ -209,10 +230,15 @@
         }
     }
 
-    /// Applies what the lease allows at this instant; once it has expired, the floor is what the home never leases out.
+    /// Applies what may be used at this instant.
+    ///
+    /// Once the lease has expired, the floor is what the home never leases out. A VM that stays cut off takes its even
+    /// part: with the home lost these add up to the limit, and a VM that is parted from a living home goes on
+    /// serving its callers, at the price of that much more than the limit until the partition heals.
     fn update(&mut self, now: Instant) {
         let share = match self.lease {
             Some((share, sent)) if now < sent + TTL => share,
+            _ if self.is_cut_off(now) => self.even,
             _ => self.floor,
         };
         if share != self.share {
--- a/src/decide/limit/home.rs
+++ b/src/decide/limit/home.rs
@@ -16,7 +16,7 @@
 /// The part of a limit that is never leased by demand: every VM has an even part of it at any time.
 ///
 /// Measured (docs/MEASUREMENTS.md, limits): an owner whose callers all use one VM of eight gets a twelfth less than
-/// its limit for it; in return VMs that lose the home go on serving a tenth of the limit, and never more in sum.
+/// its limit for it; in return a VM serves first requests without asking, and something while it has no lease.
 const FLOOR_PART: f64 = 0.1;
 
 /// What every VM may use of these limits without asking.
@@ -29,6 +29,16 @@
     }
 }
 
+/// The even part of these limits: one request in progress at least, or small limits would stop a VM that is cut off.
+pub fn even(limits: &Limits, vms: usize) -> Limits {
+    let vms = vms.max(1);
+    Limits {
+        requests: Rate::per_second(limits.requests.get() / vms as f64),
+        tokens: Rate::per_second(limits.tokens.get() / vms as f64),
+        concurrency: (limits.concurrency / vms as u32).max(1),
+    }
+}
+
 /// A part that a VM may be using.
 #[derive(Debug, Clone, Copy)]
 struct Lease {
--- a/tests/load/world.rs
+++ b/tests/load/world.rs
@@ -48,6 +48,19 @@
         Tally::new(pairs.filter(|(job, _)| job.group == group).map(|(_, outcome)| outcome))
     }
 
+    /// The share in time of the owner that fares worst, among those of a group that ask often enough to tell.
+    pub fn worst_owner(&self, group: &str) -> f64 {
+        const ENOUGH: usize = 10;
+        let mut owners: HashMap<&id::Owner, Vec<&Outcome>> = HashMap::new();
+        for (job, outcome) in
+            self.jobs.iter().zip(&self.outcomes).filter(|(job, _)| job.group == group)
+        {
+            owners.entry(&job.owner).or_default().push(outcome);
+        }
+        let often = owners.into_values().filter(|outcomes| outcomes.len() >= ENOUGH);
+        often.map(|outcomes| Tally::new(outcomes.into_iter()).share_in_time()).fold(1.0, f64::min)
+    }
+
     /// The groups in the order in which they first ask.
     pub fn groups(&self) -> Vec<&'static str> {
         let mut groups: Vec<&'static str> = Vec::new();
