load harness: the naive limits have buckets of their own

Cause: they were built on Allowance, whose even part after six seconds made them ten times too wide.

--- a/tests/load/limits.rs
+++ b/tests/load/limits.rs
@@ -6,6 +6,7 @@
 
 use masticstream::catalogue::Limits;
 use masticstream::decide::limit::Allowance;
+use masticstream::decide::limit::BURST;
 use masticstream::decide::limit::Charge;
 use masticstream::decide::limit::Demand;
 use masticstream::decide::limit::Grant;
@@ -16,6 +17,7 @@
 use rand::Rng;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
+use tokio::time::Instant;
 
 use crate::agenda::Agenda;
 use crate::job::exponential;
@@ -90,9 +92,40 @@
     pub messages: f64,
 }
 
+/// The naive limit: token buckets of a fixed rate on each VM, charged with the estimate.
+#[derive(Clone, Debug)]
+struct Fixed {
+    limits: Limits,
+    requests: f64,
+    tokens: f64,
+    running: u32,
+    updated: Instant,
+}
+
+impl Fixed {
+    fn new(limits: Limits, now: Instant) -> Self {
+        let (requests, tokens) = (limits.requests.over(BURST), limits.tokens.over(BURST));
+        Self { limits, requests, tokens, running: 0, updated: now }
+    }
+
+    fn charge(&mut self, tokens: f64, now: Instant) -> bool {
+        let Limits { requests, tokens: token_rate, concurrency } = self.limits;
+        let age = now - std::mem::replace(&mut self.updated, now);
+        self.requests = (self.requests + requests.over(age)).min(requests.over(BURST));
+        self.tokens = (self.tokens + token_rate.over(age)).min(token_rate.over(BURST));
+        let allowed = self.requests >= 1.0 && self.tokens >= tokens && self.running < concurrency;
+        if allowed {
+            self.requests -= 1.0;
+            self.tokens -= tokens;
+            self.running += 1;
+        }
+        allowed
+    }
+}
+
 enum Event {
     Ask,
-    Finish(usize, Charge),
+    Finish(usize, Option<Charge>),
     Tick(usize),
     Demand(Demand),
     Grant(usize, Grant),
@@ -103,6 +136,7 @@
     rng: SmallRng,
     case: Case,
     allowances: Vec<Allowance>,
+    fixed: Option<Vec<Fixed>>,
     home: Home,
     taken_over: bool,
     running: i64,
@@ -120,19 +154,16 @@
         tokens: Rate::per_second(TOKENS * part),
         concurrency: (f64::from(CONCURRENCY) * part) as u32,
     };
-    // A lone VM's floor is a tenth of the limit; ten times that is the naive rules' part.
-    let (limit, vms) = match rule {
-        Rule::Whole => (limits(10.0), 1),
-        Rule::Even => (limits(10.0 / VMS as f64), 1),
-        Rule::Leased => (limits(1.0), VMS),
-    };
+    let part = if rule == Rule::Whole { 1.0 } else { 1.0 / VMS as f64 };
+    let (limit, fixed) = (limits(1.0), limits(part));
     let entry: id::Entry = "entry".parse().expect("a name");
     let allowance = |vm: usize| {
         let name = format!("vm-{vm}").parse().expect("a name");
-        Allowance::new(entry.clone(), name, &limit, vms, now)
+        Allowance::new(entry.clone(), name, &limit, VMS, now)
     };
     let mut region = Region {
         allowances: (0..VMS).map(allowance).collect(),
+        fixed: (rule != Rule::Leased).then(|| vec![Fixed::new(fixed, now); VMS]),
         home: Home::new(limits(1.0), VMS, Duration::from_secs(30), now - Duration::from_secs(10)),
         agenda,
         rng: SmallRng::seed_from_u64(11),
@@ -177,7 +208,13 @@
         match event {
             Event::Ask => self.ask(),
             Event::Finish(vm, charge) => {
-                self.allowances[vm].settle(charge, Tokens::new(self.case.real), now);
+                match (charge, &mut self.fixed) {
+                    (Some(charge), _) => {
+                        self.allowances[vm].settle(charge, Tokens::new(self.case.real), now);
+                    }
+                    (None, Some(fixed)) => fixed[vm].running -= 1,
+                    (None, None) => (),
+                }
                 self.running -= 1;
             }
             Event::Tick(vm) => {
@@ -200,7 +237,11 @@
         let now = self.agenda.now();
         let vm = self.vm();
         self.asked += 1;
-        if let Ok(charge) = self.allowances[vm].charge(Tokens::new(ESTIMATED), now) {
+        let charge = match &mut self.fixed {
+            Some(fixed) => fixed[vm].charge(ESTIMATED as f64, now).then_some(None),
+            None => self.allowances[vm].charge(Tokens::new(ESTIMATED), now).ok().map(Some),
+        };
+        if let Some(charge) = charge {
             self.sums.requests += 1.0;
             self.sums.tokens += self.case.real as f64;
             *self.windows.entry(self.agenda.elapsed().as_secs() / WINDOW.as_secs()).or_default() +=
--- a/tests/load/main.rs
+++ b/tests/load/main.rs
@@ -15,6 +15,7 @@
 mod overload;
 mod policy;
 mod pool;
+mod rounds;
 mod scenario;
 mod table;
 mod tally;
--- a/tests/load/table.rs
+++ b/tests/load/table.rs
@@ -79,20 +79,3 @@
     let rows: Vec<Row> = scenarios.iter().flat_map(|scenario| rows(scenario, &kinds)).collect();
     println!("{}", markdown(&rows));
 }
-
-/// Prints the rows of the library's decisions alone, for rounds of changes.
-#[test]
-fn ours() {
-    let all: Vec<Row> =
-        Scenario::all().iter().flat_map(|scenario| rows(scenario, &[Kind::Ours])).collect();
-    println!("{}", markdown(&all));
-}
-
-/// Prints the trial of what-if runs beside the library's order.
-#[test]
-fn what_if() {
-    let kinds = [Kind::Ours, Kind::WhatIf];
-    let all: Vec<Row> =
-        Scenario::all().iter().flat_map(|scenario| rows(scenario, &kinds)).collect();
-    println!("{}", markdown(&all));
-}
