--- a/tests/load/main.rs
+++ b/tests/load/main.rs
@@ -19,6 +19,7 @@
 mod pool;
 mod regions;
 mod returning;
+mod rounds;
 mod routing;
 mod scenario;
 mod table;
