--- a/benches/decide.rs
+++ b/benches/decide.rs
@@ -1,5 +1,8 @@
 //! The price of admission, queue, limits and quarantine, at 850 upstreams and 8,900 owners.
 
+#[path = "decide/route.rs"]
+mod route;
+
 use std::hint::black_box;
 use std::time::Duration;
 
@@ -192,5 +195,6 @@
     admission(&mut criterion);
     limits(&mut criterion);
     quarantine(&mut criterion);
+    route::all(&mut criterion);
     criterion.final_summary();
 }
--- a/benches/route.rs
+++ b/benches/decide/route.rs
@@ -217,15 +217,10 @@
     });
 }
 
-fn main() {
-    let mut criterion = Criterion::default()
-        .warm_up_time(Duration::from_millis(500))
-        .measurement_time(Duration::from_secs(2))
-        .configure_from_args();
-    routing(&mut criterion);
-    retries(&mut criterion);
-    spilling(&mut criterion);
-    sharing(&mut criterion);
-    placing(&mut criterion);
-    criterion.final_summary();
+pub fn all(criterion: &mut Criterion) {
+    routing(criterion);
+    retries(criterion);
+    spilling(criterion);
+    sharing(criterion);
+    placing(criterion);
 }
