--- a/src/consensus/leader.rs
+++ b/src/consensus/leader.rs
@@ -119,65 +119,74 @@
 
     /// Sends what fits, and at least an empty message if it is a heartbeat.
     pub(super) fn send_entries(&mut self, to: id::Replica, heartbeat: bool) {
+        if let Some(progress) = self.progress_mut(to)
+            && heartbeat
+        {
+            progress.probe_again();
+        }
+        let mut quiet = true;
+        while let Some(body) = self.next_append(to) {
+            quiet = false;
+            self.send(to, Message::new(self.hard.term, body));
+        }
+        if quiet
+            && heartbeat
+            && let Some(body) = self.heartbeat(to)
+        {
+            self.send(to, Message::new(self.hard.term, body));
+        }
+    }
+
+    fn progress_mut(&mut self, id: id::Replica) -> Option<&mut Progress> {
+        match &mut self.state {
+            State::Leader(leader) => leader.progress.get_mut(&id),
+            _ => None,
+        }
+    }
+
+    /// The next message with entries, or a probe without any, if one may leave.
+    fn next_append(&mut self, to: id::Replica) -> Option<Body> {
         let limit = self.limit(to);
         let witness = self.log.members().role(to) == Some(Role::Witness);
         let with_data = !witness || self.has_fault(Fault::DataToWitness);
-        let mut outgoing = Vec::new();
         let State::Leader(leader) = &mut self.state else {
-            return;
+            return None;
         };
-        let Some(progress) = leader.progress.get_mut(&to) else {
-            return;
+        let progress = leader.progress.get_mut(&to)?;
+        let before = progress.next.saturating_sub(Index::new(1));
+        let Some(previous) = self.log.position(before) else {
+            progress.need_snapshot();
+            return None;
         };
-        if let Mode::Probe { sent } = &mut progress.mode
-            && heartbeat
-        {
-            *sent = false;
+        let pending = progress.next <= limit || matches!(progress.mode, Mode::Probe { .. });
+        if !pending || !progress.has_room(&self.config) {
+            return None;
         }
-        loop {
-            let before = progress.next.saturating_sub(Index::new(1));
-            let Some(previous) = self.log.position(before) else {
-                progress.need_snapshot();
-                break;
-            };
-            let pending = progress.next <= limit || matches!(progress.mode, Mode::Probe { .. });
-            if !pending || !progress.has_room(&self.config) {
-                break;
-            }
-            let mut entries = self.log.slice(progress.next, limit, self.config.append_bytes);
-            let last = entries.last().map_or(before, Entry::index);
-            progress.sent(last, entries.iter().map(Entry::size).sum());
-            if witness {
-                leader.witnessed = leader.witnessed.max(last.min(limit));
-            }
-            if !with_data {
-                entries = entries.iter().map(Entry::without_data).collect();
-            }
-            outgoing.push(Body::Append {
-                previous,
-                entries,
-                commit: self.commit,
-                round: leader.round,
-            });
+        let mut entries = self.log.slice(progress.next, limit, self.config.append_bytes);
+        let last = entries.last().map_or(before, Entry::index);
+        progress.sent(last, entries.iter().map(Entry::size).sum());
+        if witness {
+            leader.witnessed = leader.witnessed.max(last.min(limit));
         }
-        let quiet = outgoing.is_empty();
-        if progress.mode == Mode::Snapshot && heartbeat {
-            outgoing.push(Body::Snapshot {
-                snapshot: self.log.snapshot().clone(),
-                round: leader.round,
-            });
-        } else if quiet && heartbeat {
-            let before = progress.next.saturating_sub(Index::new(1));
-            let previous = self.log.position(before).unwrap_or(self.log.snapshot().position);
-            outgoing.push(Body::Append {
-                previous,
-                entries: Vec::new(),
-                commit: self.commit,
-                round: leader.round,
-            });
+        if !with_data {
+            entries = entries.iter().map(Entry::without_data).collect();
         }
-        for body in outgoing {
-            self.send(to, Message::new(self.hard.term, body));
+        Some(Body::Append { previous, entries, commit: self.commit, round: leader.round })
+    }
+
+    /// A message without entries: the snapshot that the member needs, or a plain heartbeat.
+    fn heartbeat(&self, to: id::Replica) -> Option<Body> {
+        let State::Leader(leader) = &self.state else {
+            return None;
+        };
+        let progress = leader.progress.get(&to)?;
+        let round = leader.round;
+        let snapshot = self.log.snapshot();
+        if progress.mode == Mode::Snapshot {
+            return Some(Body::Snapshot { snapshot: snapshot.clone(), round });
         }
+        let before = progress.next.saturating_sub(Index::new(1));
+        let previous = self.log.position(before).unwrap_or(snapshot.position);
+        Some(Body::Append { previous, entries: Vec::new(), commit: self.commit, round })
     }
 }
--- a/src/consensus/progress.rs
+++ b/src/consensus/progress.rs
@@ -101,6 +101,13 @@
         self.next = self.next.min(hint.next()).max(self.matched.next());
     }
 
+    /// The last probe was lost, or its answer was.
+    pub(super) const fn probe_again(&mut self) {
+        if let Mode::Probe { sent } = &mut self.mode {
+            *sent = false;
+        }
+    }
+
     /// It needs a snapshot.
     pub(super) fn need_snapshot(&mut self) {
         self.forget_in_flight();
