--- a/src/entry/peers.rs
+++ b/src/entry/peers.rs
@@ -58,6 +58,7 @@
     fn cast(&self, from: Peer, cast: Cast) {
         match cast {
             Cast::Group { .. } => (),
+            Cast::Quarantine(report) => self.hub.dispatch().reported(&report, Instant::now()),
             Cast::Demand(demand) => self.hub.demanded(&from.vm, &demand),
             Cast::Grant(grant) => self.hub.quota().granted(&grant, Instant::now()),
             Cast::Slots(message) => self.hub.slots_told(&from.vm, &message),
@@ -172,9 +173,11 @@
             return Some(self.version());
         }
         let peer = Peer::new(vm.clone(), Role::Entry);
+        let asked = Instant::now();
         match self.mesh()?.call(&peer, Request::InForce, ASK).await {
             Ok(Reply::InForce { version, takes_requests }) => {
                 self.note_reached(vm, takes_requests);
+                self.note_trip(vm, asked.elapsed() / 2);
                 Some(version)
             }
             _ => None,
