--- a/src/entry/hub.rs
+++ b/src/entry/hub.rs
@@ -114,7 +114,7 @@
     ) -> Self {
         let mut rng = SmallRng::seed_from_u64(seed);
         let dispatch = Mutex::new(Dispatch::new(&me, &place.region, incarnation, rng.random()));
-        let quota = Mutex::new(Quota::new(me.clone()));
+        let quota = Mutex::new(Quota::new(me.clone(), Instant::now()));
         let fleet = Mutex::new(Fleet::new(&me, &site, rng.random(), Instant::now()));
         Self {
             me,
@@ -355,6 +355,7 @@
                     info!(self.log, "a VM of the region"; "of" => %vm, "alive" => alive);
                     let members = self.fleet().alive();
                     self.dispatch().members(members);
+                    self.quota().moved(now);
                 }
                 Effect::Region(region) => {
                     let digest = self.fleet().digest(&region, now);
@@ -427,6 +428,14 @@
         }
     }
 
+    /// Notes how long a trip to a VM of another region takes.
+    pub fn note_trip(&self, vm: &id::Vm, trip: Duration) {
+        let region = self.site.region(vm).filter(|region| *region != self.region());
+        if let Some(region) = region {
+            self.dispatch().trip(region, trip, Instant::now());
+        }
+    }
+
     /// Stops taking requests; those in progress go on.
     pub fn drain(&self) {
         self.draining.send_replace(true);
