--- a/resources/site/site.sh
+++ b/resources/site/site.sh
@@ -4,6 +4,7 @@
 #     resources/site/site.sh up [bayou|prehod]   six VMs with both daemons, and nine fakes that announce themselves
 #     resources/site/site.sh show                the VMs' states
 #     resources/site/site.sh load                the deployment's scenario
+#     resources/site/site.sh kill NAME           kills one process at once, such as gulf-1-entry or gulf-engine-2
 #     resources/site/site.sh down                ends what `up` started, by process id
 #
 # MASTIC_BIN: the folder of the programs (target/release, built if missing). MASTIC_RUN: the run folder (target/site).
@@ -26,7 +27,7 @@
     echo "$! $name" >>"$run/pids"
 }
 
-# engine REGION NUMBER MODEL ENTRIES
+# fakes PLACE REGION MODEL SERVICE FIRST SECOND: two engines and a service, announced to the VMs first and second
 fakes() {
     local at=$1 region=$2 model=$3 service=$4 first=$5 second=$6
     local place="--region $region --data-centre $region-a"
@@ -51,6 +52,15 @@
     exit 1
 }
 
+# Whether all VMs have the same catalogue, with that many changes at least.
+in_force() {
+    local vm version
+    for vm in 1 2 3 4 5 6; do
+        version=$("$mastic" status --vm "127.0.0.1:7${vm}03" | sed -n 's/.*"version": \([0-9]*\).*/\1/p')
+        [ "${version:-0}" -ge "$1" ] || { echo "VM $vm has version ${version:-none} of $1" >&2; return 1; }
+    done
+}
+
 up() {
     local site=${1:-bayou} regions model service
     case $site in
@@ -80,10 +90,12 @@
     for vm in 1 2 3 4 5 6; do
         until_done "VM $vm" "$mastic" status --vm "127.0.0.1:7${vm}03"
     done
-    local entry
+    local entry entries=0
     for entry in resources/site/"$site"/*.yaml; do
         until_done "$entry" "$mastic" put "$entry"
+        entries=$((entries + 1))
     done
+    until_done "catalogue" in_force "$entries"
     echo "the $site site is up: six VMs, nine fakes, logs in $run"
 }
 
@@ -105,6 +117,15 @@
     [ -e "/proc/$1/exe" ] && case $(readlink "/proc/$1/exe") in */mastic-*) true ;; *) false ;; esac
 }
 
+# kill NAME, but for the shell's own word
+end() {
+    local id name found=
+    while read -r id name; do
+        if [ "$name" = "$1" ] && ours "$id"; then kill -KILL "$id" && found=1; fi
+    done <"$run/pids"
+    [ -n "$found" ] || { echo "no process $1 runs; $run/pids names them" >&2; exit 1; }
+}
+
 down() {
     [ -e "$run/pids" ] || { echo "no site is up" >&2; exit 1; }
     local id name
@@ -131,5 +152,6 @@
 
 case ${1:-} in
 up | show | load | down) "$@" ;;
-*) sed -n '2,9p' "$0" | cut -c3- >&2; exit 2 ;;
+kill) end "${2:?the name of a process}" ;;
+*) sed -n '2,10p' "$0" | cut -c3- >&2; exit 2 ;;
 esac
--- a/tests/load/main.rs
+++ b/tests/load/main.rs
@@ -10,12 +10,17 @@
 mod agenda;
 mod caller;
 mod crashes;
+mod fleet;
+mod hedging;
 mod job;
 mod limits;
 mod overload;
 mod policy;
 mod pool;
+mod regions;
+mod returning;
 mod rounds;
+mod routing;
 mod scenario;
 mod table;
 mod tally;
