--- a/src/decide/limit/home.rs
+++ b/src/decide/limit/home.rs
@@ -15,7 +15,7 @@
 
 /// The part of a limit that is never leased by demand: every VM has an even part of it at any time.
 ///
-/// Measured (docs/MEASUREMENTS.md, limits): an owner whose callers all use one VM of eight gets a twelfth less than
+/// Measured (docs/MEASUREMENTS.md, limits): an owner whose callers all use one VM of eight gets a twentieth less than
 /// its limit for it; in return a VM serves first requests without asking, and something while it has no lease.
 const FLOOR_PART: f64 = 0.1;
 
