Run repeatable requests again whose earlier run is lost, and take load reports

Change: a repeatable request's key is freed when its run fails, and its resend runs again; 503 'starting' before the first catalogue; a newcomer waits until somebody lists members; each host VM asks its upstreams for their load; prefixes return by their first digest. Conclusion: what may repeat is answered.

--- a/src/control/form.rs
+++ b/src/control/form.rs
@@ -32,9 +32,13 @@
     if let Some((_, identity)) = listed {
         return Step::Begin(identity.members.clone());
     }
-    if told.iter().any(|(_, identity)| !identity.members.is_empty() || !identity.pristine) {
+    if told.iter().any(|(_, identity)| !identity.members.is_empty()) {
         return Step::Join;
     }
+    // Another newcomer has a past but lists nobody yet: whoever lists members is not heard of for now.
+    if told.iter().any(|(_, identity)| !identity.pristine) {
+        return Step::Wait;
+    }
     let voting: Vec<&Planned> =
         planned.iter().filter(|planned| planned.role != Role::Learner).collect();
     if voting.first().map(|planned| &planned.vm) != Some(me) {
--- a/src/entry/claim.rs
+++ b/src/entry/claim.rs
@@ -187,6 +187,8 @@
 
 fn known(hub: &Hub, job: &Job, asked: Result<Reply, Unavailable>) -> Result<Known, Refusal> {
     let unknown = |text: &str| Refusal::new(Reason::OutcomeUnknown, text).with_ran(Ran::Unknown);
+    // A request that may repeat is run again where its earlier run can't be told or no longer be had.
+    let again = job.may_repeat().then_some(Known::Unasked);
     match asked {
         Ok(Reply::Absent | Reply::Withdrawn | Reply::Done | Reply::Stale) => Ok(Known::Absent),
         Ok(Reply::Running { vm, .. }) => Ok(Known::Running(vm)),
@@ -195,22 +197,18 @@
             Ok(Known::Answered(answer))
         }
         Ok(Reply::Finished { outcome: ledger::Outcome::Whole, answer: None }) => {
-            Err(unknown("the request ran and was answered; the answer is no longer kept"))
+            again.ok_or_else(|| unknown("the request was answered; the answer is no longer kept"))
         }
         Ok(Reply::Finished { outcome: ledger::Outcome::Broken, .. }) => {
-            Err(unknown("the request was started and its answer broke off; it is not run again"))
-        }
-        Ok(Reply::Unknown) => {
-            Err(unknown("the VM that ran the request was lost; it is not run again"))
+            again.ok_or_else(|| unknown("the answer of the request broke off; it is not run again"))
         }
+        Ok(Reply::Unknown) => again
+            .ok_or_else(|| unknown("the VM that ran the request was lost; it is not run again")),
         Ok(Reply::Mismatch) => {
             let text = "the key was used for another request";
             Err(Refusal::new(Reason::KeyReused, text))
         }
-        Ok(Reply::Abandoned | Reply::Moved { .. }) | Err(_) if job.may_repeat() => {
-            Ok(Known::Unasked)
-        }
-        Ok(Reply::Abandoned | Reply::Moved { .. }) | Err(_) => Err(unreachable_ledger()),
+        Ok(Reply::Abandoned | Reply::Moved { .. }) | Err(_) => again.ok_or_else(unreachable_ledger),
     }
 }
 
--- a/src/entry/daemon.rs
+++ b/src/entry/daemon.rs
@@ -18,6 +18,7 @@
 use crate::entry::Hub;
 use crate::entry::abandon;
 use crate::entry::digest;
+use crate::entry::loads;
 use crate::entry::peers;
 use crate::http;
 use crate::id;
@@ -214,6 +215,7 @@
     task(supervisor, "greetings", hub, peers::greet);
     task(supervisor, "abandon", hub, abandon::watch);
     task(supervisor, "digest", hub, digest::tell);
+    task(supervisor, "loads", hub, loads::ask);
     task(supervisor, "ticks", hub, tick);
 }
 
--- a/src/entry/dispatch.rs
+++ b/src/entry/dispatch.rs
@@ -40,6 +40,7 @@
 use crate::unit::Incarnation;
 use crate::unit::Slots;
 use crate::upstream::Announcement;
+use crate::upstream::Load;
 use crate::upstream::pool as slots;
 
 /// A caller whom no upstream can serve comes back after this: an upstream that starts announces within a second.
@@ -277,6 +278,17 @@
         self.slots.hosts(&announcement.id, announcement.slots, started, now);
     }
 
+    /// The upstreams whose leases this VM holds.
+    pub fn hosted(&self) -> Vec<Announcement> {
+        let hosted = self.upstreams.values().filter(|hosted| hosted.host == self.me);
+        hosted.map(|hosted| hosted.announcement.clone()).collect()
+    }
+
+    /// A load report has come.
+    pub fn load(&mut self, load: &Load, now: Instant) {
+        self.route.reported(load, now);
+    }
+
     /// An upstream takes no new work.
     pub fn gone(&mut self, id: &id::Upstream, now: Instant) {
         self.route.removed(id);
@@ -371,7 +383,7 @@
             service: ticket.service,
             cold: COLD_TOKEN.mul_f64(job.prompt.get() as f64),
             left: job.deadline.saturating_duration_since(now),
-            prefix: job.prefix.last().copied().unwrap_or(job.request.get() as u64),
+            prefix: job.prefix.first().copied().unwrap_or(job.request.get() as u64),
             journey,
         };
         self.spill.decide(&facts, now, &mut self.rng)
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -9,6 +9,7 @@
 pub mod fleet;
 pub mod hub;
 pub mod job;
+pub mod loads;
 pub mod peers;
 pub mod quota;
 pub mod run;
--- a/src/entry/run.rs
+++ b/src/entry/run.rs
@@ -72,14 +72,21 @@
     }
     match claim::look(hub, job).await? {
         Known::Absent => execute(hub, job, out, true).await,
-        Known::Unasked => {
-            // What came of an earlier send is not known, so no refusal of this one may say that nothing ran.
-            execute(hub, job, out, false).await.map_err(|refusal| refusal.with_ran(Ran::Unknown))
-        }
-        known => replay(hub, job, out, known).await,
+        Known::Unasked => execute_again(hub, job, out).await,
+        known => match replay(hub, job, out, known).await {
+            Err(_) if job.may_repeat() && !out.has_head() => execute_again(hub, job, out).await,
+            replayed => replayed,
+        },
     }
 }
 
+/// Runs a request that may repeat without a claim. What came of an earlier send is not known, so no refusal of this
+/// one may say that nothing ran.
+async fn execute_again(hub: &Arc<Hub>, job: &Arc<Job>, out: &Writer) -> Result<(), Refusal> {
+    let ended = execute(hub, job, out, false).await;
+    ended.map_err(|refusal| refusal.with_ran(Ran::Unknown))
+}
+
 /// Answers a request that ran or runs elsewhere.
 async fn replay(hub: &Hub, job: &Job, out: &Writer, known: Known) -> Result<(), Refusal> {
     match known {
@@ -142,7 +149,10 @@
             let answer = out.kept_answer().map(Arc::new);
             claim::finish(hub, job, step, ledger::Outcome::Whole, answer).await;
         }
-        Err(refusal) if refusal.ran == Ran::No => claim::release(hub, job, step).await,
+        // A resend of what may repeat is run again, so its key is free whatever came of this run.
+        Err(refusal) if refusal.ran == Ran::No || job.may_repeat() => {
+            claim::release(hub, job, step).await;
+        }
         Err(_) => claim::finish(hub, job, step, ledger::Outcome::Broken, None).await,
     }
     ended
--- a/src/http/caller.rs
+++ b/src/http/caller.rs
@@ -42,6 +42,7 @@
 use crate::http::body;
 use crate::http::forward;
 use crate::id;
+use crate::unit::Version;
 
 /// How long a caller may rely on the directory, in seconds: a lost VM is left out within that.
 const DIRECTORY_TTL: u64 = 5;
@@ -51,6 +52,8 @@
 const LONGEST_DEADLINE: Duration = Duration::from_secs(24 * 3600);
 /// When to come back to a home region that can't be reached.
 const ELSEWHERE: Duration = Duration::from_secs(2);
+/// When to come back to a VM that has just started.
+const STARTING: Duration = Duration::from_secs(1);
 /// Names this system in `Via`, with the VM behind it.
 const VIA_PSEUDONYM: &str = "masticstream-";
 
@@ -235,7 +238,13 @@
     };
     let unknown = || Refusal::new(Reason::UnknownEntry, "the catalogue has no such entry");
     let name: id::Entry = name.parse().map_err(|_| unknown())?;
-    let entry = hub.view().entry(&name).cloned().ok_or_else(unknown)?;
+    let view = hub.view();
+    if view.version() == Version::ZERO {
+        // Told "unknown entry", a caller would give up for good on a VM that has merely just started.
+        let text = "this VM has no catalogue yet";
+        return Err(Refusal::new(Reason::Starting, text).with_retry_after(STARTING));
+    }
+    let entry = view.entry(&name).cloned().ok_or_else(unknown)?;
     if !entry.tokens.is_empty() && !shows_token(headers, &entry.tokens) {
         return Err(Refusal::new(Reason::Unauthorized, "the entry asks for a bearer token"));
     }
--- a/src/http/engine.rs
+++ b/src/http/engine.rs
@@ -9,8 +9,10 @@
 use http::Response;
 use http::StatusCode;
 use http::header;
+use http_body_util::BodyExt;
 use http_body_util::Full;
 use hyper::body::Incoming;
+use serde::Deserialize;
 use tokio::time;
 
 use crate::decide::retry::Evidence;
@@ -19,7 +21,11 @@
 use crate::http::answer::Fault;
 use crate::http::answer::Sink;
 use crate::http::client::Client;
+use crate::http::client::Error;
+use crate::http::client::Lease;
 use crate::id;
+use crate::upstream::Announcement;
+use crate::upstream::Load;
 
 /// Carries the attempt's id to the upstream and back.
 pub const ATTEMPT: &str = "mastic-attempt";
@@ -100,15 +106,47 @@
     Ok(())
 }
 
-/// Whether an upstream that went silent on one connection answers on a fresh one. Kept connections are closed
-/// first: something on the way may have lost track of all of them.
-pub async fn probe(client: &Client, address: SocketAddr) -> bool {
-    client.forget(Some(address));
+/// The fields of a load report that matter here.
+#[derive(Deserialize)]
+struct Report {
+    sequence: u64,
+    running: u32,
+    waiting: u32,
+}
+
+/// Asks an upstream for its load report; none where it gives none that can be read.
+pub async fn load(client: &Client, upstream: &Announcement) -> Option<Load> {
+    let (response, lease) =
+        time::timeout(PROBE, ask_load(client, upstream.address)).await.ok()?.ok()?;
+    let body = time::timeout(PROBE, response.into_body().collect()).await.ok()?.ok()?;
+    client.keep(lease);
+    let report: Report = serde_json::from_slice(&body.to_bytes()).ok()?;
+    Some(Load {
+        upstream: upstream.id.clone(),
+        incarnation: upstream.incarnation,
+        sequence: report.sequence,
+        running: report.running,
+        waiting: report.waiting,
+        age: Duration::ZERO,
+    })
+}
+
+async fn ask_load(
+    client: &Client,
+    address: SocketAddr,
+) -> Result<(Response<Incoming>, Lease), Error> {
     let request = Request::builder()
         .method(Method::GET)
         .uri("/load")
         .header(header::HOST, address.to_string())
-        .body(Full::new(Bytes::new()));
-    let Ok(request) = request else { return false };
-    matches!(time::timeout(PROBE, client.send(address, request)).await, Ok(Ok(_)))
+        .body(Full::new(Bytes::new()))
+        .map_err(|error| Error::Unsent(error.to_string()))?;
+    client.send(address, request).await
+}
+
+/// Whether an upstream that went silent on one connection answers on a fresh one. Kept connections are closed
+/// first: something on the way may have lost track of all of them.
+pub async fn probe(client: &Client, address: SocketAddr) -> bool {
+    client.forget(Some(address));
+    matches!(time::timeout(PROBE, ask_load(client, address)).await, Ok(Ok(_)))
 }
--- a/tests/promises/once.rs
+++ b/tests/promises/once.rs
@@ -6,6 +6,7 @@
 use http::StatusCode;
 use tokio::time;
 
+use crate::LOOKUP;
 use crate::MANDATE;
 use crate::engine;
 use crate::support::Caller;
@@ -171,3 +172,24 @@
         assert_eq!(engine.ran().len(), 2);
     }
 }
+
+// A VM dies while it runs a request that may repeat. Its caller resends it to another VM, which runs it again: the
+// key's record of a lost run must not stand in the way of an answer that may be had.
+#[tokio::test]
+async fn a_repeatable_request_whose_vm_dies_is_run_again() {
+    let mut site = Local::start(&["a@gulf", "b@gulf", "c@gulf"]).await;
+    site.put(LOOKUP).await;
+    let engine = engine(&site, "e1", "gulf", "b", 4).await;
+    engine.slow_down(50.0);
+    let (at_a, lookup) = (site.callers("a"), Caller::chat("lookup", "where?", 20, true));
+    let sent = lookup.clone().with_key("k1");
+    let lost = tokio::spawn(async move { sent.send(at_a).await });
+    while engine.ran().is_empty() {
+        time::sleep(Duration::from_millis(10)).await;
+    }
+    site.crash_entry("a");
+    lost.await.unwrap().ok();
+    engine.slow_down(1.0);
+    let answer = lookup.with_key("k1").send(site.callers("b")).await.unwrap();
+    assert_eq!(answer.streamed(), Some(fakes::answer("where?", 20)), "{answer:?}");
+}
