Storm: stop each group's replicas at its end, and run 300 seeds

Cause: a run of 300 seeds was cut off after 200 s. Nothing hung: the groups of earlier seeds went on running beside, so each seed took longer than the one before. Change: replicas are stopped at the end of their seed; the default goes from 24 to 300 seeds.

--- a/src/group/tests/storm.rs
+++ b/src/group/tests/storm.rs
@@ -99,7 +99,7 @@
     // Callers resend a few keys to any replica while replicas are cut off, killed and lose power, disks fill up or
     // fail a sync, and messages get lost. No key is ever granted to two attempts, what was told as finished stays
     // so on every leader, and every folder opens again. At the end all replicas agree.
-    for seed in 0..fuzz::config(24).cases {
+    for seed in 0..fuzz::config(300).cases {
         let mut rng = SmallRng::seed_from_u64(u64::from(seed));
         let mut cluster = Cluster::<Ledger>::new(REPLICAS, false, 15);
         let mut told = Told::default();
@@ -133,6 +133,9 @@
     }
     let states = timeout(Duration::from_secs(60), settled(cluster)).await.expect("they catch up");
     assert!(states.iter().all(|state| *state == states[0]), "the replicas differ");
+    for number in 0..REPLICAS {
+        cluster.kill(number, None).await;
+    }
 }
 
 /// The machines of all replicas, once all have carried out the same entries.
