--- a/src/group/tests.rs
+++ b/src/group/tests.rs
@@ -29,6 +29,7 @@
 use crate::ledger::Command;
 use crate::ledger::Digest;
 use crate::ledger::Ledger;
+use crate::ledger::Limits;
 use crate::ledger::Reply;
 use crate::ledger::Start;
 use crate::store::Disk;
@@ -205,6 +206,9 @@
 #[tokio::test(start_paused = true)]
 async fn leader_tells_the_machine_the_time() {
     let cluster = Cluster::<Ledger>::new(1, false, 1000);
+    let hour = Duration::from_secs(60 * 60);
+    let limits = Limits { keep_keys: hour, ..Limits::default() };
+    assert_eq!(cluster.propose(|| Command::Limit(limits)).await, Ok(Reply::Done));
     assert_eq!(cluster.propose(|| claim(1, 1)).await, Ok(Reply::Granted));
     let abandon = || Command::Abandon { vm: start(1, 1).vm, incarnation: Incarnation::new(1) };
     assert_eq!(cluster.propose(abandon).await, Ok(Reply::Done));
@@ -215,8 +219,7 @@
             sleep(Duration::from_secs(600)).await;
         }
     };
-    let limit = Duration::from_secs(4 * 24 * 60 * 60);
-    timeout(limit, forgotten).await.expect("forgotten after three days");
+    timeout(3 * hour, forgotten).await.expect("forgotten after its hour and its group's");
 }
 
 #[tokio::test(start_paused = true)]
