Keep an entry's home, version and past homes of one moment; close three untrue refusals

Cause: found by reading. A start named the newest version beside an older home, which let one key run in two regions; a send that was refused after its look could say 'not run' although a resend ran meanwhile; a moved home was refused as not run; a request that home refused for its owner's limit ran uncharged elsewhere. Change: the job keeps the entry's homes as of its lookup; a refusal after a wait asks the ledger once more; a limit's refusal is final; what runs away from home is charged. Settings with public addresses need a secret.

--- a/src/entry/claim.rs
+++ b/src/entry/claim.rs
@@ -22,7 +22,6 @@
 use crate::ledger::Command;
 use crate::ledger::Reply;
 use crate::settings::site::Vm;
-use crate::unit::Version;
 use crate::wire;
 use crate::wire::Peer;
 use crate::wire::Role;
@@ -67,11 +66,6 @@
     job.key.as_ref()
 }
 
-/// Since which version of the catalogue the entry's home is its home.
-fn home_since(hub: &Hub, job: &Job) -> Version {
-    hub.view().record(&job.entry.name).map_or(Version::ZERO, |record| record.home_since)
-}
-
 /// The region whose ledger decides: the home, and for entries without one the region that the request came to.
 fn ledger_region<'a>(hub: &'a Hub, job: &'a Job) -> &'a id::Region {
     job.entry.home.region().unwrap_or_else(|| hub.region())
@@ -85,16 +79,12 @@
         entry: job.entry.name.clone(),
         key: key.clone(),
         body: job.digest,
-        home_since: home_since(hub, job),
+        home_since: job.origin.since,
     };
-    let record = hub.view().record(&job.entry.name).cloned();
     let home = ledger_region(hub, job);
-    for past in record.iter().flat_map(|record| &record.past_homes) {
-        if past.region == *home {
-            continue;
-        }
+    for past in job.origin.past.iter().filter(|past| *past != home) {
         // The look at a past home is committed there, and raises the bar for starts that it still gets.
-        match ask(hub, &past.region, Command::Look(look.clone())).await {
+        match ask(hub, past, Command::Look(look.clone())).await {
             Ok(Reply::Absent) => (),
             other => return known(hub, job, other),
         }
@@ -115,7 +105,7 @@
         attempt,
         vm: hub.me.clone(),
         incarnation: hub.incarnation(),
-        home_since: home_since(hub, job),
+        home_since: job.origin.since,
     };
     let region = ledger_region(hub, job).clone();
     let mut last = Err(Unavailable::NoLeader);
@@ -133,8 +123,10 @@
             Err(unreachable_ledger().with_ran(Ran::No))
         }
         Ok(Reply::Moved { .. }) => {
+            // The new home may have started the key already.
             let text = "the entry's home has just moved; the new home answers";
-            Err(Refusal::new(Reason::HomeUnreachable, text).with_retry_after(LEDGER_BACK))
+            let refusal = Refusal::new(Reason::HomeUnreachable, text).with_ran(Ran::Unknown);
+            Err(refusal.with_retry_after(LEDGER_BACK))
         }
         Err(Unavailable::Unknown) => withdraw(hub, job, &region, step).await,
         other => known(hub, job, other).map(Claim::Known),
--- a/src/entry/hub.rs
+++ b/src/entry/hub.rs
@@ -462,7 +462,8 @@
 
     /// Takes a higher incarnation: this one was given up as gone, so its claims are no longer granted.
     pub fn reincarnate(&self) {
-        let next = self.incarnation.fetch_add(REINCARNATION_STEP, Ordering::Relaxed);
+        let before = self.incarnation.fetch_add(REINCARNATION_STEP, Ordering::Relaxed);
+        let next = before + REINCARNATION_STEP;
         warn!(self.log, "this VM was given up as gone and starts anew"; "incarnation" => next);
     }
 
--- a/src/entry/job.rs
+++ b/src/entry/job.rs
@@ -21,6 +21,7 @@
 use crate::ledger::Digest;
 use crate::unit::Bytes as Size;
 use crate::unit::Tokens;
+use crate::unit::Version;
 use crate::upstream;
 
 /// Tokens of an answer where the request names no bound.
@@ -30,6 +31,27 @@
 /// A prompt's prefixes are told apart at these lengths in bytes: a system prompt, a short and a long history.
 const PREFIX_BYTES: [usize; 4] = [256, 1024, 4096, 16384];
 
+/// The homes of an entry, as of the moment at which the request's entry was looked up.
+///
+/// Home, version and past homes must be of one moment. Failure: the home moves while the request waits, the old home
+/// is sent a start that names the new home's version, and its check against late starts lets it through: the key
+/// runs in both.
+#[derive(Debug, Clone, Default)]
+pub struct Origin {
+    /// The version of the catalogue since which the home is the home.
+    pub since: Version,
+    /// Regions that were the home before, and still answer for their keys.
+    pub past: Vec<id::Region>,
+}
+
+impl Origin {
+    /// The homes of an entry's record.
+    pub fn new(record: &catalogue::Record) -> Self {
+        let past = record.past_homes.iter().map(|past| past.region.clone()).collect();
+        Self { since: record.home_since, past }
+    }
+}
+
 /// A request whose head and body are read and checked.
 #[derive(Debug)]
 pub struct Job {
@@ -37,6 +59,8 @@
     pub request: id::Request,
     /// The catalogue entry.
     pub entry: Arc<catalogue::Entry>,
+    /// The entry's homes, as of the same moment.
+    pub origin: Origin,
     /// The caller's key, where there is one.
     pub key: Option<id::Key>,
     /// What the upstream is asked.
--- a/src/entry/run.rs
+++ b/src/entry/run.rs
@@ -34,6 +34,7 @@
 use crate::http::Reason;
 use crate::http::Refusal;
 use crate::http::answer::Failure;
+use crate::http::answer::Fault;
 use crate::http::forward;
 use crate::id;
 use crate::ledger;
@@ -137,9 +138,21 @@
     };
     let checked = Checked::new(hub.clone(), job.clone(), must_claim);
     let (step, ended) = match elsewhere(hub, job, out, checked).await {
-        Elsewhere::Stays { checked, evidence } => attempts(hub, job, out, checked, evidence).await,
+        Elsewhere::Stays { checked, evidence } => match charge_away(hub, job, &mut charged).await {
+            Ok(()) => attempts(hub, job, out, checked, evidence).await,
+            Err(refusal) => {
+                let refusal = refusal.with_ran(Ran::after(&evidence));
+                (checked.into_step(), Err(refusal))
+            }
+        },
         Elsewhere::Ended(ended) => ended,
     };
+    let ended = match ended {
+        Err(refusal) if must_claim && step.is_none() && refusal.ran == Ran::No => {
+            Err(still_not_run(hub, job, refusal).await)
+        }
+        ended => ended,
+    };
     if let Some(charged) = &mut charged {
         charged.took(out.tokens(job.prompt));
     }
@@ -158,6 +171,27 @@
     ended
 }
 
+/// What another region's entry runs here, for want of its home, counts against the owner all the same.
+async fn charge_away(
+    hub: &Arc<Hub>,
+    job: &Arc<Job>,
+    charged: &mut Option<Charged>,
+) -> Result<(), Refusal> {
+    if charged.is_none() && !job.is_forwarded() {
+        *charged = Some(Charged::new(hub, job).await?);
+    }
+    Ok(())
+}
+
+/// Asks once more before a request that waited is told that it did not run: a resend of it through another VM may
+/// have run meanwhile.
+async fn still_not_run(hub: &Hub, job: &Job, refusal: Refusal) -> Refusal {
+    match claim::look(hub, job).await {
+        Ok(Known::Absent) => refusal,
+        _ => refusal.with_ran(Ran::Unknown),
+    }
+}
+
 /// What came of handing a request to another region.
 enum Elsewhere {
     /// It runs here.
@@ -196,6 +230,13 @@
         Ok((checked, Err(failure))) => {
             info!(hub.log, "handed back"; "request" => %job.request, "region" => %region,
                 "why" => &failure.why);
+            if let Fault::Limited { retry_after } = failure.fault {
+                // Run here instead, the request would pass by its owner's limit.
+                let refusal = Refusal::new(Reason::Limit, failure.why);
+                let refusal = refusal.with_ran(Ran::after(&[failure.evidence]));
+                let ended = Err(refusal.with_retry_after(retry_after));
+                return Elsewhere::Ended((checked.into_step(), ended));
+            }
             if failure.evidence.may_repeat(job.entry.repeat) {
                 return Elsewhere::Stays { checked, evidence: vec![failure.evidence] };
             }
--- a/src/entry/stage.rs
+++ b/src/entry/stage.rs
@@ -287,7 +287,7 @@
     held.outcome = match &ended {
         Ok(()) => Outcome::Answered,
         Err(failure) => match failure.fault {
-            Fault::Full => Outcome::Full,
+            Fault::Full | Fault::Limited { .. } => Outcome::Full,
             Fault::Superseded => Outcome::Cancelled,
             Fault::Silent | Fault::Failed => Outcome::Failed,
         },
--- a/src/http/answer.rs
+++ b/src/http/answer.rs
@@ -41,6 +41,11 @@
 pub enum Fault {
     /// It refused because it is full, which is no fault.
     Full,
+    /// The owner's limit is used up, and the VM that keeps it says when to come back.
+    Limited {
+        /// When.
+        retry_after: Duration,
+    },
     /// The connection went silent; the upstream may be well.
     Silent,
     /// It failed.
--- a/src/http/caller.rs
+++ b/src/http/caller.rs
@@ -31,6 +31,7 @@
 use crate::entry::Job;
 use crate::entry::job;
 use crate::entry::job::Content;
+use crate::entry::job::Origin;
 use crate::entry::run;
 use crate::entry::running::Entrance;
 use crate::entry::running::Name;
@@ -216,7 +217,7 @@
     request: &Request<Incoming>,
     entry: Option<&str>,
 ) -> Result<Response<Body>, Refusal> {
-    let entry = entry_of(hub, request.headers(), entry)?;
+    let (entry, _) = entry_of(hub, request.headers(), entry)?;
     let names = match &entry.kind {
         Kind::Engine { models } => models.clone(),
         Kind::Service { .. } => Vec::new(),
@@ -230,7 +231,7 @@
     hub: &Hub,
     headers: &HeaderMap,
     named: Option<&str>,
-) -> Result<Arc<catalogue::Entry>, Refusal> {
+) -> Result<(Arc<catalogue::Entry>, Origin), Refusal> {
     let header = headers.get(&hub.site.headers.entry).and_then(|value| value.to_str().ok());
     let Some(name) = named.or(header) else {
         let text = format!("name the catalogue entry in the header {}", hub.site.headers.entry);
@@ -244,11 +245,12 @@
         let text = "this VM has no catalogue yet";
         return Err(Refusal::new(Reason::Starting, text).with_retry_after(STARTING));
     }
-    let entry = view.entry(&name).cloned().ok_or_else(unknown)?;
+    let record = view.record(&name).ok_or_else(unknown)?;
+    let entry = record.entry.clone().ok_or_else(unknown)?;
     if !entry.tokens.is_empty() && !shows_token(headers, &entry.tokens) {
         return Err(Refusal::new(Reason::Unauthorized, "the entry asks for a bearer token"));
     }
-    Ok(entry)
+    Ok((entry, Origin::new(record)))
 }
 
 /// Compares digests in constant time, and all of them, so that the time taken tells nothing about any.
@@ -267,7 +269,7 @@
     path: String,
 ) -> Result<Response<Body>, Refusal> {
     let arrived = Instant::now();
-    let entry = entry_of(&hub, request.headers(), named.as_deref())?;
+    let (entry, origin) = entry_of(&hub, request.headers(), named.as_deref())?;
     check_kind(&entry, &path)?;
     check_loop(&hub, request.headers())?;
     if let Some(home) = elsewhere(&hub, &entry).filter(|_| entry.home.is_bound()) {
@@ -277,8 +279,9 @@
     let key = key(&hub, &entry, &parts.headers)?;
     let deadline = arrived + deadline(&hub, &entry, &parts.headers)?;
     let bytes = read_body(&hub, incoming).await?;
-    let job = Arc::new(build(&hub, entry, parts, bytes, path, key, (arrived, deadline))?);
-    Ok(start(hub, job)?.response().await)
+    let times = (arrived, deadline);
+    let job = Job { origin, ..build(&hub, entry, parts, bytes, path, key, times)? };
+    Ok(start(hub, Arc::new(job))?.response().await)
 }
 
 /// Runs a request, or joins the one in progress under its key.
@@ -437,6 +440,7 @@
         headers: passed_on(hub, &parts),
         method: parts.method,
         entry,
+        origin: Origin::default(),
         key,
         path,
         body,
--- a/src/http/forward.rs
+++ b/src/http/forward.rs
@@ -140,13 +140,21 @@
     if let Some(ran) = response.headers().get(RAN) {
         let evidence = if ran == "no" { Evidence::SaidNotRun } else { Evidence::BytesSent };
         let why = format!("the other region refused with {}", response.status());
-        return Err(Failure { evidence, why, fault: Fault::Full });
+        let fault = match response.status() == Reason::Limit.status() {
+            true => Fault::Limited { retry_after: retry_after(response.headers()) },
+            false => Fault::Full,
+        };
+        return Err(Failure { evidence, why, fault });
     }
     sink.pass(response).await?;
     hub.client.keep(lease);
     Ok(())
 }
 
+fn retry_after(headers: &HeaderMap) -> Duration {
+    Duration::from_secs(read(headers, header::RETRY_AFTER.as_str()).unwrap_or(1))
+}
+
 /// The VMs that a passed-on request went through.
 pub fn hops(headers: &HeaderMap) -> Vec<id::Vm> {
     let path = headers.get(PATH).and_then(|value| value.to_str().ok()).unwrap_or_default();
--- a/src/settings/site.rs
+++ b/src/settings/site.rs
@@ -165,6 +165,11 @@
     top.finish();
     let vms: BTreeMap<id::Vm, Vm> = vms.into_iter().collect::<Option<_>>()?;
     check(top, &vms);
+    let public = vms.values().flat_map(addresses).any(|address| !address.ip().is_loopback());
+    if public && secret == Some(None) {
+        let text = "is missing; without it whoever reaches a VM's links counts as a VM of the site";
+        top.note("secret_file", text);
+    }
     Some(Site {
         vms,
         secret: secret?.unwrap_or_default(),
