Give an owner its whole limit when one of a region's two VMs is lost

Change: where exactly half of the VMs are alive, the ledger's answer decides. Conclusion: one of two VMs carries the region's limits.

--- a/src/entry/abandon.rs
+++ b/src/entry/abandon.rs
@@ -47,6 +47,9 @@
         time::sleep(PERIOD).await;
         let now = Instant::now();
         note(hub, &mut lives, now);
+        if hub.is_tied() && claim::reaches_ledger(hub).await {
+            hub.confirm();
+        }
         if !hub.fleet().speaks() {
             continue;
         }
--- a/src/entry/claim.rs
+++ b/src/entry/claim.rs
@@ -22,6 +22,7 @@
 use crate::ledger::Command;
 use crate::ledger::Reply;
 use crate::settings::site::Vm;
+use crate::unit::Version;
 use crate::wire;
 use crate::wire::Peer;
 use crate::wire::Role;
@@ -221,6 +222,16 @@
     at_ledger(hub, region, || wire::Request::Peek(look.clone())).await
 }
 
+/// Whether the region's ledger has a majority that answers this VM.
+pub async fn reaches_ledger(hub: &Hub) -> bool {
+    let (Ok(owner), Ok(entry), Ok(key)) = ("none".parse(), "none".parse(), "none".parse()) else {
+        return false;
+    };
+    let body = ledger::Digest::new([0; ledger::DIGEST_BYTES]);
+    let look = ledger::Look { owner, entry, key, body, home_since: Version::ZERO };
+    peek(hub, hub.region(), look).await.is_ok()
+}
+
 /// Asks the control VMs of a region one after the other, the one that answered last first.
 async fn at_ledger(
     hub: &Hub,
--- a/src/entry/hub.rs
+++ b/src/entry/hub.rs
@@ -58,6 +58,8 @@
 
 /// When to come back, to another VM.
 const ELSEWHERE: Duration = Duration::from_millis(500);
+/// The ledger is asked each second where its answer decides, and this bears the loss of two.
+const CONFIRMED: Duration = Duration::from_secs(3);
 /// Incarnations count microseconds, so a second's worth is above any that this VM had before.
 const REINCARNATION_STEP: u64 = 1_000_000;
 
@@ -94,6 +96,7 @@
     dispatch: Mutex<Dispatch>,
     fleet: Mutex<Fleet>,
     quota: Mutex<Quota>,
+    confirmed: Mutex<Option<Instant>>,
     rng: Mutex<SmallRng>,
     mesh: OnceLock<Mesh>,
     reached: Mutex<BTreeMap<id::Vm, Instant>>,
@@ -128,6 +131,7 @@
             dispatch,
             fleet,
             quota,
+            confirmed: Mutex::default(),
             rng: Mutex::new(rng),
             mesh: OnceLock::new(),
             reached: Mutex::default(),
@@ -179,7 +183,29 @@
         };
         let away = self.away().into_iter().filter(|live| shares(&live.region));
         alive.extend(away.map(|live| live.vm));
-        Sharers { alive, all: all.count() }
+        let all = all.count();
+        // Failure: a region of two VMs loses one, and the other has no majority: its callers are held to half of every
+        // limit for as long as that lasts. The ledger has a witness elsewhere, so of two halves that can't see each
+        // other one at most is answered by it, unless both still reach it and only the link between them is cut; then
+        // a limit may be used twice until the cut ends.
+        let tied = alive.len() * 2 == all && self.is_confirmed();
+        Sharers { all: if tied { all - 1 } else { all }, alive }
+    }
+
+    /// Whether half of the region's VMs are alive, so that the ledger's answer has to decide which half goes on.
+    pub fn is_tied(&self) -> bool {
+        let here = |vm: &&Vm| vm.entry.is_some() && vm.region == self.place.region;
+        self.fleet().alive().len() * 2 == self.site.vms.values().filter(here).count()
+    }
+
+    /// Notes that the region's ledger has answered this VM.
+    pub fn confirm(&self) {
+        *self.confirmed.lock().expect("no panic while locked") = Some(Instant::now());
+    }
+
+    fn is_confirmed(&self) -> bool {
+        let confirmed = *self.confirmed.lock().expect("no panic while locked");
+        confirmed.is_some_and(|at| at.elapsed() < CONFIRMED)
     }
 
     /// Whether this VM charges a request to its owner: a VM of the entry's home does, and of requests that other
--- a/tests/promises/refusals.rs
+++ b/tests/promises/refusals.rs
@@ -109,3 +109,27 @@
     let answer = Caller::chat("lookup", "calm", 2, true).send(site.callers("a")).await.unwrap();
     assert_eq!(answer.streamed(), Some(fakes::answer("calm", 2)), "{answer:?}");
 }
+
+// A region of two VMs loses one of them. No majority of its VMs is left to say who keeps the owners' limits, so
+// callers would be held to half of what they are due until somebody repairs the VM. The ledger, which has a witness
+// elsewhere, answers the VM that is left, and that decides.
+#[tokio::test]
+async fn an_owner_gets_its_whole_limit_when_one_of_two_vms_is_lost() {
+    let mut site = Local::start(&["a@gulf", "b@gulf", "c@delta"]).await;
+    site.put(&LOOKUP.replace("requests: 1000/s", "requests: 40/s")).await;
+    let _engine = engine(&site, "e1", "gulf", "a", 64).await;
+    site.crash_entry("b");
+    site.crash_control("b");
+    let mut most = 0;
+    let until = Instant::now() + crate::support::site::PATIENCE;
+    while most <= 60 {
+        assert!(Instant::now() < until, "{most} of 80 at once were served by a limit of 40/s");
+        time::sleep(Duration::from_millis(2500)).await;
+        let calls = (0..80).map(|_| {
+            let to = site.callers("a");
+            async move { Caller::chat("lookup", "again", 1, true).send(to).await.unwrap().status }
+        });
+        let answers = futures::future::join_all(calls).await;
+        most = answers.iter().filter(|status| status.is_success()).count();
+    }
+}
