--- a/src/cli/command.rs
+++ b/src/cli/command.rs
@@ -29,6 +29,7 @@
   mastic drain                  let a VM leave: it refuses new requests and ends those in progress
   mastic load SCENARIO.yaml     put load on a site and judge what callers receive
                                 [--json] [--plot FILE.svg]
+  mastic capacity               measure on this machine what a large site would cost each VM
 
   --vm ADDRESS                  the VM's operators' address (127.0.0.1:7103)
   --token-file FILE             the operators' token
@@ -61,6 +62,8 @@
     Drain,
     /// Put load on a site.
     Load(PathBuf),
+    /// Measure what a large site would cost.
+    Capacity,
 }
 
 /// A command of the operators' command line.
@@ -132,6 +135,7 @@
         "status" => Action::Status,
         "dump" => Action::Dump,
         "drain" => Action::Drain,
+        "capacity" => Action::Capacity,
         "load" => Action::Load(operand("a SCENARIO")?.into()),
         other => return Err(Error::Usage(format!("there is no command {other:?}"))),
     };
--- a/src/cli/operator.rs
+++ b/src/cli/operator.rs
@@ -15,6 +15,7 @@
 use rand::Rng;
 use tokio::time;
 
+use crate::capacity;
 use crate::catalogue::Record;
 use crate::cli::Command;
 use crate::cli::Error;
@@ -55,6 +56,7 @@
         Action::Status => show(command, Method::GET, "/status").await,
         Action::Dump => show(command, Method::GET, "/dump").await,
         Action::Drain => show(command, Method::POST, "/drain").await,
+        Action::Capacity => Ok(capacity::run()),
         Action::Load(file) => put_load(command, file).await,
     }
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -2,6 +2,7 @@
 //!
 //! A request enters at an entry VM, is decided on ([`decide`]), runs on an upstream and is answered once.
 
+pub mod capacity;
 pub mod catalogue;
 pub mod cli;
 pub mod consensus;
