Split the hub and the dispatch by what they are about

Change: limits and the region's VMs and upstreams stand under entry/hub/, other regions and suspects under entry/dispatch/; no behaviour changes. Conclusion: one job a file.

--- a/src/entry/dispatch.rs
+++ b/src/entry/dispatch.rs
@@ -14,8 +14,6 @@
 use crate::decide::admission;
 use crate::decide::admission::Admission;
 use crate::decide::quarantine::Quarantine;
-use crate::decide::quarantine::Report;
-use crate::decide::quarantine::Standing;
 use crate::decide::queue;
 use crate::decide::queue::Bounds;
 use crate::decide::queue::Capacity;
@@ -29,8 +27,6 @@
 use crate::decide::retry::Verdict;
 use crate::decide::route::Outcome;
 use crate::decide::route::Route;
-use crate::decide::spill;
-use crate::decide::spill::Journey;
 use crate::decide::spill::Spill;
 use crate::entry::Job;
 use crate::entry::fleet::Hosted;
@@ -43,6 +39,9 @@
 use crate::upstream::Load;
 use crate::upstream::pool as slots;
 
+mod regions;
+mod suspects;
+
 /// A caller whom no upstream can serve comes back after this: an upstream that starts announces within a second.
 const NO_UPSTREAM_RETRY: Duration = Duration::from_secs(2);
 
@@ -50,8 +49,6 @@
 const SPARE: Slots = Slots::new(1);
 /// Requests that are looked past at once because no place suits them: suspects that must run apart from others.
 const UNPLACED: usize = 8;
-/// What a prompt token costs where its prefix isn't cached: engines of today read 10,000 to 50,000 a second.
-const COLD_TOKEN: Duration = Duration::from_micros(50);
 
 /// A place on an upstream, for one attempt.
 #[derive(Debug, Clone)]
@@ -347,56 +344,6 @@
         self.pump_all(now);
     }
 
-    /// How long a trip to another region takes.
-    pub fn trip(&mut self, region: &id::Region, trip: Duration, now: Instant) {
-        self.spill.trip(region, trip, now);
-    }
-
-    /// Another region told how it stands.
-    pub fn digest(&mut self, digest: spill::Digest, now: Instant) {
-        self.spill.digest(digest, now);
-    }
-
-    /// The load of this VM, model by model, for the digest of the region.
-    pub fn room(&self) -> BTreeMap<id::Model, spill::Room> {
-        let room = self.pools.iter().map(|(model, pool)| {
-            let capacity = self.holders(model).map(|hosted| hosted.announcement.slots).sum();
-            let work = pool.queue.work().as_secs_f64() / pool.capacity.slots().get().max(1) as f64;
-            let wait = Duration::from_secs_f64(work);
-            (model.clone(), spill::Room { capacity, free: pool.capacity.busy(), wait })
-        });
-        room.collect()
-    }
-
-    /// The region that a request is to run in. What is handed over is followed by [`Self::returned`].
-    pub fn region_for(&mut self, job: &Job, journey: Journey, now: Instant) -> spill::Decision {
-        let ticket = self.ticket(job);
-        let servable = self.route.is_servable(&job.facts(&[]));
-        let pool = self.pools.get(&job.model).filter(|_| servable);
-        let wait = pool.map(|pool| pool.queue.predicted_wait(&ticket, &pool.capacity, now));
-        self.spill.here(&job.model, servable, now);
-        let facts = spill::Facts {
-            home: &job.entry.home,
-            prefers: job.entry.prefers,
-            model: &job.model,
-            wait,
-            service: ticket.service,
-            cold: COLD_TOKEN.mul_f64(job.prompt.get() as f64),
-            left: job.deadline.saturating_duration_since(now),
-            prefix: job.prefix.first().copied().unwrap_or(job.request.get() as u64),
-            journey,
-        };
-        self.spill.decide(&facts, now, &mut self.rng)
-    }
-
-    /// A request that was handed to another region has ended there, or was refused.
-    pub fn returned(&mut self, job: &Job, region: &id::Region, refused: bool, now: Instant) {
-        if refused {
-            self.spill.refused(region);
-        }
-        self.spill.ended(region, &job.model, now);
-    }
-
     /// The slots that each pool counts on: what is leased, and its part of the rest, which comes when it is asked for.
     fn resize(&mut self, now: Instant) {
         let mut slots: HashMap<id::Model, Slots> = HashMap::new();
@@ -470,26 +417,6 @@
         }
     }
 
-    /// How a request stands that upstreams may have died of.
-    pub fn standing(&mut self, job: &Job, now: Instant) -> Standing {
-        self.quarantine.standing(&job.suspicion, now)
-    }
-
-    /// An upstream died, with all that ran there; the report is for the other VMs of the region.
-    pub fn died(&mut self, upstream: &Announcement, now: Instant) -> Report {
-        self.quarantine.died(&upstream.id, upstream.incarnation, now)
-    }
-
-    /// A request was answered whole; the report is for the other VMs of the region.
-    pub fn cleared(&mut self, job: &Job, upstream: &id::Upstream, now: Instant) -> Report {
-        self.quarantine.answered(&job.suspicion, upstream, now)
-    }
-
-    /// Takes what another VM saw of upstreams that died.
-    pub fn reported(&mut self, report: &Report, now: Instant) {
-        self.quarantine.merge(report, now);
-    }
-
     /// How many requests of each class hold a place, over all pools.
     pub fn busy(&self) -> u64 {
         self.pools.values().map(|pool| pool.capacity.busy().get()).sum()
--- /dev/null
+++ b/src/entry/dispatch/suspects.rs
@@ -0,0 +1,32 @@
+//! Requests that upstreams may have died of.
+
+use tokio::time::Instant;
+
+use crate::decide::quarantine::Report;
+use crate::decide::quarantine::Standing;
+use crate::entry::Dispatch;
+use crate::entry::Job;
+use crate::id;
+use crate::upstream::Announcement;
+
+impl Dispatch {
+    /// How a request stands that upstreams may have died of.
+    pub fn standing(&mut self, job: &Job, now: Instant) -> Standing {
+        self.quarantine.standing(&job.suspicion, now)
+    }
+
+    /// An upstream died, with all that ran there; the report is for the other VMs of the region.
+    pub fn died(&mut self, upstream: &Announcement, now: Instant) -> Report {
+        self.quarantine.died(&upstream.id, upstream.incarnation, now)
+    }
+
+    /// A request was answered whole; the report is for the other VMs of the region.
+    pub fn cleared(&mut self, job: &Job, upstream: &id::Upstream, now: Instant) -> Report {
+        self.quarantine.answered(&job.suspicion, upstream, now)
+    }
+
+    /// Takes what another VM saw of upstreams that died.
+    pub fn reported(&mut self, report: &Report, now: Instant) {
+        self.quarantine.merge(report, now);
+    }
+}
--- a/src/entry/hub.rs
+++ b/src/entry/hub.rs
@@ -16,7 +16,6 @@
 use rand::rngs::SmallRng;
 use rand::seq::IndexedRandom;
 use slog::Logger;
-use slog::debug;
 use slog::info;
 use slog::warn;
 use tokio::sync::watch;
@@ -25,41 +24,32 @@
 use crate::catalogue;
 use crate::catalogue::Progress;
 use crate::catalogue::View;
-use crate::decide::limit;
-use crate::decide::quarantine;
 use crate::entry::Dispatch;
 use crate::entry::Fleet;
-use crate::entry::Job;
-use crate::entry::fleet::Effect;
-use crate::entry::fleet::Place;
 use crate::entry::quota::Quota;
-use crate::entry::quota::Sharers;
 use crate::entry::running::Running;
 use crate::http::Reason;
 use crate::http::Refusal;
 use crate::http::client::Client;
 use crate::id;
-use crate::membership;
 use crate::metrics::Metrics;
 use crate::settings::Site;
 use crate::settings::site::Vm;
 use crate::unit::Incarnation;
 use crate::unit::Version;
-use crate::upstream::Announcement;
-use crate::upstream::pool as slots;
 use crate::wire;
-use crate::wire::Cast;
 use crate::wire::Mesh;
 use crate::wire::Peer;
 use crate::wire::Role;
 
+mod limits;
+mod region;
+
 /// A VM of another region that no link reached for this long is left out of the directory.
 const REACHED: Duration = Duration::from_secs(5);
 
 /// When to come back, to another VM.
 const ELSEWHERE: Duration = Duration::from_millis(500);
-/// The ledger is asked each second where its answer decides, and this bears the loss of two.
-const CONFIRMED: Duration = Duration::from_secs(3);
 /// Incarnations count microseconds, so a second's worth is above any that this VM had before.
 const REINCARNATION_STEP: u64 = 1_000_000;
 
@@ -172,70 +162,6 @@
         self.quota.lock().expect("no panic while locked")
     }
 
-    /// The VMs that share an entry's limits: those of its home, and all where it has none.
-    pub fn sharers(&self, entry: &catalogue::Entry) -> Sharers {
-        let home = entry.home.region();
-        let shares = |region: &id::Region| home.is_none_or(|home| home == region);
-        let all = self.site.vms.values().filter(|vm| vm.entry.is_some() && shares(&vm.region));
-        let mut alive = match shares(self.region()) {
-            true => self.fleet().alive(),
-            false => Vec::new(),
-        };
-        let away = self.away().into_iter().filter(|live| shares(&live.region));
-        alive.extend(away.map(|live| live.vm));
-        let all = all.count();
-        // Failure: a region of two VMs loses one, and the other has no majority: its callers are held to half of every
-        // limit for as long as that lasts. The ledger has a witness elsewhere, so of two halves that can't see each
-        // other one at most is answered by it, unless both still reach it and only the link between them is cut; then
-        // a limit may be used twice until the cut ends.
-        let tied = alive.len() * 2 == all && self.is_confirmed();
-        Sharers { all: if tied { all - 1 } else { all }, alive }
-    }
-
-    /// Whether half of the region's VMs are alive, so that the ledger's answer has to decide which half goes on.
-    pub fn is_tied(&self) -> bool {
-        let here = |vm: &&Vm| vm.entry.is_some() && vm.region == self.place.region;
-        self.fleet().alive().len() * 2 == self.site.vms.values().filter(here).count()
-    }
-
-    /// Notes that the region's ledger has answered this VM.
-    pub fn confirm(&self) {
-        *self.confirmed.lock().expect("no panic while locked") = Some(Instant::now());
-    }
-
-    fn is_confirmed(&self) -> bool {
-        let confirmed = *self.confirmed.lock().expect("no panic while locked");
-        confirmed.is_some_and(|at| at.elapsed() < CONFIRMED)
-    }
-
-    /// Whether this VM charges a request to its owner: a VM of the entry's home does, and of requests that other
-    /// regions hand home as well; a VM that runs what another region hands away does not.
-    pub fn charges(&self, job: &Job) -> bool {
-        match job.entry.home.region() {
-            Some(home) => home == self.region(),
-            None => !job.is_forwarded(),
-        }
-    }
-
-    /// Answers a VM that takes this one for an entry's home.
-    pub fn demanded(&self, from: &id::Vm, demand: &limit::Demand) {
-        let Some(entry) = self.view().entry(&demand.entry).cloned() else { return };
-        let all = self.sharers(&entry).all;
-        let grant = self.quota().demanded(&entry, demand, all, Instant::now());
-        if let (Some(grant), Some(mesh)) = (grant, self.mesh()) {
-            mesh.cast(&Peer::new(from.clone(), Role::Entry), Cast::Grant(grant));
-        }
-    }
-
-    /// Sends the demands for parts of limits that are due.
-    pub fn demand(&self) {
-        let due = self.quota().due(|entry| self.sharers(entry), Instant::now());
-        let Some(mesh) = self.mesh() else { return };
-        for (home, demand) in due {
-            mesh.cast(&Peer::new(home, Role::Entry), Cast::Demand(demand));
-        }
-    }
-
     /// Does something with the random numbers of this process.
     pub fn random<T>(&self, draw: impl FnOnce(&mut SmallRng) -> T) -> T {
         draw(&mut self.rng.lock().expect("no panic while locked"))
@@ -269,63 +195,6 @@
         self.view.borrow().version()
     }
 
-    /// Takes an upstream's announcement; false where a newer one is known, or it has left.
-    pub fn announce(&self, announcement: Announcement) -> bool {
-        let now = Instant::now();
-        let (taken, effects) = self.fleet().announce(announcement.clone(), now);
-        if taken {
-            self.dispatch().hosts(&announcement, now);
-        }
-        self.carry_out(effects);
-        taken
-    }
-
-    /// Takes an upstream's leaving.
-    pub fn leave(&self, id: &id::Upstream, incarnation: Incarnation) {
-        info!(self.log, "upstream leaves"; "upstream" => %id);
-        let effects = self.fleet().leave(id, incarnation, Instant::now());
-        self.carry_out(effects);
-    }
-
-    /// Does what is due: membership, leases, deadlines.
-    pub fn tick(&self) {
-        let now = Instant::now();
-        let version = self.version();
-        let place = self.place_fact();
-        let effects = {
-            let mut fleet = self.fleet();
-            fleet.put_version(version, now);
-            if let Some(place) = &place {
-                fleet.put_place(place, now);
-            }
-            fleet.tick(now)
-        };
-        self.carry_out(effects);
-        self.demand();
-        let due = {
-            let mut dispatch = self.dispatch();
-            dispatch.tick(now);
-            dispatch.slots_due(now)
-        };
-        for (to, message) in due {
-            self.cast_slots(to, message);
-        }
-    }
-
-    /// Takes what another VM told about slots.
-    pub fn slots_told(&self, from: &id::Vm, message: &slots::Message) {
-        let answer = self.dispatch().slots_told(from, message, Instant::now());
-        if let Some(answer) = answer {
-            self.cast_slots(from.clone(), answer);
-        }
-    }
-
-    fn cast_slots(&self, to: id::Vm, message: slots::Message) {
-        if let Some(mesh) = self.mesh() {
-            mesh.cast(&Peer::new(to, Role::Entry), Cast::Slots(message));
-        }
-    }
-
     /// Where to hand a request to in another region: any VM there that was reached lately.
     pub fn forward_address(&self, region: &id::Region) -> Option<SocketAddr> {
         let there: Vec<Live> =
@@ -334,80 +203,6 @@
         self.site.vms.get(&chosen)?.entry.as_ref().map(|entry| entry.forwards)
     }
 
-    /// Takes a message of the membership.
-    pub fn receive(&self, from: &id::Vm, message: membership::Message) {
-        let effects = self.fleet().receive(from, message, Instant::now());
-        self.carry_out(effects);
-    }
-
-    /// Tells the VMs of the region what this one saw of upstreams that died; a report without content is not sent.
-    pub fn tell(&self, report: &quarantine::Report) {
-        if report.charges.is_empty() && report.cleared.is_empty() {
-            return;
-        }
-        let Some(mesh) = self.mesh() else { return };
-        for peer in self.neighbours() {
-            mesh.cast(&peer, Cast::Quarantine(report.clone()));
-        }
-    }
-
-    fn place_fact(&self) -> Option<Place> {
-        let entry = self.place.entry.as_ref()?;
-        Some(Place {
-            callers: entry.callers,
-            data_centre: self.place.data_centre.clone(),
-            draining: self.is_draining(),
-            incarnation: self.incarnation(),
-        })
-    }
-
-    fn carry_out(&self, effects: Vec<Effect>) {
-        let now = Instant::now();
-        for effect in effects {
-            match effect {
-                Effect::Send { to, message } => {
-                    let Some(mesh) = self.mesh() else { continue };
-                    mesh.cast(&Peer::new(to, Role::Entry), Cast::Membership(message));
-                }
-                Effect::Upstream(hosted) => {
-                    debug!(self.log, "upstream is there"; "upstream" => %hosted.announcement.id);
-                    self.dispatch().appeared(hosted, now);
-                }
-                Effect::Gone(id) => {
-                    info!(self.log, "upstream is gone"; "upstream" => %id);
-                    self.dispatch().gone(&id, now);
-                }
-                Effect::Alive { vm, alive } => {
-                    info!(self.log, "a VM of the region"; "of" => %vm, "alive" => alive);
-                    let members = self.fleet().alive();
-                    self.dispatch().members(members);
-                    self.quota().moved(now);
-                }
-                Effect::Region(region) => {
-                    let digest = self.fleet().digest(&region, now);
-                    if let Some(digest) = digest {
-                        self.dispatch().digest(digest, now);
-                    }
-                }
-            }
-        }
-    }
-
-    /// The other entry daemons of the region.
-    pub fn neighbours(&self) -> Vec<Peer> {
-        let others = self.site.vms.iter().filter(|(name, vm)| {
-            **name != self.me && vm.entry.is_some() && vm.region == self.place.region
-        });
-        others.map(|(name, _)| Peer::new(name.clone(), Role::Entry)).collect()
-    }
-
-    /// Where upstreams of this region announce, besides here.
-    pub fn other_announce_addresses(&self) -> Vec<SocketAddr> {
-        let neighbours = self.neighbours();
-        let entries = neighbours.iter().filter_map(|peer| self.site.vms[&peer.vm].entry.as_ref());
-        entries.map(|entry| entry.upstreams).collect()
-    }
-
     /// Entry VMs that take requests: those of the own region that are alive, then those of other regions that
     /// answered lately.
     pub fn live(&self) -> Vec<Live> {
