A VM without a catalogue refuses as starting instead of denying its entries

Cause: an entry daemon that had just started took requests before a catalogue had come and answered unknown-entry with no time to come back, so callers gave up for good on entries that all other VMs serve.

--- a/src/entry/hub.rs
+++ b/src/entry/hub.rs
@@ -450,6 +450,19 @@
         Refusal::new(Reason::Draining, text).with_retry_after(ELSEWHERE)
     }
 
+    /// What callers are told who name an entry that this VM's catalogue does not have.
+    ///
+    /// Failure: a VM has just started and no catalogue has come yet. Told that there is no such entry, its callers
+    /// would give up for good on entries that all other VMs serve. A catalogue comes whole, so one that has any
+    /// version may be believed.
+    pub fn unknown_refusal(&self) -> Refusal {
+        if self.version() > Version::ZERO {
+            return Refusal::new(Reason::UnknownEntry, "the catalogue has no such entry");
+        }
+        Refusal::new(Reason::Starting, "this VM has no catalogue yet; ask another or come back")
+            .with_retry_after(ELSEWHERE)
+    }
+
     /// Whether the daemon takes no more requests.
     pub fn is_draining(&self) -> bool {
         *self.draining.borrow()
--- a/src/http/caller.rs
+++ b/src/http/caller.rs
@@ -147,7 +147,7 @@
     let name: Option<id::Entry> = name.and_then(|name| name.parse().ok());
     let entry = name
         .and_then(|name| hub.view().entry(&name).cloned())
-        .ok_or_else(|| Refusal::new(Reason::UnknownEntry, "the catalogue has no such entry"))?;
+        .ok_or_else(|| hub.unknown_refusal())?;
     // Failure: a VM with an older catalogue passes on what has meanwhile been bound to its region; nothing of it is
     // read here.
     if entry.home.is_bound() && entry.home.region() != Some(hub.region()) {
@@ -233,7 +233,7 @@
         let text = format!("name the catalogue entry in the header {}", hub.site.headers.entry);
         return Err(Refusal::new(Reason::UnknownEntry, text));
     };
-    let unknown = || Refusal::new(Reason::UnknownEntry, "the catalogue has no such entry");
+    let unknown = || hub.unknown_refusal();
     let name: id::Entry = name.parse().map_err(|_| unknown())?;
     let entry = hub.view().entry(&name).cloned().ok_or_else(unknown)?;
     if !entry.tokens.is_empty() && !shows_token(headers, &entry.tokens) {
--- a/src/http/refusal.rs
+++ b/src/http/refusal.rs
@@ -46,6 +46,8 @@
     TooLate,
     /// No upstream is there that could run the request.
     NoUpstream,
+    /// The process has just started and has no catalogue yet; another VM takes the request.
+    Starting,
     /// The process is shutting down; another VM takes the request.
     Draining,
     /// The request ended each upstream that ran it.
@@ -78,6 +80,7 @@
             Self::HomeUnreachable
             | Self::Overload
             | Self::NoUpstream
+            | Self::Starting
             | Self::Draining
             | Self::LedgerUnreachable => StatusCode::SERVICE_UNAVAILABLE,
         }
@@ -100,6 +103,7 @@
             Self::Overload => "overload",
             Self::TooLate => "too-late",
             Self::NoUpstream => "no-upstream",
+            Self::Starting => "starting",
             Self::Draining => "draining",
             Self::Quarantined => "quarantined",
             Self::LedgerUnreachable => "ledger-unreachable",
