--- a/src/http/caller.rs
+++ b/src/http/caller.rs
@@ -43,7 +43,6 @@
 use crate::http::body;
 use crate::http::forward;
 use crate::id;
-use crate::unit::Version;
 
 /// How long a caller may rely on the directory, in seconds: a lost VM is left out within that.
 const DIRECTORY_TTL: u64 = 5;
@@ -53,8 +52,6 @@
 const LONGEST_DEADLINE: Duration = Duration::from_secs(24 * 3600);
 /// When to come back to a home region that can't be reached.
 const ELSEWHERE: Duration = Duration::from_secs(2);
-/// When to come back to a VM that has just started.
-const STARTING: Duration = Duration::from_secs(1);
 /// Names this system in `Via`, with the VM behind it.
 const VIA_PSEUDONYM: &str = "masticstream-";
 
@@ -151,7 +148,7 @@
     let name: Option<id::Entry> = name.and_then(|name| name.parse().ok());
     let entry = name
         .and_then(|name| hub.view().entry(&name).cloned())
-        .ok_or_else(|| Refusal::new(Reason::UnknownEntry, "the catalogue has no such entry"))?;
+        .ok_or_else(|| hub.unknown_refusal())?;
     // Failure: a VM with an older catalogue passes on what has meanwhile been bound to its region; nothing of it is
     // read here.
     if entry.home.is_bound() && entry.home.region() != Some(hub.region()) {
@@ -237,14 +234,9 @@
         let text = format!("name the catalogue entry in the header {}", hub.site.headers.entry);
         return Err(Refusal::new(Reason::UnknownEntry, text));
     };
-    let unknown = || Refusal::new(Reason::UnknownEntry, "the catalogue has no such entry");
+    let unknown = || hub.unknown_refusal();
     let name: id::Entry = name.parse().map_err(|_| unknown())?;
     let view = hub.view();
-    if view.version() == Version::ZERO {
-        // Told "unknown entry", a caller would give up for good on a VM that has merely just started.
-        let text = "this VM has no catalogue yet";
-        return Err(Refusal::new(Reason::Starting, text).with_retry_after(STARTING));
-    }
     let record = view.record(&name).ok_or_else(unknown)?;
     let entry = record.entry.clone().ok_or_else(unknown)?;
     if !entry.tokens.is_empty() && !shows_token(headers, &entry.tokens) {
--- a/src/http/refusal.rs
+++ b/src/http/refusal.rs
@@ -46,7 +46,7 @@
     TooLate,
     /// No upstream is there that could run the request.
     NoUpstream,
-    /// The VM has just started and has no catalogue yet.
+    /// The process has just started and has no catalogue yet; another VM takes the request.
     Starting,
     /// The process is shutting down; another VM takes the request.
     Draining,
