--- a/src/capacity/decide.rs
+++ b/src/capacity/decide.rs
@@ -101,7 +101,8 @@
             |number| Allowance::new(catalogue::entry(number).name, vm.clone(), &limits, 200, now);
         (0..count).map(new).collect()
     };
-    let (mut all, memory) = meter::grown(build);
+    let memory = meter::memory(build);
+    let mut all = build();
     let (mut turn, mut time) = (0, now);
     let charged = meter::nanos(|| {
         turn = (turn + 1) % count;
--- a/src/capacity/membership.rs
+++ b/src/capacity/membership.rs
@@ -12,7 +12,6 @@
 const SIZES: [usize; 4] = [25, 50, 100, 200];
 const CODE: &str = "membership::Member";
 const QUIET: Duration = Duration::from_secs(20);
-/// Short, so that what the time without changes costs varies little against what changes cost.
 const SETTLE: Duration = Duration::from_secs(4);
 /// Changed upstreams that one measurement is spread over.
 const CHANGED: usize = 60;
--- a/src/capacity/meter.rs
+++ b/src/capacity/meter.rs
@@ -68,6 +68,8 @@
             // Growth of a megabyte: a buffer that grows, or a page here and there, isn't the end of what was free.
             None if now > least + (1 << 20) => first = Some((kept.len(), now)),
             None => least = least.min(now),
+            // Free memory went back to the system: growth counts from here.
+            Some((_, bytes)) if now < bytes => (first, least) = (None, now),
             Some((count, bytes)) if now > bytes + GROWTH => {
                 return (now - bytes) as f64 / (kept.len() - count) as f64;
             }
--- a/src/capacity/report.rs
+++ b/src/capacity/report.rs
@@ -21,8 +21,8 @@
     let started = Instant::now();
     // Memory first, while little has been freed that would be used again unseen.
     let membership = membership::costs();
-    let (ledger, catalogue) = (ledger::costs(), catalogue::costs());
     let decide = decide::costs();
+    let (ledger, catalogue) = (ledger::costs(), catalogue::costs());
     let (pool, wire) = (pool::costs(), wire::costs());
     let costs = Costs { membership, catalogue, ledger, decide, pool, wire };
     let mut page = String::new();
