--- a/tests/schedule/driver.rs
+++ b/tests/schedule/driver.rs
@@ -168,6 +168,8 @@
             let vms: &[&str] = if region == oracle::HOME { &["a", "b", "c"] } else { &["d"] };
             let settings = Settings::engine(&format!("e{number}"))
                 .with_place(region, &format!("{region}-a"))
+                // Not the address that sites share: while an engine is down, another site's could take its port.
+                .with_listen(SocketAddr::new(site.upstreams(vms[0]).ip(), 0))
                 .with_entries(vms.iter().map(|vm| site.upstreams(vm)))
                 .with_slots(4)
                 .with_speed(Duration::from_millis(10), Duration::from_millis(5));
