--- a/src/capacity/roles.rs
+++ b/src/capacity/roles.rs
@@ -10,6 +10,10 @@
 
 /// Seconds between two greetings of each entry VM (src/entry/peers.rs).
 const GREET: f64 = 1.5;
+/// VMs of each other region in a round of greetings (src/entry/peers.rs).
+const GREETED: f64 = 3.0;
+/// VMs that the speaker asks in a round (src/entry/digest.rs).
+const ASKED: f64 = 16.0;
 /// Seconds between two questions of the speaker (src/entry/digest.rs).
 const ROOM: f64 = 2.0;
 /// Seconds between heartbeats on an idle link (src/wire/link.rs).
@@ -141,7 +145,7 @@
     fn entry(&self) -> Role {
         let others = target::VMS - 1.0;
         let [ask, answer] = self.wire.in_force;
-        let greeted = others / GREET;
+        let greeted = GREETED * (target::REGIONS - 1.0) / GREET;
         let greet = [(greeted, ask), (greeted, answer)];
         let used = target::LARGEST_UPSTREAMS;
         let requests = target::REQUESTS / target::VMS;
@@ -170,7 +174,11 @@
             route,
             decisions,
             self.slots("slots of all 480 upstreams of the region", used),
-            self.exchange("greeting of all entry VMs of the site", "src/entry/peers.rs", greet),
+            self.exchange(
+                "greeting of three VMs of each other region",
+                "src/entry/peers.rs",
+                greet,
+            ),
             self.exchange("heartbeats on links to all VMs, at most", "wire::link", links),
         ];
         Role { name: "entry VM of the largest region", lines }
@@ -178,9 +186,9 @@
 
     /// The VM that speaks for the largest region, beyond what each entry VM does.
     fn speaker(&self) -> Role {
-        let asked = (target::LARGEST_VMS - 1.0) / ROOM;
+        let asked = ASKED / ROOM;
         let ask = [(asked, self.wire.ask_room), (0.0, 0.0)];
-        let mut line = self.exchange("rooms of all VMs of the region", "src/entry/digest.rs", ask);
+        let mut line = self.exchange("rooms of 16 VMs of the region", "src/entry/digest.rs", ask);
         let room = self.wire.room.slope.at(target::MODELS);
         line.nanos += asked * self.wire.nanos(room);
         Role { name: "speaker of the largest region, besides", lines: vec![line] }
@@ -242,9 +250,6 @@
 
     /// What breaks the budget, with what would carry it instead.
     pub fn remedies(&self) -> Role {
-        let [ask, answer] = self.wire.in_force;
-        let greeted = target::REGIONS / GREET;
-        let greet = [(greeted, ask), (greeted, answer)];
         let service = target::TOKENS / target::REQUESTS * TOKEN_TIME;
         let running = target::REQUESTS / target::VMS * service;
         let lines = vec![
@@ -256,7 +261,6 @@
                 "slots of upstreams that run the VM's requests at the peak, at most",
                 running,
             ),
-            self.exchange("greeting of one VM of each region", "src/entry/peers.rs", greet),
         ];
         Role { name: "the same with other mechanisms (not built)", lines }
     }
