--- a/tests/schedule/main.rs
+++ b/tests/schedule/main.rs
@@ -9,6 +9,7 @@
 
 mod action;
 mod driver;
+mod found;
 mod oracle;
 mod story;
 mod traffic;
