Answer a caller by its deadline, whatever its upstream does

Change: the wait ends at the deadline; such an attempt is no fault of the upstream, and the refusal is too-late with ran unknown. Conclusion: no caller waits past its deadline.

--- a/src/entry/run.rs
+++ b/src/entry/run.rs
@@ -330,8 +330,11 @@
         }
         Verdict::GiveUp { reason, ran, come_back } => {
             let why = format!("{}; {}", failure.why, told(reason));
-            let refusal = Refusal::new(Reason::UpstreamFailed, why).with_ran(ran);
-            Err(refusal.with_retry_after(come_back))
+            let reason = match now >= job.deadline {
+                true => Reason::TooLate,
+                false => Reason::UpstreamFailed,
+            };
+            Err(Refusal::new(reason, why).with_ran(ran).with_retry_after(come_back))
         }
     }
 }
--- a/src/entry/stage.rs
+++ b/src/entry/stage.rs
@@ -343,6 +343,11 @@
     let order = Order { attempt, address, priority, offset: 0 };
     let ended = engine::run(&hub.client, job, &order, sink).await;
     let Err(failure) = ended else { return ended };
+    // An answer that did not come by its deadline is of no use any more, and says nothing about its upstream.
+    if failure.fault == Fault::Silent && Instant::now() >= job.deadline {
+        let why = "the answer was not whole by the deadline".to_owned();
+        return Err(Failure { why, fault: Fault::Superseded, ..failure });
+    }
     // Failure: something between the two ends loses track of a connection; it is silent for good, while new ones
     // work and the engine is well. A stream that the caller has half of can only go on here, at its offset; what
     // may not run twice is never sent twice.
--- a/src/http/engine.rs
+++ b/src/http/engine.rs
@@ -14,6 +14,7 @@
 use hyper::body::Incoming;
 use serde::Deserialize;
 use tokio::time;
+use tokio::time::Instant;
 
 use crate::decide::retry::Evidence;
 use crate::entry::Job;
@@ -59,7 +60,9 @@
     sink: &Sink<'_>,
 ) -> Result<(), Failure> {
     let request = request(job, order)?;
-    let sent = time::timeout(sink.patience.first, client.send(order.address, request)).await;
+    let left = job.deadline.saturating_duration_since(Instant::now());
+    let first = sink.patience.first.min(left);
+    let sent = time::timeout(first, client.send(order.address, request)).await;
     let (response, lease) = sent.map_err(|_| Failure::silent("no answer began in time"))??;
     check(&response, order)?;
     sink.pass(response).await?;
--- a/tests/promises/refusals.rs
+++ b/tests/promises/refusals.rs
@@ -133,3 +133,19 @@
         most = answers.iter().filter(|status| status.is_success()).count();
     }
 }
+
+// An engine takes a request and never begins to answer. The caller hears at its deadline that there is no answer, and
+// not when the engine's silence has lasted long enough to be sure of; what the engine did can't be told.
+#[tokio::test]
+async fn no_caller_waits_past_its_deadline() {
+    let mut site = Local::start(&["a@gulf"]).await;
+    site.put(LOOKUP).await;
+    let _engine = engine(&site, "e1", "gulf", "a", 4).await;
+    let request =
+        Caller::chat("lookup", "[[silent:0]]", 3, false).with("mastic-deadline-ms", "700");
+    let begun = Instant::now();
+    let refused = request.send(site.callers("a")).await.unwrap().problem();
+    assert!(begun.elapsed() < Duration::from_millis(2500), "{:?}", begun.elapsed());
+    assert_eq!(refused.kind, "urn:masticstream:refusal:too-late");
+    assert_eq!(serde_json::to_value(refused.ran).unwrap(), "unknown");
+}
