Take a message about slots in without going through all upstreams

Cause: mastic capacity showed 5.6% of a core for slots at 480 upstreams, 3.5 times the budget of an entry VM. Change: such a message touches its own upstream; sums follow each tick. The daemons' command lines share their start.

--- a/src/bin/mastic-entry.rs
+++ b/src/bin/mastic-entry.rs
@@ -1,14 +1,12 @@
 //! The daemon of an entry VM: carries requests.
 
 use std::process::ExitCode;
-use std::sync::Arc;
 use std::time::SystemTime;
 use std::time::UNIX_EPOCH;
 
 use masticstream::cli;
 use masticstream::entry::Daemon;
 use masticstream::log;
-use masticstream::settings::Site;
 use masticstream::signal;
 use masticstream::unit::Incarnation;
 
@@ -21,14 +19,10 @@
 
 #[tokio::main]
 async fn main() -> ExitCode {
-    let arguments = match cli::Daemon::parse(std::env::args_os().skip(1)) {
-        Ok(arguments) => arguments,
+    let (arguments, site) = match cli::Daemon::load() {
+        Ok(loaded) => loaded,
         Err(error) => return cli::errors::report(&error),
     };
-    let site = match Site::load(&arguments.settings) {
-        Ok(site) => Arc::new(site),
-        Err(findings) => return cli::errors::report(&findings.into()),
-    };
     let log = log::logger(&site.logs, &arguments.vm, "entry");
     let daemon = match Daemon::start(arguments.vm, site, incarnation(), rand::random(), log).await {
         Ok(daemon) => daemon,
--- a/src/cli/arguments.rs
+++ b/src/cli/arguments.rs
@@ -2,6 +2,7 @@
 
 use std::ffi::OsString;
 use std::path::PathBuf;
+use std::sync::Arc;
 
 use lexopt::Arg;
 use lexopt::Parser;
@@ -9,6 +10,7 @@
 
 use crate::cli::Error;
 use crate::id;
+use crate::settings::Site;
 
 /// What a daemon is told when it starts.
 #[derive(Debug)]
@@ -20,6 +22,13 @@
 }
 
 impl Daemon {
+    /// Reads this process's command line and the settings that it names.
+    pub fn load() -> Result<(Self, Arc<Site>), Error> {
+        let arguments = Self::parse(std::env::args_os().skip(1))?;
+        let site = Site::load(&arguments.settings)?;
+        Ok((arguments, Arc::new(site)))
+    }
+
     /// Reads `--settings FILE --vm NAME`.
     pub fn parse(words: impl IntoIterator<Item = OsString>) -> Result<Self, Error> {
         let mut settings = None;
--- a/src/entry/dispatch.rs
+++ b/src/entry/dispatch.rs
@@ -320,26 +320,32 @@
         now: Instant,
     ) -> Option<slots::Message> {
         let answer = self.slots.receive(from, message, now);
-        self.share(now);
+        self.share_one(message.upstream(), now);
         answer
     }
 
+    /// The same as [`Self::share`] for one upstream. A VM of a large region hears about slots a thousand times a second,
+    /// and going through all upstreams each time took 5% of a core; the sums follow with the next tick.
+    fn share_one(&mut self, id: &id::Upstream, now: Instant) {
+        self.route.leased(id, self.slots.allowed(id, now));
+        let Some(hosted) = self.upstreams.get(id) else { return };
+        let models: Vec<id::Model> = hosted.announcement.models.iter().cloned().collect();
+        for model in models {
+            self.pump(&model, now);
+        }
+    }
+
     fn holders(&self, model: &id::Model) -> impl Iterator<Item = &Hosted> {
         let model = model.clone();
         self.upstreams.values().filter(move |hosted| hosted.announcement.models.contains(&model))
     }
 
-    /// How many upstreams the region has.
-    fn count(&mut self) {
-        self.quarantine.set_upstreams(self.upstreams.len());
-    }
-
     /// Tells the choice of upstreams how many slots this VM may use now.
     fn share(&mut self, now: Instant) {
         for (id, slots) in self.slots.shares(now) {
             self.route.leased(id, slots);
         }
-        self.count();
+        self.quarantine.set_upstreams(self.upstreams.len());
         self.resize(now);
         self.pump_all(now);
     }
--- a/src/upstream/pool/message.rs
+++ b/src/upstream/pool/message.rs
@@ -26,6 +26,17 @@
     },
 }
 
+impl Message {
+    /// The upstream whose slots it is about.
+    pub fn upstream(&self) -> &id::Upstream {
+        match self {
+            Self::Ask(ask) => &ask.upstream,
+            Self::Grant(grant) => &grant.upstream,
+            Self::AskAgain { upstream } => upstream,
+        }
+    }
+}
+
 /// A VM asks for slots, and tells what it has.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Ask {
