Test that silent links between daemons are found out and replaced

Cause: only connections to upstreams were shown to survive a middlebox that forgets them. Change: a small proxy before each daemon's links and forwards forgets all connections at once, twice; requests and changes go on. Conclusion: heartbeats both ways hold on every link between daemons.

--- a/tests/promises/whole.rs
+++ b/tests/promises/whole.rs
@@ -117,3 +117,32 @@
     }
     Err(last)
 }
+
+// Something between the VMs loses track of every connection between daemons at once: both ends believe in them, and
+// nothing arrives any more, while new connections work. Heartbeats find out on both sides. Callers of requests that
+// need the ledger, and operators, wait for that and no longer, and a change is in force everywhere afterwards.
+#[tokio::test]
+async fn silent_links_between_daemons_are_replaced() {
+    let mut site = Local::start_behind_proxies(&["a@gulf", "b@gulf", "c@gulf"]).await;
+    site.put(MANDATE).await;
+    let engine = engine(&site, "e1", "gulf", "a", 4).await;
+    let send = |key: &str| Caller::chat("mandate", "move it", 4, false).with_key(key);
+    for round in 0..2 {
+        let key = format!("k{round}");
+        let first = send(&key).send(site.callers("a")).await.unwrap();
+        assert_eq!(first.status, StatusCode::OK, "{first:?}");
+        site.forget_connections();
+        let begun = time::Instant::now();
+        loop {
+            let again = send(&key).send(site.callers("b")).await.unwrap();
+            if again.status == StatusCode::OK {
+                assert_eq!(again.body, first.body);
+                break;
+            }
+            assert!(begun.elapsed() < crate::support::site::PATIENCE, "{again:?}");
+        }
+        let entry = LOOKUP.replace("name: lookup", &format!("name: lookup-{round}"));
+        site.put(&entry).await;
+    }
+    assert_eq!(engine.ran().len(), 2);
+}
--- a/tests/support/site.rs
+++ b/tests/support/site.rs
@@ -28,6 +28,8 @@
 use tokio::time;
 use tokio::time::Instant;
 
+use super::proxy::Proxy;
+
 /// Waiting for what must come about ends in a failure after this.
 pub const PATIENCE: Duration = Duration::from_secs(20);
 
@@ -81,12 +83,23 @@
     controls: BTreeMap<id::Vm, Process<control::Daemon>>,
     starts: u64,
     operation: u128,
+    proxies: Vec<Proxy>,
     folder: TempDir,
 }
 
 impl Local {
     /// Starts a site of these VMs, each given as `name@region`; each runs both daemons.
     pub async fn start(vms: &[&str]) -> Self {
+        Self::start_with(vms, false).await
+    }
+
+    /// The same with a proxy before the links and forwards of each daemon. Its daemons can't be started anew.
+    pub async fn start_behind_proxies(vms: &[&str]) -> Self {
+        Self::start_with(vms, true).await
+    }
+
+    async fn start_with(vms: &[&str], through_proxies: bool) -> Self {
+        let mut proxies = Vec::new();
         let folder = tempfile::tempdir().expect("a temporary folder");
         let mut entry_bound = Vec::new();
         let mut control_bound = Vec::new();
@@ -97,10 +110,18 @@
             let name: id::Vm = name.parse().expect("a name");
             let data = folder.path().join(name.as_str());
             let (runtime, bound) = isolated(entry::daemon::Bound::any(ip)).await;
-            let (bound, addresses) = bound.expect("free ports");
+            let (bound, mut addresses) = bound.expect("free ports");
             entry_bound.push((name.clone(), runtime, bound));
             let (runtime, bound) = isolated(control::daemon::Bound::any(ip, data)).await;
-            let (bound, control) = bound.expect("free ports");
+            let (bound, mut control) = bound.expect("free ports");
+            if through_proxies {
+                let places = [&mut addresses.links, &mut addresses.forwards, &mut control.links];
+                for place in places {
+                    let proxy = Proxy::start(ip, *place).await;
+                    *place = proxy.address;
+                    proxies.push(proxy);
+                }
+            }
             control_bound.push((name.clone(), runtime, bound));
             all.insert(name, vm(region, addresses, control));
         }
@@ -111,6 +132,7 @@
             controls: BTreeMap::new(),
             starts: 0,
             operation: 0,
+            proxies,
             folder,
         };
         for (name, runtime, bound) in control_bound {
@@ -225,6 +247,11 @@
         }
     }
 
+    /// All connections between daemons go silent for good, while new ones work.
+    pub fn forget_connections(&self) {
+        self.proxies.iter().for_each(Proxy::forget);
+    }
+
     /// How many upstreams a VM knows now.
     pub fn known(&self, vm: &str) -> usize {
         self.hub(vm).dispatch().upstreams().count()
