Test a VM that is cut off one way, twice

Cause: no test on whole daemons showed a control VM that others can't reach and that doesn't know it. Change: proxies cut a VM's inbound links; changes go on, and it catches up without stepping back. Conclusion: a one-way cut does no harm.

--- a/tests/promises/configuration.rs
+++ b/tests/promises/configuration.rs
@@ -107,3 +107,28 @@
         time::sleep(Duration::from_millis(20)).await;
     }
 }
+
+// Nothing reaches one VM any more, though it can still send: a one-way cut, which it does not notice by itself. The
+// others go on to accept changes. It neither leads nor stops them, whatever it asks for; and when the cut ends it
+// catches up without ever having stepped back.
+#[tokio::test]
+async fn a_vm_that_is_cut_off_one_way_does_no_harm_and_catches_up() {
+    let mut site = Local::start_behind_proxies(&["a@gulf", "b@gulf", "c@gulf"]).await;
+    site.put(LOOKUP).await;
+    for round in 0..2 {
+        let before = site.hub("c").version();
+        site.cut_off("c", true);
+        let mut last = before;
+        for number in 0..10 {
+            let reply = site.change(edit(&format!("{}s", 10 * round + number + 2))).await;
+            let Reply::Accepted { version } = reply else { panic!("{reply:?}") };
+            last = version;
+            site.hub_has("a", version).await;
+            assert!(site.hub("c").version() >= before);
+        }
+        time::sleep(Duration::from_secs(3)).await;
+        site.cut_off("c", false);
+        site.in_force(last).await;
+        site.caught_up("c").await;
+    }
+}
--- a/tests/support/site.rs
+++ b/tests/support/site.rs
@@ -83,7 +83,7 @@
     controls: BTreeMap<id::Vm, Process<control::Daemon>>,
     starts: u64,
     operation: u128,
-    proxies: Vec<Proxy>,
+    proxies: Vec<(id::Vm, Proxy)>,
     folder: TempDir,
 }
 
@@ -119,7 +119,7 @@
                 for place in places {
                     let proxy = Proxy::start(ip, *place).await;
                     *place = proxy.address;
-                    proxies.push(proxy);
+                    proxies.push((name.clone(), proxy));
                 }
             }
             control_bound.push((name.clone(), runtime, bound));
@@ -249,7 +249,13 @@
 
     /// All connections between daemons go silent for good, while new ones work.
     pub fn forget_connections(&self) {
-        self.proxies.iter().for_each(Proxy::forget);
+        self.proxies.iter().for_each(|(_, proxy)| proxy.forget());
+    }
+
+    /// Nothing reaches a VM's daemons from other daemons any more, or again.
+    pub fn cut_off(&self, vm: &str, cut: bool) {
+        let proxies = self.proxies.iter().filter(|(name, _)| name.as_str() == vm);
+        proxies.for_each(|(_, proxy)| proxy.cut(cut));
     }
 
     /// How many upstreams a VM knows now.
@@ -259,7 +265,9 @@
 
     /// Waits until a version is in force on one entry VM.
     pub async fn hub_has(&self, vm: &str, version: Version) {
+        let until = Instant::now() + PATIENCE;
         while self.hub(vm).version() < version {
+            assert!(Instant::now() < until, "version {version} is not in force on {vm}");
             time::sleep(Duration::from_millis(1)).await;
         }
     }
