Test that bound data leaves no trace in other regions' logs and dumps

Cause: nothing showed it. Change: tests keep what each entry daemon logs; bound requests that are redirected, served, resent and broken are looked for there and in dumps. Conclusion: another region has seen the head of a request alone.

--- a/tests/promises/home.rs
+++ b/tests/promises/home.rs
@@ -2,6 +2,7 @@
 
 use http::StatusCode;
 use http::header;
+use masticstream::dump;
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
@@ -107,3 +108,30 @@
     }
     drop(away);
 }
+
+// Bound requests go to their home, to another region first, and are resent; one of them fails. What another region's
+// VM has seen of them by then is the head of a request: its log and its dump hold neither prompt, key nor answer. And
+// no VM at all logs a prompt or an answer.
+#[tokio::test]
+async fn bound_data_leaves_no_trace_elsewhere() {
+    let mut site = Local::start(&["a@gulf", "b@delta"]).await;
+    site.put(MANDATE).await;
+    let engine = engine(&site, "e1", "gulf", "a", 4).await;
+    let prompt = "account SI56-7731 moves to Koper";
+    let request = Caller::chat("mandate", prompt, 6, true).with_key("key-SI56-7731");
+    for vm in ["b", "a", "b", "a"] {
+        let answer = request.send(site.callers(vm)).await.unwrap();
+        assert_eq!(answer.status == StatusCode::TEMPORARY_REDIRECT, vm == "b", "{answer:?}");
+    }
+    engine.fail_next(fakes::Fault::CutAfter(2));
+    let broken = Caller::chat("mandate", prompt, 6, true).with_key("key-SI56-7732");
+    broken.send(site.callers("a")).await.unwrap();
+    let answer = fakes::answer(prompt, 6);
+    let away = site.logged("b") + &serde_json::to_string(&dump::entry(site.hub("b"))).unwrap();
+    let home = site.logged("a") + &serde_json::to_string(&dump::entry(site.hub("a"))).unwrap();
+    assert!(home.contains("attempt failed"), "the log is looked at");
+    for private in [prompt, "SI56-7731", answer.as_str()] {
+        assert!(!away.contains(private), "{private} in {away}");
+    }
+    assert!(!home.contains(prompt) && !home.contains(&answer), "{home}");
+}
--- a/tests/support/site.rs
+++ b/tests/support/site.rs
@@ -28,6 +28,7 @@
 use tokio::time;
 use tokio::time::Instant;
 
+use super::lines::Lines;
 use super::proxy::Proxy;
 
 /// Waiting for what must come about ends in a failure after this.
@@ -83,6 +84,7 @@
     controls: BTreeMap<id::Vm, Process<control::Daemon>>,
     starts: u64,
     operation: u128,
+    lines: BTreeMap<id::Vm, Lines>,
     proxies: Vec<(id::Vm, Proxy)>,
     folder: TempDir,
 }
@@ -132,6 +134,7 @@
             controls: BTreeMap::new(),
             starts: 0,
             operation: 0,
+            lines: BTreeMap::new(),
             proxies,
             folder,
         };
@@ -144,7 +147,10 @@
         for (name, runtime, bound) in entry_bound {
             let numbers = (Incarnation::new(local.seed()), local.seed());
             let site = local.site.clone();
-            let start = entry::Daemon::start_on(bound, name.clone(), site, numbers, log::silent());
+            let lines = Lines::default();
+            let log = lines.logger();
+            let start = entry::Daemon::start_on(bound, name.clone(), site, numbers, log);
+            local.lines.insert(name.clone(), lines);
             let daemon = runtime.spawn(start).await.expect("no panic").expect("an entry daemon");
             local.entries.insert(name, Process { runtime: Some(runtime), daemon: Some(daemon) });
         }
@@ -258,6 +264,11 @@
         proxies.for_each(|(_, proxy)| proxy.cut(cut));
     }
 
+    /// What a VM's entry daemon has logged since the site was started.
+    pub fn logged(&self, vm: &str) -> String {
+        self.lines[&vm.parse::<id::Vm>().expect("a name")].text()
+    }
+
     /// How many upstreams a VM knows now.
     pub fn known(&self, vm: &str) -> usize {
         self.hub(vm).dispatch().upstreams().count()
