Give a caller its answer before its record is committed

Cause: found by reading: the end of an answer waited for the ledger's record of it, for up to two minutes where the ledger had lost its majority meanwhile. Change: the answer ends first, the claim is settled after; until then resends to this VM read the same answer along. Conclusion: the ledger's record costs a caller nothing.

--- a/src/entry/run.rs
+++ b/src/entry/run.rs
@@ -39,10 +39,13 @@
 use crate::id;
 use crate::ledger;
 
+/// A request's claim, where it made one, and how it ended.
+type Ended = (Option<ledger::Step>, Result<(), Refusal>);
+
 /// Runs a request to its end and writes its answer.
 pub async fn run(hub: Arc<Hub>, job: Arc<Job>, out: Arc<Writer>) {
     let _stream = hub.enter();
-    let ended = tokio::select! {
+    let (step, ended) = tokio::select! {
         ended = answer(&hub, &job, &out) => ended,
         // Nobody reads, and a request without a key can't be asked for again.
         () = out.abandoned(), if job.key.is_none() => {
@@ -50,6 +53,10 @@
             return;
         }
     };
+    // Failure: the ledger loses its majority while the request runs, and the caller, who has the answer but for its end,
+    // waits for a record that it has no use for. The claim was committed before the request ran, which is what keeps
+    // it from running twice; until its end is recorded, resends that come here read this answer along.
+    let record = Record::of(&job, &out, &ended);
     match ended {
         Ok(()) => {
             hub.metrics.ended(job.entry.class, "whole");
@@ -63,29 +70,63 @@
             out.end(End::Refused(refusal));
         }
     }
+    if let Some(step) = step {
+        settle(&hub, &job, step, record).await;
+    }
+}
+
+/// How a claim ends.
+enum Record {
+    /// The request was answered; this is kept for resends.
+    Answered(Option<Arc<ledger::Answer>>),
+    /// The key is free again: nothing ran, or what ran may run again.
+    Free,
+    /// The request may have run, and is not run again.
+    Broken,
+}
+
+impl Record {
+    fn of(job: &Job, out: &Writer, ended: &Result<(), Refusal>) -> Self {
+        match ended {
+            Ok(()) => Self::Answered(out.kept_answer().map(Arc::new)),
+            Err(refusal) if refusal.ran == Ran::No || job.may_repeat() => Self::Free,
+            Err(_) => Self::Broken,
+        }
+    }
+}
+
+async fn settle(hub: &Hub, job: &Job, step: ledger::Step, record: Record) {
+    match record {
+        Record::Answered(answer) => {
+            claim::finish(hub, job, step, ledger::Outcome::Whole, answer).await;
+        }
+        Record::Free => claim::release(hub, job, step).await,
+        Record::Broken => claim::finish(hub, job, step, ledger::Outcome::Broken, None).await,
+    }
 }
 
 /// Answers from what is known of the request's key, else by running it.
-async fn answer(hub: &Arc<Hub>, job: &Arc<Job>, out: &Writer) -> Result<(), Refusal> {
+async fn answer(hub: &Arc<Hub>, job: &Arc<Job>, out: &Writer) -> Ended {
     let must_claim = job.key.is_some() && !job.is_forwarded();
     if !must_claim {
         return execute(hub, job, out, false).await;
     }
-    match claim::look(hub, job).await? {
-        Known::Absent => execute(hub, job, out, true).await,
-        Known::Unasked => execute_again(hub, job, out).await,
-        known => match replay(hub, job, out, known).await {
+    match claim::look(hub, job).await {
+        Ok(Known::Absent) => execute(hub, job, out, true).await,
+        Ok(Known::Unasked) => execute_again(hub, job, out).await,
+        Ok(known) => match replay(hub, job, out, known).await {
             Err(_) if job.may_repeat() && !out.has_head() => execute_again(hub, job, out).await,
-            replayed => replayed,
+            replayed => (None, replayed),
         },
+        Err(refusal) => (None, Err(refusal)),
     }
 }
 
 /// Runs a request that may repeat without a claim. What came of an earlier send is not known, so no refusal of this
 /// one may say that nothing ran.
-async fn execute_again(hub: &Arc<Hub>, job: &Arc<Job>, out: &Writer) -> Result<(), Refusal> {
-    let ended = execute(hub, job, out, false).await;
-    ended.map_err(|refusal| refusal.with_ran(Ran::Unknown))
+async fn execute_again(hub: &Arc<Hub>, job: &Arc<Job>, out: &Writer) -> Ended {
+    let (step, ended) = execute(hub, job, out, false).await;
+    (step, ended.map_err(|refusal| refusal.with_ran(Ran::Unknown)))
 }
 
 /// Answers a request that ran or runs elsewhere.
@@ -122,20 +163,18 @@
         .with_retry_after(claim::RUNNING_BACK)
 }
 
-/// Runs the request, and settles its claim.
-async fn execute(
-    hub: &Arc<Hub>,
-    job: &Arc<Job>,
-    out: &Writer,
-    must_claim: bool,
-) -> Result<(), Refusal> {
+/// Runs the request within its owner's limits.
+async fn execute(hub: &Arc<Hub>, job: &Arc<Job>, out: &Writer, must_claim: bool) -> Ended {
     if hub.is_draining() && !job.is_forwarded() {
-        return Err(hub.draining_refusal());
+        return (None, Err(hub.draining_refusal()));
+    }
+    let mut charged = None;
+    if hub.charges(job) {
+        match Charged::new(hub, job).await {
+            Ok(charge) => charged = Some(charge),
+            Err(refusal) => return (None, Err(refusal)),
+        }
     }
-    let mut charged = match hub.charges(job) {
-        true => Some(Charged::new(hub, job).await?),
-        false => None,
-    };
     let checked = Checked::new(hub.clone(), job.clone(), must_claim);
     let (step, ended) = match elsewhere(hub, job, out, checked).await {
         Elsewhere::Stays { checked, evidence } => match charge_away(hub, job, &mut charged).await {
@@ -156,19 +195,7 @@
     if let Some(charged) = &mut charged {
         charged.took(out.tokens(job.prompt));
     }
-    let Some(step) = step else { return ended };
-    match &ended {
-        Ok(()) => {
-            let answer = out.kept_answer().map(Arc::new);
-            claim::finish(hub, job, step, ledger::Outcome::Whole, answer).await;
-        }
-        // A resend of what may repeat is run again, so its key is free whatever came of this run.
-        Err(refusal) if refusal.ran == Ran::No || job.may_repeat() => {
-            claim::release(hub, job, step).await;
-        }
-        Err(_) => claim::finish(hub, job, step, ledger::Outcome::Broken, None).await,
-    }
-    ended
+    (step, ended)
 }
 
 /// What another region's entry runs here, for want of its home, counts against the owner all the same.
@@ -251,8 +278,6 @@
     }
 }
 
-type Ended = (Option<ledger::Step>, Result<(), Refusal>);
-
 /// Attempts until one is whole, or until another may not be made.
 async fn attempts(
     hub: &Arc<Hub>,
