Let what a path asks for stand by itself, and tests share their entries

Cause: the callers' file had two jobs; the same entries stood in several tests. Change: http/target.rs, tests/support/entries.rs; no behaviour changes. Conclusion: one job a file.

--- a/src/http/caller.rs
+++ b/src/http/caller.rs
@@ -8,7 +8,6 @@
 use http::HeaderMap;
 use http::HeaderName;
 use http::HeaderValue;
-use http::Method;
 use http::Request;
 use http::Response;
 use http::StatusCode;
@@ -42,6 +41,7 @@
 use crate::http::Refusal;
 use crate::http::body;
 use crate::http::forward;
+use crate::http::target::Target;
 use crate::id;
 
 /// How long a caller may rely on the directory, in seconds: a lost VM is left out within that.
@@ -90,14 +90,6 @@
     owned_by: &'static str,
 }
 
-/// What a path asks for.
-enum Target {
-    Directory,
-    Models(Option<String>),
-    Completion { entry: Option<String>, path: String },
-    Service { entry: String, path: String },
-}
-
 /// Answers a caller.
 pub async fn answer(hub: Arc<Hub>, request: Request<Incoming>) -> Response<Body> {
     // Failure: a request ran, its answer was lost, and its resend is refused before the ledger is asked: told "not
@@ -107,7 +99,7 @@
         true => Ran::Unknown,
         false => Ran::No,
     };
-    let answered = match target(&request) {
+    let answered = match Target::of(&request) {
         Ok(target) => reach(hub, request, target).await,
         Err(refusal) => Err(refusal),
     };
@@ -162,37 +154,6 @@
     Ok(start(hub, Arc::new(job))?.response().await)
 }
 
-fn target(request: &Request<Incoming>) -> Result<Target, Refusal> {
-    let path = request.uri().path();
-    let not_found = || {
-        let known = "/directory, /v1/models, /v1/chat/completions, /v1/completions, \
-                     /entries/{entry}/v1/… and /services/{entry}/…";
-        Refusal::new(Reason::NotFound, format!("no such path here; there are {known}"))
-    };
-    if path == "/directory" {
-        return Ok(Target::Directory);
-    }
-    if let Some(rest) = path.strip_prefix("/services/") {
-        let (entry, rest) = rest.split_once('/').unwrap_or((rest, ""));
-        let query = request.uri().query().map(|query| format!("?{query}")).unwrap_or_default();
-        return Ok(Target::Service { entry: entry.to_owned(), path: format!("/{rest}{query}") });
-    }
-    let (entry, path) = match path.strip_prefix("/entries/") {
-        Some(rest) => {
-            let (entry, rest) = rest.split_once('/').ok_or_else(not_found)?;
-            (Some(entry.to_owned()), format!("/{rest}"))
-        }
-        None => (None, path.to_owned()),
-    };
-    match (request.method(), path.as_str()) {
-        (&Method::GET, "/v1/models") => Ok(Target::Models(entry)),
-        (&Method::POST, "/v1/chat/completions" | "/v1/completions") => {
-            Ok(Target::Completion { entry, path })
-        }
-        _ => Err(not_found()),
-    }
-}
-
 fn directory(hub: &Hub) -> Response<Body> {
     let places = hub.live().into_iter().map(|live| Place {
         vm: live.vm,
--- a/tests/hostile.rs
+++ b/tests/hostile.rs
@@ -17,30 +17,21 @@
 
 use crate::support::Caller;
 use crate::support::Local;
-
-const CHAT: &str = "
-name: chat
-owner: bayou
-class: short
-models: [small]
-deadline: 20s
-repeat: allowed
-limits: { requests: 1000/s, tokens: 100000/s, concurrency: 1000 }
-";
+use crate::support::entries::LOOKUP;
 
 const CASES: usize = 400;
 
 /// Requests that are well formed but for what the generator does to them.
 const SEEDS: [&str; 7] = [
-    "POST /v1/chat/completions HTTP/1.1\r\nhost: x\r\nmastic-entry: chat\r\ncontent-length: 44\r\n\r\n\
+    "POST /v1/chat/completions HTTP/1.1\r\nhost: x\r\nmastic-entry: lookup\r\ncontent-length: 44\r\n\r\n\
      {\"prompt\":\"hello\",\"max_tokens\":3,\"stream\":true}",
     "PUT /upstreams/e9 HTTP/1.1\r\nhost: x\r\ncontent-length: 40\r\n\r\n{\"address\":\"127.0.0.1:1\",\"slots\":99999999}",
     "DELETE /upstreams/e1?incarnation=999999999999999999999 HTTP/1.1\r\nhost: x\r\n\r\n",
-    "PUT /entries/chat HTTP/1.1\r\nhost: x\r\ncontent-length: 17\r\n\r\n{\"operation\":\"zz\"}",
+    "PUT /entries/lookup HTTP/1.1\r\nhost: x\r\ncontent-length: 17\r\n\r\n{\"operation\":\"zz\"}",
     "GET /join HTTP/1.1\r\nhost: x\r\nmastic-secret: guess\r\n\r\n",
     "GET /link HTTP/1.1\r\nhost: x\r\nupgrade: websocket\r\nconnection: upgrade\r\nsec-websocket-version: 13\r\n\
      sec-websocket-key: dGhlIHNhbXBsZSBub25jZQ==\r\n\r\n\u{82}\u{7f}\u{ff}\u{ff}\u{ff}\u{ff}\u{ff}\u{ff}\u{ff}\u{ff}",
-    "POST /v1/chat/completions HTTP/1.1\r\nhost: x\r\nmastic-entry: chat\r\ntransfer-encoding: chunked\r\n\r\n\
+    "POST /v1/chat/completions HTTP/1.1\r\nhost: x\r\nmastic-entry: lookup\r\ntransfer-encoding: chunked\r\n\r\n\
      ffffffffffffffff\r\n{\"prompt\":",
 ];
 
@@ -81,7 +72,7 @@
 #[tokio::test]
 async fn a_daemon_outlives_whatever_is_sent_to_it() {
     let mut site = Local::start(&["a@gulf"]).await;
-    site.put(CHAT).await;
+    site.put(LOOKUP).await;
     let engine = Settings::engine("e1").with_entries([site.upstreams("a")]);
     let _engine = Upstream::start(engine).await.unwrap();
     site.upstreams_known("gulf", 1).await;
@@ -108,8 +99,8 @@
         assert!(!text.starts_with("HTTP/1.1 5") || text.contains("\"ran\":\"no\""), "{text}");
     }
     let answer =
-        Caller::chat("chat", "still there?", 4, true).send(site.callers("a")).await.unwrap();
+        Caller::chat("lookup", "still there?", 4, true).send(site.callers("a")).await.unwrap();
     assert_eq!(answer.streamed(), Some(fakes::answer("still there?", 4)), "{answer:?}");
-    let record = site.hub("a").view().record(&"chat".parse().unwrap()).cloned();
+    let record = site.hub("a").view().record(&"lookup".parse().unwrap()).cloned();
     assert!(record.is_some_and(|record| record.entry.is_some()), "the entry is still there");
 }
--- a/tests/path.rs
+++ b/tests/path.rs
@@ -8,25 +8,16 @@
 
 use crate::support::Caller;
 use crate::support::Local;
-
-const CHAT: &str = "
-name: chat
-owner: bayou
-class: short
-models: [small]
-deadline: 20s
-repeat: allowed
-limits: { requests: 1000/s, tokens: 100000/s, concurrency: 100 }
-";
+use crate::support::entries::LOOKUP;
 
 #[tokio::test]
 async fn a_streamed_request_is_answered_through_the_daemons() {
     let mut site = Local::start(&["a@gulf"]).await;
-    site.put(CHAT).await;
+    site.put(LOOKUP).await;
     let engine = Settings::engine("e1").with_entries([site.upstreams("a")]);
     let engine = Upstream::start(engine).await.unwrap();
     site.upstreams_known("gulf", 1).await;
-    let answer = Caller::chat("chat", "how far is the cell?", 8, true);
+    let answer = Caller::chat("lookup", "how far is the cell?", 8, true);
     let answer = answer.send(site.callers("a")).await.unwrap();
     assert_eq!(answer.status, StatusCode::OK);
     assert_eq!(answer.streamed(), Some(fakes::answer("how far is the cell?", 8)));
@@ -36,8 +27,8 @@
 #[tokio::test]
 async fn what_can_not_be_served_is_refused_at_once() {
     let mut site = Local::start(&["a@gulf"]).await;
-    site.put(CHAT).await;
-    let refused = Caller::chat("chat", "hello", 8, true).send(site.callers("a")).await.unwrap();
+    site.put(LOOKUP).await;
+    let refused = Caller::chat("lookup", "hello", 8, true).send(site.callers("a")).await.unwrap();
     let problem = refused.problem();
     assert_eq!(problem.kind, "urn:masticstream:refusal:no-upstream");
     assert_eq!(serde_json::to_value(problem.ran).unwrap(), "no");
--- a/tests/promises/main.rs
+++ b/tests/promises/main.rs
@@ -16,32 +16,8 @@
 use fakes::Upstream;
 
 use crate::support::Local;
-
-/// A short repeatable entry for engines.
-pub const LOOKUP: &str = "
-name: lookup
-owner: bayou
-class: short
-models: [small]
-home: gulf
-deadline: 20s
-repeat: allowed
-prefers: latency
-limits: { requests: 1000/s, tokens: 1000000/s, concurrency: 2000 }
-";
-
-/// The same, whose requests run at most once.
-pub const MANDATE: &str = "
-name: mandate
-owner: prehod
-class: long
-models: [small]
-home: gulf
-bound: true
-deadline: 20s
-repeat: never
-limits: { requests: 1000/s, tokens: 1000000/s, concurrency: 2000 }
-";
+pub use crate::support::entries::LOOKUP;
+pub use crate::support::entries::MANDATE;
 
 /// Starts an engine of a region that announces itself to a VM, and waits until the region knows it.
 pub async fn engine(site: &Local, name: &str, region: &str, vm: &str, slots: usize) -> Upstream {
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -3,6 +3,7 @@
 #![allow(dead_code, unused_imports, reason = "each test uses its part")]
 
 pub mod caller;
+pub mod entries;
 pub mod lines;
 pub mod proxy;
 pub mod site;
