Test two living regions that lose each other, twice, under traffic

Cause: only the killing of other regions was shown. Change: each daemon of a test site can be given proxies of its own to all others, so that any set of VMs can be parted both ways.

--- a/tests/promises/home.rs
+++ b/tests/promises/home.rs
@@ -135,3 +135,60 @@
     }
     assert!(!home.contains(prompt) && !home.contains(&answer), "{home}");
 }
+
+// Two living regions lose each other for some seconds, twice, under traffic of both. Each goes on to answer its own
+// callers, those of bound requests that run at most once among them; nothing of a region is served in the other; a
+// change is accepted on the side of the majority alone, and is in force on both once they see each other again.
+#[tokio::test]
+async fn parted_regions_serve_their_own_and_come_together_again() {
+    let mut site = Local::start_behind_proxies(&["a@delta", "b@delta", "c@gulf", "d@gulf"]).await;
+    site.put(MANDATE).await;
+    let other =
+        MANDATE.replace("home: gulf", "home: delta").replace("name: mandate", "name: other");
+    site.put(&other).await;
+    let gulf = engine(&site, "e1", "gulf", "c", 4).await;
+    let delta = engine(&site, "e2", "delta", "a", 4).await;
+    for round in 0..2 {
+        site.part(&["a", "b"], true);
+        let until = tokio::time::Instant::now() + std::time::Duration::from_secs(6);
+        let mut number = 0;
+        while tokio::time::Instant::now() < until {
+            number += 1;
+            for (entry, vm) in [("mandate", "c"), ("mandate", "d"), ("other", "a"), ("other", "b")]
+            {
+                let key = format!("{round}-{number}-{vm}");
+                let answer = insist(&site, entry, vm, &key).await;
+                assert_eq!(answer.streamed(), Some(fakes::answer(&key, 3)), "{answer:?}");
+            }
+        }
+        let changed = LOOKUP.replace("deadline: 20s", &format!("deadline: {}s", round + 5));
+        let version = site.put_on("a", &changed).await;
+        assert!(site.hub("c").version() < version, "the change crossed the partition");
+        site.part(&["a", "b"], false);
+        site.in_force(version).await;
+    }
+    let wrong = |engine: &fakes::Upstream, ending: [&str; 2]| {
+        engine
+            .ran()
+            .into_iter()
+            .filter_map(|run| run.key)
+            .any(|key| !ending.iter().any(|vm| key.ends_with(vm)))
+    };
+    assert!(!wrong(&gulf, ["-c", "-d"]) && !wrong(&delta, ["-a", "-b"]));
+    let mut keys: Vec<_> = gulf.ran().into_iter().filter_map(|run| run.key).collect();
+    keys.sort();
+    keys.windows(2).for_each(|two| assert_ne!(two[0], two[1], "a mandate ran twice"));
+}
+
+/// Sends a request under its key until it is answered.
+async fn insist(site: &Local, entry: &str, vm: &str, key: &str) -> crate::support::caller::Answer {
+    let request = Caller::chat(entry, key, 3, true).with_key(key);
+    let until = tokio::time::Instant::now() + crate::support::site::PATIENCE;
+    loop {
+        let answer = request.send(site.callers(vm)).await.unwrap();
+        if answer.status == StatusCode::OK || tokio::time::Instant::now() > until {
+            return answer;
+        }
+        tokio::time::sleep(std::time::Duration::from_millis(100)).await;
+    }
+}
--- a/tests/support/site.rs
+++ b/tests/support/site.rs
@@ -76,6 +76,27 @@
     (runtime, done)
 }
 
+/// A proxy on the way from one VM's daemons to another's.
+struct Between {
+    from: id::Vm,
+    to: id::Vm,
+    proxy: Proxy,
+}
+
+/// Puts proxies before the links and forwards of all VMs but one, in the settings that this one is given.
+async fn between(from: &id::Vm, view: &mut BTreeMap<id::Vm, settings::site::Vm>) -> Vec<Between> {
+    let mut proxies = Vec::new();
+    for (to, vm) in view.iter_mut().filter(|(to, _)| *to != from) {
+        let (Some(entry), Some(control)) = (&mut vm.entry, &mut vm.control) else { continue };
+        for place in [&mut entry.links, &mut entry.forwards, &mut control.links] {
+            let proxy = Proxy::start(place.ip(), *place).await;
+            *place = proxy.address;
+            proxies.push(Between { from: from.clone(), to: to.clone(), proxy });
+        }
+    }
+    proxies
+}
+
 /// A site whose daemons run in this process.
 pub struct Local {
     /// Its settings.
@@ -85,7 +106,7 @@
     starts: u64,
     operation: u128,
     lines: BTreeMap<id::Vm, Lines>,
-    proxies: Vec<(id::Vm, Proxy)>,
+    proxies: Vec<Between>,
     folder: TempDir,
 }
 
@@ -101,7 +122,6 @@
     }
 
     async fn start_with(vms: &[&str], through_proxies: bool) -> Self {
-        let mut proxies = Vec::new();
         let folder = tempfile::tempdir().expect("a temporary folder");
         let mut entry_bound = Vec::new();
         let mut control_bound = Vec::new();
@@ -112,24 +132,24 @@
             let name: id::Vm = name.parse().expect("a name");
             let data = folder.path().join(name.as_str());
             let (runtime, bound) = isolated(entry::daemon::Bound::any(ip)).await;
-            let (bound, mut addresses) = bound.expect("free ports");
+            let (bound, addresses) = bound.expect("free ports");
             entry_bound.push((name.clone(), runtime, bound));
             let (runtime, bound) = isolated(control::daemon::Bound::any(ip, data)).await;
-            let (bound, mut control) = bound.expect("free ports");
-            if through_proxies {
-                let places = [&mut addresses.links, &mut addresses.forwards, &mut control.links];
-                for place in places {
-                    let proxy = Proxy::start(ip, *place).await;
-                    *place = proxy.address;
-                    proxies.push((name.clone(), proxy));
-                }
-            }
+            let (bound, control) = bound.expect("free ports");
             control_bound.push((name.clone(), runtime, bound));
             all.insert(name, vm(region, addresses, control));
         }
-        let site = Arc::new(site(all));
+        let mut proxies = Vec::new();
+        let mut views = BTreeMap::new();
+        for from in all.keys() {
+            let mut view = all.clone();
+            if through_proxies {
+                proxies.extend(between(from, &mut view).await);
+            }
+            views.insert(from.clone(), Arc::new(site(view)));
+        }
         let mut local = Self {
-            site,
+            site: Arc::new(site(all)),
             entries: BTreeMap::new(),
             controls: BTreeMap::new(),
             starts: 0,
@@ -139,14 +159,14 @@
             folder,
         };
         for (name, runtime, bound) in control_bound {
-            let (site, seed) = (local.site.clone(), local.seed());
+            let (site, seed) = (views[&name].clone(), local.seed());
             let start = control::Daemon::start_on(bound, name.clone(), site, seed, log::silent());
             let daemon = runtime.spawn(start).await.expect("no panic").expect("a control daemon");
             local.controls.insert(name, Process { runtime: Some(runtime), daemon: Some(daemon) });
         }
         for (name, runtime, bound) in entry_bound {
             let numbers = (Incarnation::new(local.seed()), local.seed());
-            let site = local.site.clone();
+            let site = views[&name].clone();
             let lines = Lines::default();
             let log = lines.logger();
             let start = entry::Daemon::start_on(bound, name.clone(), site, numbers, log);
@@ -208,11 +228,26 @@
         version
     }
 
+    /// Puts an entry through one VM, and waits until it is in force there.
+    pub async fn put_on(&mut self, vm: &str, yaml: &str) -> Version {
+        let entry = settings::entry::parse("entry.yaml", yaml).expect("an entry");
+        let vm: id::Vm = vm.parse().expect("a name");
+        let reply = self.change_on(&vm, Edit::Put(Arc::new(entry))).await;
+        let catalogue::Reply::Accepted { version } = reply else { panic!("{reply:?}") };
+        self.hub_has(vm.as_str(), version).await;
+        version
+    }
+
     /// Sends a change until it is known what came of it.
     pub async fn change(&mut self, edit: Edit) -> catalogue::Reply {
+        let vm = self.entries.keys().next().expect("an entry daemon").clone();
+        self.change_on(&vm, edit).await
+    }
+
+    async fn change_on(&mut self, vm: &id::Vm, edit: Edit) -> catalogue::Reply {
         self.operation += 1;
         let operation = id::Operation::new(self.operation);
-        let process = self.entries.values().next().expect("an entry daemon");
+        let process = &self.entries[vm];
         let (hub, runtime) = (process.daemon().hub().clone(), process.runtime.as_ref());
         let runtime = runtime.expect("a runtime").handle().clone();
         let replaces =
@@ -255,13 +290,20 @@
 
     /// All connections between daemons go silent for good, while new ones work.
     pub fn forget_connections(&self) {
-        self.proxies.iter().for_each(|(_, proxy)| proxy.forget());
+        self.proxies.iter().for_each(|between| between.proxy.forget());
+    }
+
+    /// Nothing passes between these VMs and the others any more, either way, or again.
+    pub fn part(&self, vms: &[&str], parted: bool) {
+        let inside = |vm: &id::Vm| vms.contains(&vm.as_str());
+        let across = self.proxies.iter().filter(|way| inside(&way.from) != inside(&way.to));
+        across.for_each(|way| way.proxy.cut(parted));
     }
 
     /// Nothing reaches a VM's daemons from other daemons any more, or again.
     pub fn cut_off(&self, vm: &str, cut: bool) {
-        let proxies = self.proxies.iter().filter(|(name, _)| name.as_str() == vm);
-        proxies.for_each(|(_, proxy)| proxy.cut(cut));
+        let ways = self.proxies.iter().filter(|way| way.to.as_str() == vm);
+        ways.for_each(|way| way.proxy.cut(cut));
     }
 
     /// What a VM's entry daemon has logged since the site was started.
