Join and hand over on connections of their own, and join again after a silence

Ruled out: the links, which were replaced in 3 s, and the ledger, which had answered. Change: requests between VMs use fresh connections; a join asks again after 3 s without a first piece, until the deadline; kept connections to upstreams are given up after 5 s instead of 15.

--- a/src/entry/run.rs
+++ b/src/entry/run.rs
@@ -1,6 +1,7 @@
 //! The life of one request: looked up, waiting, claimed, attempted, answered.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use bytes::Bytes;
 use http::HeaderValue;
@@ -39,6 +40,9 @@
 use crate::id;
 use crate::ledger;
 
+/// Who reads along with another VM asks again after so long without a first piece.
+const JOIN_PATIENCE: Duration = Duration::from_secs(3);
+
 /// A request's claim, where it made one, and how it ended.
 type Ended = (Option<ledger::Step>, Result<(), Refusal>);
 
@@ -152,9 +156,16 @@
     let Some(address) = address.filter(|_| *vm != hub.me) else {
         return Err(in_progress("the request was started, and how it ended is being recorded"));
     };
-    let sink = stage::sink(hub, job, out, &|| true);
-    let joined = forward::ask_join(hub, job, address, &sink).await;
-    joined.map_err(|failure| in_progress(&format!("the request runs on {vm}: {}", failure.why)))
+    let mut sink = stage::sink(hub, job, out, &|| true);
+    sink.patience.first = sink.patience.first.min(JOIN_PATIENCE);
+    loop {
+        let Err(failure) = forward::ask_join(hub, job, address, &sink).await else { return Ok(()) };
+        // Joining again is harmless, and a connection that has gone silent is found out no other way.
+        let again = failure.fault == Fault::Silent && !out.has_head();
+        if !again || Instant::now() >= job.deadline {
+            return Err(in_progress(&format!("the request runs on {vm}: {}", failure.why)));
+        }
+    }
 }
 
 fn in_progress(detail: &str) -> Refusal {
--- a/src/http/client.rs
+++ b/src/http/client.rs
@@ -20,8 +20,9 @@
 
 /// Connecting takes no longer than this; a VM that is up accepts within a trip.
 pub const CONNECT: Duration = Duration::from_millis(1500);
-/// A kept connection is given up after so long unused: well before any middlebox forgets it (minutes, as a rule).
-const IDLE: Duration = Duration::from_secs(15);
+/// A kept connection is given up after so long unused. Middleboxes forget idle ones after minutes as a rule; but what
+/// forgets all of them at once costs a request its whole time limit, and a fresh connection costs a trip in the region.
+const IDLE: Duration = Duration::from_secs(5);
 /// Kept connections per address.
 const KEPT: usize = 64;
 
@@ -81,6 +82,25 @@
         }
     }
 
+    /// The same on a connection of its own.
+    ///
+    /// Failure: something on the way has lost track of a kept connection; nothing is refused, and the request waits
+    /// for its whole time limit. A connection that has just been made works.
+    pub async fn send_fresh(
+        &self,
+        address: SocketAddr,
+        request: Request<Full<Bytes>>,
+    ) -> Result<(Response<Incoming>, Lease), Error> {
+        let mut lease = fresh(address).await?;
+        match lease.sender.try_send_request(request).await {
+            Ok(response) => Ok((response, lease)),
+            Err(mut failed) => match failed.take_message() {
+                Some(_) => Err(Error::Unsent(failed.error().to_string())),
+                None => Err(Error::Lost(failed.error().to_string())),
+            },
+        }
+    }
+
     /// Takes a connection back after its answer was read whole.
     pub fn keep(&self, lease: Lease) {
         if lease.sender.is_closed() {
@@ -120,13 +140,17 @@
         if let Some(sender) = self.kept(address) {
             return Ok(Lease { address, sender, fresh: false });
         }
-        let sender = time::timeout(CONNECT, connect(address))
-            .await
-            .map_err(|_| Error::Unsent("connecting took too long".to_owned()))??;
-        Ok(Lease { address, sender, fresh: true })
+        fresh(address).await
     }
 }
 
+async fn fresh(address: SocketAddr) -> Result<Lease, Error> {
+    let sender = time::timeout(CONNECT, connect(address))
+        .await
+        .map_err(|_| Error::Unsent("connecting took too long".to_owned()))??;
+    Ok(Lease { address, sender, fresh: true })
+}
+
 async fn connect(address: SocketAddr) -> Result<Sender, Error> {
     let unsent = |error: &dyn std::error::Error| Error::Unsent(error.to_string());
     let stream = TcpStream::connect(address).await.map_err(|error| unsent(&error))?;
--- a/src/http/forward.rs
+++ b/src/http/forward.rs
@@ -99,14 +99,12 @@
         .header(DIGEST, hex::encode(job.digest.as_bytes()))
         .body(Full::new(Bytes::new()))
         .map_err(|error| Failure::lost(error.to_string()))?;
-    let sent = time::timeout(sink.patience.first, hub.client.send(address, request)).await;
-    let (response, lease) = sent.map_err(|_| Failure::silent("no answer began in time"))??;
+    let sent = time::timeout(sink.patience.first, hub.client.send_fresh(address, request)).await;
+    let (response, _lease) = sent.map_err(|_| Failure::silent("no answer began in time"))??;
     if response.status() == Reason::NotFound.status() {
         return Err(Failure::lost("the request does not run there any more"));
     }
-    sink.pass(response).await?;
-    hub.client.keep(lease);
-    Ok(())
+    sink.pass(response).await
 }
 
 /// Has a request run in another region, and passes the answer on.
@@ -135,8 +133,8 @@
         .map_err(|error| Failure::lost(error.to_string()))?;
     // The other VM answers or refuses by the deadline; what it says then still has to travel.
     let limit = left + Duration::from_secs(1);
-    let sent = time::timeout(limit, hub.client.send(address, request)).await;
-    let (response, lease) = sent.map_err(|_| Failure::silent("no answer began in time"))??;
+    let sent = time::timeout(limit, hub.client.send_fresh(address, request)).await;
+    let (response, _lease) = sent.map_err(|_| Failure::silent("no answer began in time"))??;
     if let Some(ran) = response.headers().get(RAN) {
         let evidence = if ran == "no" { Evidence::SaidNotRun } else { Evidence::BytesSent };
         let why = format!("the other region refused with {}", response.status());
@@ -146,9 +144,7 @@
         };
         return Err(Failure { evidence, why, fault });
     }
-    sink.pass(response).await?;
-    hub.client.keep(lease);
-    Ok(())
+    sink.pass(response).await
 }
 
 fn retry_after(headers: &HeaderMap) -> Duration {
--- a/tests/promises/whole.rs
+++ b/tests/promises/whole.rs
@@ -146,3 +146,32 @@
     }
     assert_eq!(engine.ran().len(), 2);
 }
+
+// A resend joins the running request over a connection between two VMs, which is kept. Then everything between them
+// is forgotten, and the next resend joins another request. Found by the test above: it was sent on the kept connection
+// and waited a minute for an answer that could not come, far beyond its deadline.
+#[tokio::test]
+async fn a_join_does_not_wait_on_a_connection_that_is_forgotten() {
+    let mut site = Local::start_behind_proxies(&["a@gulf", "b@gulf", "c@gulf"]).await;
+    site.put(MANDATE).await;
+    let engine = engine(&site, "e1", "gulf", "a", 4).await;
+    engine.slow_down(60.0);
+    for round in 0..2 {
+        let begun = time::Instant::now();
+        let request = Caller::chat("mandate", "move it", 20, false).with_key(&format!("k{round}"));
+        let (first, at) = (request.clone(), site.callers("a"));
+        let running = tokio::spawn(async move { first.send(at).await });
+        while engine.ran().len() <= round {
+            time::sleep(Duration::from_millis(5)).await;
+        }
+        site.forget_connections();
+        let mut joined = request.send(site.callers("b")).await.unwrap();
+        while joined.status != StatusCode::OK && begun.elapsed() < Duration::from_secs(18) {
+            joined = request.send(site.callers("b")).await.unwrap();
+        }
+        assert!(begun.elapsed() < Duration::from_secs(18), "{:?} {joined:?}", begun.elapsed());
+        let first = running.await.unwrap().unwrap();
+        assert_eq!((first.status, &first.body), (joined.status, &joined.body));
+    }
+    assert_eq!(engine.ran().len(), 2);
+}
