Tell a caller who waits for a stream that its request is alive

Cause: found in the read-through: the comments for long waits were written and never sent. Change: a comment every 5 s until the answer begins; comments of an upstream or of another VM are no pieces of an answer and are not passed on. Conclusion: nothing on the way need take a waiting stream for dead.

--- a/src/entry/run.rs
+++ b/src/entry/run.rs
@@ -1,5 +1,6 @@
 //! The life of one request: looked up, waiting, claimed, attempted, answered.
 
+use std::convert::Infallible;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -43,6 +44,9 @@
 /// Who reads along with another VM asks again after so long without a first piece.
 const JOIN_PATIENCE: Duration = Duration::from_secs(3);
 
+/// A caller who waits for a stream hears that its request is alive this often.
+const KEEP_ALIVE: Duration = Duration::from_secs(5);
+
 /// A request's claim, where it made one, and how it ended.
 type Ended = (Option<ledger::Step>, Result<(), Refusal>);
 
@@ -56,6 +60,8 @@
             hub.metrics.ended(job.entry.class, "abandoned");
             return;
         }
+        // The VM that passed a request on tells its caller itself.
+        never = keep_alive(&out), if job.events && !job.is_forwarded() => match never {},
     };
     // Failure: the ledger loses its majority while the request runs, and the caller, who has the answer but for its end,
     // waits for a record that it has no use for. The claim was committed before the request ran, which is what keeps
@@ -79,6 +85,21 @@
     }
 }
 
+/// Tells a caller who waits for a stream that its request is alive, again and again until the answer begins. Proxies
+/// and callers' libraries give up on connections that carry nothing, often after a minute.
+async fn keep_alive(out: &Writer) -> Infallible {
+    let mut ticks = time::interval_at(Instant::now() + KEEP_ALIVE, KEEP_ALIVE);
+    while out.pushed() == 0 {
+        ticks.tick().await;
+        if out.pushed() == 0 {
+            let kind = HeaderValue::from_static("text/event-stream");
+            let headers = vec![(header::CONTENT_TYPE, kind)];
+            out.comment(Head { status: StatusCode::OK, headers, events: true });
+        }
+    }
+    std::future::pending().await
+}
+
 /// How a claim ends.
 enum Record {
     /// The request was answered; this is kept for resends.
@@ -119,7 +140,7 @@
         Ok(Known::Absent) => execute(hub, job, out, true).await,
         Ok(Known::Unasked) => execute_again(hub, job, out).await,
         Ok(known) => match replay(hub, job, out, known).await {
-            Err(_) if job.may_repeat() && !out.has_head() => execute_again(hub, job, out).await,
+            Err(_) if job.may_repeat() && out.pushed() == 0 => execute_again(hub, job, out).await,
             replayed => (None, replayed),
         },
         Err(refusal) => (None, Err(refusal)),
@@ -161,7 +182,7 @@
     loop {
         let Err(failure) = forward::ask_join(hub, job, address, &sink).await else { return Ok(()) };
         // Joining again is harmless, and a connection that has gone silent is found out no other way.
-        let again = failure.fault == Fault::Silent && !out.has_head();
+        let again = failure.fault == Fault::Silent && out.pushed() == 0;
         if !again || Instant::now() >= job.deadline {
             return Err(in_progress(&format!("the request runs on {vm}: {}", failure.why)));
         }
--- a/src/http/answer.rs
+++ b/src/http/answer.rs
@@ -165,6 +165,10 @@
             while let Some(end) = end_of_event(&pending, scanned) {
                 let event = pending.split_to(end).freeze();
                 scanned = 0;
+                // A comment is no piece of the answer: passed on, it would count as one that the caller has.
+                if event.starts_with(b":") {
+                    continue;
+                }
                 if !begun {
                     self.begin()?;
                     self.out.head(head.clone());
--- a/tests/promises/whole.rs
+++ b/tests/promises/whole.rs
@@ -175,3 +175,23 @@
     }
     assert_eq!(engine.ran().len(), 2);
 }
+
+// A caller asks for a stream, and the engine takes its time before the first piece. The connection carries a comment
+// every few seconds meanwhile, so that nothing on the way takes it for dead, and then the whole answer.
+#[tokio::test]
+async fn a_caller_who_waits_for_a_stream_hears_that_it_is_alive() {
+    let mut site = Local::start(&["a@gulf"]).await;
+    site.put(MANDATE).await;
+    let engine = engine(&site, "e1", "gulf", "a", 4).await;
+    engine.fail_next(Fault::Late(Duration::from_millis(5500)));
+    let request = Caller::chat("mandate", "draft it", 3, true).with_key("k1");
+    let answer = request.send(site.callers("a")).await.unwrap();
+    assert!(answer.body.starts_with(": waiting\n\ndata: "), "{answer:?}");
+    assert!(answer.body.ends_with("data: [DONE]\n\n"), "{answer:?}");
+    let again = request.send(site.callers("a")).await.unwrap();
+    assert_eq!(
+        again.streamed(),
+        Some(fakes::answer("draft it", 3)),
+        "the kept answer has no comments"
+    );
+}
