Look at what waits once a tick, and drop what nothing calls

Each tick went through all pools twice, once by itself and once after the slots were shared; three functions had no caller any more. Change: the slots' step does it alone; Dispatch::tick, Dispatch::busy, Hub::drained and Writer::has_head are gone. No behaviour changes. Conclusion: less work on each tick.

--- a/src/entry/dispatch.rs
+++ b/src/entry/dispatch.rs
@@ -301,7 +301,8 @@
         self.slots.members(members);
     }
 
-    /// What is to be told to other VMs about slots: what this VM needs, as it stands now.
+    /// What is to be told to other VMs about slots: what this VM needs, as it stands now. What waits is looked at as well:
+    /// free places are given, and what can no longer be in time is given up. To be called many times a second.
     pub fn slots_due(&mut self, now: Instant) -> Vec<(id::Vm, slots::Message)> {
         let waiting = self.pools.iter().map(|(model, pool)| (model.clone(), pool.queue.len()));
         for demand in self.route.demand(&waiting.collect(), now) {
@@ -368,11 +369,6 @@
         }
     }
 
-    /// Gives up what can no longer be in time. To be called many times a second.
-    pub fn tick(&mut self, now: Instant) {
-        self.pump_all(now);
-    }
-
     fn pump_all(&mut self, now: Instant) {
         let models: Vec<id::Model> = self.pools.keys().cloned().collect();
         for model in models {
@@ -423,11 +419,6 @@
         }
     }
 
-    /// How many requests of each class hold a place, over all pools.
-    pub fn busy(&self) -> u64 {
-        self.pools.values().map(|pool| pool.capacity.busy().get()).sum()
-    }
-
     /// The service time that a class is expected to take for an entry.
     pub fn expected(&self, entry: &id::Entry, class: Class) -> Duration {
         self.admission.estimate(entry, class).expected()
--- a/src/entry/hub.rs
+++ b/src/entry/hub.rs
@@ -314,11 +314,6 @@
         }
     }
 
-    /// Tells when the daemon begins to drain.
-    pub fn drained(&self) -> watch::Receiver<bool> {
-        self.draining.subscribe()
-    }
-
     /// Requests in progress.
     pub fn streams(&self) -> usize {
         self.streams.load(Ordering::Relaxed)
--- a/src/entry/hub/region.rs
+++ b/src/entry/hub/region.rs
@@ -53,11 +53,7 @@
         };
         self.carry_out(effects);
         self.demand();
-        let due = {
-            let mut dispatch = self.dispatch();
-            dispatch.tick(now);
-            dispatch.slots_due(now)
-        };
+        let due = self.dispatch().slots_due(now);
         for (to, message) in due {
             self.cast_slots(to, message);
         }
--- a/src/entry/transcript.rs
+++ b/src/entry/transcript.rs
@@ -138,11 +138,6 @@
         });
     }
 
-    /// Whether the head is set, so that no other answer can take its place any more.
-    pub fn has_head(&self) -> bool {
-        self.state.borrow().head.is_some()
-    }
-
     /// A reader from the start.
     pub fn reader(&self) -> Reader {
         Reader { state: self.state.subscribe(), at: 0 }
