--- a/src/control/daemon.rs
+++ b/src/control/daemon.rs
@@ -98,13 +98,13 @@
         let mesh = Mesh::new(peer, site.secret.clone(), site.book(), handler);
         let shared = Arc::new(seat::Shared {
             me: me.clone(),
-            site: site.clone(),
+            plan: Box::new(site.clone()),
             routes,
             mesh: mesh.clone(),
             log: log.clone(),
         });
         let mut replicas = JoinSet::new();
-        let seats = open_seats(&shared, &folder, seed, &mut replicas);
+        let seats = open_seats(&shared, &site, &folder, seed, &mut replicas);
         service.serve(seats, mesh.clone());
         let mut supervisor = Supervisor::new(log.clone());
         serve(&mut supervisor, &service, &site, bound, mesh);
@@ -146,13 +146,14 @@
 
 fn open_seats(
     shared: &Arc<seat::Shared>,
+    site: &Site,
     folder: &std::path::Path,
     seed: u64,
     replicas: &mut JoinSet<()>,
 ) -> Seats {
     let mut rng = SmallRng::seed_from_u64(seed);
     let mut seats = Seats::default();
-    for (name, role) in plan::groups(&shared.site, &shared.me) {
+    for (name, role) in plan::groups(site, &shared.me) {
         let place = folder.join(name.to_string());
         let seed = seat::seed(&mut rng);
         match &name {
@@ -167,6 +168,8 @@
                 replicas.spawn(task);
                 seats.ledgers.insert(region, seat);
             }
+            // Not planned on a site that names its VMs.
+            Name::Routing => (),
         }
     }
     seats
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -5,6 +5,7 @@
 
 pub mod daemon;
 pub mod form;
+pub mod join;
 pub mod name;
 pub mod plan;
 pub mod routes;
--- a/src/control/name.rs
+++ b/src/control/name.rs
@@ -15,6 +15,8 @@
     Catalogue,
     /// The ledger of a region.
     Ledger(id::Region),
+    /// Whole configurations and evacuated data centres, of a fleet that finds itself.
+    Routing,
 }
 
 impl fmt::Display for Name {
@@ -22,6 +24,7 @@
         match self {
             Self::Catalogue => f.write_str("catalogue"),
             Self::Ledger(region) => write!(f, "ledger-{region}"),
+            Self::Routing => f.write_str("routing"),
         }
     }
 }
--- a/src/control/plan.rs
+++ b/src/control/plan.rs
@@ -1,6 +1,8 @@
 //! Which VM holds which replica, derived from the settings alone, so that all VMs come to the same.
 
 use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
 
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -12,6 +14,42 @@
 /// Data voters of a group at most. Five outlast two losses; a sixth only makes each commit wait for one more.
 pub const VOTERS: usize = 5;
 
+/// A voter silent for so long is replaced by a learner. A restart takes seconds and a reboot a minute or two; a
+/// replaced VM comes back as a learner itself, so replacing one too early costs a copy of the state only.
+const REPLACE_AFTER: Duration = Duration::from_secs(180);
+
+/// Where the VMs come from that hold a group's replicas.
+pub trait Plan: Send + Sync + 'static {
+    /// The replicas of a group, as far as their VMs are known.
+    fn members(&self, name: &Name) -> Vec<Planned>;
+    /// Those that found the group, the same on every VM; empty where this VM must never found it.
+    fn founders(&self, name: &Name) -> Vec<Planned>;
+    /// How many data voters the group should have.
+    fn voters(&self, name: &Name) -> usize;
+    /// A voter silent for so long is replaced by a learner.
+    fn replace_after(&self) -> Duration;
+}
+
+/// The VMs of a site whose settings name all of them.
+impl Plan for Arc<Site> {
+    fn members(&self, name: &Name) -> Vec<Planned> {
+        members(self, name)
+    }
+
+    fn founders(&self, name: &Name) -> Vec<Planned> {
+        members(self, name)
+    }
+
+    fn voters(&self, name: &Name) -> usize {
+        let voters = members(self, name).into_iter().filter(|planned| planned.role == Role::Voter);
+        voters.count().max(1)
+    }
+
+    fn replace_after(&self) -> Duration {
+        REPLACE_AFTER
+    }
+}
+
 /// A replica that is to be.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Planned {
@@ -26,6 +64,8 @@
     match name {
         Name::Catalogue => catalogue(site),
         Name::Ledger(region) => ledger(site, region),
+        // A site that names its VMs keeps a catalogue of entries instead.
+        Name::Routing => Vec::new(),
     }
 }
 
--- a/src/control/seat.rs
+++ b/src/control/seat.rs
@@ -23,14 +23,12 @@
 use crate::control::Routes;
 use crate::control::form;
 use crate::control::form::Step;
-use crate::control::plan;
-use crate::control::plan::Planned;
+use crate::control::plan::Plan;
 use crate::group;
 use crate::group::Driver;
 use crate::group::Group;
 use crate::group::Machine;
 use crate::id;
-use crate::settings::Site;
 use crate::store::Folder;
 use crate::store::Opened;
 use crate::wire::Cast;
@@ -46,9 +44,6 @@
 const RUNNING: Duration = Duration::from_secs(1);
 /// A VM that does not answer within this is left out.
 const ASK: Duration = Duration::from_millis(500);
-/// A voter silent for so long is replaced by a learner. A restart takes seconds and a reboot a minute or two; a
-/// replaced VM comes back as a learner itself, so replacing one too early costs a copy of the state only.
-const REPLACE_AFTER: Duration = Duration::from_secs(180);
 /// A replica that failed starts again after this; the disk may have room then.
 const FAILED_PAUSE: Duration = Duration::from_secs(2);
 /// After so many rounds in which the leader did not list this replica, it knows that it was replaced.
@@ -60,8 +55,8 @@
 pub struct Shared {
     /// This VM.
     pub me: id::Vm,
-    /// The site's settings.
-    pub site: Arc<Site>,
+    /// Which VMs hold replicas.
+    pub plan: Box<dyn Plan>,
     /// Where replicas are.
     pub routes: Arc<Routes>,
     /// The links to other processes.
@@ -101,7 +96,6 @@
     shared: Arc<Shared>,
     name: Name,
     role: Role,
-    planned: Vec<Planned>,
     folder: PathBuf,
     group: watch::Sender<Option<Group<M>>>,
     identity: watch::Sender<Option<Identity>>,
@@ -120,10 +114,8 @@
         let (group, group_seen) = watch::channel(None);
         let (identity, identity_seen) = watch::channel(None);
         let (inbox, messages) = mpsc::channel(BACKLOG);
-        let planned = plan::members(&shared.site, &name);
         let rng = SmallRng::seed_from_u64(seed);
-        let keeper =
-            Keeper { shared, name: name.clone(), role, planned, folder, group, identity, rng };
+        let keeper = Keeper { shared, name: name.clone(), role, folder, group, identity, rng };
         let seat = Self { name, group: group_seen, identity: identity_seen, inbox };
         (seat, keeper.keep(messages))
     }
@@ -235,9 +227,9 @@
     }
 
     fn config(&self, own: id::Replica) -> group::Config {
-        let voters = self.planned.iter().filter(|planned| planned.role == Role::Voter).count();
-        let mut consensus =
-            consensus::Config::new(own).with_replacement(REPLACE_AFTER, voters.max(1));
+        let plan = &self.shared.plan;
+        let mut consensus = consensus::Config::new(own)
+            .with_replacement(plan.replace_after(), plan.voters(&self.name));
         if self.role == Role::Witness {
             consensus = consensus.with_witness();
         }
@@ -247,7 +239,8 @@
     async fn form(&self, own: id::Replica) -> Step {
         loop {
             let told = self.ask_all().await;
-            let step = form::step(&self.shared.me, own, &self.planned, &told);
+            let founders = self.shared.plan.founders(&self.name);
+            let step = form::step(&self.shared.me, own, &founders, &told);
             if step != Step::Wait {
                 return step;
             }
@@ -257,8 +250,9 @@
 
     /// Asks the other planned VMs who they are, and notes where replicas are.
     async fn ask_all(&self) -> Vec<(id::Vm, Identity)> {
-        let others = self.planned.iter().filter(|planned| planned.vm != self.shared.me);
-        let asked = others.map(|planned| async {
+        let planned = self.shared.plan.members(&self.name);
+        let others = planned.into_iter().filter(|planned| planned.vm != self.shared.me);
+        let asked = others.map(|planned| async move {
             let peer = Peer::new(planned.vm.clone(), crate::wire::Role::Control);
             let request = Request::Identity(self.name.clone());
             match self.shared.mesh.call(&peer, request, ASK).await {
--- a/src/control/service.rs
+++ b/src/control/service.rs
@@ -11,16 +11,14 @@
 
 use crate::catalogue;
 use crate::catalogue::Catalogue;
-use crate::consensus::Change;
 use crate::consensus::Refusal;
-use crate::consensus::Role;
 use crate::control::Name;
 use crate::control::Routes;
 use crate::control::Seat;
+use crate::control::join::take_in;
 use crate::entry::peers::WATCH;
 use crate::group;
 use crate::group::Group;
-use crate::group::Machine;
 use crate::id;
 use crate::ledger;
 use crate::ledger::Ledger;
@@ -158,6 +156,7 @@
         let identity = seats.and_then(|seats| match name {
             Name::Catalogue => seats.catalogue.as_ref()?.identity(),
             Name::Ledger(region) => seats.ledgers.get(region)?.identity(),
+            Name::Routing => None,
         });
         Reply::Identity(identity)
     }
@@ -167,48 +166,16 @@
         let joined = match (&name, seats) {
             (Name::Catalogue, Some(seats)) => {
                 let group = seats.catalogue.as_ref().and_then(Seat::group);
-                self.take_in(&from, group, replica, witness).await
+                take_in(&self.routes, &from.vm, group, replica, witness).await
             }
             (Name::Ledger(region), Some(seats)) => {
                 let group = seats.ledgers.get(region).and_then(Seat::group);
-                self.take_in(&from, group, replica, witness).await
+                take_in(&self.routes, &from.vm, group, replica, witness).await
             }
-            (_, None) => false,
+            (Name::Routing, _) | (_, None) => false,
         };
         Reply::Joined(joined)
     }
-
-    /// Takes a newcomer in: as a learner that the group makes a voter once it has caught up, or as the witness.
-    ///
-    /// A VM with a new identity has lost the folder of the one before, which can never come back; it is let go
-    /// first. Otherwise it would count as a silent voter, and the loss of one more VM would stop the group although
-    /// the repaired one is there.
-    async fn take_in<M: Machine>(
-        &self,
-        from: &Peer,
-        group: Option<Group<M>>,
-        replica: id::Replica,
-        witness: bool,
-    ) -> bool {
-        let Some(group) = group else { return false };
-        let members = group.status().members;
-        if members.contains(replica) {
-            return true;
-        }
-        let is_lost = |id: id::Replica, role: Role| {
-            self.routes.vm(id).as_ref() == Some(&from.vm) || (witness && role == Role::Witness)
-        };
-        let lost: Vec<id::Replica> =
-            members.iter().filter(|(id, role)| is_lost(*id, *role)).map(|(id, _)| id).collect();
-        for id in lost {
-            if group.change(Change::Remove(id)).await.is_err() {
-                return false;
-            }
-        }
-        let change =
-            if witness { Change::AddWitness(replica) } else { Change::AddLearner(replica) };
-        group.change(change).await.is_ok()
-    }
 }
 
 const NO_LEADER: Unavailable = Unavailable::NoLeader;
@@ -234,7 +201,9 @@
                 Request::Join { name, replica, witness } => {
                     service.join(from, name, replica, witness).await
                 }
-                Request::Room => Reply::Unsupported,
+                Request::Room | Request::Follow(_) | Request::Routing(_) | Request::ReadRouting => {
+                    Reply::Unsupported
+                }
             }
         }
         .boxed()
@@ -260,6 +229,7 @@
                     seat.receive(from, message);
                 }
             }
+            Name::Routing => (),
         }
     }
 }
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -4,6 +4,7 @@
 mod history;
 pub mod limit;
 pub mod order;
+pub mod place;
 pub mod quarantine;
 pub mod queue;
 pub mod retry;
--- /dev/null
+++ b/src/decide/place/model.rs
@@ -0,0 +1,58 @@
+//! What a request asks of an upstream, and how long requests of a service take.
+
+use std::time::Duration;
+
+use crate::decide::route::Ewma;
+use crate::unit::Tokens;
+
+/// The part of a prompt that other requests share.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Shared {
+    /// Names it.
+    pub key: u64,
+    /// Its length.
+    pub tokens: Tokens,
+}
+
+/// What a request asks of an engine; nothing at all of a plain service.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Work {
+    /// The shared part that is worth looking for.
+    pub shared: Option<Shared>,
+    /// The rest of the prompt.
+    pub own: Tokens,
+    /// The most that it generates.
+    pub output: Tokens,
+}
+
+/// What is known of a service's requests.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Model {
+    served: Ewma,
+    reads: Ewma,
+}
+
+/// A first guess of the time that a request occupies its place; measurements replace it soon.
+const SERVED: Duration = Duration::from_millis(200);
+
+impl Model {
+    /// A request was sent that has so much to read.
+    pub fn sent(&mut self, reads: Tokens) {
+        self.reads.add(reads.get() as f64);
+    }
+
+    /// A request occupied its place for so long.
+    pub fn served(&mut self, took: Duration) {
+        self.served.add(took.as_secs_f64());
+    }
+
+    /// The mean time that a request occupies its place.
+    pub fn service_time(&self) -> Duration {
+        self.served.get().map_or(SERVED, Duration::from_secs_f64)
+    }
+
+    /// The mean prompt that a request has to read, in tokens.
+    pub fn mean_reads(&self) -> f64 {
+        self.reads.get().unwrap_or(0.0)
+    }
+}
--- /dev/null
+++ b/src/decide/place/tests.rs
@@ -0,0 +1,170 @@
+use std::time::Duration;
+
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use tokio::time::Instant;
+
+use super::Demand;
+use super::Outcome;
+use super::Place;
+use super::Report;
+use super::Seen;
+use super::Work;
+use super::model::Shared;
+use crate::id;
+use crate::unit::Rate;
+use crate::unit::Slots;
+use crate::unit::Tokens;
+
+fn place() -> Place {
+    Place::new(SmallRng::seed_from_u64(1))
+}
+
+fn engine(name: &str) -> Seen {
+    Seen {
+        id: name.parse().unwrap(),
+        born: 1,
+        service: "s".to_owned(),
+        address: ([127, 0, 0, 1], 1).into(),
+        slots: Slots::new(48),
+        memory: Some(Tokens::new(360_000)),
+        connections: 100,
+        cold: None,
+        open: true,
+        silent: false,
+    }
+}
+
+fn briefing(key: u64) -> Work {
+    let shared = Shared { key, tokens: Tokens::new(13_300) };
+    Work { shared: Some(shared), own: Tokens::new(3_700), output: Tokens::new(120) }
+}
+
+fn demand(work: Work) -> Demand<'static> {
+    Demand { service: "s", work, tried: &[] }
+}
+
+// Briefings of many seasons arrive one after the other, each ended before the next. If a season's briefings went to
+// whatever engine is free, each of them would read thirteen thousand tokens that another engine has in memory.
+#[tokio::test(start_paused = true)]
+async fn a_shared_part_is_read_once() {
+    let now = Instant::now();
+    let (mut one, mut other) = (place(), place());
+    for vm in [&mut one, &mut other] {
+        vm.sync(["a", "b", "c", "d"].map(engine).to_vec(), 2, now);
+    }
+    for key in 0..50 {
+        let first = one.choose(&demand(briefing(key)), now).unwrap();
+        let second = other.choose(&demand(briefing(key)), now).unwrap();
+        assert_eq!(first.id, second.id);
+        let held = one.sent(&first, &briefing(key), now);
+        one.ended(held, Outcome::Answered, now);
+    }
+}
+
+// One season is asked for far more than all others. Its engine falls behind; the others are idle. Callers wait for
+// seconds if all of its briefings go to the one engine that has read it.
+#[tokio::test(start_paused = true)]
+async fn a_hot_part_spreads() {
+    let now = Instant::now();
+    let mut place = place();
+    place.sync(["a", "b", "c", "d"].map(engine).to_vec(), 1, now);
+    let mut waits = Vec::new();
+    let mut used = std::collections::BTreeSet::new();
+    for _ in 0..40 {
+        let fit = place.choose(&demand(briefing(7)), now).unwrap();
+        waits.push(fit.expected);
+        used.insert(fit.id.clone());
+        place.sent(&fit, &briefing(7), now);
+    }
+    assert_eq!(used.len(), 4);
+    assert!(waits.iter().max().unwrap() < &Duration::from_millis(1300), "{waits:?}");
+}
+
+// Many VMs find an upstream that has just started, idle. It crashes when it gets more than a few requests a second.
+#[tokio::test(start_paused = true)]
+async fn a_cold_upstream_is_paced() {
+    let now = Instant::now();
+    let mut place = place();
+    let cold = (now + Duration::from_secs(3), Rate::per_second(2.0));
+    place.sync(vec![Seen { cold: Some(cold), ..engine("a") }], 3, now);
+    let mut sent = 0;
+    for millis in (0..3000).step_by(10) {
+        let now = now + Duration::from_millis(millis);
+        if let Some(fit) = place.choose(&demand(Work::default()), now) {
+            place.sent(&fit, &Work::default(), now);
+            sent += 1;
+        }
+    }
+    assert_eq!(sent, 6);
+}
+
+// An upstream crashes: connections to it are refused. It is left alone for a moment, and used again when it is back.
+#[tokio::test(start_paused = true)]
+async fn an_unreachable_upstream_is_left_alone_for_a_moment() {
+    let now = Instant::now();
+    let mut place = place();
+    place.sync(vec![engine("a"), engine("b")], 1, now);
+    for _ in 0..20 {
+        let fit = place.choose(&demand(Work::default()), now).unwrap();
+        let held = place.sent(&fit, &Work::default(), now);
+        let is_dead = fit.id == "a".parse::<id::Upstream>().unwrap();
+        let outcome = if is_dead { Outcome::Unreachable } else { Outcome::Answered };
+        place.ended(held, outcome, now);
+    }
+    let tries = (0..20).filter(|_| {
+        let fit = place.choose(&demand(Work::default()), now).unwrap();
+        fit.id.as_str() == "a"
+    });
+    assert_eq!(tries.count(), 0);
+    place.sync(vec![engine("a")], 1, now);
+    assert!(
+        place.choose(&demand(Work::default()), now).is_some(),
+        "the only one is tried all the same"
+    );
+}
+
+// One of three upstreams resets nearly half of its requests and is otherwise the quickest to be free again.
+#[tokio::test(start_paused = true)]
+async fn a_failing_upstream_loses_its_traffic() {
+    let mut now = Instant::now();
+    let mut place = place();
+    place.sync(["a", "b", "c"].map(engine).to_vec(), 1, now);
+    let mut to_a = 0;
+    for nth in 0..300 {
+        now += Duration::from_millis(10);
+        let fit = place.choose(&demand(Work::default()), now).unwrap();
+        let held = place.sent(&fit, &Work::default(), now);
+        let is_grey = fit.id.as_str() == "a";
+        to_a += u32::from(is_grey);
+        let outcome = if is_grey && nth % 2 == 0 { Outcome::Failed } else { Outcome::Answered };
+        place.ended(held, outcome, now);
+    }
+    assert!(to_a < 30, "{to_a} of 300");
+}
+
+#[tokio::test(start_paused = true)]
+async fn other_vms_requests_count_by_what_the_upstream_tells() {
+    let now = Instant::now();
+    let mut place = place();
+    place.sync(vec![engine("a"), engine("b")], 3, now);
+    place.reported(&"a".parse().unwrap(), Report { running: 40, waiting: 20 }, now);
+    place.reported(&"b".parse().unwrap(), Report { running: 2, waiting: 0 }, now);
+    for _ in 0..10 {
+        assert_eq!(place.choose(&demand(Work::default()), now).unwrap().id.as_str(), "b");
+    }
+}
+
+// An upstream starts again under its old name. What was running there is gone, and its memory is empty.
+#[tokio::test(start_paused = true)]
+async fn another_start_begins_with_a_clean_record() {
+    let now = Instant::now();
+    let mut place = place();
+    place.sync(vec![engine("a")], 1, now);
+    let fit = place.choose(&demand(briefing(1)), now).unwrap();
+    let held = place.sent(&fit, &briefing(1), now);
+    place.sync(vec![Seen { born: 2, ..engine("a") }], 1, now);
+    place.ended(held, Outcome::Failed, now);
+    let fit = place.choose(&demand(Work::default()), now).unwrap();
+    assert!(fit.expected < Duration::from_millis(60));
+}
--- /dev/null
+++ b/src/decide/place/tracked.rs
@@ -0,0 +1,215 @@
+//! One upstream as one VM knows it.
+
+use std::time::Duration;
+
+use tokio::time::Instant;
+
+use super::Seen;
+use super::cache::Cache;
+use super::cold::Pace;
+use super::health::Health;
+use super::health::Outcome;
+use super::model::Model;
+use super::model::Work;
+use crate::decide::route::Ewma;
+use crate::unit::Tokens;
+
+/// Prompt tokens that an engine reads in a second, until it was measured.
+const READS_PER_SECOND: f64 = 50_000.0;
+/// The reads of a request must be so many tokens at least to measure by: what else happens in an engine takes tens of
+/// milliseconds, which is a tenth of what these take.
+const MEASURED_FROM: Tokens = Tokens::new(8_000);
+/// From a request's arrival at an idle engine to its first event, besides the reading of its prompt.
+const FIRST_EVENT: Duration = Duration::from_millis(50);
+/// Each running request makes the steps of all others a little longer; it also decides between engines that are
+/// otherwise alike.
+const PER_RUNNING: Duration = Duration::from_millis(1);
+/// A load report is used for so long; then the other VMs are taken to send as much as this one.
+const REPORT_TIME: Duration = Duration::from_secs(2);
+/// Memory that is promised beyond what an engine has is paid with preemption: running requests are thrown out and read
+/// again, which takes about as long as they have run.
+const PREEMPTION: Duration = Duration::from_secs(2);
+
+/// What an upstream told of its load.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Report {
+    /// The requests that generate, of all VMs.
+    pub running: u32,
+    /// The requests that wait or are being read in, of all VMs.
+    pub waiting: u32,
+}
+
+#[derive(Debug)]
+struct Told {
+    others_running: u32,
+    others_waiting: u32,
+    at: Instant,
+}
+
+/// One upstream as one VM knows it.
+#[derive(Debug)]
+pub struct Tracked {
+    /// What was announced.
+    pub seen: Seen,
+    running: u32,
+    /// Of the running ones, those whose first event hasn't come.
+    unread: u32,
+    /// What those have to read.
+    unread_tokens: Tokens,
+    /// What this VM's running requests keep in memory, shared parts aside.
+    memory: Tokens,
+    told: Option<Told>,
+    rate: Ewma,
+    health: Health,
+    cache: Cache,
+    pace: Pace,
+}
+
+impl Tracked {
+    /// An upstream that has just been heard of.
+    pub fn new(seen: Seen, _now: Instant) -> Self {
+        Self {
+            seen,
+            running: 0,
+            unread: 0,
+            unread_tokens: Tokens::ZERO,
+            memory: Tokens::ZERO,
+            told: None,
+            rate: Ewma::default(),
+            health: Health::default(),
+            cache: Cache::default(),
+            pace: Pace::default(),
+        }
+    }
+
+    /// Takes what it announces now. Another start knows nothing of before, and neither does this VM of it.
+    pub fn update(&mut self, seen: Seen, now: Instant) {
+        if seen.born == self.seen.born && seen.address == self.seen.address {
+            self.seen = seen;
+        } else {
+            *self = Self::new(seen, now);
+        }
+    }
+
+    /// This VM's requests there.
+    pub const fn running(&self) -> u32 {
+        self.running
+    }
+
+    /// Whether it may get a request now.
+    pub fn may_take(&self, is_last_resort: bool, now: Instant) -> bool {
+        let is_well = !self.seen.silent && !self.health.is_away(now);
+        self.seen.open
+            && self.running < self.seen.connections
+            && (is_well || is_last_resort)
+            && self.cold(now).is_none_or(|_| self.pace.allows(now))
+    }
+
+    /// What it has to read of a prompt. `is_home` says that all VMs send the shared part here.
+    pub fn reads(&self, work: &Work, is_home: bool, _now: Instant) -> Tokens {
+        let shared = match &work.shared {
+            Some(shared) if !is_home && !self.cache.holds(shared) => shared.tokens,
+            _ => Tokens::ZERO,
+        };
+        shared + work.own
+    }
+
+    /// The expected time to the first event of a request.
+    pub fn first_event(
+        &self,
+        model: &Model,
+        work: &Work,
+        reads: Tokens,
+        senders: u32,
+        now: Instant,
+    ) -> Duration {
+        let (others_running, others_waiting) = self.others(senders, now);
+        let inside = self.running + others_running + others_waiting;
+        let slots = self.seen.slots.get().max(1) as u32;
+        let behind = (inside + 1).saturating_sub(slots);
+        let for_slot = model.service_time().mul_f64(f64::from(behind) / f64::from(slots));
+        let Some(memory) = self.seen.memory else {
+            return model.service_time() + for_slot;
+        };
+        let backlog =
+            self.unread_tokens.get() as f64 + f64::from(others_waiting) * model.mean_reads();
+        let rate = self.rate.get().unwrap_or(READS_PER_SECOND);
+        let reading = Duration::from_secs_f64((backlog + reads.get() as f64) / rate);
+        let promised = (self.memory + work.own + work.output).get() as f64
+            * f64::from(senders).min(f64::from(inside + 1) / f64::from(self.running + 1));
+        let over = (promised / memory.get().max(1) as f64 - 1.0).clamp(0.0, 1.0);
+        FIRST_EVENT + reading + for_slot + PER_RUNNING * inside + PREEMPTION.mul_f64(over)
+    }
+
+    /// What its failures cost, as a wait.
+    pub fn penalty(&self, now: Instant) -> Duration {
+        self.health.penalty(now)
+    }
+
+    /// A request goes there.
+    pub fn sent(&mut self, work: &Work, reads: Tokens, memory: Tokens, now: Instant) {
+        self.running += 1;
+        self.unread += 1;
+        self.unread_tokens += reads;
+        self.memory += memory;
+        if let Some((_, rate)) = self.cold(now) {
+            self.pace.went(rate, now);
+        }
+        if let (Some(shared), Some(memory)) = (work.shared, self.seen.memory) {
+            self.cache.used(shared, memory, now);
+        }
+    }
+
+    /// A request's first event came after that time.
+    pub fn began(&mut self, reads: Tokens, took: Duration, expected: Duration) {
+        // Only a request that found the engine idle shows how fast it reads.
+        let is_alone = self.unread == 1 && expected < FIRST_EVENT * 2 + read_time(reads);
+        let reading = took.saturating_sub(FIRST_EVENT).as_secs_f64();
+        if is_alone && reads >= MEASURED_FROM && reading > 0.0 {
+            let rate = reads.get() as f64 / reading;
+            self.rate.add(rate.clamp(READS_PER_SECOND / 8.0, READS_PER_SECOND * 4.0));
+        }
+        self.unread(reads);
+    }
+
+    /// A request has nothing more to read.
+    pub fn unread(&mut self, reads: Tokens) {
+        self.unread = self.unread.saturating_sub(1);
+        self.unread_tokens = self.unread_tokens.saturating_sub(reads);
+    }
+
+    /// A request ended.
+    pub fn ended(&mut self, memory: Tokens, outcome: Outcome, now: Instant) {
+        self.running = self.running.saturating_sub(1);
+        self.memory = self.memory.saturating_sub(memory);
+        self.health.take(outcome, now);
+    }
+
+    /// It told its load.
+    pub fn reported(&mut self, report: Report, now: Instant) {
+        let own_running = self.running.saturating_sub(self.unread);
+        self.told = Some(Told {
+            others_running: report.running.saturating_sub(own_running),
+            others_waiting: report.waiting.saturating_sub(self.unread),
+            at: now,
+        });
+    }
+
+    /// The other VMs' requests there: those that generate, and those that wait or are being read in.
+    fn others(&self, senders: u32, now: Instant) -> (u32, u32) {
+        let fresh =
+            self.told.as_ref().filter(|told| now.saturating_duration_since(told.at) < REPORT_TIME);
+        match fresh {
+            Some(told) => (told.others_running, told.others_waiting),
+            None => ((senders - 1) * (self.running - self.unread), (senders - 1) * self.unread),
+        }
+    }
+
+    fn cold(&self, now: Instant) -> Option<(Instant, crate::unit::Rate)> {
+        self.seen.cold.filter(|(until, _)| now < *until)
+    }
+}
+
+fn read_time(reads: Tokens) -> Duration {
+    Duration::from_secs_f64(reads.get() as f64 / READS_PER_SECOND)
+}
--- a/src/decide/retry.rs
+++ b/src/decide/retry.rs
@@ -20,6 +20,7 @@
 mod hedge;
 mod quantile;
 mod race;
+pub mod repeats;
 
 use std::collections::HashMap;
 use std::time::Duration;
--- a/src/decide/retry/tests.rs
+++ b/src/decide/retry/tests.rs
@@ -1,3 +1,4 @@
 mod budget;
 mod evidence;
 mod hedge;
+mod repeats;
--- a/src/decide/route.rs
+++ b/src/decide/route.rs
@@ -37,6 +37,7 @@
 use crate::upstream::Announcement;
 use crate::upstream::Load;
 
+pub use ewma::Ewma;
 pub use facts::Facts;
 pub use facts::Outcome;
 pub use prefix::Change;
--- a/src/entry/peers.rs
+++ b/src/entry/peers.rs
@@ -63,7 +63,7 @@
 
     fn cast(&self, from: Peer, cast: Cast) {
         match cast {
-            Cast::Group { .. } => (),
+            Cast::Group { .. } | Cast::Heard(_) => (),
             Cast::Quarantine(report) => self.hub.dispatch().reported(&report, Instant::now()),
             Cast::Demand(demand) => self.hub.demanded(&from.vm, &demand),
             Cast::Grant(grant) => self.hub.quota().granted(&grant, Instant::now()),
--- a/src/http/client.rs
+++ b/src/http/client.rs
@@ -18,11 +18,15 @@
 use tokio::time;
 use tokio::time::Instant;
 
+use crate::http::socket;
+
 /// Connecting takes no longer than this; a VM that is up accepts within a trip.
 pub const CONNECT: Duration = Duration::from_millis(1500);
 /// A kept connection is given up after so long unused. Middleboxes forget idle ones after minutes as a rule; but what
 /// forgets all of them at once costs a request its whole time limit, and a fresh connection costs a trip in the region.
 const IDLE: Duration = Duration::from_secs(5);
+/// A connection is given up so long before the far end closes it: a trip, and a pause of this process.
+const CLOSING: Duration = Duration::from_millis(500);
 /// Kept connections per address.
 const KEPT: usize = 64;
 
@@ -39,13 +43,20 @@
 
 type Sender = http1::SendRequest<Full<Bytes>>;
 
-/// A connection that waits for its next request, and since when.
+/// A connection that waits for its next request, and until when it may.
 type Kept = (Sender, Instant);
 
 /// The connections of one process, by address.
-#[derive(Debug, Clone, Default)]
+#[derive(Debug, Clone)]
 pub struct Client {
     kept: Arc<Mutex<HashMap<SocketAddr, Vec<Kept>>>>,
+    connect: Duration,
+}
+
+impl Default for Client {
+    fn default() -> Self {
+        Self { kept: Arc::default(), connect: CONNECT }
+    }
 }
 
 /// A connection that carries one request; dropping it closes it.
@@ -62,6 +73,13 @@
         Self::default()
     }
 
+    /// The same, connecting no longer than that.
+    #[must_use]
+    pub const fn with_connect(mut self, limit: Duration) -> Self {
+        self.connect = limit;
+        self
+    }
+
     /// Sends a request and waits for the head of the answer. A kept connection that proves to be dead before a
     /// byte was written is replaced by a fresh one.
     pub async fn send(
@@ -91,7 +109,7 @@
         address: SocketAddr,
         request: Request<Full<Bytes>>,
     ) -> Result<(Response<Incoming>, Lease), Error> {
-        let mut lease = fresh(address).await?;
+        let mut lease = fresh(address, self.connect).await?;
         match lease.sender.try_send_request(request).await {
             Ok(response) => Ok((response, lease)),
             Err(mut failed) => match failed.take_message() {
@@ -103,13 +121,22 @@
 
     /// Takes a connection back after its answer was read whole.
     pub fn keep(&self, lease: Lease) {
-        if lease.sender.is_closed() {
+        self.keep_for(lease, IDLE);
+    }
+
+    /// The same, where the far end closes it after that time unused: it is given up a little sooner.
+    ///
+    /// Failure: a request is written while the far end closes the connection. Whether it ran can't be told, so one that
+    /// may not run twice fails although every upstream is well.
+    pub fn keep_for(&self, lease: Lease, idle: Duration) {
+        let idle = idle.saturating_sub(CLOSING).min(IDLE);
+        if lease.sender.is_closed() || idle.is_zero() {
             return;
         }
         let mut kept = self.kept.lock().expect("no panic while locked");
         let all = kept.entry(lease.address).or_default();
         if all.len() < KEPT {
-            all.push((lease.sender, Instant::now()));
+            all.push((lease.sender, Instant::now() + idle));
         }
     }
 
@@ -120,7 +147,7 @@
             kept.remove(&address);
         }
         kept.retain(|_, all| {
-            all.retain(|(sender, since)| !sender.is_closed() && since.elapsed() < IDLE);
+            all.retain(|(sender, until)| !sender.is_closed() && Instant::now() < *until);
             !all.is_empty()
         });
     }
@@ -128,8 +155,8 @@
     fn kept(&self, address: SocketAddr) -> Option<Sender> {
         let mut kept = self.kept.lock().expect("no panic while locked");
         let all = kept.get_mut(&address)?;
-        while let Some((sender, since)) = all.pop() {
-            if sender.is_ready() && since.elapsed() < IDLE {
+        while let Some((sender, until)) = all.pop() {
+            if sender.is_ready() && Instant::now() < until {
                 return Some(sender);
             }
         }
@@ -140,12 +167,12 @@
         if let Some(sender) = self.kept(address) {
             return Ok(Lease { address, sender, fresh: false });
         }
-        fresh(address).await
+        fresh(address, self.connect).await
     }
 }
 
-async fn fresh(address: SocketAddr) -> Result<Lease, Error> {
-    let sender = time::timeout(CONNECT, connect(address))
+async fn fresh(address: SocketAddr, limit: Duration) -> Result<Lease, Error> {
+    let sender = time::timeout(limit, connect(address))
         .await
         .map_err(|_| Error::Unsent("connecting took too long".to_owned()))??;
     Ok(Lease { address, sender, fresh: true })
@@ -154,7 +181,7 @@
 async fn connect(address: SocketAddr) -> Result<Sender, Error> {
     let unsent = |error: &dyn std::error::Error| Error::Unsent(error.to_string());
     let stream = TcpStream::connect(address).await.map_err(|error| unsent(&error))?;
-    stream.set_nodelay(true).map_err(|error| unsent(&error))?;
+    socket::prepare(&stream, None);
     let io = TokioIo::new(stream);
     let (sender, connection) = http1::handshake(io).await.map_err(|error| unsent(&error))?;
     // Ends when the sender is dropped: that closes the socket, and the far end sees that nobody waits.
--- a/src/http/mod.rs
+++ b/src/http/mod.rs
@@ -11,6 +11,7 @@
 pub mod operator;
 pub mod refusal;
 pub mod server;
+pub mod socket;
 pub mod target;
 pub mod upstream;
 
--- a/src/http/server.rs
+++ b/src/http/server.rs
@@ -24,8 +24,9 @@
 use crate::http::Reason;
 use crate::http::Refusal;
 
-/// The headers of a request must arrive within this; a sender that trickles them holds a connection no longer.
-const HEADERS: Duration = Duration::from_secs(10);
+/// The headers of a request must arrive within this; a sender that trickles them holds a connection no longer. The time
+/// that a kept connection is idle counts too, and callers use theirs again after up to 12 s.
+const HEADERS: Duration = Duration::from_secs(16);
 /// The largest head of a request, in bytes.
 const HEAD_BYTES: usize = 64 << 10;
 /// After a failed accept (no file descriptors, most likely) the next one waits so long.
--- a/src/log.rs
+++ b/src/log.rs
@@ -15,10 +15,10 @@
 /// A logger for the process of that role on that VM.
 pub fn logger(logs: &Logs, vm: &id::Vm, role: &'static str) -> Logger {
     let drain = if logs.json {
-        let json = slog_json::Json::default(io::stderr());
+        let json = slog_json::Json::default(io::stdout());
         slog_async::Async::new(json.fuse()).chan_size(BACKLOG).build()
     } else {
-        let plain = slog_term::PlainDecorator::new(io::stderr());
+        let plain = slog_term::PlainDecorator::new(io::stdout());
         let lines = slog_term::FullFormat::new(plain).build();
         slog_async::Async::new(lines.fuse()).chan_size(BACKLOG).build()
     };
--- /dev/null
+++ b/src/roster/table.rs
@@ -0,0 +1,289 @@
+//! What a control VM knows of upstreams and VMs, and what changed when.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use tokio::time::Instant;
+
+use super::Announcement;
+use super::Delta;
+use super::Presence;
+use super::Stamp;
+use super::Standing;
+use super::delta::Fact;
+use crate::id;
+use crate::wire::Role;
+
+/// A subject that has left or was replaced is remembered for so long, so that a statement that was held up on its way
+/// does not bring it back. Statements come seconds late; a minute is several times that.
+const REMEMBERED: Duration = Duration::from_secs(60);
+
+/// How long a subject may be silent.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Patience {
+    /// An upstream, which says something once a second or so and may be seconds late.
+    pub upstream: Duration,
+    /// A VM, which says something once a second.
+    pub vm: Duration,
+}
+
+/// What became of a statement.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Taken {
+    /// It tells something new that others must hear of at once.
+    News,
+    /// The subject is still as it was.
+    Still,
+    /// A newer statement was heard already, or another upstream has taken its address over.
+    Stale,
+}
+
+/// One subject.
+#[derive(Debug, Clone)]
+struct Known<T> {
+    said: T,
+    /// When the statement with the newest stamp came.
+    heard: Instant,
+    /// When `said` was last replaced by something that matters; spans of time in it count from then.
+    changed: Instant,
+    revision: u64,
+    silent: bool,
+}
+
+/// Upstreams and VMs as one control VM knows them.
+#[derive(Debug)]
+pub struct Table {
+    patience: Patience,
+    revision: u64,
+    /// Below this revision, deletions are forgotten: a follower that is behind gets everything.
+    floor: u64,
+    upstreams: HashMap<id::Upstream, Known<Announcement>>,
+    /// The upstream that took each address last.
+    addresses: HashMap<SocketAddr, id::Upstream>,
+    vms: HashMap<(id::Vm, Role), Known<Presence>>,
+}
+
+impl Table {
+    /// An empty table.
+    pub fn new(patience: Patience) -> Self {
+        Self {
+            patience,
+            revision: 1,
+            floor: 1,
+            upstreams: HashMap::new(),
+            addresses: HashMap::new(),
+            vms: HashMap::new(),
+        }
+    }
+
+    /// Counts the changes.
+    pub const fn revision(&self) -> u64 {
+        self.revision
+    }
+
+    /// Takes an upstream's statement, heard directly or passed on by another VM.
+    pub fn announce(&mut self, said: Announcement, now: Instant) -> Taken {
+        if let Some(known) = self.upstreams.get_mut(&said.id) {
+            if said.stamp <= known.said.stamp {
+                return Taken::Stale;
+            }
+            let since = now.saturating_duration_since(known.changed);
+            let news = known.silent || said.says_more_than(&known.said, since);
+            known.heard = now;
+            known.said.stamp = said.stamp;
+            if !news {
+                return Taken::Still;
+            }
+        } else if self.is_older_tenant(&said) {
+            return Taken::Stale;
+        }
+        self.put(said, now);
+        Taken::News
+    }
+
+    /// An upstream leaves; `born` is none where it does not say which start of it leaves. It tells whether it was
+    /// known.
+    pub fn leave(&mut self, upstream: &id::Upstream, born: Option<u64>, now: Instant) -> bool {
+        let Some(known) = self.upstreams.get(upstream) else { return false };
+        let mut said = known.said.clone();
+        if born.is_some_and(|born| born < said.stamp.born) {
+            return true;
+        }
+        said.stamp = Stamp::last_of(born.unwrap_or(said.stamp.born));
+        said.standing = Standing::Gone;
+        self.put(said, now);
+        true
+    }
+
+    /// What was last said by an upstream.
+    pub fn upstream(&self, upstream: &id::Upstream) -> Option<&Announcement> {
+        self.upstreams.get(upstream).map(|known| &known.said)
+    }
+
+    /// The upstreams that have not left and have not fallen silent.
+    pub fn upstreams(&self) -> impl Iterator<Item = &Announcement> {
+        let present =
+            |known: &&Known<Announcement>| !known.silent && known.said.standing != Standing::Gone;
+        self.upstreams.values().filter(present).map(|known| &known.said)
+    }
+
+    /// Takes a VM's statement.
+    pub fn meet(&mut self, said: Presence, now: Instant) -> Taken {
+        let key = (said.vm.clone(), said.role);
+        let news = match self.vms.get_mut(&key) {
+            Some(known) if said.stamp <= known.said.stamp => return Taken::Stale,
+            Some(known) => {
+                let news = known.silent || said.says_more_than(&known.said);
+                known.heard = now;
+                known.said.stamp = said.stamp;
+                news
+            }
+            None => true,
+        };
+        if !news {
+            return Taken::Still;
+        }
+        self.revision += 1;
+        let known =
+            Known { said, heard: now, changed: now, revision: self.revision, silent: false };
+        self.vms.insert(key, known);
+        Taken::News
+    }
+
+    /// The stamp and nonce that a VM was last heard with.
+    pub fn stamp_of(&self, vm: &id::Vm, role: Role) -> Option<(Stamp, u64)> {
+        let known = self.vms.get(&(vm.clone(), role))?;
+        Some((known.said.stamp, known.said.nonce))
+    }
+
+    /// The VMs that have not fallen silent and have not left.
+    pub fn present(&self) -> impl Iterator<Item = &Presence> {
+        let present =
+            |known: &&Known<Presence>| !known.silent && known.said.standing != Standing::Gone;
+        self.vms.values().filter(present).map(|known| &known.said)
+    }
+
+    /// All VMs that were heard of, the silent ones among them.
+    pub fn all_vms(&self) -> impl Iterator<Item = &Presence> {
+        self.vms.values().map(|known| &known.said)
+    }
+
+    /// Notes who has fallen silent, and forgets what left long ago. Tells whether anything changed.
+    pub fn expire(&mut self, now: Instant) -> bool {
+        let before = self.revision;
+        let silence = |heard: Instant| now.saturating_duration_since(heard);
+        for known in self.upstreams.values_mut() {
+            let is_late = silence(known.heard) > self.patience.upstream;
+            if is_late && !known.silent && known.said.standing != Standing::Gone {
+                self.revision += 1;
+                known.silent = true;
+                known.revision = self.revision;
+            }
+        }
+        for known in self.vms.values_mut() {
+            if silence(known.heard) > self.patience.vm && !known.silent {
+                self.revision += 1;
+                known.silent = true;
+                known.revision = self.revision;
+            }
+        }
+        self.forget(now);
+        self.revision != before
+    }
+
+    /// Excuses everybody's silence: this process itself stood still, or heard nobody at all.
+    ///
+    /// Failure: a VM that was suspended wakes up, finds that all others have been silent for long, and tells its
+    /// followers that nobody is left.
+    pub fn excuse(&mut self, now: Instant) {
+        self.upstreams.values_mut().for_each(|known| known.heard = now);
+        self.vms.values_mut().for_each(|known| known.heard = now);
+    }
+
+    /// What a follower lacks; nothing where it is up to date.
+    pub fn delta(&self, from: u64, now: Instant) -> Option<Delta> {
+        if from >= self.revision {
+            return None;
+        }
+        let whole = from < self.floor;
+        let lacking = |revision: u64| whole || revision > from;
+        let upstreams = self.upstreams.values().filter(|known| lacking(known.revision));
+        let vms = self.vms.values().filter(|known| lacking(known.revision));
+        Some(Delta {
+            revision: self.revision,
+            whole,
+            upstreams: upstreams.map(|known| known.aged(now)).collect(),
+            vms: vms.map(|known| Fact { said: known.said.clone(), silent: known.silent }).collect(),
+        })
+    }
+
+    fn put(&mut self, said: Announcement, now: Instant) {
+        self.revision += 1;
+        if said.standing != Standing::Gone {
+            self.take_address(&said, now);
+        }
+        let id = said.id.clone();
+        let known =
+            Known { said, heard: now, changed: now, revision: self.revision, silent: false };
+        self.upstreams.insert(id, known);
+    }
+
+    /// Whoever had the address before is gone: an address has one owner at a time.
+    fn take_address(&mut self, said: &Announcement, now: Instant) {
+        let last = self.addresses.insert(said.address, said.id.clone());
+        let Some(last) = last.filter(|last| *last != said.id) else { return };
+        let Some(known) = self.upstreams.get_mut(&last) else { return };
+        if known.said.address == said.address && known.said.standing != Standing::Gone {
+            known.said.standing = Standing::Gone;
+            known.said.stamp = Stamp::last_of(known.said.stamp.born);
+            known.heard = now;
+            known.changed = now;
+            known.revision = self.revision;
+        }
+    }
+
+    /// Whether another upstream that started later has the address: the statement was held up on its way.
+    fn is_older_tenant(&self, said: &Announcement) -> bool {
+        let tenant = self.addresses.get(&said.address).filter(|tenant| **tenant != said.id);
+        let tenant = tenant.and_then(|tenant| self.upstreams.get(tenant));
+        tenant.is_some_and(|tenant| tenant.said.stamp.born > said.stamp.born)
+    }
+
+    fn forget(&mut self, now: Instant) {
+        let is_old = |heard: Instant| now.saturating_duration_since(heard) > REMEMBERED;
+        let mut floor = self.floor;
+        self.upstreams.retain(|_, known| {
+            let ended = known.silent || known.said.standing == Standing::Gone;
+            let forgotten = ended && is_old(known.heard);
+            if forgotten {
+                floor = floor.max(known.revision);
+            }
+            !forgotten
+        });
+        self.vms.retain(|_, known| {
+            let forgotten = known.silent && is_old(known.heard);
+            if forgotten {
+                floor = floor.max(known.revision);
+            }
+            !forgotten
+        });
+        self.floor = floor;
+        let upstreams = &self.upstreams;
+        self.addresses.retain(|_, id| upstreams.contains_key(id));
+    }
+}
+
+impl Known<Announcement> {
+    /// The statement with its spans of time as of now.
+    fn aged(&self, now: Instant) -> Fact<Announcement> {
+        let since = now.saturating_duration_since(self.changed);
+        let mut said = self.said.clone();
+        said.cold_left = said.cold_left.saturating_sub(since);
+        said.ends_in = said.ends_in.map(|ends| ends.saturating_sub(since));
+        Fact { said, silent: self.silent }
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/routing/state.rs
@@ -0,0 +1,118 @@
+//! What the control group agrees on.
+
+use std::collections::BTreeSet;
+use std::sync::Arc;
+use std::time::Duration;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use super::Document;
+use crate::group::Machine;
+use crate::id;
+use crate::unit::Version;
+
+/// A document together with the text in which the operator handed it in, which is what a read gives back.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct Accepted {
+    /// The document.
+    pub document: Arc<Document>,
+    /// The operator's own text.
+    pub source: Arc<str>,
+}
+
+/// A command of the group's log.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Command {
+    /// Take a document in force, unless its number is not higher than the present one's.
+    Replace(Accepted),
+    /// Send nothing to the upstreams of a data centre.
+    Evacuate(id::DataCentre),
+    /// Use the upstreams of a data centre again.
+    Restore(id::DataCentre),
+    /// Time has passed; nothing here depends on it.
+    Advance,
+}
+
+/// The document in force and the evacuated data centres.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct State {
+    accepted: Option<Accepted>,
+    evacuated: BTreeSet<id::DataCentre>,
+    /// Counts the changes, so that followers can tell a newer state from an older one.
+    revision: Version,
+}
+
+/// A copy of the state for those that carry requests.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct Replicated {
+    /// The state's number: a copy never goes back to a lower one.
+    pub revision: Version,
+    /// The document, once there is one.
+    pub document: Option<Arc<Document>>,
+    /// The data centres that get nothing.
+    pub evacuated: BTreeSet<id::DataCentre>,
+}
+
+impl State {
+    /// Counts the changes.
+    pub const fn revision(&self) -> Version {
+        self.revision
+    }
+
+    /// The document's number; zero without one.
+    pub fn version(&self) -> Version {
+        self.accepted.as_ref().map_or(Version::ZERO, |accepted| accepted.document.version)
+    }
+
+    /// The operator's text of the document in force.
+    pub fn source(&self) -> Option<Arc<str>> {
+        self.accepted.as_ref().map(|accepted| accepted.source.clone())
+    }
+
+    /// Whether the document in force was handed in as that text.
+    pub fn holds(&self, accepted: &Accepted) -> bool {
+        self.version() >= accepted.document.version
+    }
+
+    /// A copy for followers.
+    pub fn replicated(&self) -> Replicated {
+        Replicated {
+            revision: self.revision,
+            document: self.accepted.as_ref().map(|accepted| accepted.document.clone()),
+            evacuated: self.evacuated.clone(),
+        }
+    }
+}
+
+impl Machine for State {
+    type Command = Command;
+    /// The document's number in force after the command.
+    type Reply = Version;
+
+    fn apply(&mut self, command: &Command) -> Version {
+        let changed = match command {
+            // Failure: an older change that was resent, or the loser of a race between two operators, replaces a
+            // newer one, and callers are sent back to services that were taken away. Numbers only grow.
+            Command::Replace(accepted) if accepted.document.version > self.version() => {
+                self.accepted = Some(accepted.clone());
+                true
+            }
+            Command::Replace(_) | Command::Advance => false,
+            Command::Evacuate(data_centre) => self.evacuated.insert(data_centre.clone()),
+            Command::Restore(data_centre) => self.evacuated.remove(data_centre),
+        };
+        if changed {
+            self.revision = self.revision.next();
+        }
+        self.version()
+    }
+
+    fn advance(_: Duration) -> Command {
+        Command::Advance
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/routing/table.rs
@@ -0,0 +1,66 @@
+//! Finding the route of a request.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use super::Document;
+use super::Limits;
+use super::Route;
+use super::Service;
+use crate::unit::Version;
+
+/// A document made ready for lookups.
+#[derive(Debug, Default)]
+pub struct Table {
+    version: Version,
+    /// The routes of each host, longest prefix first.
+    hosts: HashMap<String, Vec<Arc<Route>>>,
+    services: HashMap<String, Arc<Service>>,
+    limits: Limits,
+}
+
+impl Table {
+    /// The table of a document.
+    pub fn new(document: &Document) -> Self {
+        let mut hosts: HashMap<String, Vec<Arc<Route>>> = HashMap::new();
+        for route in &document.routes {
+            let host = route.host.to_ascii_lowercase();
+            hosts.entry(host).or_default().push(Arc::new(route.clone()));
+        }
+        for routes in hosts.values_mut() {
+            routes.sort_by_key(|route| std::cmp::Reverse(route.prefix.len()));
+        }
+        let services = document.services.iter();
+        let services =
+            services.map(|service| (service.name.clone(), Arc::new(service.clone()))).collect();
+        Self { version: document.version, hosts, services, limits: document.limits.clone() }
+    }
+
+    /// The document's number.
+    pub const fn version(&self) -> Version {
+        self.version
+    }
+
+    /// What callers may send.
+    pub const fn limits(&self) -> &Limits {
+        &self.limits
+    }
+
+    /// The route with the longest prefix that begins the path. A port after the host doesn't count.
+    pub fn route(&self, host: &str, path: &str) -> Option<&Arc<Route>> {
+        let host = host.rsplit_once(':').map_or(host, |(name, _)| name);
+        let routes = match self.hosts.get(host) {
+            Some(routes) => routes,
+            None => self.hosts.get(&host.to_ascii_lowercase())?,
+        };
+        routes.iter().find(|route| path.starts_with(&route.prefix))
+    }
+
+    /// The service of that name.
+    pub fn service(&self, name: &str) -> Option<&Arc<Service>> {
+        self.services.get(name)
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/routing/table/tests.rs
@@ -0,0 +1,45 @@
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use super::Table;
+use crate::routing::Document;
+use crate::routing::Route;
+use crate::routing::route::Kind;
+use crate::routing::route::Target;
+
+fn route(name: &str, prefix: &str) -> Route {
+    Route {
+        name: name.to_owned(),
+        host: "A.example".to_owned(),
+        prefix: prefix.to_owned(),
+        kind: Kind::Unsafe,
+        timeout: Duration::from_secs(1),
+        objective: Duration::from_millis(300),
+        rank: 0,
+        targets: vec![Target { service: "s".to_owned(), weight: 1 }],
+        attempts: 1,
+        homes: BTreeSet::new(),
+    }
+}
+
+#[test]
+fn the_longest_prefix_of_the_host_wins() {
+    let routes = vec![route("short", "/a/"), route("long", "/a/b/")];
+    let table = Table::new(&Document { routes, ..Document::default() });
+    let name = |host, path| table.route(host, path).map(|route| route.name.clone());
+    assert_eq!(name("a.example", "/a/b/c").as_deref(), Some("long"));
+    assert_eq!(name("a.example:8080", "/a/bc").as_deref(), Some("short"));
+    assert_eq!(name("a.example", "/ab"), None);
+    assert_eq!(name("b.example", "/a/b/c"), None);
+}
+
+#[test]
+fn shares_follow_the_weights() {
+    let mut split = route("split", "/");
+    split.targets = vec![
+        Target { service: "x".to_owned(), weight: 9 },
+        Target { service: "y".to_owned(), weight: 1 },
+    ];
+    let to_y = (0..1000).filter(|&draw| split.target(draw) == Some("y")).count();
+    assert_eq!(to_y, 100);
+}
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -1,15 +1,18 @@
 //! Settings in YAML. Every finding is collected with its place, and all are reported together.
 //!
-//! One file describes a whole site; a process is told on its command line which of the VMs it runs on.
+//! One file describes a whole [`Site`], and a process is told on its command line which of the VMs it runs on; or, in a
+//! fleet that finds itself, each process has a [`Node`] of its own.
 
 pub mod entry;
 pub mod findings;
+pub mod node;
 pub mod section;
 pub mod site;
 pub mod span;
 
 pub use findings::Finding;
 pub use findings::Findings;
+pub use node::Node;
 pub use section::Section;
 pub use site::Site;
 pub use span::Span;
--- /dev/null
+++ b/src/settings/node/tests.rs
@@ -0,0 +1,49 @@
+use std::path::Path;
+use std::time::Duration;
+
+use super::Node;
+
+const ENTRY: &str = "
+ip: 10.0.0.1
+region: r
+data_centre: a
+data_centres: [a=r, b=s]
+seeds: [\"10.0.0.2:90\", \"10.0.0.3:90\"]
+link_port: 70
+network: closed
+check_in: 1200ms
+entry:
+  callers: 10.0.0.1:80
+  operators: 10.0.0.1:81
+  forwards: 10.0.0.1:82
+  grace: 8s
+";
+
+fn findings(text: &str) -> Vec<String> {
+    let found = Node::parse("node.yaml", text, Path::new(".")).unwrap_err();
+    found.0.into_iter().map(|finding| finding.text).collect()
+}
+
+#[test]
+fn an_entry_daemon_knows_itself_and_its_seeds() {
+    let node = Node::parse("node.yaml", ENTRY, Path::new(".")).unwrap();
+    assert_eq!(node.vm().as_str(), "10.0.0.1");
+    assert_eq!(node.check_in, Duration::from_millis(1200));
+    let links: Vec<String> = node.seed_links().map(|(_, link)| link.to_string()).collect();
+    assert_eq!(links, ["10.0.0.2:70", "10.0.0.3:70"]);
+    assert_eq!(node.region_of(&"b".parse().unwrap()).unwrap().as_str(), "s");
+    assert!(node.control.is_none());
+}
+
+#[test]
+fn all_findings_are_reported_together() {
+    let text = ENTRY.replace("network: closed", "unknown: 1").replace("10.0.0.1:81", "nowhere");
+    let found = findings(&text);
+    assert_eq!(found.len(), 3, "{found:?}");
+}
+
+#[test]
+fn a_process_has_one_role() {
+    let text = ENTRY.split("entry:").next().unwrap();
+    assert!(findings(text)[0].contains("either an entry or a control daemon"));
+}
--- a/src/settings/site.rs
+++ b/src/settings/site.rs
@@ -226,7 +226,7 @@
 }
 
 /// The content of a file that holds a secret; `Some(None)` where the key is left out.
-fn file(top: &Section<'_>, key: &'static str, folder: &Path) -> Option<Option<String>> {
+pub(super) fn file(top: &Section<'_>, key: &'static str, folder: &Path) -> Option<Option<String>> {
     let Some(path) = top.optional::<PathBuf>(key) else { return Some(None) };
     match fs::read_to_string(folder.join(&path)) {
         Ok(text) if !text.trim().is_empty() => Some(Some(text.trim().to_owned())),
@@ -269,7 +269,7 @@
     Some(Headers { entry: entry?, key: key?, deadline: deadline? })
 }
 
-fn logs(top: &Section<'_>) -> Option<Logs> {
+pub(super) fn logs(top: &Section<'_>) -> Option<Logs> {
     let Some(section) = top.optional_section("logs") else {
         return Some(Logs { json: false, level: slog::Level::Info });
     };
--- a/src/wire/message.rs
+++ b/src/wire/message.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::fmt;
+use std::sync::Arc;
 
 use serde::Deserialize;
 use serde::Serialize;
@@ -16,6 +17,11 @@
 use crate::id;
 use crate::ledger;
 use crate::membership;
+use crate::roster;
+use crate::roster::Announcement;
+use crate::roster::Presence;
+use crate::roster::Stamp;
+use crate::routing;
 use crate::unit::Version;
 use crate::upstream;
 
@@ -83,6 +89,12 @@
     Room,
     /// Which version of the catalogue is in force at the peer?
     InForce,
+    /// Wait a moment for anything that the asker lacks, and send it.
+    Follow(Box<Follow>),
+    /// Have a command committed by the routing group.
+    Routing(routing::Command),
+    /// What did the operator hand in last? The answer is confirmed by a majority.
+    ReadRouting,
 }
 
 /// What comes back.
@@ -107,6 +119,12 @@
     Joined(bool),
     /// The peer's room: of each model the slots in the region, those that this VM uses, and its wait.
     Room(BTreeMap<id::Model, spill::Room>),
+    /// What the follower lacked.
+    Followed(Box<Followed>),
+    /// The document's number in force after the command.
+    Routing(Result<Version, Unavailable>),
+    /// The operator's own text of the document in force, if there is one.
+    Source(Result<Option<Arc<str>>, Unavailable>),
     /// The peer has no answer to such a request.
     Unsupported,
 }
@@ -124,6 +142,48 @@
     pub leads: bool,
 }
 
+/// What a follower says of itself, and what it has.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct Follow {
+    /// Who follows.
+    pub presence: Presence,
+    /// The start of the peer that the revision below belongs to.
+    pub epoch: u64,
+    /// The peer's table as the follower has it.
+    pub roster: u64,
+    /// The routing state that the follower has in force.
+    pub routing: Version,
+}
+
+/// What a follower lacked.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct Followed {
+    /// Tells one start of the peer from another.
+    pub epoch: u64,
+    /// What changed of upstreams and VMs.
+    pub roster: Option<roster::Delta>,
+    /// The routing state, where it is newer.
+    pub routing: Option<routing::state::Replicated>,
+    /// The stamp and nonce under which the follower is known to the peer.
+    pub known_as: Option<(Stamp, u64)>,
+}
+
+/// What a control VM has heard since it last told.
+#[derive(Debug, Clone, Default, Serialize, Deserialize)]
+pub struct Heard {
+    /// Of upstreams.
+    pub upstreams: Vec<Announcement>,
+    /// Of VMs.
+    pub vms: Vec<Presence>,
+}
+
+impl Heard {
+    /// Whether there is nothing to tell.
+    pub fn is_empty(&self) -> bool {
+        self.upstreams.is_empty() && self.vms.is_empty()
+    }
+}
+
 /// Why a group of replicas gives no answer.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize, thiserror::Error)]
 pub enum Unavailable {
@@ -157,6 +217,8 @@
     Grant(limit::Grant),
     /// A message about the slots of an upstream.
     Slots(upstream::pool::Message),
+    /// What a control VM has heard of upstreams and VMs.
+    Heard(Box<Heard>),
     /// A message between the entry VMs' memberships.
     Membership(membership::Message),
 }
