--- /dev/null
+++ b/src/directory/lookup/tests.rs
@@ -0,0 +1,46 @@
+use std::net::SocketAddr;
+
+use super::addresses;
+use crate::roster::Presence;
+use crate::roster::Stamp;
+use crate::roster::Standing;
+use crate::wire::Role;
+
+fn vm(name: &str, region: &str, port: u16) -> Presence {
+    Presence {
+        vm: name.parse().unwrap(),
+        role: Role::Entry,
+        stamp: Stamp::new(1, 1),
+        nonce: 1,
+        region: region.parse().unwrap(),
+        data_centre: "a".parse().unwrap(),
+        standing: Standing::Ready,
+        ready: true,
+        callers: Some(SocketAddr::from(([127, 0, 0, 1], port))),
+        forwards: None,
+        links: None,
+    }
+}
+
+fn ports(region: &str, present: &[Presence], all: &[Presence]) -> Vec<u16> {
+    let found = addresses(&region.parse().unwrap(), present.iter(), all.iter());
+    found.iter().map(SocketAddr::port).collect()
+}
+
+#[test]
+fn callers_stay_in_their_region_while_it_has_a_vm() {
+    let mut vms = vec![vm("a", "r", 1), vm("b", "r", 2), vm("c", "s", 3)];
+    assert_eq!(ports("r", &vms, &vms), [1, 2]);
+    vms[0].ready = false;
+    vms[1].standing = Standing::Draining;
+    assert_eq!(ports("r", &vms, &vms), [3]);
+}
+
+// A control VM is cut off from all others, and every entry VM falls silent for it. Callers of its data centre still
+// reach it; an empty answer would turn them away from VMs that work.
+#[test]
+fn a_vm_that_hears_nobody_names_those_it_knew() {
+    let all = [vm("a", "r", 1), vm("c", "s", 3)];
+    assert_eq!(ports("r", &[], &all), [1]);
+    assert_eq!(ports("t", &[], &all), [1, 3]);
+}
--- /dev/null
+++ b/src/directory/metrics.rs
@@ -0,0 +1,74 @@
+//! Counters and gauges of a control daemon.
+
+use prometheus_client::encoding::text;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::registry::Registry;
+
+use crate::consensus::Role;
+use crate::group::Status;
+
+/// The metrics of one control daemon.
+#[derive(Debug)]
+pub struct Metrics {
+    registry: Registry,
+    check_ins: Counter,
+    upstreams: Gauge,
+    vms: Gauge,
+    version: Gauge,
+    leads: Gauge,
+    term: Gauge,
+    commit: Gauge,
+    voters: Gauge,
+}
+
+impl Default for Metrics {
+    fn default() -> Self {
+        let mut registry = Registry::with_prefix("mastic_control");
+        let check_ins = Counter::default();
+        registry.register("check_ins", "Statements of upstreams heard directly", check_ins.clone());
+        let mut gauge = |name: &str, text: &str| {
+            let gauge = Gauge::default();
+            registry.register(name, text, gauge.clone());
+            gauge
+        };
+        let upstreams = gauge("upstreams", "Upstreams that are heard of");
+        let vms = gauge("vms", "VMs of the system that are heard of");
+        let version = gauge("document_version", "Number of the document in force");
+        let leads = gauge("leads", "Whether this replica leads its group");
+        let term = gauge("term", "Term of this replica");
+        let commit = gauge("commit", "Last committed index that this replica knows of");
+        let voters = gauge("voters", "Voters of the group, as this replica knows them");
+        Self { registry, check_ins, upstreams, vms, version, leads, term, commit, voters }
+    }
+}
+
+impl Metrics {
+    /// An upstream said something.
+    pub fn checked_in(&self) {
+        self.check_ins.inc();
+    }
+
+    /// The metrics as text, with gauges as they stand now.
+    pub fn encode(
+        &self,
+        upstreams: usize,
+        vms: usize,
+        version: u64,
+        status: Option<&Status>,
+    ) -> String {
+        self.upstreams.set(upstreams as i64);
+        self.vms.set(vms as i64);
+        self.version.set(version as i64);
+        if let Some(status) = status {
+            self.leads.set(i64::from(status.leads));
+            self.term.set(status.term.get() as i64);
+            self.commit.set(status.commit.get() as i64);
+            self.voters.set(status.members.with_role(Role::Voter).count() as i64);
+        }
+        let mut out = String::new();
+        // Writing to a string can't fail.
+        text::encode(&mut out, &self.registry).ok();
+        out
+    }
+}
--- /dev/null
+++ b/src/directory/service.rs
@@ -0,0 +1,560 @@
+//! What a control daemon knows and does for operators, upstreams, callers and other VMs.
+
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::OnceLock;
+use std::time::Duration;
+
+use futures::FutureExt;
+use futures::future::BoxFuture;
+use slog::Logger;
+use slog::info;
+use tokio::sync::watch;
+use tokio::time;
+use tokio::time::Instant;
+
+use super::flood;
+use super::lookup;
+use super::metrics::Metrics;
+use crate::consensus::Refusal;
+use crate::consensus::Role as Seated;
+use crate::control::Name;
+use crate::control::Routes;
+use crate::control::Seat;
+use crate::control::join::take_in;
+use crate::control::plan::VOTERS;
+use crate::group;
+use crate::group::Group;
+use crate::id;
+use crate::roster::Announcement;
+use crate::roster::Presence;
+use crate::roster::Stamp;
+use crate::roster::Standing;
+use crate::roster::Table;
+use crate::roster::table::Patience;
+use crate::roster::table::Taken;
+use crate::routing::Command;
+use crate::routing::State;
+use crate::routing::state::Accepted;
+use crate::routing::state::Replicated;
+use crate::settings::Node;
+use crate::unit::Version;
+use crate::wire::Cast;
+use crate::wire::Mesh;
+use crate::wire::Peer;
+use crate::wire::Reply;
+use crate::wire::Request;
+use crate::wire::Role;
+use crate::wire::link::Handler;
+use crate::wire::message::Follow;
+use crate::wire::message::Followed;
+use crate::wire::message::Heard;
+use crate::wire::message::Unavailable;
+
+/// A follower that lacks nothing is answered after this, which also tells it that this VM is alive.
+pub const WATCH: Duration = Duration::from_secs(1);
+/// A command or read that was passed on to the leader is answered within this.
+const PASSED_ON: Duration = Duration::from_millis(2500);
+/// Where no leader is known, one is waited for so long: an election takes one to two seconds, and an operator that gets
+/// no answer asks the next VM after one.
+const LEADERLESS: Duration = Duration::from_millis(900);
+/// A leader is looked for this often meanwhile.
+const LOOK: Duration = Duration::from_millis(50);
+/// A VM says something each [`WATCH`]; one may be lost, and the second may be late by a trip between regions and a
+/// pause of the scheduler.
+const VM_SILENCE: Duration = Duration::from_millis(2700);
+/// An upstream is silent once four of its words are missing: they come seconds late at times, and requests find out
+/// by themselves that an upstream is gone.
+const MISSED_WORDS: u32 = 4;
+/// The first acknowledgement waits for all control VMs that are there to vote, for so long after the start.
+const FORMING: Duration = Duration::from_secs(8);
+/// Silence is looked for this often.
+const TICK: Duration = Duration::from_millis(250);
+/// A tick that comes so late means that this process stood still.
+const STOOD_STILL: Duration = Duration::from_millis(1500);
+
+/// The state of a control daemon.
+pub struct Service {
+    node: Arc<Node>,
+    log: Logger,
+    /// Tells this start from others.
+    epoch: u64,
+    table: Mutex<Table>,
+    /// The table's revision, for those who wait for a change.
+    revision: watch::Sender<u64>,
+    routing: watch::Sender<Replicated>,
+    presence: Mutex<Presence>,
+    flood: flood::Queue,
+    routes: Arc<Routes>,
+    seat: OnceLock<Seat<State>>,
+    mesh: OnceLock<Mesh>,
+    started: Instant,
+    metrics: Metrics,
+}
+
+impl Service {
+    /// A service without a replica or links; `born` is the wall clock in milliseconds, and `nonce` is random.
+    pub fn new(node: Arc<Node>, routes: Arc<Routes>, born: u64, nonce: u64, log: Logger) -> Self {
+        let patience = Patience { upstream: node.check_in * MISSED_WORDS, vm: VM_SILENCE };
+        let presence = Presence {
+            vm: node.vm(),
+            role: Role::Control,
+            stamp: Stamp::new(born, 0),
+            nonce,
+            region: node.region.clone(),
+            data_centre: node.data_centre.clone(),
+            standing: Standing::Ready,
+            ready: true,
+            callers: None,
+            forwards: None,
+            links: Some(SocketAddr::new(node.ip, node.link_port)),
+        };
+        Self {
+            node,
+            log,
+            epoch: nonce,
+            table: Mutex::new(Table::new(patience)),
+            revision: watch::Sender::new(0),
+            routing: watch::Sender::default(),
+            presence: Mutex::new(presence),
+            flood: flood::Queue::default(),
+            routes,
+            seat: OnceLock::new(),
+            mesh: OnceLock::new(),
+            started: Instant::now(),
+            metrics: Metrics::default(),
+        }
+    }
+
+    /// Gives the replica and the links.
+    pub fn connect(&self, seat: Seat<State>, mesh: Mesh) {
+        self.seat.set(seat).ok();
+        self.mesh.set(mesh).ok();
+    }
+
+    /// The settings.
+    pub fn node(&self) -> &Node {
+        &self.node
+    }
+
+    /// This VM.
+    pub fn vm(&self) -> id::Vm {
+        self.node.vm()
+    }
+
+    /// The log.
+    pub fn log(&self) -> &Logger {
+        &self.log
+    }
+
+    /// How long an answer of the directory may be used.
+    pub fn directory_time(&self) -> Duration {
+        let control = self.node.control.as_ref();
+        control.map_or(Duration::ZERO, |control| control.directory_time)
+    }
+
+    /// The metrics as text.
+    pub fn metrics_text(&self) -> String {
+        let (upstreams, vms) = {
+            let table = self.table();
+            (table.upstreams().count(), table.present().count())
+        };
+        let status = self.group().map(|group| group.status());
+        let version = self.routing.borrow().document.as_ref().map_or(0, |held| held.version.get());
+        self.metrics.encode(upstreams, vms, version, status.as_ref())
+    }
+
+    pub(super) fn flood(&self) -> &flood::Queue {
+        &self.flood
+    }
+
+    pub(super) fn mesh(&self) -> Option<&Mesh> {
+        self.mesh.get()
+    }
+
+    /// The replica, while it runs.
+    pub fn group(&self) -> Option<Group<State>> {
+        self.seat.get()?.group()
+    }
+
+    /// The control VMs that were heard of and the seeds, this VM among them.
+    pub fn control_vms(&self) -> BTreeSet<id::Vm> {
+        let table = self.table.lock().expect("no panic while locked");
+        let heard = table.all_vms().filter(|vm| vm.role == Role::Control);
+        let mut vms: BTreeSet<id::Vm> = heard.map(|vm| vm.vm.clone()).collect();
+        vms.extend(self.node.seed_links().map(|(vm, _)| vm));
+        vms.insert(self.vm());
+        vms
+    }
+
+    /// An upstream says something of itself.
+    pub fn announce(&self, said: Announcement) {
+        let taken = self.table().announce(said.clone(), Instant::now());
+        self.metrics.checked_in();
+        let is_news = taken == Taken::News;
+        if is_news {
+            info!(self.log, "upstream.announced"; "upstream" => %said.id, "service" => &said.service,
+                "address" => %said.address, "standing" => ?said.standing, "born" => said.stamp.born,
+                "sequence" => said.stamp.sequence, "cold_ms" => said.cold_left.as_millis() as u64);
+            self.publish();
+        }
+        if taken != Taken::Stale {
+            self.flood.announced(said, is_news);
+        }
+    }
+
+    /// An upstream leaves.
+    pub fn leave(&self, upstream: &id::Upstream, born: Option<u64>) {
+        let said = {
+            let mut table = self.table();
+            table.leave(upstream, born, Instant::now());
+            table.upstream(upstream).cloned()
+        };
+        info!(self.log, "upstream.left"; "upstream" => %upstream, "known" => said.is_some());
+        self.publish();
+        if let Some(said) = said {
+            self.flood.announced(said, true);
+        }
+    }
+
+    /// Where a caller of that region connects.
+    pub fn addresses(&self, region: &id::Region) -> Vec<SocketAddr> {
+        let table = self.table();
+        lookup::addresses(region, table.present(), table.all_vms())
+    }
+
+    /// Takes a document in force; it is accepted once this returns a number.
+    pub async fn replace(&self, accepted: Accepted) -> Result<Version, Unavailable> {
+        let version = accepted.document.version;
+        let ended = self.command(Command::Replace(accepted)).await;
+        match &ended {
+            Ok(now) => {
+                info!(self.log, "document.accepted"; "version" => %version, "in_force" => %now);
+            }
+            Err(why) => {
+                info!(self.log, "document.unavailable"; "version" => %version, "why" => %why);
+            }
+        }
+        ended
+    }
+
+    /// Empties a data centre, or takes it back.
+    pub async fn evacuate(&self, centre: id::DataCentre, away: bool) -> Result<(), Unavailable> {
+        let command = match away {
+            true => Command::Evacuate(centre.clone()),
+            false => Command::Restore(centre.clone()),
+        };
+        let ended = self.command(command).await;
+        info!(self.log, "evacuation"; "data_centre" => %centre, "away" => away,
+            "accepted" => ended.is_ok());
+        ended.map(|_| ())
+    }
+
+    /// The operator's own text of the document in force, confirmed by a majority.
+    pub async fn source(&self) -> Result<Option<Arc<str>>, Unavailable> {
+        let until = Instant::now() + LEADERLESS;
+        loop {
+            let ended = match self.group() {
+                Some(group) => group.read(State::source).await,
+                None => Err(group::Error::Stopped),
+            };
+            match ended {
+                Ok(source) => return Ok(source),
+                Err(error) => match self.leader_elsewhere(&error) {
+                    Some(leader) => return self.read_at(&leader).await,
+                    None if Instant::now() >= until => return Err(Unavailable::NoLeader),
+                    None => time::sleep(LOOK).await,
+                },
+            }
+        }
+    }
+
+    async fn read_at(&self, leader: &Peer) -> Result<Option<Arc<str>>, Unavailable> {
+        let Some(mesh) = self.mesh() else { return Err(Unavailable::NoLeader) };
+        match mesh.call(leader, Request::ReadRouting, PASSED_ON).await {
+            Ok(Reply::Source(source)) => source,
+            _ => Err(Unavailable::NoLeader),
+        }
+    }
+
+    /// Has a command committed, here or by the leader.
+    async fn command(&self, command: Command) -> Result<Version, Unavailable> {
+        let until = Instant::now() + LEADERLESS;
+        loop {
+            let error = match self.propose(command.clone()).await {
+                Ok(version) => return Ok(version),
+                Err(error) => error,
+            };
+            match self.leader_elsewhere(&error) {
+                Some(leader) => return self.pass_on(&leader, command).await,
+                None if !error.is_final() => return Err(Unavailable::Unknown),
+                None if Instant::now() >= until => return Err(Unavailable::NoLeader),
+                None => time::sleep(LOOK).await,
+            }
+        }
+    }
+
+    /// Proposes on this replica, once all control VMs that are there vote.
+    ///
+    /// Failure: a group of five starts as three, acknowledges a change, and two of the three lose their disks: it is
+    /// gone although two lost disks must lose nothing.
+    async fn propose(&self, command: Command) -> Result<Version, group::Error> {
+        let group = self.group().ok_or(group::Error::Stopped)?;
+        let status = group.status();
+        if status.leads && self.started.elapsed() < FORMING {
+            let voters = status.members.with_role(Seated::Voter).count();
+            let present = self.table().present().filter(|vm| vm.role == Role::Control).count();
+            if voters < present.min(VOTERS) {
+                return Err(group::Error::Refused(Refusal::NotReady));
+            }
+        }
+        group.propose(command).await
+    }
+
+    /// The leader, where the error names another VM's replica.
+    fn leader_elsewhere(&self, error: &group::Error) -> Option<Peer> {
+        let group::Error::Refused(Refusal::NotLeader { leader }) = error else { return None };
+        let vm = self.routes.vm((*leader)?)?;
+        (vm != self.vm()).then(|| Peer::new(vm, Role::Control))
+    }
+
+    async fn pass_on(&self, leader: &Peer, command: Command) -> Result<Version, Unavailable> {
+        let Some(mesh) = self.mesh() else { return Err(Unavailable::NoLeader) };
+        match mesh.call(leader, Request::Routing(command), PASSED_ON).await {
+            Ok(Reply::Routing(ended)) => ended,
+            Ok(_) => Err(Unavailable::NoLeader),
+            Err(error) if error.is_unsent() => Err(Unavailable::NoLeader),
+            Err(_) => Err(Unavailable::Unknown),
+        }
+    }
+
+    async fn propose_for_peer(&self, command: Command) -> Reply {
+        let ended = self.propose(command).await;
+        Reply::Routing(ended.map_err(|error| match error.is_final() {
+            true => Unavailable::NoLeader,
+            false => Unavailable::Unknown,
+        }))
+    }
+
+    async fn read_for_peer(&self) -> Reply {
+        let Some(group) = self.group() else { return Reply::Source(Err(Unavailable::NoLeader)) };
+        Reply::Source(group.read(State::source).await.map_err(|_| Unavailable::NoLeader))
+    }
+
+    /// Waits a moment for anything that a follower lacks.
+    async fn follow(&self, follow: Follow) -> Reply {
+        let is_current = follow.epoch == self.epoch;
+        let known_as = self.met(follow.presence);
+        let have = if is_current { follow.roster } else { 0 };
+        let mut revision = self.revision.subscribe();
+        let mut routing = self.routing.subscribe();
+        let lacks = async {
+            tokio::select! {
+                _ = revision.wait_for(|revision| *revision > have) => (),
+                _ = routing.wait_for(|routing| routing.revision > follow.routing) => (),
+            }
+        };
+        time::timeout(WATCH, lacks).await.ok();
+        let roster = self.table().delta(have, Instant::now());
+        let routing = self.routing.borrow().clone();
+        let routing = (routing.revision > follow.routing).then_some(routing);
+        Reply::Followed(Box::new(Followed { epoch: self.epoch, roster, routing, known_as }))
+    }
+
+    /// A VM says something of itself, directly; returns the newest stamp that is known of it.
+    fn met(&self, said: Presence) -> Option<(Stamp, u64)> {
+        let (taken, known) = {
+            let mut table = self.table();
+            let taken = table.meet(said.clone(), Instant::now());
+            (taken, table.stamp_of(&said.vm, said.role))
+        };
+        if taken == Taken::News {
+            info!(self.log, "vm.announced"; "vm" => %said.vm, "role" => ?said.role,
+                "standing" => ?said.standing, "ready" => said.ready);
+            self.publish();
+        }
+        if taken != Taken::Stale {
+            self.flood.met(said, taken == Taken::News);
+        }
+        known
+    }
+
+    /// Another control VM passes on what it heard.
+    fn heard(&self, heard: Heard, from: &Peer) {
+        let now = Instant::now();
+        let mut outdated = Heard::default();
+        let mut news = false;
+        let mut table = self.table();
+        for said in heard.upstreams {
+            news |= table.announce(said, now) == Taken::News;
+        }
+        for said in heard.vms {
+            if let (Some(mesh), Some(links)) = (self.mesh(), said.links) {
+                mesh.learn(Peer::new(said.vm.clone(), said.role), links);
+            }
+            let is_own = said.vm == self.vm() && said.role == Role::Control;
+            if is_own {
+                self.overtake(said.stamp, said.nonce);
+                continue;
+            }
+            let (vm, role, nonce) = (said.vm.clone(), said.role, said.nonce);
+            let taken = table.meet(said, now);
+            news |= taken == Taken::News;
+            let is_sender = vm == from.vm && role == from.role;
+            if is_sender
+                && taken == Taken::Stale
+                && table.stamp_of(&vm, role).is_some_and(|known| known.1 != nonce)
+            {
+                outdated.vms.extend(
+                    table.all_vms().find(|known| known.vm == vm && known.role == role).cloned(),
+                );
+            }
+        }
+        drop(table);
+        if news {
+            self.publish();
+        }
+        if let (false, Some(mesh)) = (outdated.is_empty(), self.mesh()) {
+            mesh.cast(from, Cast::Heard(Box::new(outdated)));
+        }
+    }
+
+    /// Others remember this VM's earlier start with a newer stamp: the clock was set back. This start goes above it,
+    /// or nobody would ever take its word.
+    fn overtake(&self, stamp: Stamp, nonce: u64) {
+        let mut presence = self.presence.lock().expect("no panic while locked");
+        if nonce != presence.nonce && stamp >= presence.stamp {
+            presence.stamp = Stamp::new(stamp.born + 1, 0);
+        }
+    }
+
+    fn table(&self) -> std::sync::MutexGuard<'_, Table> {
+        self.table.lock().expect("no panic while locked")
+    }
+
+    fn publish(&self) {
+        let revision = self.table().revision();
+        self.revision.send_if_modified(|last| {
+            let newer = revision > *last;
+            *last = revision.max(*last);
+            newer
+        });
+    }
+
+    /// This VM says that it is there.
+    fn tell_presence(&self) {
+        let said = {
+            let mut presence = self.presence.lock().expect("no panic while locked");
+            presence.stamp.sequence += 1;
+            presence.clone()
+        };
+        let taken = self.table().meet(said.clone(), Instant::now());
+        self.flood.met(said, taken == Taken::News);
+        self.publish();
+    }
+
+    fn identity(&self) -> Reply {
+        Reply::Identity(self.seat.get().and_then(Seat::identity))
+    }
+}
+
+/// Notes who falls silent and says that this VM is there, until told to stop.
+pub async fn tick(service: Arc<Service>, mut stop: watch::Receiver<bool>) {
+    let mut ticks = time::interval(TICK);
+    ticks.set_missed_tick_behavior(time::MissedTickBehavior::Delay);
+    let mut last = Instant::now();
+    let mut told: Option<Instant> = None;
+    loop {
+        tokio::select! {
+            _ = ticks.tick() => (),
+            _ = stop.wait_for(|stop| *stop) => return,
+        }
+        let now = Instant::now();
+        if now.saturating_duration_since(last) > STOOD_STILL {
+            info!(service.log, "process.stood_still"; "ms" => (now - last).as_millis() as u64);
+            service.table().excuse(now);
+        }
+        last = now;
+        if told.is_none_or(|told| now.saturating_duration_since(told) >= WATCH) {
+            told = Some(now);
+            service.tell_presence();
+        }
+        if service.table().expire(now) {
+            service.publish();
+        }
+    }
+}
+
+/// Copies the routing state for followers as it changes, until told to stop.
+pub async fn copy_routing(service: Arc<Service>, mut stop: watch::Receiver<bool>) {
+    loop {
+        tokio::select! {
+            () = copy_while_running(&service) => (),
+            _ = stop.wait_for(|stop| *stop) => return,
+        }
+        tokio::select! {
+            () = time::sleep(LOOK) => (),
+            _ = stop.wait_for(|stop| *stop) => return,
+        }
+    }
+}
+
+async fn copy_while_running(service: &Service) {
+    let Some(group) = service.group() else { return };
+    let mut status = group.watch();
+    loop {
+        let have = service.routing.borrow().revision;
+        let look = move |state: &State| (state.revision() > have).then(|| state.replicated());
+        match group.peek(look).await {
+            Ok(Some(newer)) => {
+                info!(service.log, "routing.in_force"; "revision" => %newer.revision,
+                    "version" => newer.document.as_ref().map_or(0, |document| document.version.get()));
+                service.routing.send_replace(newer);
+            }
+            Ok(None) => (),
+            Err(_) => return,
+        }
+        if status.changed().await.is_err() {
+            return;
+        }
+    }
+}
+
+/// The handler of a control daemon's links.
+pub struct Links(pub Arc<Service>);
+
+impl Handler for Links {
+    fn call(&self, from: Peer, request: Request) -> BoxFuture<'static, Reply> {
+        let service = self.0.clone();
+        async move {
+            match request {
+                Request::Follow(follow) => service.follow(*follow).await,
+                Request::Routing(command) => service.propose_for_peer(command).await,
+                Request::ReadRouting => service.read_for_peer().await,
+                Request::Identity(Name::Routing) => service.identity(),
+                Request::Join { name: Name::Routing, replica, witness } => {
+                    let group = service.group();
+                    Reply::Joined(take_in(&service.routes, &from.vm, group, replica, witness).await)
+                }
+                _ => Reply::Unsupported,
+            }
+        }
+        .boxed()
+    }
+
+    fn cast(&self, from: Peer, cast: Cast) {
+        match cast {
+            Cast::Group { name: Name::Routing, from: sender, to, message } => {
+                self.0.routes.learn(sender, &from.vm);
+                let Some(seat) = self.0.seat.get() else { return };
+                if seat.identity().is_some_and(|identity| identity.replica == to) {
+                    seat.receive(sender, message);
+                }
+            }
+            Cast::Heard(heard) => self.0.heard(*heard, &from),
+            _ => (),
+        }
+    }
+}
--- /dev/null
+++ b/src/gateway/call.rs
@@ -0,0 +1,69 @@
+//! One request of a caller, decoded.
+
+use std::time::Duration;
+
+use http::HeaderMap;
+use http::Method;
+use http::uri::PathAndQuery;
+
+use crate::decide::place::Shared;
+use crate::decide::place::Work;
+use crate::unit::Tokens;
+
+/// A shared part of a prompt must have so many tokens to decide where a request goes: reading fewer again takes less
+/// than the differences between engines that are otherwise alike.
+const WORTH_FINDING: Tokens = Tokens::new(1_000);
+
+/// One request, without its body.
+#[derive(Debug, Clone)]
+pub struct Call {
+    /// The caller's id of this attempt, as it was sent.
+    pub id: String,
+    /// The method.
+    pub method: Method,
+    /// The host that it names.
+    pub host: String,
+    /// Its path and query.
+    pub target: PathAndQuery,
+    /// How long the caller waits; none where it does not say.
+    pub patience: Option<Duration>,
+    /// What it asks of a model engine; none for a plain request.
+    pub prompt: Option<Prompt>,
+    /// The headers that go with it unchanged.
+    pub headers: HeaderMap,
+}
+
+/// A prompt's size and parts.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Prompt {
+    /// Its length.
+    pub input: Tokens,
+    /// The most that may be generated.
+    pub output: Tokens,
+    /// Its parts in order, each with a name and a length; the last one is the request's own or its session's.
+    pub parts: Vec<(u64, Tokens)>,
+}
+
+impl Call {
+    /// What it asks of an engine.
+    pub fn work(&self) -> Work {
+        let Some(prompt) = &self.prompt else { return Work::default() };
+        let shared = prompt.shared();
+        let read = shared.map_or(Tokens::ZERO, |shared| shared.tokens);
+        Work { shared, own: prompt.input.saturating_sub(read), output: prompt.output }
+    }
+}
+
+impl Prompt {
+    /// The leading parts that other requests have too, named by the last of them: a part is of use only where all parts
+    /// before it are there as well.
+    fn shared(&self) -> Option<Shared> {
+        let (_, leading) = self.parts.split_last()?;
+        let key = leading.last()?.0;
+        let tokens = leading.iter().map(|(_, tokens)| *tokens).sum();
+        (tokens >= WORTH_FINDING).then_some(Shared { key, tokens })
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/gateway/call/tests.rs
@@ -0,0 +1,16 @@
+use super::Prompt;
+use crate::unit::Tokens;
+
+fn prompt(parts: &[(u64, u64)]) -> Prompt {
+    let parts = parts.iter().map(|&(key, tokens)| (key, Tokens::new(tokens)));
+    Prompt { parts: parts.collect(), ..Prompt::default() }
+}
+
+#[test]
+fn the_last_part_is_the_requests_own() {
+    let shared = prompt(&[(1, 800), (2, 400), (3, 250)]).shared().unwrap();
+    assert_eq!((shared.key, shared.tokens), (2, Tokens::new(1200)));
+    assert!(prompt(&[(1, 5000)]).shared().is_none());
+    assert!(prompt(&[(1, 90), (2, 300)]).shared().is_none());
+    assert!(prompt(&[]).shared().is_none());
+}
--- /dev/null
+++ b/src/gateway/headers.rs
@@ -0,0 +1,40 @@
+//! Headers that concern one connection only, and the system's own between its VMs.
+
+use http::HeaderMap;
+use http::HeaderName;
+use http::header;
+
+/// Between VMs: the expected time to the first event in the sender's region, in milliseconds.
+pub const OUTLOOK: HeaderName = HeaderName::from_static("mastic-outlook-ms");
+
+/// Headers that concern one connection (RFC 9110, 7.6.1), and the length, which the library writes by the body.
+const HOP: [HeaderName; 9] = [
+    header::CONNECTION,
+    header::CONTENT_LENGTH,
+    header::EXPECT,
+    header::PROXY_AUTHENTICATE,
+    header::PROXY_AUTHORIZATION,
+    header::TE,
+    header::TRAILER,
+    header::TRANSFER_ENCODING,
+    header::UPGRADE,
+];
+const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
+const PROXY_CONNECTION: HeaderName = HeaderName::from_static("proxy-connection");
+
+/// Takes out what must not be passed on, also what `Connection` names.
+pub fn strip(headers: &mut HeaderMap) {
+    let named: Vec<HeaderName> = headers
+        .get_all(header::CONNECTION)
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','))
+        .filter_map(|name| name.trim().parse().ok())
+        .collect();
+    for name in HOP.iter().chain([&KEEP_ALIVE, &PROXY_CONNECTION, &OUTLOOK]).chain(&named) {
+        headers.remove(name);
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/gateway/hub.rs
@@ -0,0 +1,365 @@
+//! What the tasks of an entry daemon share.
+
+use std::collections::BTreeSet;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::OnceLock;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use rand::Rng;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use rand::seq::IteratorRandom;
+use slog::Logger;
+use slog::info;
+use tokio::sync::watch;
+use tokio::time::Instant;
+
+use super::Adapter;
+use super::metrics::Metrics;
+use crate::decide::place::Place;
+use crate::decide::place::Regions;
+use crate::decide::place::Seen;
+use crate::decide::retry::repeats::Bound;
+use crate::decide::retry::repeats::Repeats;
+use crate::http::client::Client;
+use crate::id;
+use crate::roster::Delta;
+use crate::roster::Merged;
+use crate::roster::Presence;
+use crate::roster::Stamp;
+use crate::roster::Standing;
+use crate::roster::merged::Upstream;
+use crate::routing::Service;
+use crate::routing::Table;
+use crate::routing::state::Replicated;
+use crate::settings::Node;
+use crate::unit::Rate;
+use crate::unit::Version;
+use crate::wire::Mesh;
+use crate::wire::Role;
+
+/// Connecting to an upstream or to another VM takes no longer than this: a trip between regions and back takes 110 ms,
+/// and one lost packet is sent again after 200 ms or so.
+const CONNECT: Duration = Duration::from_millis(500);
+
+/// The routing state in force.
+#[derive(Debug, Clone, Default)]
+pub struct Routing {
+    /// Its number.
+    pub revision: Version,
+    /// The document made ready for lookups; none until there is one.
+    pub table: Option<Arc<Table>>,
+    /// The data centres that get nothing.
+    pub evacuated: BTreeSet<id::DataCentre>,
+}
+
+/// The state of an entry daemon.
+pub struct Hub {
+    node: Arc<Node>,
+    log: Logger,
+    adapter: Arc<dyn Adapter>,
+    routing: Mutex<Routing>,
+    merged: Mutex<Merged>,
+    place: Mutex<Place>,
+    regions: Mutex<Regions>,
+    repeats: Mutex<HashMap<String, Repeats>>,
+    presence: Mutex<Presence>,
+    rng: Mutex<SmallRng>,
+    client: Client,
+    mesh: OnceLock<Mesh>,
+    draining: watch::Sender<bool>,
+    in_progress: AtomicUsize,
+    metrics: Metrics,
+}
+
+/// A request in progress; dropping it counts it out.
+pub struct InProgress(Arc<Hub>);
+
+impl Drop for InProgress {
+    fn drop(&mut self) {
+        self.0.in_progress.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+impl Hub {
+    /// A hub that knows nothing yet. `born` is the wall clock in milliseconds since the Unix epoch.
+    pub fn new(
+        node: Arc<Node>,
+        adapter: Arc<dyn Adapter>,
+        born: u64,
+        seed: u64,
+        log: Logger,
+    ) -> Self {
+        let mut rng = SmallRng::seed_from_u64(seed);
+        let entry = node.entry.as_ref();
+        let presence = Presence {
+            vm: node.vm(),
+            role: Role::Entry,
+            stamp: Stamp::new(born, 0),
+            nonce: seed,
+            region: node.region.clone(),
+            data_centre: node.data_centre.clone(),
+            standing: Standing::Ready,
+            ready: false,
+            callers: entry.map(|entry| entry.callers),
+            forwards: entry.map(|entry| entry.forwards),
+            links: None,
+        };
+        Self {
+            node,
+            log,
+            adapter,
+            routing: Mutex::default(),
+            merged: Mutex::default(),
+            place: Mutex::new(Place::new(SmallRng::from_rng(&mut rng))),
+            regions: Mutex::default(),
+            repeats: Mutex::default(),
+            presence: Mutex::new(presence),
+            rng: Mutex::new(rng),
+            client: Client::new().with_connect(CONNECT),
+            mesh: OnceLock::new(),
+            draining: watch::Sender::new(false),
+            in_progress: AtomicUsize::new(0),
+            metrics: Metrics::default(),
+        }
+    }
+
+    /// Gives the links.
+    pub fn connect(&self, mesh: Mesh) {
+        self.mesh.set(mesh).ok();
+    }
+
+    /// The settings.
+    pub fn node(&self) -> &Node {
+        &self.node
+    }
+
+    /// The log.
+    pub fn log(&self) -> &Logger {
+        &self.log
+    }
+
+    /// How requests and answers look on the wire.
+    pub fn adapter(&self) -> &dyn Adapter {
+        &*self.adapter
+    }
+
+    /// The metrics.
+    pub fn metrics(&self) -> &Metrics {
+        &self.metrics
+    }
+
+    /// The metrics as text.
+    pub fn metrics_text(&self) -> String {
+        let upstreams = self.merged().upstreams().count();
+        let version = self.routing().table.map_or(0, |table| table.version().get());
+        self.metrics.encode(upstreams, self.in_progress(), version)
+    }
+
+    /// The connections to upstreams and other VMs.
+    pub fn client(&self) -> &Client {
+        &self.client
+    }
+
+    pub(super) fn mesh(&self) -> Option<&Mesh> {
+        self.mesh.get()
+    }
+
+    /// The routing state in force.
+    pub fn routing(&self) -> Routing {
+        self.routing.lock().expect("no panic while locked").clone()
+    }
+
+    pub(super) fn place(&self) -> MutexGuard<'_, Place> {
+        self.place.lock().expect("no panic while locked")
+    }
+
+    pub(super) fn regions(&self) -> MutexGuard<'_, Regions> {
+        self.regions.lock().expect("no panic while locked")
+    }
+
+    pub(super) fn merged(&self) -> MutexGuard<'_, Merged> {
+        self.merged.lock().expect("no panic while locked")
+    }
+
+    /// A random number.
+    pub fn draw(&self) -> u64 {
+        self.rng.lock().expect("no panic while locked").random()
+    }
+
+    /// This VM leaves: it says so in the directory, and each answer ends its connection.
+    pub fn drain(&self) {
+        self.presence.lock().expect("no panic while locked").standing = Standing::Draining;
+        self.draining.send_replace(true);
+    }
+
+    /// Whether this VM leaves.
+    pub fn is_draining(&self) -> bool {
+        *self.draining.borrow()
+    }
+
+    /// Turns true when this VM leaves.
+    pub fn draining(&self) -> watch::Receiver<bool> {
+        self.draining.subscribe()
+    }
+
+    /// Whether callers should come here: it knows where requests go, and does not leave.
+    pub fn is_ready(&self) -> bool {
+        !self.is_draining() && self.routing.lock().expect("no panic while locked").table.is_some()
+    }
+
+    /// Counts a request in until it is dropped.
+    pub fn enter(self: &Arc<Self>) -> InProgress {
+        self.in_progress.fetch_add(1, Ordering::Relaxed);
+        InProgress(self.clone())
+    }
+
+    /// Requests in progress.
+    pub fn in_progress(&self) -> usize {
+        self.in_progress.load(Ordering::Relaxed)
+    }
+
+    /// The next statement of this VM about itself.
+    pub fn state_presence(&self) -> Presence {
+        let ready = self.is_ready();
+        let mut presence = self.presence.lock().expect("no panic while locked");
+        presence.stamp.sequence += 1;
+        presence.ready = ready;
+        presence.clone()
+    }
+
+    /// A control VM knows this VM under that stamp. An earlier start of it had a later clock: this start goes above it, or
+    /// nobody would take its word.
+    pub fn overtake(&self, stamp: Stamp, nonce: u64) {
+        let mut presence = self.presence.lock().expect("no panic while locked");
+        if nonce != presence.nonce && stamp >= presence.stamp {
+            presence.stamp = Stamp::new(stamp.born + 1, 0);
+        }
+    }
+
+    /// Takes what a control VM says of upstreams and VMs.
+    pub fn take_roster(&self, from: &id::Vm, epoch: u64, delta: Delta) {
+        self.merged().take(from, epoch, delta, Instant::now());
+        self.sync();
+    }
+
+    /// A control VM is followed no more.
+    pub fn unfollow(&self, vm: &id::Vm) {
+        self.merged().unfollow(vm);
+        self.sync();
+    }
+
+    /// Takes a routing state in force, unless it is older than the present one.
+    ///
+    /// Failure: of two control VMs that are followed one lags, and its older document would send requests back to services
+    /// that were taken away.
+    pub fn take_routing(&self, state: Replicated) {
+        let mut routing = self.routing.lock().expect("no panic while locked");
+        if state.revision <= routing.revision {
+            return;
+        }
+        let table = state.document.as_ref().map(|document| Arc::new(Table::new(document)));
+        let version = table.as_ref().map_or(0, |table| table.version().get());
+        info!(self.log, "routing.in_force"; "revision" => %state.revision, "version" => version,
+            "evacuated" => state.evacuated.len());
+        let evacuated = state.evacuated;
+        *routing = Routing { revision: state.revision, table, evacuated };
+        drop(routing);
+        self.sync();
+    }
+
+    /// Whether a request to the service may be sent once more.
+    pub fn may_repeat(&self, service: &str) -> bool {
+        let vms = self.merged().all_vms(Role::Entry).count() as u32;
+        self.with_repeats(service, |repeats| repeats.take(vms, Instant::now()))
+    }
+
+    /// A request to the service is sent for the first time.
+    pub fn first_sent(&self, service: &str) {
+        self.with_repeats(service, |repeats| repeats.first(Instant::now()));
+    }
+
+    fn with_repeats<T>(&self, service: &str, act: impl FnOnce(&mut Repeats) -> T) -> T {
+        let bounds = &self.node.bounds;
+        let bound = Bound {
+            ratio: bounds.repeat_ratio,
+            least: bounds.repeat_least,
+            window: bounds.repeat_window,
+        };
+        let mut all = self.repeats.lock().expect("no panic while locked");
+        if !all.contains_key(service) {
+            all.insert(service.to_owned(), Repeats::new(bound));
+        }
+        act(all.get_mut(service).expect("it was just inserted where it was missing"))
+    }
+
+    /// The other regions that have an entry VM.
+    pub fn other_regions(&self) -> BTreeSet<id::Region> {
+        let merged = self.merged();
+        let ready = merged.vms(Role::Entry).filter(|vm| vm.ready && vm.standing == Standing::Ready);
+        ready.map(|vm| vm.region.clone()).filter(|region| *region != self.node.region).collect()
+    }
+
+    /// An entry VM of another region that takes requests, drawn at random, other than those.
+    pub fn vm_in(&self, region: &id::Region, tried: &[id::Vm]) -> Option<(id::Vm, SocketAddr)> {
+        let merged = self.merged();
+        let ready = merged.vms(Role::Entry).filter(|vm| {
+            vm.region == *region
+                && vm.ready
+                && vm.standing == Standing::Ready
+                && !tried.contains(&vm.vm)
+        });
+        let mut rng = self.rng.lock().expect("no panic while locked");
+        let vm = ready.choose(&mut *rng)?;
+        Some((vm.vm.clone(), vm.forwards?))
+    }
+
+    /// Gives the placement all that is known of the region's upstreams.
+    fn sync(&self) {
+        let routing = self.routing();
+        let Some(table) = &routing.table else { return };
+        let merged = self.merged();
+        // Those that were heard of at all: a VM that comes back is counted before it is heard again.
+        let senders = merged.all_vms(Role::Entry).filter(|vm| vm.region == self.node.region);
+        let senders = (senders.count() as u32).max(1);
+        let here = merged.upstreams().filter(|upstream| {
+            self.node.region_of(&upstream.said.data_centre) == Some(&self.node.region)
+        });
+        let seen = here.map(|upstream| {
+            let is_evacuated = routing.evacuated.contains(&upstream.said.data_centre);
+            see(upstream, table.service(&upstream.said.service), is_evacuated, senders)
+        });
+        let seen = seen.collect();
+        drop(merged);
+        self.place().sync(seen, senders, Instant::now());
+    }
+}
+
+/// An upstream as the placement needs it. What all VMs share is divided evenly among those of the region: upstreams take
+/// connections from their own region alone.
+fn see(upstream: &Upstream, service: Option<&Arc<Service>>, away: bool, senders: u32) -> Seen {
+    let said = &upstream.said;
+    let connections = service.map_or(u32::MAX, |service| (service.connections / senders).max(1));
+    let rate = service.and_then(|service| service.cold_rate);
+    let cold =
+        rate.map(|rate| (upstream.cold_until, Rate::per_second(rate.get() / f64::from(senders))));
+    let engine = service.and_then(|service| service.engine.as_ref());
+    Seen {
+        id: said.id.clone(),
+        born: said.stamp.born,
+        service: said.service.clone(),
+        address: said.address,
+        slots: said.slots,
+        memory: engine.map(|engine| engine.memory),
+        connections,
+        cold,
+        open: said.standing == Standing::Ready && !away,
+        silent: upstream.silent,
+    }
+}
--- /dev/null
+++ b/src/gateway/metrics.rs
@@ -0,0 +1,82 @@
+//! Counters and histograms of an entry daemon. Label sets are bounded: outcomes, never routes, callers or ids.
+
+use std::time::Duration;
+
+use prometheus_client::encoding::EncodeLabelSet;
+use prometheus_client::encoding::text;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::metrics::histogram::Histogram;
+use prometheus_client::metrics::histogram::exponential_buckets;
+use prometheus_client::registry::Registry;
+
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct Ended {
+    outcome: &'static str,
+}
+
+/// The metrics of one entry daemon.
+#[derive(Debug)]
+pub struct Metrics {
+    registry: Registry,
+    ended: Family<Ended, Counter>,
+    attempts: Family<Ended, Counter>,
+    first_event: Histogram,
+    upstreams: Gauge,
+    in_progress: Gauge,
+    version: Gauge,
+}
+
+/// From 5 ms to 20 s in steps of a factor of 1.75.
+fn times() -> Histogram {
+    Histogram::new(exponential_buckets(0.005, 1.75, 16))
+}
+
+impl Default for Metrics {
+    fn default() -> Self {
+        let mut registry = Registry::with_prefix("mastic");
+        let ended = Family::<Ended, Counter>::default();
+        registry.register("requests", "Requests that ended, by outcome", ended.clone());
+        let attempts = Family::<Ended, Counter>::default();
+        registry.register("attempts", "Attempts that ended, by outcome", attempts.clone());
+        let first_event = times();
+        let text = "Seconds from arrival to the head of the answer";
+        registry.register("first_event_seconds", text, first_event.clone());
+        let upstreams = Gauge::default();
+        registry.register("upstreams", "Upstreams that take requests", upstreams.clone());
+        let in_progress = Gauge::default();
+        registry.register("in_progress", "Requests in progress", in_progress.clone());
+        let version = Gauge::default();
+        registry.register("document_version", "Number of the document in force", version.clone());
+        Self { registry, ended, attempts, first_event, upstreams, in_progress, version }
+    }
+}
+
+impl Metrics {
+    /// A request ended so.
+    pub fn ended(&self, outcome: &'static str) {
+        self.ended.get_or_create(&Ended { outcome }).inc();
+    }
+
+    /// An attempt ended so.
+    pub fn attempted(&self, outcome: &'static str) {
+        self.attempts.get_or_create(&Ended { outcome }).inc();
+    }
+
+    /// The head of an answer came after that time.
+    pub fn first_event(&self, took: Duration) {
+        self.first_event.observe(took.as_secs_f64());
+    }
+
+    /// The metrics as text, with gauges as they stand now.
+    pub fn encode(&self, upstreams: usize, in_progress: usize, version: u64) -> String {
+        self.upstreams.set(upstreams as i64);
+        self.in_progress.set(in_progress as i64);
+        self.version.set(version as i64);
+        let mut out = String::new();
+        // Writing to a string can't fail.
+        text::encode(&mut out, &self.registry).ok();
+        out
+    }
+}
--- /dev/null
+++ b/src/gateway/receive.rs
@@ -0,0 +1,149 @@
+//! Taking a request in, and answering it.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::HeaderValue;
+use http::Request;
+use http::Response;
+use http::header;
+use hyper::body::Incoming;
+use slog::info;
+use tokio::time;
+use tokio::time::Instant;
+
+use super::Call;
+use super::Hub;
+use super::attempt::Content;
+use super::attempt::Opened;
+use super::headers;
+use super::hub::InProgress;
+use super::relay::Job;
+use super::relay::Layer;
+use super::relay::Relay;
+use super::stream::Stream;
+use crate::http::Body;
+use crate::http::Reason;
+use crate::http::Refusal;
+use crate::http::body;
+use crate::routing::Limits;
+use crate::routing::Route;
+use crate::routing::Table;
+
+/// A caller that comes while this VM has no document yet is told to come back after this; one arrives within a second.
+const STARTING: Duration = Duration::from_millis(300);
+
+/// Answers a caller.
+pub async fn from_caller(hub: Arc<Hub>, request: Request<Incoming>) -> Response<Body> {
+    receive(hub, request, Layer::First).await
+}
+
+/// Answers another VM that passes a request on.
+pub async fn from_vm(hub: Arc<Hub>, request: Request<Incoming>) -> Response<Body> {
+    receive(hub, request, Layer::Forwarded).await
+}
+
+async fn receive(hub: Arc<Hub>, request: Request<Incoming>, layer: Layer) -> Response<Body> {
+    let arrived = Instant::now();
+    let progress = hub.enter();
+    let mut response = match prepare(&hub, request, arrived, layer).await {
+        Ok(job) => answer(&hub, job, progress).await,
+        Err(refusal) => {
+            hub.metrics().ended(refusal.reason.name());
+            info!(hub.log(), "request.refused"; "reason" => refusal.reason.name(),
+                "detail" => &refusal.detail, "ms" => arrived.elapsed().as_millis() as u64);
+            hub.adapter().refuse(&refusal)
+        }
+    };
+    if hub.is_draining() {
+        response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
+    }
+    response
+}
+
+/// Decodes a request, finds its route and reads its body.
+async fn prepare(
+    hub: &Hub,
+    request: Request<Incoming>,
+    arrived: Instant,
+    layer: Layer,
+) -> Result<Job, Refusal> {
+    let (head, body) = request.into_parts();
+    let call = hub.adapter().call(head)?;
+    let Some(table) = hub.routing().table else {
+        return Err(Refusal::new(Reason::Starting, "this VM has no document yet")
+            .with_retry_after(STARTING));
+    };
+    let route = route(&table, &call)?;
+    let body = read(body, table.limits()).await?;
+    let service = route.target(hub.draw()).unwrap_or_default().to_owned();
+    let patience = call.patience.map_or(route.timeout, |patience| patience.min(route.timeout));
+    let deadline = arrived + patience;
+    Ok(Job { call, body, route, service, deadline, arrived, layer })
+}
+
+fn route(table: &Table, call: &Call) -> Result<Arc<Route>, Refusal> {
+    let found = table.route(&call.host, call.target.path()).cloned();
+    found.ok_or_else(|| Refusal::new(Reason::NotFound, "no route takes this host and path"))
+}
+
+async fn read(body: Incoming, limits: &Limits) -> Result<Bytes, Refusal> {
+    match time::timeout(limits.head_time, body::read(body, limits.body_bytes)).await {
+        Ok(Ok(bytes)) => Ok(bytes),
+        Ok(Err(error @ body::Error::TooLarge(_))) => {
+            Err(Refusal::new(Reason::TooLarge, error.to_string()))
+        }
+        Ok(Err(error)) => Err(Refusal::new(Reason::BadRequest, error.to_string())),
+        Err(_) => Err(Refusal::new(Reason::SlowBody, "the body did not arrive in time")),
+    }
+}
+
+async fn answer(hub: &Arc<Hub>, job: Job, progress: InProgress) -> Response<Body> {
+    let (layer, service, arrived) = (job.layer, job.service.clone(), job.arrived);
+    let mut relay = Relay::new(hub.clone(), job);
+    let opened = relay.open(None).await;
+    let mut response = match opened {
+        Ok(opened) => {
+            hub.metrics().first_event(arrived.elapsed());
+            pass_on(hub, relay, opened, progress)
+        }
+        Err(refusal) => {
+            hub.metrics().ended(refusal.reason.name());
+            info!(hub.log(), "request.ended"; "request" => &relay.job().call.id,
+                "outcome" => refusal.reason.name(), "detail" => &refusal.detail,
+                "ran" => ?refusal.ran, "attempts" => relay.attempts(),
+                "retry_after_ms" => refusal.retry_after.map(|after| after.as_millis() as u64),
+                "ms" => arrived.elapsed().as_millis() as u64);
+            hub.adapter().refuse(&refusal)
+        }
+    };
+    if layer == Layer::Forwarded {
+        tell_outlook(hub, &service, &mut response);
+    }
+    response
+}
+
+fn pass_on(hub: &Arc<Hub>, relay: Relay, opened: Opened, progress: InProgress) -> Response<Body> {
+    let body = match opened.content {
+        Content::Stream(source) => Stream::new(hub.clone(), relay, *source, progress).into_body(),
+        Content::Whole(bytes) => {
+            hub.metrics().ended("answered");
+            info!(hub.log(), "request.ended"; "request" => &relay.job().call.id,
+                "outcome" => "answered", "status" => opened.head.status.as_u16(),
+                "attempts" => relay.attempts(),
+                "ms" => relay.job().arrived.elapsed().as_millis() as u64);
+            body::full(bytes)
+        }
+    };
+    Response::from_parts(opened.head, body)
+}
+
+/// The VM that passed the request on learns how this region stands.
+fn tell_outlook(hub: &Hub, service: &str, response: &mut Response<Body>) {
+    let outlook = hub.place().outlook(service, Instant::now());
+    if let Some(outlook) = outlook {
+        let value = HeaderValue::from(outlook.as_millis() as u64);
+        response.headers_mut().insert(headers::OUTLOOK, value);
+    }
+}
--- /dev/null
+++ b/src/gateway/relay.rs
@@ -0,0 +1,298 @@
+//! One request on its way: attempts until one answers or none may be made any more.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use slog::info;
+use tokio::time::Instant;
+
+use super::Call;
+use super::Hub;
+use super::attempt;
+use super::attempt::Ended;
+use super::attempt::Opened;
+use super::claim::Claim;
+use super::claim::Target;
+use crate::decide::place::Demand;
+use crate::decide::place::Fit;
+use crate::decide::place::Work;
+use crate::http::Ran;
+use crate::http::Reason;
+use crate::http::Refusal;
+use crate::id;
+use crate::routing::Route;
+
+/// With less time left no attempt is made: its answer would come too late whatever happens.
+const LEAST_LEFT: Duration = Duration::from_millis(15);
+/// Attempts that did not run, at most. Where three upstreams refuse or can't be reached, the fourth will not do better.
+const MOST_NOT_RUN: u32 = 3;
+/// A request that may be repeated waits for an answer for so many times what was expected, and the objective besides,
+/// before another upstream is tried.
+const PATIENCE: u32 = 3;
+/// The soonest that a refused caller is told to come back.
+const SOONEST: Duration = Duration::from_millis(150);
+/// The latest: callers that are told to stay away longer than a third of their time don't come back at all.
+const LATEST: Duration = Duration::from_secs(2);
+
+/// Which VM holds a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Layer {
+    /// The one that its caller asked.
+    First,
+    /// One that another VM passed it on to: it stays in this region, so that no request goes in circles.
+    Forwarded,
+}
+
+/// A request that has been read whole and has a route.
+pub struct Job {
+    /// The request.
+    pub call: Call,
+    /// Its body.
+    pub body: Bytes,
+    /// Its route.
+    pub route: Arc<Route>,
+    /// The service that it goes to.
+    pub service: String,
+    /// When its caller must have the whole answer.
+    pub deadline: Instant,
+    /// When it came.
+    pub arrived: Instant,
+    /// Which VM this is on its way.
+    pub layer: Layer,
+}
+
+/// A request on its way.
+pub struct Relay {
+    hub: Arc<Hub>,
+    job: Job,
+    work: Work,
+    tried: Vec<id::Upstream>,
+    tried_vms: Vec<id::Vm>,
+    /// Attempts that may have run.
+    ran: u32,
+    /// Attempts that surely did not.
+    not_run: u32,
+    retry_after: Option<Duration>,
+}
+
+/// Where the next attempt goes.
+enum Chosen {
+    Here(Fit),
+    There { region: id::Region, vm: id::Vm, address: SocketAddr, expected: Duration },
+}
+
+impl Chosen {
+    const fn expected(&self) -> Duration {
+        match self {
+            Self::Here(fit) => fit.expected,
+            Self::There { expected, .. } => *expected,
+        }
+    }
+}
+
+impl Relay {
+    /// A request that was sent nowhere yet.
+    pub fn new(hub: Arc<Hub>, job: Job) -> Self {
+        let work = job.call.work();
+        Self {
+            hub,
+            job,
+            work,
+            tried: Vec::new(),
+            tried_vms: Vec::new(),
+            ran: 0,
+            not_run: 0,
+            retry_after: None,
+        }
+    }
+
+    /// The request.
+    pub fn job(&self) -> &Job {
+        &self.job
+    }
+
+    /// The attempts that were made.
+    pub const fn attempts(&self) -> u32 {
+        self.ran + self.not_run
+    }
+
+    /// Makes attempts until an answer has begun, or gives up. With `resume_after`, the answer goes on after that event.
+    pub async fn open(&mut self, resume_after: Option<&str>) -> Result<Opened, Refusal> {
+        loop {
+            let left = self.job.deadline.saturating_duration_since(Instant::now());
+            if left < LEAST_LEFT {
+                return Err(self.give_up(Reason::TooLate, "no time is left"));
+            }
+            let Some(chosen) = self.choose() else {
+                return Err(self.give_up(Reason::NoUpstream, "no upstream can take it now"));
+            };
+            if chosen.expected() > left {
+                self.retry_after = Some(chosen.expected() - left);
+                return Err(self.give_up(Reason::Overload, "it would be answered too late"));
+            }
+            if !self.may_send() {
+                return Err(self.give_up(Reason::UpstreamFailed, "no more attempts may be made"));
+            }
+            match self.attempt(chosen, left, resume_after).await {
+                Ended::Answered(opened) if self.is_worth_another(&opened) => self.ran += 1,
+                Ended::Answered(opened) => {
+                    self.ran += 1;
+                    return Ok(*opened);
+                }
+                Ended::NotRun { why, retry_after } => {
+                    self.not_run += 1;
+                    self.retry_after = retry_after.or(self.retry_after);
+                    self.log("attempt.not_run", why);
+                }
+                Ended::MayHaveRun { why } => {
+                    self.ran += 1;
+                    self.log("attempt.lost", why);
+                    if !self.job.route.kind.is_repeatable() {
+                        return Err(self.give_up(Reason::UpstreamFailed, why));
+                    }
+                }
+            }
+        }
+    }
+
+    /// A stream broke off after it had begun.
+    pub fn broke_off(&mut self, why: &'static str) {
+        self.log("stream.broke_off", why);
+    }
+
+    /// Whether one attempt more is allowed by the route and by the budget that all VMs share.
+    fn may_send(&self) -> bool {
+        if self.attempts() == 0 {
+            self.hub.first_sent(&self.job.service);
+            return true;
+        }
+        self.ran < self.job.route.attempts
+            && self.not_run < MOST_NOT_RUN
+            && self.hub.may_repeat(&self.job.service)
+    }
+
+    /// An upstream's own error is passed on, unless another upstream may still do better.
+    fn is_worth_another(&self, opened: &Opened) -> bool {
+        let is_error = opened.head.status.is_server_error();
+        let left = self.job.deadline.saturating_duration_since(Instant::now());
+        is_error
+            && self.job.route.kind.is_repeatable()
+            && self.ran + 1 < self.job.route.attempts
+            && left > LEAST_LEFT
+            && self.hub.may_repeat(&self.job.service)
+    }
+
+    async fn attempt(
+        &mut self,
+        chosen: Chosen,
+        left: Duration,
+        resume_after: Option<&str>,
+    ) -> Ended {
+        let patience = self.patience(chosen.expected(), left);
+        let placed = self.claim(&chosen);
+        let ended = attempt::run(&self.hub, &self.job, placed, patience, resume_after).await;
+        let outcome = match &ended {
+            Ended::NotRun { .. } => "not_run",
+            Ended::MayHaveRun { .. } => "lost",
+            Ended::Answered(_) => "answered",
+        };
+        self.hub.metrics().attempted(outcome);
+        ended
+    }
+
+    /// Takes the place and notes that it was tried.
+    fn claim(&mut self, chosen: &Chosen) -> (Claim, SocketAddr) {
+        let service = &self.job.service;
+        let (target, held, address) = match chosen {
+            Chosen::Here(fit) => {
+                self.tried.push(fit.id.clone());
+                let held = self.hub.place().sent(fit, &self.work, Instant::now());
+                (Target::Upstream(fit.id.clone()), Some(held), fit.address)
+            }
+            Chosen::There { region, vm, address, .. } => {
+                self.tried_vms.push(vm.clone());
+                (Target::Vm(region.clone(), vm.clone()), None, *address)
+            }
+        };
+        info!(self.hub.log(), "request.placed"; "request" => &self.job.call.id,
+            "attempt" => self.attempts() + 1, "target" => ?target,
+            "expected_ms" => chosen.expected().as_millis() as u64);
+        (Claim::new(self.hub.clone(), target, service, held), address)
+    }
+
+    /// A request that may run once waits to its end for the answer; another one for a while, so that an upstream that
+    /// hangs costs its caller no more than that.
+    fn patience(&self, expected: Duration, left: Duration) -> Duration {
+        let has_another = self.ran + 1 < self.job.route.attempts;
+        if !self.job.route.kind.is_repeatable() || !has_another {
+            return left;
+        }
+        (expected * PATIENCE + self.job.route.objective).min(left)
+    }
+
+    /// The place with the least expected time to the first event, here or in another region.
+    fn choose(&self) -> Option<Chosen> {
+        let now = Instant::now();
+        let is_home = self.job.route.allows(&self.hub.node().region);
+        let demand = Demand { service: &self.job.service, work: self.work, tried: &self.tried };
+        let here = if is_home { self.hub.place().choose(&demand, now) } else { None };
+        let there = self.elsewhere(now);
+        match (here, there) {
+            (Some(fit), Some((cost, _, _, _))) if fit.expected <= cost => Some(Chosen::Here(fit)),
+            (Some(fit), None) => Some(Chosen::Here(fit)),
+            (_, Some((expected, region, vm, address))) => {
+                Some(Chosen::There { region, vm, address, expected })
+            }
+            (None, None) => None,
+        }
+    }
+
+    /// The other region that serves it best.
+    fn elsewhere(&self, now: Instant) -> Option<(Duration, id::Region, id::Vm, SocketAddr)> {
+        if self.job.layer == Layer::Forwarded {
+            return None;
+        }
+        let route = &self.job.route;
+        let regions = self.hub.other_regions();
+        let mut costs: Vec<(Duration, id::Region)> = regions
+            .into_iter()
+            .filter(|region| route.allows(region))
+            .filter_map(|region| {
+                let cost = self.hub.regions().cost(&region, &self.job.service, now)?;
+                let spread = Duration::from_micros(self.hub.draw() % SPREAD_MICROS);
+                Some((cost + spread, region))
+            })
+            .collect();
+        costs.sort();
+        costs.into_iter().find_map(|(cost, region)| {
+            let (vm, address) = self.hub.vm_in(&region, &self.tried_vms)?;
+            Some((cost, region, vm, address))
+        })
+    }
+
+    /// The final answer to a request that is given up. It says that nothing ran only where no attempt can have run.
+    fn give_up(&self, reason: Reason, why: &str) -> Refusal {
+        if self.ran > 0 {
+            let reason = match reason {
+                Reason::TooLate => Reason::TooLate,
+                _ => Reason::UpstreamFailed,
+            };
+            return Refusal::new(reason, why).with_ran(Ran::Unknown);
+        }
+        let reason = if reason == Reason::UpstreamFailed { Reason::Overload } else { reason };
+        let after = self.retry_after.unwrap_or(SOONEST).clamp(SOONEST, LATEST);
+        let spread = 1.0 + (self.hub.draw() % 256) as f64 / 1024.0;
+        Refusal::new(reason, why).with_retry_after(after.mul_f64(spread))
+    }
+
+    fn log(&self, event: &'static str, why: &'static str) {
+        info!(self.hub.log(), "{}", event; "request" => &self.job.call.id,
+            "attempt" => self.attempts(), "why" => why,
+            "left_ms" => self.job.deadline.saturating_duration_since(Instant::now()).as_millis() as u64);
+    }
+}
+
+/// Regions that are equally good within this are drawn at random.
+const SPREAD_MICROS: u64 = 20_000;
