--- a/src/directory/service.rs
+++ b/src/directory/service.rs
@@ -40,6 +40,7 @@
 use crate::routing::state::Accepted;
 use crate::routing::state::Replicated;
 use crate::settings::Node;
+use crate::settings::Seeds;
 use crate::unit::Version;
 use crate::wire::Cast;
 use crate::wire::Mesh;
@@ -78,6 +79,7 @@
 /// The state of a control daemon.
 pub struct Service {
     node: Arc<Node>,
+    seeds: Seeds,
     log: Logger,
     /// Tells this start from others.
     epoch: u64,
@@ -112,6 +114,7 @@
             links: Some(SocketAddr::new(node.ip, node.link_port)),
         };
         Self {
+            seeds: Seeds::new(&node),
             node,
             log,
             epoch: nonce,
@@ -179,12 +182,24 @@
         self.seat.get()?.group()
     }
 
+    /// Takes newer settings in force; of these only the seeds may change while the daemon runs.
+    pub fn reload(&self, node: &Node) {
+        if !self.seeds.replace(node) {
+            return;
+        }
+        info!(self.log, "process.reloaded"; "seeds" => ?self.seeds.links());
+        let Some(mesh) = self.mesh() else { return };
+        for (vm, link) in self.seeds.links() {
+            mesh.learn(Peer::new(vm, Role::Control), link);
+        }
+    }
+
     /// The control VMs that were heard of and the seeds, this VM among them.
     pub fn control_vms(&self) -> BTreeSet<id::Vm> {
         let table = self.table.lock().expect("no panic while locked");
         let heard = table.all_vms().filter(|vm| vm.role == Role::Control);
         let mut vms: BTreeSet<id::Vm> = heard.map(|vm| vm.vm.clone()).collect();
-        vms.extend(self.node.seed_links().map(|(vm, _)| vm));
+        vms.extend(self.seeds.links().into_iter().map(|(vm, _)| vm));
         vms.insert(self.vm());
         vms
     }
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -143,7 +143,7 @@
     for vm in merged.vms(Role::Control) {
         add(&vm.vm, vm.region == hub.node().region);
     }
-    for (vm, _) in hub.node().seed_links() {
+    for (vm, _) in hub.seeds().links() {
         add(&vm, false);
     }
     let (_, _, vm) = candidates.into_iter().min()?;
--- a/src/gateway/hub.rs
+++ b/src/gateway/hub.rs
@@ -39,9 +39,11 @@
 use crate::routing::Table;
 use crate::routing::state::Replicated;
 use crate::settings::Node;
+use crate::settings::Seeds;
 use crate::unit::Rate;
 use crate::unit::Version;
 use crate::wire::Mesh;
+use crate::wire::Peer;
 use crate::wire::Role;
 
 /// Connecting to an upstream or to another VM takes no longer than this: a trip between regions and back takes 110 ms,
@@ -62,6 +64,7 @@
 /// The state of an entry daemon.
 pub struct Hub {
     node: Arc<Node>,
+    seeds: Seeds,
     log: Logger,
     adapter: Arc<dyn Adapter>,
     routing: Mutex<Routing>,
@@ -112,6 +115,7 @@
             links: None,
         };
         Self {
+            seeds: Seeds::new(&node),
             node,
             log,
             adapter,
@@ -140,6 +144,23 @@
         &self.node
     }
 
+    /// The seeds at present.
+    pub fn seeds(&self) -> &Seeds {
+        &self.seeds
+    }
+
+    /// Takes newer settings in force; of these only the seeds may change while the daemon runs.
+    pub fn reload(&self, node: &Node) {
+        if !self.seeds.replace(node) {
+            return;
+        }
+        info!(self.log, "process.reloaded"; "seeds" => ?self.seeds.links());
+        let Some(mesh) = self.mesh() else { return };
+        for (vm, link) in self.seeds.links() {
+            mesh.learn(Peer::new(vm, Role::Control), link);
+        }
+    }
+
     /// The log.
     pub fn log(&self) -> &Logger {
         &self.log
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -162,13 +162,23 @@
         self.log("stream.broke_off", why);
     }
 
+    /// The attempts that may run. Of the VMs that a request goes through, the one that its caller asked makes further
+    /// attempts: if each did, a request would run on more upstreams than its route allows, and the failing upstreams
+    /// would get the product of all layers' attempts.
+    fn allowed(&self) -> u32 {
+        match self.job.layer {
+            Layer::First => self.job.route.attempts,
+            Layer::Forwarded => 1,
+        }
+    }
+
     /// Whether one attempt more is allowed by the route and by the budget that all VMs share.
     fn may_send(&self) -> bool {
         if self.attempts() == 0 {
             self.hub.first_sent(&self.job.service);
             return true;
         }
-        self.ran < self.job.route.attempts
+        self.ran < self.allowed()
             && self.not_run < MOST_NOT_RUN
             && self.hub.may_repeat(&self.job.service)
     }
@@ -179,7 +189,7 @@
         let left = self.job.deadline.saturating_duration_since(Instant::now());
         is_error
             && self.job.route.kind.is_repeatable()
-            && self.ran + 1 < self.job.route.attempts
+            && self.ran + 1 < self.allowed()
             && left > LEAST_LEFT
             && self.hub.may_repeat(&self.job.service)
     }
@@ -225,7 +235,7 @@
     /// A request that may run once waits to its end for the answer; another one for a while, so that an upstream that
     /// hangs costs its caller no more than that.
     fn patience(&self, expected: Duration, left: Duration) -> Duration {
-        let has_another = self.ran + 1 < self.job.route.attempts;
+        let has_another = self.ran + 1 < self.allowed();
         if !self.job.route.kind.is_repeatable() || !has_another {
             return left;
         }
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -7,6 +7,7 @@
 pub mod findings;
 pub mod node;
 pub mod section;
+pub mod seeds;
 pub mod site;
 pub mod span;
 
@@ -14,5 +15,6 @@
 pub use findings::Findings;
 pub use node::Node;
 pub use section::Section;
+pub use seeds::Seeds;
 pub use site::Site;
 pub use span::Span;
--- /dev/null
+++ b/src/settings/seeds.rs
@@ -0,0 +1,34 @@
+//! The seeds in force: they may be exchanged while a process runs.
+
+use std::net::SocketAddr;
+use std::sync::Mutex;
+
+use crate::id;
+use crate::settings::Node;
+
+/// Control VMs that the settings name, and where each takes links.
+#[derive(Debug)]
+pub struct Seeds {
+    links: Mutex<Vec<(id::Vm, SocketAddr)>>,
+}
+
+impl Seeds {
+    /// The seeds of these settings.
+    pub fn new(node: &Node) -> Self {
+        Self { links: Mutex::new(node.seed_links().collect()) }
+    }
+
+    /// The seeds at present.
+    pub fn links(&self) -> Vec<(id::Vm, SocketAddr)> {
+        self.links.lock().expect("no panic while locked").clone()
+    }
+
+    /// Takes those of newer settings, and tells whether they differ.
+    pub fn replace(&self, node: &Node) -> bool {
+        let newer: Vec<(id::Vm, SocketAddr)> = node.seed_links().collect();
+        let mut links = self.links.lock().expect("no panic while locked");
+        let differ = *links != newer;
+        *links = newer;
+        differ
+    }
+}
