--- a/src/gateway/daemon.rs
+++ b/src/gateway/daemon.rs
@@ -35,8 +35,8 @@
 
 /// After the last request in progress, connections get so long to end.
 const LAST: Duration = Duration::from_millis(300);
-/// A VM that leaves goes on taking connections for so long: callers keep an answer of the directory for seconds, and
-/// find here what they find elsewhere.
+/// A VM that leaves goes on taking requests for so long: callers keep an answer of the directory for seconds, and find
+/// here what they find elsewhere. What comes later is refused, and its caller goes to another VM.
 const TAKES_ON: Duration = Duration::from_millis(2500);
 /// The part of the time until the process is ended by force in which requests in progress may end.
 const USED_GRACE: f64 = 0.95;
@@ -90,7 +90,8 @@
         let until = started + grace.mul_f64(USED_GRACE).saturating_sub(LAST);
         info!(self.hub.log(), "process.draining"; "in_progress" => self.hub.in_progress());
         self.hub.drain();
-        time::sleep(TAKES_ON.min(grace / 2)).await;
+        time::sleep(TAKES_ON.min(grace / 3)).await;
+        self.hub.close();
         while self.hub.in_progress() > 0 && Instant::now() < until {
             time::sleep(LOOK).await;
         }
--- a/src/gateway/hub.rs
+++ b/src/gateway/hub.rs
@@ -7,6 +7,7 @@
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::OnceLock;
+use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -77,6 +78,7 @@
     client: Client,
     mesh: OnceLock<Mesh>,
     draining: watch::Sender<bool>,
+    closed: AtomicBool,
     in_progress: AtomicUsize,
     metrics: Metrics,
 }
@@ -129,6 +131,7 @@
             client: Client::new().with_connect(CONNECT),
             mesh: OnceLock::new(),
             draining: watch::Sender::new(false),
+            closed: AtomicBool::new(false),
             in_progress: AtomicUsize::new(0),
             metrics: Metrics::default(),
         }
@@ -220,6 +223,16 @@
         self.draining.send_replace(true);
     }
 
+    /// This VM takes no more requests: one that came now might not end before the process is ended by force.
+    pub fn close(&self) {
+        self.closed.store(true, Ordering::Relaxed);
+    }
+
+    /// Whether this VM takes no more requests.
+    pub fn is_closed(&self) -> bool {
+        self.closed.load(Ordering::Relaxed)
+    }
+
     /// Whether this VM leaves.
     pub fn is_draining(&self) -> bool {
         *self.draining.borrow()
--- a/src/gateway/receive.rs
+++ b/src/gateway/receive.rs
@@ -34,6 +34,9 @@
 /// A caller that comes while this VM has no document yet is told to come back after this; one arrives within a second.
 const STARTING: Duration = Duration::from_millis(300);
 
+/// A caller of a VM that is about to end is told to go to another one after this.
+const ELSEWHERE: Duration = Duration::from_millis(20);
+
 /// Answers a caller.
 pub async fn from_caller(hub: Arc<Hub>, request: Request<Incoming>) -> Response<Body> {
     receive(hub, request, Layer::First).await
@@ -69,6 +72,11 @@
     arrived: Instant,
     layer: Layer,
 ) -> Result<Job, Refusal> {
+    if hub.is_closed() {
+        return Err(
+            Refusal::new(Reason::Draining, "this VM is about to end").with_retry_after(ELSEWHERE)
+        );
+    }
     let (head, body) = request.into_parts();
     let call = hub.adapter().call(head)?;
     let Some(table) = hub.routing().table else {
