--- a/src/directory/service.rs
+++ b/src/directory/service.rs
@@ -18,6 +18,7 @@
 use super::flood;
 use super::lookup;
 use super::metrics::Metrics;
+use crate::consensus::Members;
 use crate::consensus::Refusal;
 use crate::consensus::Role as Seated;
 use crate::control::Name;
@@ -27,6 +28,7 @@
 use crate::control::plan::VOTERS;
 use crate::group;
 use crate::group::Group;
+use crate::group::Status;
 use crate::id;
 use crate::roster::Announcement;
 use crate::roster::Presence;
@@ -41,6 +43,7 @@
 use crate::routing::state::Replicated;
 use crate::settings::Node;
 use crate::settings::Seeds;
+use crate::unit::Term;
 use crate::unit::Version;
 use crate::wire::Cast;
 use crate::wire::Mesh;
@@ -415,9 +418,15 @@
                 continue;
             }
             let (vm, role, nonce) = (said.vm.clone(), said.role, said.nonce);
-            let taken = table.meet(said, now);
-            news |= taken == Taken::News;
             let is_sender = vm == from.vm && role == from.role;
+            let taken = table.meet(said.clone(), now);
+            news |= taken == Taken::News;
+            // Failure: two control VMs that are no seeds hear of each other only through the seeds. If what a control VM
+            // says of itself were not passed on, they could not vote for each other, and a group that lost its seeds
+            // would have no leader although a majority is there.
+            if is_sender && taken != Taken::Stale {
+                self.flood.met(said, taken == Taken::News);
+            }
             if is_sender
                 && taken == Taken::Stale
                 && table.stamp_of(&vm, role).is_some_and(|known| known.1 != nonce)
@@ -470,6 +479,20 @@
         self.publish();
     }
 
+    /// Logs who leads and who votes, where that has changed.
+    fn note_group(&self, status: &Status, last: &mut Option<(Term, Option<id::Replica>, Members)>) {
+        let now = (status.term, status.leader, status.members.clone());
+        if last.as_ref() == Some(&now) {
+            return;
+        }
+        let leader = status.leader.and_then(|leader| self.routes.vm(leader));
+        let voters = status.members.with_role(Seated::Voter);
+        let voters: Vec<_> = voters.map(|voter| self.routes.vm(voter)).collect();
+        info!(self.log, "group.changed"; "term" => %status.term, "leads" => status.leads,
+            "leader" => ?leader, "voters" => ?voters, "commit" => %status.commit);
+        *last = Some(now);
+    }
+
     fn identity(&self) -> Reply {
         Reply::Identity(self.seat.get().and_then(Seat::identity))
     }
@@ -519,7 +542,10 @@
 async fn copy_while_running(service: &Service) {
     let Some(group) = service.group() else { return };
     let mut status = group.watch();
+    let mut last = None;
     loop {
+        let now = status.borrow_and_update().clone();
+        service.note_group(&now, &mut last);
         let have = service.routing.borrow().revision;
         let look = move |state: &State| (state.revision() > have).then(|| state.replicated());
         match group.peek(look).await {
--- a/src/gateway/hub.rs
+++ b/src/gateway/hub.rs
@@ -181,9 +181,12 @@
 
     /// The metrics as text.
     pub fn metrics_text(&self) -> String {
-        let upstreams = self.merged().upstreams().count();
+        let (upstreams, vms) = {
+            let merged = self.merged();
+            (merged.upstreams().count(), merged.vms(Role::Entry).filter(|vm| vm.ready).count())
+        };
         let version = self.routing().table.map_or(0, |table| table.version().get());
-        self.metrics.encode(upstreams, self.in_progress(), version)
+        self.metrics.encode(upstreams, vms, self.in_progress(), version)
     }
 
     /// The connections to upstreams and other VMs.
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -24,6 +24,7 @@
     attempts: Family<Ended, Counter>,
     first_event: Histogram,
     upstreams: Gauge,
+    vms: Gauge,
     in_progress: Gauge,
     version: Gauge,
 }
@@ -45,11 +46,13 @@
         registry.register("first_event_seconds", text, first_event.clone());
         let upstreams = Gauge::default();
         registry.register("upstreams", "Upstreams that take requests", upstreams.clone());
+        let vms = Gauge::default();
+        registry.register("vms", "Entry VMs that take requests", vms.clone());
         let in_progress = Gauge::default();
         registry.register("in_progress", "Requests in progress", in_progress.clone());
         let version = Gauge::default();
         registry.register("document_version", "Number of the document in force", version.clone());
-        Self { registry, ended, attempts, first_event, upstreams, in_progress, version }
+        Self { registry, ended, attempts, first_event, upstreams, vms, in_progress, version }
     }
 }
 
@@ -70,8 +73,9 @@
     }
 
     /// The metrics as text, with gauges as they stand now.
-    pub fn encode(&self, upstreams: usize, in_progress: usize, version: u64) -> String {
+    pub fn encode(&self, upstreams: usize, vms: usize, in_progress: usize, version: u64) -> String {
         self.upstreams.set(upstreams as i64);
+        self.vms.set(vms as i64);
         self.in_progress.set(in_progress as i64);
         self.version.set(version as i64);
         let mut out = String::new();
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -75,6 +75,8 @@
     /// Attempts that surely did not.
     not_run: u32,
     retry_after: Option<Duration>,
+    /// An upstream's own error, which its caller gets where no other upstream does better.
+    error: Option<Opened>,
 }
 
 /// Where the next attempt goes.
@@ -105,6 +107,7 @@
             ran: 0,
             not_run: 0,
             retry_after: None,
+            error: None,
         }
     }
 
@@ -120,6 +123,14 @@
 
     /// Makes attempts until an answer has begun, or gives up. With `resume_after`, the answer goes on after that event.
     pub async fn open(&mut self, resume_after: Option<&str>) -> Result<Opened, Refusal> {
+        let opened = self.make_attempts(resume_after).await;
+        match (opened, self.error.take()) {
+            (Err(_), Some(error)) => Ok(error),
+            (opened, _) => opened,
+        }
+    }
+
+    async fn make_attempts(&mut self, resume_after: Option<&str>) -> Result<Opened, Refusal> {
         loop {
             let left = self.job.deadline.saturating_duration_since(Instant::now());
             if left < LEAST_LEFT {
@@ -136,7 +147,11 @@
                 return Err(self.give_up(Reason::UpstreamFailed, "no more attempts may be made"));
             }
             match self.attempt(chosen, left, resume_after).await {
-                Ended::Answered(opened) if self.is_worth_another(&opened) => self.ran += 1,
+                Ended::Answered(opened) if self.is_worth_another(&opened) => {
+                    self.ran += 1;
+                    self.error = Some(*opened);
+                    self.log("attempt.error", "the upstream answered with an error");
+                }
                 Ended::Answered(opened) => {
                     self.ran += 1;
                     return Ok(*opened);
@@ -191,7 +206,6 @@
             && self.job.route.kind.is_repeatable()
             && self.ran + 1 < self.allowed()
             && left > LEAST_LEFT
-            && self.hub.may_repeat(&self.job.service)
     }
 
     async fn attempt(
