--- a/src/directory/service.rs
+++ b/src/directory/service.rs
@@ -90,6 +90,8 @@
     /// The table's revision, for those who wait for a change.
     revision: watch::Sender<u64>,
     routing: watch::Sender<Replicated>,
+    /// Whether the replica hears a leader.
+    in_touch: watch::Sender<bool>,
     presence: Mutex<Presence>,
     flood: flood::Queue,
     routes: Arc<Routes>,
@@ -124,6 +126,7 @@
             table: Mutex::new(Table::new(patience)),
             revision: watch::Sender::new(0),
             routing: watch::Sender::default(),
+            in_touch: watch::Sender::new(false),
             presence: Mutex::new(presence),
             flood: flood::Queue::default(),
             routes,
@@ -368,8 +371,10 @@
         let have = if is_current { follow.roster } else { 0 };
         let mut revision = self.revision.subscribe();
         let mut routing = self.routing.subscribe();
+        let mut in_touch = self.in_touch.subscribe();
         let lacks = async {
             tokio::select! {
+                _ = in_touch.changed() => (),
                 _ = revision.wait_for(|revision| *revision > have) => (),
                 _ = routing.wait_for(|routing| routing.revision > follow.routing) => (),
             }
@@ -378,7 +383,9 @@
         let roster = self.table().delta(have, Instant::now());
         let routing = self.routing.borrow().clone();
         let routing = (routing.revision > follow.routing).then_some(routing);
-        Reply::Followed(Box::new(Followed { epoch: self.epoch, roster, routing, known_as }))
+        let in_touch = *self.in_touch.borrow();
+        let epoch = self.epoch;
+        Reply::Followed(Box::new(Followed { epoch, roster, routing, in_touch, known_as }))
     }
 
     /// A VM says something of itself, directly; returns the newest stamp that is known of it.
@@ -481,6 +488,8 @@
 
     /// Logs who leads and who votes, where that has changed.
     fn note_group(&self, status: &Status, last: &mut Option<(Term, Option<id::Replica>, Members)>) {
+        let hears = status.leader.is_some();
+        self.in_touch.send_if_modified(|last| std::mem::replace(last, hears) != hears);
         let now = (status.term, status.leader, status.members.clone());
         if last.as_ref() == Some(&now) {
             return;
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use http::HeaderValue;
 use http::Request;
 use http::Response;
 use http::StatusCode;
@@ -24,6 +25,11 @@
 use crate::decide::place::Outcome;
 use crate::http::client::Error;
 use crate::http::client::Lease;
+use crate::id;
+
+/// A region that refuses and tells no outlook has no upstream that could take the request; what it tells counts for
+/// seconds, in which others are asked first.
+const NO_ROOM: Duration = Duration::from_secs(1);
 
 /// How an attempt ended.
 pub enum Ended {
@@ -33,6 +39,8 @@
         why: &'static str,
         /// When the other side wants the request back.
         retry_after: Option<Duration>,
+        /// How far it came.
+        at: NotRunAt,
     },
     /// It may have run, and there is no answer that can be passed on.
     MayHaveRun {
@@ -43,6 +51,26 @@
     Answered(Box<Opened>),
 }
 
+/// How far a request came that did not run.
+pub enum NotRunAt {
+    /// No byte of it left.
+    Nowhere,
+    /// An upstream refused it.
+    Upstream,
+    /// That region had no room for it.
+    Region(id::Region),
+}
+
+/// What holds for one attempt.
+pub struct Terms<'a> {
+    /// How long the head of the answer is waited for.
+    pub patience: Duration,
+    /// The last event that the caller has, where the answer is to go on after it.
+    pub resume_after: Option<&'a str>,
+    /// Whether the request may have arrived at an upstream before.
+    pub is_repeat: bool,
+}
+
 /// An answer that has begun.
 pub struct Opened {
     /// Its head, without what concerns the connection.
@@ -88,19 +116,18 @@
     hub: &Hub,
     job: &Job,
     (claim, address): (Claim, SocketAddr),
-    patience: Duration,
-    resume_after: Option<&str>,
+    terms: &Terms<'_>,
 ) -> Ended {
-    let request = match build(hub, job, claim.target(), resume_after) {
+    let request = match build(hub, job, claim.target(), terms) {
         Ok(request) => request,
-        Err(_) => return Ended::NotRun { why: "it can't be written", retry_after: None },
+        Err(_) => return not_sent("it can't be written"),
     };
-    let sent = time::timeout(patience, hub.client().send(address, request)).await;
+    let sent = time::timeout(terms.patience, hub.client().send(address, request)).await;
     let (response, lease) = match sent {
         Ok(Ok(sent)) => sent,
         Ok(Err(Error::Unsent(_))) => {
             claim.end(Outcome::Unreachable);
-            return Ended::NotRun { why: "it can't be reached", retry_after: None };
+            return not_sent("it can't be reached");
         }
         Ok(Err(Error::Lost(_))) => {
             claim.end(Outcome::Failed);
@@ -115,11 +142,15 @@
     judge(hub, job, response, lease, claim, answer).await
 }
 
+fn not_sent(why: &'static str) -> Ended {
+    Ended::NotRun { why, retry_after: None, at: NotRunAt::Nowhere }
+}
+
 fn build(
     hub: &Hub,
     job: &Job,
     target: &Target,
-    resume_after: Option<&str>,
+    terms: &Terms<'_>,
 ) -> Result<Request<Full<Bytes>>, http::Error> {
     let call = &job.call;
     let mut request = Request::builder()
@@ -132,8 +163,12 @@
         Target::Vm(..) => None,
     };
     let left = job.deadline.saturating_duration_since(Instant::now());
+    let resume_after = terms.resume_after;
     let instructions = Instructions { left, upstream, rank: job.route.rank, resume_after };
     hub.adapter().instruct(&instructions, request.headers_mut());
+    if upstream.is_none() && terms.is_repeat {
+        request.headers_mut().insert(headers::REPEAT, HeaderValue::from_static("1"));
+    }
     Ok(request)
 }
 
@@ -162,9 +197,13 @@
     }
     if answer.is_not_run || is_refusal_of_vm(&claim, &answer, response.status()) {
         let is_gone = answer.is_misdirected;
+        let at = match claim.target() {
+            Target::Upstream(_) => NotRunAt::Upstream,
+            Target::Vm(region, _) => NotRunAt::Region(region.clone()),
+        };
         claim.end(if is_gone { Outcome::Unreachable } else { Outcome::Refused });
         reuse_after_body(hub, response, lease, &answer).await;
-        return Ended::NotRun { why: "it was refused", retry_after: answer.retry_after };
+        return Ended::NotRun { why: "it was refused", retry_after: answer.retry_after, at };
     }
     if !answer.is_receipted {
         claim.end(Outcome::Failed);
@@ -180,11 +219,15 @@
     is_vm && !answer.is_receipted && promises.contains(&status)
 }
 
-fn note_outlook(hub: &Hub, region: &crate::id::Region, job: &Job, response: &Response<Incoming>) {
+fn note_outlook(hub: &Hub, region: &id::Region, job: &Job, response: &Response<Incoming>) {
     let told = response.headers().get(headers::OUTLOOK);
     let millis = told.and_then(|value| value.to_str().ok()?.parse().ok());
-    if let Some(millis) = millis {
-        let outlook = Duration::from_millis(millis);
+    let refuses = response.status() == StatusCode::SERVICE_UNAVAILABLE;
+    let outlook = match millis {
+        Some(millis) => Some(Duration::from_millis(millis)),
+        None => refuses.then_some(NO_ROOM),
+    };
+    if let Some(outlook) = outlook {
         hub.regions().told(region, &job.service, outlook, Instant::now());
     }
 }
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -1,6 +1,7 @@
 //! Following control VMs: what they know, and saying that this VM is there.
 //!
-//! Two are followed at a time, so that the loss of one, or its lag, holds nothing back. Each call waits at the other end
+//! Two are followed at a time, so that the loss of one, or its lag, holds nothing back; and a third one while neither of
+//! the two hears a leader, since both may stand on the wrong side of a cut. Each call waits at the other end
 //! for news, for a second at most; the traffic of an entry VM for control thus doesn't grow with the fleet.
 
 use std::collections::HashMap;
@@ -24,8 +25,10 @@
 use crate::wire::message::Follow;
 use crate::wire::message::Followed;
 
-/// The control VMs that are followed at a time.
-const FOLLOWED: usize = 2;
+/// The control VMs that are followed at a time, and the place of one more while none of them is in touch.
+const FOLLOWED: usize = 3;
+/// The place of the one more.
+const SPARE: usize = 2;
 /// A call that waits for news is answered within [`WATCH`](crate::directory::service::WATCH) and a trip between regions; a VM that takes longer has
 /// stopped, and another one is followed.
 const LIMIT: Duration = Duration::from_millis(1800);
@@ -41,6 +44,26 @@
 struct Followers {
     current: [Option<id::Vm>; FOLLOWED],
     away: HashMap<id::Vm, Instant>,
+    in_touch: [bool; FOLLOWED],
+}
+
+impl Followers {
+    /// A followed one says whether it is in touch; returns whether to go on with it. The spare one is of use while it is
+    /// up to date and no other is.
+    fn note(&mut self, nth: usize, in_touch: bool) -> bool {
+        self.in_touch[nth] = in_touch;
+        nth != SPARE || (in_touch && !self.has_source())
+    }
+
+    /// Whether a control VM should be followed in that place.
+    fn wants(&self, nth: usize) -> bool {
+        nth != SPARE || !self.has_source()
+    }
+
+    /// Whether one of the two that are always followed is up to date.
+    fn has_source(&self) -> bool {
+        self.in_touch[..SPARE].contains(&true)
+    }
 }
 
 /// Follows control VMs until told to stop.
@@ -58,7 +81,10 @@
 ) {
     let mut draining = hub.draining();
     loop {
-        let vm = choose(hub, nth, &mut followers.lock().expect("no panic while locked"));
+        let vm = {
+            let mut followers = followers.lock().expect("no panic while locked");
+            if followers.wants(nth) { choose(hub, nth, &mut followers) } else { None }
+        };
         let Some(vm) = vm else {
             tokio::select! {
                 () = time::sleep(PAUSE) => continue,
@@ -67,19 +93,26 @@
         };
         info!(hub.log(), "control.followed"; "control" => %vm, "nth" => nth);
         tokio::select! {
-            () = keep_following(hub, &vm, &mut draining) => (),
+            () = keep_following(hub, &vm, nth, followers, &mut draining) => (),
             _ = stop.wait_for(|stop| *stop) => return,
         }
         warn!(hub.log(), "control.lost"; "control" => %vm, "nth" => nth);
         let mut followers = followers.lock().expect("no panic while locked");
         followers.current[nth] = None;
+        followers.in_touch[nth] = false;
         followers.away.insert(vm.clone(), Instant::now() + AWAY);
         hub.unfollow(&vm);
     }
 }
 
 /// Follows one control VM until it gives no answer.
-async fn keep_following(hub: &Hub, vm: &id::Vm, draining: &mut watch::Receiver<bool>) {
+async fn keep_following(
+    hub: &Hub,
+    vm: &id::Vm,
+    nth: usize,
+    followers: &Mutex<Followers>,
+    draining: &mut watch::Receiver<bool>,
+) {
     let peer = Peer::new(vm.clone(), Role::Control);
     loop {
         draining.mark_unchanged();
@@ -90,7 +123,11 @@
             Ok(()) = draining.changed() => continue,
         };
         let Some(followed) = followed else { return };
+        let in_touch = followed.in_touch;
         take(hub, vm, followed);
+        if !followers.lock().expect("no panic while locked").note(nth, in_touch) {
+            return;
+        }
         time::sleep(PACE).await;
     }
 }
@@ -150,3 +187,6 @@
     followers.current[nth] = Some(vm.clone());
     Some(vm)
 }
+
+#[cfg(test)]
+mod tests;
--- a/src/gateway/headers.rs
+++ b/src/gateway/headers.rs
@@ -7,6 +7,9 @@
 /// Between VMs: the expected time to the first event in the sender's region, in milliseconds.
 pub const OUTLOOK: HeaderName = HeaderName::from_static("mastic-outlook-ms");
 
+/// Between VMs: the request may have arrived at an upstream before, so that sending it to one is a repeat.
+pub const REPEAT: HeaderName = HeaderName::from_static("mastic-repeat");
+
 /// Headers that concern one connection (RFC 9110, 7.6.1), and the length, which the library writes by the body.
 const HOP: [HeaderName; 9] = [
     header::CONNECTION,
@@ -31,7 +34,8 @@
         .flat_map(|value| value.split(','))
         .filter_map(|name| name.trim().parse().ok())
         .collect();
-    for name in HOP.iter().chain([&KEEP_ALIVE, &PROXY_CONNECTION, &OUTLOOK]).chain(&named) {
+    for name in HOP.iter().chain([&KEEP_ALIVE, &PROXY_CONNECTION, &OUTLOOK, &REPEAT]).chain(&named)
+    {
         headers.remove(name);
     }
 }
--- a/src/gateway/hub.rs
+++ b/src/gateway/hub.rs
@@ -336,11 +336,19 @@
         act(all.get_mut(service).expect("it was just inserted where it was missing"))
     }
 
-    /// The other regions that have an entry VM.
-    pub fn other_regions(&self) -> BTreeSet<id::Region> {
+    /// The other regions that have an upstream of the service which takes requests.
+    pub fn regions_with(&self, service: &str) -> BTreeSet<id::Region> {
+        let evacuated = self.routing().evacuated;
         let merged = self.merged();
-        let ready = merged.vms(Role::Entry).filter(|vm| vm.ready && vm.standing == Standing::Ready);
-        ready.map(|vm| vm.region.clone()).filter(|region| *region != self.node.region).collect()
+        let open = merged.upstreams().filter(|upstream| {
+            let said = &upstream.said;
+            said.service == service
+                && said.standing == Standing::Ready
+                && !upstream.silent
+                && !evacuated.contains(&said.data_centre)
+        });
+        let regions = open.filter_map(|upstream| self.node.region_of(&upstream.said.data_centre));
+        regions.filter(|region| **region != self.node.region).cloned().collect()
     }
 
     /// An entry VM of another region that takes requests, drawn at random, other than those.
--- a/src/gateway/receive.rs
+++ b/src/gateway/receive.rs
@@ -78,6 +78,7 @@
         );
     }
     let (head, body) = request.into_parts();
+    let is_repeat = layer == Layer::Forwarded && head.headers.contains_key(headers::REPEAT);
     let call = hub.adapter().call(head)?;
     let Some(table) = hub.routing().table else {
         return Err(Refusal::new(Reason::Starting, "this VM has no document yet")
@@ -88,7 +89,7 @@
     let service = route.target(hub.draw()).unwrap_or_default().to_owned();
     let patience = call.patience.map_or(route.timeout, |patience| patience.min(route.timeout));
     let deadline = arrived + patience;
-    Ok(Job { call, body, route, service, deadline, arrived, layer })
+    Ok(Job { call, body, route, service, deadline, arrived, layer, is_repeat })
 }
 
 fn route(table: &Table, call: &Call) -> Result<Arc<Route>, Refusal> {
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -12,6 +12,7 @@
 use super::Hub;
 use super::attempt;
 use super::attempt::Ended;
+use super::attempt::NotRunAt;
 use super::attempt::Opened;
 use super::claim::Claim;
 use super::claim::Target;
@@ -61,6 +62,8 @@
     pub arrived: Instant,
     /// Which VM this is on its way.
     pub layer: Layer,
+    /// Whether it may have arrived at an upstream before another VM passed it on.
+    pub is_repeat: bool,
 }
 
 /// A request on its way.
@@ -70,6 +73,10 @@
     work: Work,
     tried: Vec<id::Upstream>,
     tried_vms: Vec<id::Vm>,
+    /// Regions that had no room for it.
+    refused: Vec<id::Region>,
+    /// Whether it may have arrived at an upstream, so that sending it once more counts as a repeat.
+    arrived: bool,
     /// Attempts that may have run.
     ran: u32,
     /// Attempts that surely did not.
@@ -100,10 +107,12 @@
         let work = job.call.work();
         Self {
             hub,
-            job,
             work,
             tried: Vec::new(),
             tried_vms: Vec::new(),
+            refused: Vec::new(),
+            arrived: job.is_repeat,
+            job,
             ran: 0,
             not_run: 0,
             retry_after: None,
@@ -143,12 +152,13 @@
                 self.retry_after = Some(chosen.expected() - left);
                 return Err(self.give_up(Reason::Overload, "it would be answered too late"));
             }
-            if !self.may_send() {
+            if !self.may_send(&chosen) {
                 return Err(self.give_up(Reason::UpstreamFailed, "no more attempts may be made"));
             }
             match self.attempt(chosen, left, resume_after).await {
                 Ended::Answered(opened) if self.is_worth_another(&opened) => {
                     self.ran += 1;
+                    self.arrived = true;
                     self.error = Some(*opened);
                     self.log("attempt.error", "the upstream answered with an error");
                 }
@@ -156,13 +166,19 @@
                     self.ran += 1;
                     return Ok(*opened);
                 }
-                Ended::NotRun { why, retry_after } => {
+                Ended::NotRun { why, retry_after, at } => {
                     self.not_run += 1;
+                    match at {
+                        NotRunAt::Upstream => self.arrived = true,
+                        NotRunAt::Region(region) => self.refused.push(region),
+                        NotRunAt::Nowhere => (),
+                    }
                     self.retry_after = retry_after.or(self.retry_after);
                     self.log("attempt.not_run", why);
                 }
                 Ended::MayHaveRun { why } => {
                     self.ran += 1;
+                    self.arrived = true;
                     self.log("attempt.lost", why);
                     if !self.job.route.kind.is_repeatable() {
                         return Err(self.give_up(Reason::UpstreamFailed, why));
@@ -174,6 +190,7 @@
 
     /// A stream broke off after it had begun.
     pub fn broke_off(&mut self, why: &'static str) {
+        self.arrived = true;
         self.log("stream.broke_off", why);
     }
 
@@ -188,14 +205,20 @@
     }
 
     /// Whether one attempt more is allowed by the route and by the budget that all VMs share.
-    fn may_send(&self) -> bool {
-        if self.attempts() == 0 {
-            self.hub.first_sent(&self.job.service);
-            return true;
+    ///
+    /// The budget is charged where a request is sent to an upstream: a VM that passes it on sends nothing itself.
+    fn may_send(&self, chosen: &Chosen) -> bool {
+        if self.ran >= self.allowed() || self.not_run >= MOST_NOT_RUN {
+            return false;
+        }
+        match chosen {
+            Chosen::There { .. } => true,
+            Chosen::Here(_) if self.arrived => self.hub.may_repeat(&self.job.service),
+            Chosen::Here(_) => {
+                self.hub.first_sent(&self.job.service);
+                true
+            }
         }
-        self.ran < self.allowed()
-            && self.not_run < MOST_NOT_RUN
-            && self.hub.may_repeat(&self.job.service)
     }
 
     /// An upstream's own error is passed on, unless another upstream may still do better.
@@ -216,7 +239,8 @@
     ) -> Ended {
         let patience = self.patience(chosen.expected(), left);
         let placed = self.claim(&chosen);
-        let ended = attempt::run(&self.hub, &self.job, placed, patience, resume_after).await;
+        let terms = attempt::Terms { patience, resume_after, is_repeat: self.arrived };
+        let ended = attempt::run(&self.hub, &self.job, placed, &terms).await;
         let outcome = match &ended {
             Ended::NotRun { .. } => "not_run",
             Ended::MayHaveRun { .. } => "lost",
@@ -279,10 +303,10 @@
             return None;
         }
         let route = &self.job.route;
-        let regions = self.hub.other_regions();
+        let regions = self.hub.regions_with(&self.job.service);
         let mut costs: Vec<(Duration, id::Region)> = regions
             .into_iter()
-            .filter(|region| route.allows(region))
+            .filter(|region| route.allows(region) && !self.refused.contains(region))
             .filter_map(|region| {
                 let cost = self.hub.regions().cost(&region, &self.job.service, now)?;
                 let spread = Duration::from_micros(self.hub.draw() % SPREAD_MICROS);
--- a/src/wire/message.rs
+++ b/src/wire/message.rs
@@ -164,6 +164,8 @@
     pub roster: Option<roster::Delta>,
     /// The routing state, where it is newer.
     pub routing: Option<routing::state::Replicated>,
+    /// Whether the peer hears a leader of the routing group, so that what it holds is up to date.
+    pub in_touch: bool,
     /// The stamp and nonce under which the follower is known to the peer.
     pub known_as: Option<(Stamp, u64)>,
 }
