--- a/src/cli/command.rs
+++ b/src/cli/command.rs
@@ -18,7 +18,8 @@
 pub const HELP: &str = "\
 mastic: change the catalogue, look into the system, put load on it
 
-  mastic check FILE             report all that is wrong with a site's settings or a catalogue entry
+  mastic check FILE             report all that is wrong with a site's settings, those of one process of a
+                                fleet, or a catalogue entry
   mastic put FILE               create or replace the catalogue entry of a YAML file
   mastic get NAME               show an entry and its version
   mastic list                   show all entries
@@ -29,6 +30,8 @@
   mastic drain                  let a VM leave: it refuses new requests and ends those in progress
   mastic load SCENARIO.yaml     put load on a site and judge what callers receive
                                 [--json] [--plot FILE.svg]
+  mastic explain ID [FILE…]     join the log lines of all VMs about one request into a timeline, and mark
+                                the one that decided; without files it reads standard input
   mastic capacity               measure on this machine what a large site would cost each VM
 
   --vm ADDRESS                  the VM's operators' address (127.0.0.1:7103)
@@ -62,6 +65,8 @@
     Drain,
     /// Put load on a site.
     Load(PathBuf),
+    /// Tell what happened to a request, from logs.
+    Explain(String, Vec<PathBuf>),
     /// Measure what a large site would cost.
     Capacity,
 }
@@ -137,6 +142,10 @@
         "drain" => Action::Drain,
         "capacity" => Action::Capacity,
         "load" => Action::Load(operand("a SCENARIO")?.into()),
+        "explain" => {
+            let request = operand("an ID")?.string()?;
+            return Ok(Action::Explain(request, words.map(PathBuf::from).collect()));
+        }
         other => return Err(Error::Usage(format!("there is no command {other:?}"))),
     };
     match words.next() {
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -3,6 +3,7 @@
 pub mod arguments;
 pub mod command;
 pub mod errors;
+pub mod explain;
 pub mod operator;
 
 pub use arguments::Daemon;
--- a/src/cli/operator.rs
+++ b/src/cli/operator.rs
@@ -20,10 +20,12 @@
 use crate::cli::Command;
 use crate::cli::Error;
 use crate::cli::command::Action;
+use crate::cli::explain;
 use crate::http::client::Client;
 use crate::http::operator::Wanted;
 use crate::id;
 use crate::load;
+use crate::settings::Node;
 use crate::settings::Site;
 use crate::settings::entry;
 use crate::unit::Version;
@@ -57,15 +59,18 @@
         Action::Dump => show(command, Method::GET, "/dump").await,
         Action::Drain => show(command, Method::POST, "/drain").await,
         Action::Capacity => Ok(capacity::run()),
+        Action::Explain(request, files) => explain::run(request, files),
         Action::Load(file) => put_load(command, file).await,
     }
 }
 
-/// A file with `vms` is a site's; any other is a catalogue entry.
+/// A file with `vms` is a site's, one with `seeds` that of a process of a fleet; any other is a catalogue entry.
 fn check(file: &Path) -> Result<String, Error> {
     let text = fs::read_to_string(file).unwrap_or_default();
-    let is_site = text.lines().any(|line| line.starts_with("vms:"));
-    let what = if is_site {
+    let has = |key: &str| text.lines().any(|line| line.starts_with(key));
+    let what = if has("seeds:") {
+        format!("the settings of the process on {}", Node::load(file)?.vm())
+    } else if has("vms:") {
         let site = Site::load(file)?;
         format!("a site of {} VMs", site.vms.len())
     } else {
--- a/src/gateway/receive.rs
+++ b/src/gateway/receive.rs
@@ -8,6 +8,7 @@
 use http::Request;
 use http::Response;
 use http::header;
+use http::request;
 use hyper::body::Incoming;
 use slog::info;
 use tokio::time;
@@ -50,14 +51,17 @@
 async fn receive(hub: Arc<Hub>, request: Request<Incoming>, layer: Layer) -> Response<Body> {
     let arrived = Instant::now();
     let progress = hub.enter();
-    let mut response = match prepare(&hub, request, arrived, layer).await {
-        Ok(job) => answer(&hub, job, progress).await,
-        Err(refusal) => {
-            hub.metrics().ended(refusal.reason.name());
-            info!(hub.log(), "request.refused"; "reason" => refusal.reason.name(),
-                "detail" => &refusal.detail, "ms" => arrived.elapsed().as_millis() as u64);
-            hub.adapter().refuse(&refusal)
+    let (head, body) = request.into_parts();
+    let is_repeat = layer == Layer::Forwarded && head.headers.contains_key(headers::REPEAT);
+    let mut response = match decode(&hub, head) {
+        Ok(call) => {
+            let id = call.id.clone();
+            match prepare(&hub, call, body, (layer, is_repeat), arrived).await {
+                Ok(job) => answer(&hub, job, progress).await,
+                Err(refusal) => refuse(&hub, Some(&id), &refusal, arrived),
+            }
         }
+        Err(refusal) => refuse(&hub, None, &refusal, arrived),
     };
     if hub.is_draining() {
         response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
@@ -65,24 +69,32 @@
     response
 }
 
-/// Decodes a request, finds its route and reads its body.
+fn refuse(hub: &Hub, id: Option<&str>, refusal: &Refusal, arrived: Instant) -> Response<Body> {
+    hub.metrics().ended(refusal.reason.name());
+    info!(hub.log(), "request.refused"; "request" => id, "reason" => refusal.reason.name(),
+        "detail" => &refusal.detail, "ms" => arrived.elapsed().as_millis() as u64);
+    hub.adapter().refuse(refusal)
+}
+
+fn decode(hub: &Hub, head: request::Parts) -> Result<Call, Refusal> {
+    if hub.is_closed() {
+        let refusal = Refusal::new(Reason::Draining, "this VM is about to end");
+        return Err(refusal.with_retry_after(ELSEWHERE));
+    }
+    hub.adapter().call(head)
+}
+
+/// Finds the route of a request and reads its body.
 async fn prepare(
     hub: &Hub,
-    request: Request<Incoming>,
+    call: Call,
+    body: Incoming,
+    (layer, is_repeat): (Layer, bool),
     arrived: Instant,
-    layer: Layer,
 ) -> Result<Job, Refusal> {
-    if hub.is_closed() {
-        return Err(
-            Refusal::new(Reason::Draining, "this VM is about to end").with_retry_after(ELSEWHERE)
-        );
-    }
-    let (head, body) = request.into_parts();
-    let is_repeat = layer == Layer::Forwarded && head.headers.contains_key(headers::REPEAT);
-    let call = hub.adapter().call(head)?;
     let Some(table) = hub.routing().table else {
-        return Err(Refusal::new(Reason::Starting, "this VM has no document yet")
-            .with_retry_after(STARTING));
+        let refusal = Refusal::new(Reason::Starting, "this VM has no document yet");
+        return Err(refusal.with_retry_after(STARTING));
     };
     let route = route(&table, &call)?;
     let body = read(body, table.limits()).await?;
