--- a/src/directory/daemon.rs
+++ b/src/directory/daemon.rs
@@ -17,9 +17,9 @@
 
 use super::Service;
 use super::flood;
+use super::links::Links;
 use super::plan::Found;
 use super::service;
-use super::service::Links;
 use crate::consensus::Role as Seated;
 use crate::control::Name;
 use crate::control::Routes;
--- /dev/null
+++ b/src/directory/links.rs
@@ -0,0 +1,54 @@
+//! What other processes ask of a control daemon.
+
+use std::sync::Arc;
+
+use futures::FutureExt;
+use futures::future::BoxFuture;
+
+use super::Service;
+use crate::control::Name;
+use crate::control::join::take_in;
+use crate::wire::Cast;
+use crate::wire::Peer;
+use crate::wire::Reply;
+use crate::wire::Request;
+use crate::wire::link::Handler;
+
+/// The handler of a control daemon's links.
+pub struct Links(pub Arc<Service>);
+
+impl Handler for Links {
+    fn call(&self, from: Peer, request: Request) -> BoxFuture<'static, Reply> {
+        let service = self.0.clone();
+        async move {
+            match request {
+                Request::Follow(follow) => service.follow(*follow).await,
+                Request::Routing(command) => service.propose_for_peer(command).await,
+                Request::ReadRouting => service.read_for_peer().await,
+                Request::Identity(Name::Routing) => service.identity(),
+                Request::Join { name: Name::Routing, replica, witness } => {
+                    let group = service.group();
+                    Reply::Joined(
+                        take_in(service.routes(), &from.vm, group, replica, witness).await,
+                    )
+                }
+                _ => Reply::Unsupported,
+            }
+        }
+        .boxed()
+    }
+
+    fn cast(&self, from: Peer, cast: Cast) {
+        match cast {
+            Cast::Group { name: Name::Routing, from: sender, to, message } => {
+                self.0.routes().learn(sender, &from.vm);
+                let Some(seat) = self.0.seat() else { return };
+                if seat.identity().is_some_and(|identity| identity.replica == to) {
+                    seat.receive(sender, message);
+                }
+            }
+            Cast::Heard(heard) => self.0.heard(*heard, &from),
+            _ => (),
+        }
+    }
+}
--- a/src/directory/mod.rs
+++ b/src/directory/mod.rs
@@ -8,8 +8,10 @@
 pub mod copy;
 pub mod daemon;
 pub mod flood;
+pub mod links;
 pub mod lookup;
 pub mod metrics;
+mod operate;
 pub mod plan;
 pub mod service;
 
--- a/src/directory/service.rs
+++ b/src/directory/service.rs
@@ -7,8 +7,6 @@
 use std::sync::OnceLock;
 use std::time::Duration;
 
-use futures::FutureExt;
-use futures::future::BoxFuture;
 use slog::Logger;
 use slog::info;
 use slog::warn;
@@ -21,14 +19,9 @@
 use super::lookup;
 use super::metrics::Metrics;
 use crate::consensus::Members;
-use crate::consensus::Refusal;
 use crate::consensus::Role as Seated;
-use crate::control::Name;
 use crate::control::Routes;
 use crate::control::Seat;
-use crate::control::join::take_in;
-use crate::control::plan::VOTERS;
-use crate::group;
 use crate::group::Group;
 use crate::group::Status;
 use crate::id;
@@ -39,34 +32,23 @@
 use crate::roster::Table;
 use crate::roster::table::Patience;
 use crate::roster::table::Taken;
-use crate::routing::Command;
 use crate::routing::State;
-use crate::routing::state::Accepted;
 use crate::routing::state::Replicated;
 use crate::settings::Node;
 use crate::settings::Seeds;
 use crate::unit::Term;
-use crate::unit::Version;
 use crate::wire::Cast;
 use crate::wire::Mesh;
 use crate::wire::Peer;
 use crate::wire::Reply;
-use crate::wire::Request;
 use crate::wire::Role;
-use crate::wire::link::Handler;
 use crate::wire::message::Follow;
 use crate::wire::message::Followed;
 use crate::wire::message::Heard;
-use crate::wire::message::Unavailable;
 
 /// A follower that lacks nothing is answered after this, which also tells it that this VM is alive.
 pub const WATCH: Duration = Duration::from_secs(1);
-/// A command or read that was passed on to the leader is answered within this.
-const PASSED_ON: Duration = Duration::from_millis(2500);
-/// Where no leader is known, one is waited for so long: an election takes one to two seconds, and an operator that gets
-/// no answer asks the next VM after one.
-const LEADERLESS: Duration = Duration::from_millis(900);
-/// A leader is looked for this often meanwhile.
+/// Where the replica doesn't run, it is looked for this often.
 const LOOK: Duration = Duration::from_millis(50);
 /// A VM says something each [`WATCH`]; one may be lost, and the second may be late by a trip between regions and a
 /// pause of the scheduler.
@@ -74,8 +56,6 @@
 /// An upstream is silent once four of its words are missing: they come seconds late at times, and requests find out
 /// by themselves that an upstream is gone.
 const MISSED_WORDS: u32 = 4;
-/// The first acknowledgement waits for all control VMs that are there to vote, for so long after the start.
-const FORMING: Duration = Duration::from_secs(8);
 /// Silence is looked for this often.
 const TICK: Duration = Duration::from_millis(250);
 /// A tick that comes so late means that this process stood still.
@@ -193,6 +173,18 @@
         self.mesh.get()
     }
 
+    pub(super) fn routes(&self) -> &Routes {
+        &self.routes
+    }
+
+    pub(super) fn seat(&self) -> Option<&Seat<State>> {
+        self.seat.get()
+    }
+
+    pub(super) fn started(&self) -> Instant {
+        self.started
+    }
+
     /// The replica, while it runs.
     pub fn group(&self) -> Option<Group<State>> {
         self.seat.get()?.group()
@@ -200,14 +192,7 @@
 
     /// Takes newer settings in force; of these only the seeds may change while the daemon runs.
     pub fn reload(&self, node: &Node) {
-        if !self.seeds.replace(node) {
-            return;
-        }
-        info!(self.log, "process.reloaded"; "seeds" => ?self.seeds.links());
-        let Some(mesh) = self.mesh() else { return };
-        for (vm, link) in self.seeds.links() {
-            mesh.learn(Peer::new(vm, Role::Control), link);
-        }
+        self.seeds.reload(node, self.mesh(), &self.log);
     }
 
     /// The control VMs that were heard of and the seeds, this VM among them.
@@ -256,126 +241,8 @@
         lookup::addresses(region, table.present(), table.all_vms())
     }
 
-    /// Takes a document in force; it is accepted once this returns a number.
-    pub async fn replace(&self, accepted: Accepted) -> Result<Version, Unavailable> {
-        let version = accepted.document.version;
-        let ended = self.command(Command::Replace(accepted)).await;
-        match &ended {
-            Ok(now) => {
-                info!(self.log, "document.accepted"; "version" => %version, "in_force" => %now);
-            }
-            Err(why) => {
-                info!(self.log, "document.unavailable"; "version" => %version, "why" => %why);
-            }
-        }
-        ended
-    }
-
-    /// Empties a data centre, or takes it back.
-    pub async fn evacuate(&self, centre: id::DataCentre, away: bool) -> Result<(), Unavailable> {
-        let command = match away {
-            true => Command::Evacuate(centre.clone()),
-            false => Command::Restore(centre.clone()),
-        };
-        let ended = self.command(command).await;
-        info!(self.log, "evacuation"; "data_centre" => %centre, "away" => away,
-            "accepted" => ended.is_ok());
-        ended.map(|_| ())
-    }
-
-    /// The operator's own text of the document in force, confirmed by a majority.
-    pub async fn source(&self) -> Result<Option<Arc<str>>, Unavailable> {
-        let until = Instant::now() + LEADERLESS;
-        loop {
-            let ended = match self.group() {
-                Some(group) => group.read(State::source).await,
-                None => Err(group::Error::Stopped),
-            };
-            match ended {
-                Ok(source) => return Ok(source),
-                Err(error) => match self.leader_elsewhere(&error) {
-                    Some(leader) => return self.read_at(&leader).await,
-                    None if Instant::now() >= until => return Err(Unavailable::NoLeader),
-                    None => time::sleep(LOOK).await,
-                },
-            }
-        }
-    }
-
-    async fn read_at(&self, leader: &Peer) -> Result<Option<Arc<str>>, Unavailable> {
-        let Some(mesh) = self.mesh() else { return Err(Unavailable::NoLeader) };
-        match mesh.call(leader, Request::ReadRouting, PASSED_ON).await {
-            Ok(Reply::Source(source)) => source,
-            _ => Err(Unavailable::NoLeader),
-        }
-    }
-
-    /// Has a command committed, here or by the leader.
-    async fn command(&self, command: Command) -> Result<Version, Unavailable> {
-        let until = Instant::now() + LEADERLESS;
-        loop {
-            let error = match self.propose(command.clone()).await {
-                Ok(version) => return Ok(version),
-                Err(error) => error,
-            };
-            match self.leader_elsewhere(&error) {
-                Some(leader) => return self.pass_on(&leader, command).await,
-                None if !error.is_final() => return Err(Unavailable::Unknown),
-                None if Instant::now() >= until => return Err(Unavailable::NoLeader),
-                None => time::sleep(LOOK).await,
-            }
-        }
-    }
-
-    /// Proposes on this replica, once all control VMs that are there vote.
-    ///
-    /// Failure: a group of five starts as three, acknowledges a change, and two of the three lose their disks: it is
-    /// gone although two lost disks must lose nothing.
-    async fn propose(&self, command: Command) -> Result<Version, group::Error> {
-        let group = self.group().ok_or(group::Error::Stopped)?;
-        let status = group.status();
-        if status.leads && self.started.elapsed() < FORMING {
-            let voters = status.members.with_role(Seated::Voter).count();
-            let present = self.table().present().filter(|vm| vm.role == Role::Control).count();
-            if voters < present.min(VOTERS) {
-                return Err(group::Error::Refused(Refusal::NotReady));
-            }
-        }
-        group.propose(command).await
-    }
-
-    /// The leader, where the error names another VM's replica.
-    fn leader_elsewhere(&self, error: &group::Error) -> Option<Peer> {
-        let group::Error::Refused(Refusal::NotLeader { leader }) = error else { return None };
-        let vm = self.routes.vm((*leader)?)?;
-        (vm != self.vm()).then(|| Peer::new(vm, Role::Control))
-    }
-
-    async fn pass_on(&self, leader: &Peer, command: Command) -> Result<Version, Unavailable> {
-        let Some(mesh) = self.mesh() else { return Err(Unavailable::NoLeader) };
-        match mesh.call(leader, Request::Routing(command), PASSED_ON).await {
-            Ok(Reply::Routing(ended)) => ended,
-            Ok(_) => Err(Unavailable::NoLeader),
-            Err(error) if error.is_unsent() => Err(Unavailable::NoLeader),
-            Err(_) => Err(Unavailable::Unknown),
-        }
-    }
-
-    async fn propose_for_peer(&self, command: Command) -> Reply {
-        let ended = self.propose(command).await;
-        Reply::Routing(ended.map_err(|error| match error.is_final() {
-            true => Unavailable::NoLeader,
-            false => Unavailable::Unknown,
-        }))
-    }
-
-    async fn read_for_peer(&self) -> Reply {
-        let Some(group) = self.group() else { return Reply::Source(Err(Unavailable::NoLeader)) };
-        Reply::Source(group.read(State::source).await.map_err(|_| Unavailable::NoLeader))
-    }
-
     /// Waits a moment for anything that a follower lacks.
-    async fn follow(&self, follow: Follow) -> Reply {
+    pub(super) async fn follow(&self, follow: Follow) -> Reply {
         let is_current = follow.epoch == self.epoch;
         let known_as = self.met(follow.presence);
         let have = if is_current { follow.roster } else { 0 };
@@ -417,7 +284,7 @@
     }
 
     /// Another control VM passes on what it heard.
-    fn heard(&self, heard: Heard, from: &Peer) {
+    pub(super) fn heard(&self, heard: Heard, from: &Peer) {
         let now = Instant::now();
         let mut outdated = Heard::default();
         let mut news = false;
@@ -471,7 +338,7 @@
         }
     }
 
-    fn table(&self) -> std::sync::MutexGuard<'_, Table> {
+    pub(super) fn table(&self) -> std::sync::MutexGuard<'_, Table> {
         self.table.lock().expect("no panic while locked")
     }
 
@@ -512,7 +379,7 @@
         *last = Some(now);
     }
 
-    fn identity(&self) -> Reply {
+    pub(super) fn identity(&self) -> Reply {
         Reply::Identity(self.seat.get().and_then(Seat::identity))
     }
 }
@@ -586,40 +453,3 @@
         }
     }
 }
-
-/// The handler of a control daemon's links.
-pub struct Links(pub Arc<Service>);
-
-impl Handler for Links {
-    fn call(&self, from: Peer, request: Request) -> BoxFuture<'static, Reply> {
-        let service = self.0.clone();
-        async move {
-            match request {
-                Request::Follow(follow) => service.follow(*follow).await,
-                Request::Routing(command) => service.propose_for_peer(command).await,
-                Request::ReadRouting => service.read_for_peer().await,
-                Request::Identity(Name::Routing) => service.identity(),
-                Request::Join { name: Name::Routing, replica, witness } => {
-                    let group = service.group();
-                    Reply::Joined(take_in(&service.routes, &from.vm, group, replica, witness).await)
-                }
-                _ => Reply::Unsupported,
-            }
-        }
-        .boxed()
-    }
-
-    fn cast(&self, from: Peer, cast: Cast) {
-        match cast {
-            Cast::Group { name: Name::Routing, from: sender, to, message } => {
-                self.0.routes.learn(sender, &from.vm);
-                let Some(seat) = self.0.seat.get() else { return };
-                if seat.identity().is_some_and(|identity| identity.replica == to) {
-                    seat.receive(sender, message);
-                }
-            }
-            Cast::Heard(heard) => self.0.heard(*heard, &from),
-            _ => (),
-        }
-    }
-}
--- a/src/gateway/hub.rs
+++ b/src/gateway/hub.rs
@@ -44,7 +44,6 @@
 use crate::unit::Rate;
 use crate::unit::Version;
 use crate::wire::Mesh;
-use crate::wire::Peer;
 use crate::wire::Role;
 
 /// Connecting to an upstream or to another VM takes no longer than this: a trip between regions and back takes 110 ms,
@@ -154,14 +153,7 @@
 
     /// Takes newer settings in force; of these only the seeds may change while the daemon runs.
     pub fn reload(&self, node: &Node) {
-        if !self.seeds.replace(node) {
-            return;
-        }
-        info!(self.log, "process.reloaded"; "seeds" => ?self.seeds.links());
-        let Some(mesh) = self.mesh() else { return };
-        for (vm, link) in self.seeds.links() {
-            mesh.learn(Peer::new(vm, Role::Control), link);
-        }
+        self.seeds.reload(node, self.mesh(), &self.log);
     }
 
     /// The log.
--- a/src/settings/node.rs
+++ b/src/settings/node.rs
@@ -1,6 +1,5 @@
 //! The settings of one process of a fleet that finds itself: it knows its own place and a few seeds.
 
-use std::fs;
 use std::net::IpAddr;
 use std::net::SocketAddr;
 use std::path::Path;
@@ -125,22 +124,17 @@
 impl Node {
     /// Reads a file; all that is wrong with it is reported at once.
     pub fn load(path: &Path) -> Result<Self, Findings> {
-        let name = path.display().to_string();
-        match fs::read_to_string(path) {
-            Ok(text) => Self::parse(&name, &text, path.parent().unwrap_or(Path::new("."))),
-            Err(error) => {
-                let out = Collector::new(&name);
-                out.note((0, 0), format!("can't be read: {error}"));
-                out.finish(None)
-            }
-        }
+        let out = Collector::new(&path.display().to_string());
+        let text = section::text(path, &out);
+        let folder = path.parent().unwrap_or(Path::new("."));
+        let read = text.and_then(|text| read_text(&text, folder, &out));
+        out.finish(read)
     }
 
     /// Reads a text. Files that it names are looked for under `folder`.
     pub fn parse(name: &str, text: &str, folder: &Path) -> Result<Self, Findings> {
         let out = Collector::new(name);
-        let node = section::parse(text, &out);
-        let read = node.as_ref().and_then(|node| read(&Section::new(node, "", &out)?, folder));
+        let read = read_text(text, folder, &out);
         out.finish(read)
     }
 
@@ -167,6 +161,11 @@
     ip.to_string().parse().expect("an IP address has only characters that a name may have")
 }
 
+fn read_text(text: &str, folder: &Path, out: &Collector) -> Option<Node> {
+    let node = section::parse(text, out)?;
+    read(&Section::new(&node, "", out)?, folder)
+}
+
 fn read(top: &Section<'_>, folder: &Path) -> Option<Node> {
     let ip = top.required("ip");
     let region = top.required("region");
--- a/src/settings/section.rs
+++ b/src/settings/section.rs
@@ -3,6 +3,8 @@
 use std::cell::RefCell;
 use std::collections::BTreeSet;
 use std::fmt::Display;
+use std::fs;
+use std::path::Path;
 use std::str::FromStr;
 
 use marked_yaml::Node;
@@ -38,6 +40,17 @@
     }
 }
 
+/// Reads a file; one that can't be read is noted as a finding.
+pub fn text(path: &Path, out: &Collector) -> Option<String> {
+    match fs::read_to_string(path) {
+        Ok(text) => Some(text),
+        Err(error) => {
+            out.note((0, 0), format!("can't be read: {error}"));
+            None
+        }
+    }
+}
+
 /// The line that a parser's message names, and 0 where it names none.
 fn first_number(text: &str) -> usize {
     let start = text.find("line ").map_or(text.len(), |at| at + 5);
--- a/src/settings/seeds.rs
+++ b/src/settings/seeds.rs
@@ -3,8 +3,14 @@
 use std::net::SocketAddr;
 use std::sync::Mutex;
 
+use slog::Logger;
+use slog::info;
+
 use crate::id;
 use crate::settings::Node;
+use crate::wire::Mesh;
+use crate::wire::Peer;
+use crate::wire::Role;
 
 /// Control VMs that the settings name, and where each takes links.
 #[derive(Debug)]
@@ -23,8 +29,20 @@
         self.links.lock().expect("no panic while locked").clone()
     }
 
+    /// Takes those of newer settings, and tells the links where to find them.
+    pub fn reload(&self, node: &Node, mesh: Option<&Mesh>, log: &Logger) {
+        if !self.replace(node) {
+            return;
+        }
+        info!(log, "process.reloaded"; "seeds" => ?self.links());
+        let Some(mesh) = mesh else { return };
+        for (vm, link) in self.links() {
+            mesh.learn(Peer::new(vm, Role::Control), link);
+        }
+    }
+
     /// Takes those of newer settings, and tells whether they differ.
-    pub fn replace(&self, node: &Node) -> bool {
+    fn replace(&self, node: &Node) -> bool {
         let newer: Vec<(id::Vm, SocketAddr)> = node.seed_links().collect();
         let mut links = self.links.lock().expect("no panic while locked");
         let differ = *links != newer;
--- a/src/settings/site.rs
+++ b/src/settings/site.rs
@@ -115,23 +115,18 @@
 impl Site {
     /// Reads a file; all that is wrong with it is reported at once.
     pub fn load(path: &Path) -> Result<Self, Findings> {
-        let name = path.display().to_string();
-        match fs::read_to_string(path) {
-            Ok(text) => Self::parse(&name, &text, path.parent().unwrap_or(Path::new("."))),
-            Err(error) => {
-                let out = Collector::new(&name);
-                out.note((0, 0), format!("can't be read: {error}"));
-                out.finish(None)
-            }
-        }
+        let out = Collector::new(&path.display().to_string());
+        let text = section::text(path, &out);
+        let folder = path.parent().unwrap_or(Path::new("."));
+        let read = text.and_then(|text| read_text(&text, folder, &out));
+        out.finish(read)
     }
 
     /// Reads a text. Files that it names are looked for under `folder`.
     pub fn parse(name: &str, text: &str, folder: &Path) -> Result<Self, Findings> {
         let out = Collector::new(name);
-        let node = section::parse(text, &out);
-        let site = node.as_ref().and_then(|node| read(&Section::new(node, "", &out)?, folder));
-        out.finish(site)
+        let read = read_text(text, folder, &out);
+        out.finish(read)
     }
 
     /// Where links to each process of the site go.
@@ -153,6 +148,11 @@
     }
 }
 
+fn read_text(text: &str, folder: &Path, out: &Collector) -> Option<Site> {
+    let node = section::parse(text, out)?;
+    read(&Section::new(&node, "", out)?, folder)
+}
+
 fn read(top: &Section<'_>, folder: &Path) -> Option<Site> {
     let vms: Vec<Option<(id::Vm, Vm)>> =
         top.named_sections("vms").iter().map(|(name, section)| vm(name, section, folder)).collect();
