--- a/src/directory/lookup.rs
+++ b/src/directory/lookup.rs
@@ -28,37 +28,37 @@
     present: impl Iterator<Item = &'a Presence>,
     all: impl Iterator<Item = &'a Presence>,
 ) -> Vec<SocketAddr> {
-    let ready: Vec<&Presence> = present.filter(|vm| takes_callers(vm) && vm.ready).collect();
-    let near = in_region(&ready, region);
-    if !near.is_empty() {
-        return near;
-    }
-    let known: Vec<&Presence> = match ready.is_empty() {
-        true => all.filter(|vm| takes_callers(vm)).collect(),
-        false => ready,
-    };
-    let near = in_region(&known, region);
-    if !near.is_empty() {
-        return near;
-    }
-    let at_home = sorted(known.iter().filter(|vm| homes.contains(&vm.region)));
-    if at_home.is_empty() { sorted(known.iter()) } else { at_home }
+    let takes: Vec<&Presence> = present.filter(|vm| vm.role == Role::Entry && vm.ready).collect();
+    let (ready, leaving): (Vec<&Presence>, Vec<&Presence>) =
+        takes.into_iter().partition(|vm| vm.standing == Standing::Ready);
+    let is_near = |vm: &Presence| vm.region == *region;
+    let is_home = |vm: &Presence| homes.contains(&vm.region);
+    let known: Vec<&Presence> = all.filter(|vm| takes_callers(vm)).collect();
+    // A VM that leaves takes requests for some seconds more. Where VMs are stopped in turn faster than their streams end,
+    // no other may be left for what is bound to homes.
+    let choices = [
+        among(&ready, is_near),
+        among(&ready, is_home),
+        if homes.is_empty() { Vec::new() } else { among(&leaving, is_near) },
+        among(&leaving, is_home),
+        among(&ready, |_| true),
+        among(&known, is_near),
+        among(&known, |_| true),
+    ];
+    choices.into_iter().find(|choice| !choice.is_empty()).unwrap_or_default()
 }
 
-fn takes_callers(vm: &Presence) -> bool {
-    vm.role == Role::Entry && vm.standing == Standing::Ready
-}
-
-fn in_region(vms: &[&Presence], region: &id::Region) -> Vec<SocketAddr> {
-    sorted(vms.iter().filter(|vm| vm.region == *region))
-}
-
-fn sorted<'a>(vms: impl Iterator<Item = &'a &'a Presence>) -> Vec<SocketAddr> {
-    let mut addresses: Vec<SocketAddr> = vms.filter_map(|vm| vm.callers).collect();
+fn among(vms: &[&Presence], fits: impl Fn(&Presence) -> bool) -> Vec<SocketAddr> {
+    let fitting = vms.iter().filter(|vm| fits(vm));
+    let mut addresses: Vec<SocketAddr> = fitting.filter_map(|vm| vm.callers).collect();
     addresses.sort_unstable();
     addresses.truncate(MOST);
     addresses
 }
 
+fn takes_callers(vm: &Presence) -> bool {
+    vm.role == Role::Entry && vm.standing == Standing::Ready
+}
+
 #[cfg(test)]
 mod tests;
--- a/src/directory/lookup/tests.rs
+++ b/src/directory/lookup/tests.rs
@@ -39,6 +39,7 @@
     vms[0].ready = false;
     vms[1].standing = Standing::Draining;
     assert_eq!(ports("r", &vms, &vms), [3]);
+    assert_eq!(ports_for("r", &["r"], &vms, &vms), [2], "it still takes what is bound");
 }
 
 // A control VM is cut off from all others, and every entry VM falls silent for it. Callers of its data centre still
--- a/src/gateway/hub.rs
+++ b/src/gateway/hub.rs
@@ -221,6 +221,8 @@
     /// This VM takes no more requests: one that came now might not end before the process is ended by force.
     pub fn close(&self) {
         self.closed.store(true, Ordering::Relaxed);
+        // Whoever follows the flag says so to the control VMs at once.
+        self.draining.send_replace(true);
     }
 
     /// Whether this VM takes no more requests.
@@ -243,6 +245,11 @@
         !self.is_draining() && self.routing.lock().expect("no panic while locked").table.is_some()
     }
 
+    /// Whether requests that come are served; a VM that leaves goes on for some seconds.
+    fn takes_requests(&self) -> bool {
+        !self.is_closed() && self.routing.lock().expect("no panic while locked").table.is_some()
+    }
+
     /// Counts a request in until it is dropped.
     pub fn enter(self: &Arc<Self>) -> InProgress {
         self.in_progress.fetch_add(1, Ordering::Relaxed);
@@ -256,7 +263,7 @@
 
     /// The next statement of this VM about itself.
     pub fn state_presence(&self) -> Presence {
-        let ready = self.is_ready();
+        let ready = self.takes_requests();
         let mut presence = self.presence.lock().expect("no panic while locked");
         presence.stamp.sequence += 1;
         presence.ready = ready;
