The directory names the homes of most of a host's routes

Ruled out: all home VMs leaving at once (piedmont's second took requests). Test: the_homes_of_most_routes_count.

--- a/src/routing/document.rs
+++ b/src/routing/document.rs
@@ -1,5 +1,6 @@
 //! One whole configuration.
 
+use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 
 use serde::Deserialize;
@@ -25,11 +26,20 @@
 }
 
 impl Document {
-    /// The regions that may serve every route of the host; empty where no route is bound, or none of them fits all.
+    /// The regions that may serve most of the host's routes that are bound; empty where none is. Routes of one host may be
+    /// bound to different regions, and an answer of the directory holds for all of them.
     pub fn homes(&self, host: &str) -> BTreeSet<id::Region> {
-        let bound =
-            self.routes.iter().filter(|route| route.host == host && !route.homes.is_empty());
-        let homes = bound.map(|route| route.homes.clone());
-        homes.reduce(|all, homes| all.intersection(&homes).cloned().collect()).unwrap_or_default()
+        let mut counts: BTreeMap<&id::Region, usize> = BTreeMap::new();
+        for route in self.routes.iter().filter(|route| route.host.eq_ignore_ascii_case(host)) {
+            for region in &route.homes {
+                *counts.entry(region).or_default() += 1;
+            }
+        }
+        let most = counts.values().copied().max();
+        let best = counts.into_iter().filter(|(_, count)| Some(*count) == most);
+        best.map(|(region, _)| region.clone()).collect()
     }
 }
+
+#[cfg(test)]
+mod tests;
