--- a/src/decide/place.rs
+++ b/src/decide/place.rs
@@ -126,7 +126,7 @@
     }
 
     /// Takes in which upstreams there are, and how many VMs send to them.
-    pub fn sync(&mut self, seen: Vec<Seen>, senders: u32, now: Instant) {
+    pub fn sync(&mut self, seen: Vec<Seen>, senders: u32) {
         self.senders = senders.max(1);
         let names: std::collections::HashSet<id::Upstream> =
             seen.iter().map(|seen| seen.id.clone()).collect();
@@ -138,9 +138,9 @@
         }
         for seen in seen {
             match self.tracked.get_mut(&seen.id) {
-                Some(tracked) => tracked.update(seen, now),
+                Some(tracked) => tracked.update(seen),
                 None => {
-                    self.tracked.insert(seen.id.clone(), Tracked::new(seen, now));
+                    self.tracked.insert(seen.id.clone(), Tracked::new(seen));
                 }
             }
         }
@@ -161,7 +161,7 @@
                     continue;
                 }
                 let is_home = home.as_ref() == Some(id);
-                let reads = tracked.reads(&demand.work, is_home, now);
+                let reads = tracked.reads(&demand.work, is_home);
                 let expected = tracked.first_event(&model, &demand.work, reads, self.senders, now);
                 let jitter = JITTER.mul_f64(self.rng.random());
                 let cost = expected + tracked.penalty(now) + jitter;
@@ -184,11 +184,6 @@
         self.choose(&demand, now).map(|fit| fit.expected)
     }
 
-    /// Whether any upstream of the service stands here, whatever its state.
-    pub fn knows(&self, service: &str) -> bool {
-        self.tracked.values().any(|tracked| tracked.seen.service == service)
-    }
-
     /// A request is sent there.
     pub fn sent(&mut self, fit: &Fit, work: &Work, now: Instant) -> Held {
         let tracked = self.tracked.get_mut(&fit.id);
--- a/src/decide/place/tests.rs
+++ b/src/decide/place/tests.rs
@@ -52,7 +52,7 @@
     let now = Instant::now();
     let (mut one, mut other) = (place(), place());
     for vm in [&mut one, &mut other] {
-        vm.sync(["a", "b", "c", "d"].map(engine).to_vec(), 2, now);
+        vm.sync(["a", "b", "c", "d"].map(engine).to_vec(), 2);
     }
     for key in 0..50 {
         let first = one.choose(&demand(briefing(key)), now).unwrap();
@@ -69,7 +69,7 @@
 async fn a_hot_part_spreads() {
     let now = Instant::now();
     let mut place = place();
-    place.sync(["a", "b", "c", "d"].map(engine).to_vec(), 1, now);
+    place.sync(["a", "b", "c", "d"].map(engine).to_vec(), 1);
     let mut waits = Vec::new();
     let mut used = std::collections::BTreeSet::new();
     for _ in 0..40 {
@@ -88,7 +88,7 @@
     let now = Instant::now();
     let mut place = place();
     let cold = (now + Duration::from_secs(3), Rate::per_second(2.0));
-    place.sync(vec![Seen { cold: Some(cold), ..engine("a") }], 3, now);
+    place.sync(vec![Seen { cold: Some(cold), ..engine("a") }], 3);
     let mut sent = 0;
     for millis in (0..3000).step_by(10) {
         let now = now + Duration::from_millis(millis);
@@ -105,7 +105,7 @@
 async fn an_unreachable_upstream_is_left_alone_for_a_moment() {
     let now = Instant::now();
     let mut place = place();
-    place.sync(vec![engine("a"), engine("b")], 1, now);
+    place.sync(vec![engine("a"), engine("b")], 1);
     for _ in 0..20 {
         let fit = place.choose(&demand(Work::default()), now).unwrap();
         let held = place.sent(&fit, &Work::default(), now);
@@ -118,7 +118,7 @@
         fit.id.as_str() == "a"
     });
     assert_eq!(tries.count(), 0);
-    place.sync(vec![engine("a")], 1, now);
+    place.sync(vec![engine("a")], 1);
     assert!(
         place.choose(&demand(Work::default()), now).is_some(),
         "the only one is tried all the same"
@@ -130,7 +130,7 @@
 async fn a_failing_upstream_loses_its_traffic() {
     let mut now = Instant::now();
     let mut place = place();
-    place.sync(["a", "b", "c"].map(engine).to_vec(), 1, now);
+    place.sync(["a", "b", "c"].map(engine).to_vec(), 1);
     let mut to_a = 0;
     for nth in 0..300 {
         now += Duration::from_millis(10);
@@ -148,7 +148,7 @@
 async fn other_vms_requests_count_by_what_the_upstream_tells() {
     let now = Instant::now();
     let mut place = place();
-    place.sync(vec![engine("a"), engine("b")], 3, now);
+    place.sync(vec![engine("a"), engine("b")], 3);
     place.reported(&"a".parse().unwrap(), Report { running: 40, waiting: 20 }, now);
     place.reported(&"b".parse().unwrap(), Report { running: 2, waiting: 0 }, now);
     for _ in 0..10 {
@@ -161,10 +161,10 @@
 async fn another_start_begins_with_a_clean_record() {
     let now = Instant::now();
     let mut place = place();
-    place.sync(vec![engine("a")], 1, now);
+    place.sync(vec![engine("a")], 1);
     let fit = place.choose(&demand(briefing(1)), now).unwrap();
     let held = place.sent(&fit, &briefing(1), now);
-    place.sync(vec![Seen { born: 2, ..engine("a") }], 1, now);
+    place.sync(vec![Seen { born: 2, ..engine("a") }], 1);
     place.ended(held, Outcome::Failed, now);
     let fit = place.choose(&demand(Work::default()), now).unwrap();
     assert!(fit.expected < Duration::from_millis(60));
@@ -177,7 +177,7 @@
     const READS: Duration = Duration::from_millis(100);
     let start = Instant::now();
     let mut place = place();
-    place.sync(["a", "b"].map(engine).to_vec(), 1, start);
+    place.sync(["a", "b"].map(engine).to_vec(), 1);
     let work = Work { own: Tokens::new(5_000), ..Work::default() };
     let mut free = std::collections::HashMap::new();
     let mut running = Vec::new();
--- a/src/decide/place/tracked.rs
+++ b/src/decide/place/tracked.rs
@@ -67,7 +67,7 @@
 
 impl Tracked {
     /// An upstream that has just been heard of.
-    pub fn new(seen: Seen, _now: Instant) -> Self {
+    pub fn new(seen: Seen) -> Self {
         Self {
             seen,
             running: 0,
@@ -83,11 +83,11 @@
     }
 
     /// Takes what it announces now. Another start knows nothing of before, and neither does this VM of it.
-    pub fn update(&mut self, seen: Seen, now: Instant) {
+    pub fn update(&mut self, seen: Seen) {
         if seen.born == self.seen.born && seen.address == self.seen.address {
             self.seen = seen;
         } else {
-            *self = Self::new(seen, now);
+            *self = Self::new(seen);
         }
     }
 
@@ -106,7 +106,7 @@
     }
 
     /// What it has to read of a prompt. `is_home` says that all VMs send the shared part here.
-    pub fn reads(&self, work: &Work, is_home: bool, _now: Instant) -> Tokens {
+    pub fn reads(&self, work: &Work, is_home: bool) -> Tokens {
         let shared = match &work.shared {
             Some(shared) if !is_home && !self.cache.holds(shared) => shared.tokens,
             _ => Tokens::ZERO,
--- a/src/gateway/hub.rs
+++ b/src/gateway/hub.rs
@@ -381,7 +381,7 @@
         });
         let seen = seen.collect();
         drop(merged);
-        self.place().sync(seen, senders, Instant::now());
+        self.place().sync(seen, senders);
     }
 }
 
--- a/src/roster/merged.rs
+++ b/src/roster/merged.rs
@@ -85,11 +85,6 @@
         self.upstreams.values().filter(|upstream| upstream.said.standing != Standing::Gone)
     }
 
-    /// An upstream, wherever it stands.
-    pub fn upstream(&self, id: &id::Upstream) -> Option<&Upstream> {
-        self.upstreams.get(id)
-    }
-
     /// The VMs of that role that are heard of.
     pub fn vms(&self, role: Role) -> impl Iterator<Item = &Presence> {
         let present = move |fact: &&Fact<Presence>| {
--- a/src/routing/state.rs
+++ b/src/routing/state.rs
@@ -71,11 +71,6 @@
         self.accepted.as_ref().map(|accepted| accepted.source.clone())
     }
 
-    /// Whether the document in force was handed in as that text.
-    pub fn holds(&self, accepted: &Accepted) -> bool {
-        self.version() >= accepted.document.version
-    }
-
     /// A copy for followers.
     pub fn replicated(&self) -> Replicated {
         Replicated {
