--- a/src/decide/place/tracked.rs
+++ b/src/decide/place/tracked.rs
@@ -122,7 +122,7 @@
         match guess {
             _ if self.cache.holds(shared) => Tokens::ZERO,
             Guess::Holds => Tokens::ZERO,
-            Guess::MayHold => Tokens::new(shared.tokens.get() / 2),
+            Guess::MayHold => Tokens::new(shared.tokens.get() / 5 * 4),
             Guess::Unknown => shared.tokens,
         }
     }
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -107,6 +107,14 @@
 }
 
 impl Chosen {
+    /// The tokens that an upstream is taken to read for it; none where another VM decides that.
+    fn reads(&self) -> Option<u64> {
+        match self {
+            Self::Here(fit) => Some(fit.reads.get()),
+            Self::There { .. } => None,
+        }
+    }
+
     /// Who it is, for the log.
     fn target(&self) -> Target {
         match self {
@@ -316,7 +324,8 @@
         };
         info!(self.hub.log(), "request.placed"; "request" => &self.job.call.id,
             "attempt" => self.attempts() + 1, "target" => ?target,
-            "expected_ms" => chosen.expected().as_millis() as u64);
+            "expected_ms" => chosen.expected().as_millis() as u64, "reads" => chosen.reads(),
+            "shared" => self.work.shared.map(|shared| format!("{:x}", shared.key)));
         (Claim::new(self.hub.clone(), target, service, held), address)
     }
 
