--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -106,9 +106,7 @@
             Self::There { expected, .. } => *expected,
         }
     }
-}
 
-impl Chosen {
     /// The tokens that an upstream is taken to read for it; none where another VM decides that.
     fn reads(&self) -> Option<u64> {
         match self {
