Entry VMs of a region share what they have at their upstreams

Cause: placement knew an upstream by the VM's own requests and by the load that the upstream told with an answer to this VM. At 65 VMs a region each sees an engine once in several seconds.

Change: the region's upstreams are divided into four shards with a host VM each, told and answering every 160 ms by datagram (decide::sharing, gateway::share). Placement takes the sum of the other VMs' requests, tokens to read, memory, failures and silence in place of its guesses; uses of shared parts are passed on; a decision compares a few engines that it draws, as many as can't overrun the best one by what comes unseen between two rounds. An upstream that several VMs can't connect to, or of which no VM with requests there has seen anything for longer than its reading explains, is the last resort for all.

--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -10,4 +10,5 @@
 pub mod queue;
 pub mod retry;
 pub mod route;
+pub mod sharing;
 pub mod spill;
--- a/src/decide/place.rs
+++ b/src/decide/place.rs
@@ -21,9 +21,11 @@
 mod health;
 mod model;
 mod regions;
+mod sample;
 mod tracked;
 pub mod wait;
 
+use std::collections::BTreeMap;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -38,6 +40,10 @@
 use self::tracked::Tracked;
 use crate::decide::engine::Output;
 use crate::decide::route::rendezvous;
+use crate::decide::sharing::Key;
+use crate::decide::sharing::Load;
+use crate::decide::sharing::Summary;
+use crate::decide::sharing::Use;
 use crate::id;
 use crate::unit::Slots;
 use crate::unit::Tokens;
@@ -69,6 +75,9 @@
 /// The engines of a region that may hold a shared part: where the first one is behind, all VMs take the same second one.
 const FOUND: usize = 2;
 
+/// Uses that wait to be told, at most: where nobody takes them, the oldest knowledge is the best that others get.
+const MOST_USES: usize = 64;
+
 /// What is known of an upstream besides what its answers tell.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Seen {
@@ -128,6 +137,8 @@
     pub reads: Tokens,
     /// The requests of all VMs there, as far as they are known.
     pub running: u32,
+    /// How long ago it was told what the region's other VMs have there; none where that was not told lately.
+    pub told: Option<Duration>,
     /// The tokens that it reads before the first event, those of other requests included.
     before: Tokens,
 }
@@ -159,16 +170,25 @@
 #[derive(Debug)]
 pub struct Place {
     rng: SmallRng,
-    tracked: HashMap<id::Upstream, Tracked>,
+    /// In an order of their own, so that equal seeds of the random numbers give equal choices.
+    tracked: BTreeMap<id::Upstream, Tracked>,
     models: HashMap<String, Model>,
     /// This VM's place among those that send to them.
     share: Share,
+    /// Uses of shared parts that the other VMs have not been told.
+    uses: Vec<Use>,
 }
 
 impl Place {
     /// Nothing known yet.
     pub fn new(rng: SmallRng) -> Self {
-        Self { rng, tracked: HashMap::new(), models: HashMap::new(), share: Share::new(0, 1) }
+        Self {
+            rng,
+            tracked: BTreeMap::new(),
+            models: HashMap::new(),
+            share: Share::new(0, 1),
+            uses: Vec::new(),
+        }
     }
 
     /// Takes in which upstreams there are, and this VM's place among those that send to them.
@@ -198,49 +218,92 @@
         let nothing = Model::default();
         let model = self.models.get(demand.service).unwrap_or(&nothing);
         let usual = model.usual();
-        let mut best: Option<Fit> = None;
         // First those that are well; where there is none, those that fell silent or failed lately.
+        let mut candidates = Vec::new();
         for is_last_resort in [false, true] {
-            for (id, tracked) in &self.tracked {
-                let fits = tracked.seen.service == demand.service
+            let fits = self.tracked.iter().filter(|(id, tracked)| {
+                tracked.seen.service == demand.service
                     && !demand.tried.contains(id)
-                    && tracked.may_take(is_last_resort, self.share, now);
-                if !fits {
-                    continue;
-                }
-                let guess = match found.iter().position(|found| found == id) {
-                    Some(0) if demand.holds => Guess::Holds,
-                    Some(_) => Guess::MayHold,
-                    None => Guess::Unknown,
-                };
-                let again = tracked.reads_again(&demand.work, guess);
-                let case = tracked.case(model, &usual, demand, again, self.share, now);
-                let estimate = case.estimate(&usual.speed, demand.longest);
-                let drawn: f64 = self.rng.random();
-                let cost = seconds(estimate.cost * (1.0 + JITTER_SHARE * drawn))
-                    + tracked.penalty(now)
-                    + JITTER.mul_f64(drawn);
-                if best.as_ref().is_none_or(|best| cost < best.cost) {
-                    let reads = again + demand.work.own;
-                    best = Some(Fit {
-                        id: id.clone(),
-                        address: tracked.seen.address,
-                        expected: seconds(estimate.first),
-                        whole: seconds(estimate.whole),
-                        cost,
-                        reads,
-                        running: case.running.round() as u32,
-                        before: tracked.backlog(model, self.share, now) + reads,
-                    });
-                }
-            }
-            if best.is_some() {
+                    && tracked.may_take(&usual.speed, is_last_resort, self.share, now)
+            });
+            candidates.extend(fits);
+            if !candidates.is_empty() {
                 break;
             }
         }
+        let is_held = demand.work.shared.is_some_and(|shared| {
+            candidates.iter().any(|(_, tracked)| tracked.is_shared(now) && tracked.holds(&shared))
+        });
+        let most = sample::size(&candidates, model, self.share, now);
+        sample::keep(&mut candidates, most, &mut self.rng, |(id, tracked)| {
+            let holds = demand.work.shared.is_some_and(|shared| tracked.holds(&shared));
+            holds || found.contains(id)
+        });
+        let mut best: Option<Fit> = None;
+        for (id, tracked) in candidates {
+            let guess = match found.iter().position(|found| found == id) {
+                // Where all VMs know who holds the part, nobody takes another engine to hold it.
+                Some(0) if demand.holds && !is_held => Guess::Holds,
+                Some(_) => Guess::MayHold,
+                None => Guess::Unknown,
+            };
+            let again = tracked.reads_again(&demand.work, guess);
+            let case = tracked.case(model, &usual, demand, again, self.share, now);
+            let estimate = case.estimate(&usual.speed, demand.longest);
+            let drawn: f64 = self.rng.random();
+            let cost = seconds(estimate.cost * (1.0 + JITTER_SHARE * drawn))
+                + tracked.penalty(now)
+                + JITTER.mul_f64(drawn);
+            if best.as_ref().is_none_or(|best| cost < best.cost) {
+                let reads = again + demand.work.own;
+                best = Some(Fit {
+                    id: id.clone(),
+                    address: tracked.seen.address,
+                    expected: seconds(estimate.first),
+                    whole: seconds(estimate.whole),
+                    cost,
+                    reads,
+                    running: case.running.round() as u32,
+                    before: tracked.backlog(model, self.share, now) + reads,
+                    told: tracked.told_age(now),
+                });
+            }
+        }
         best
     }
 
+    /// What this VM has at the upstreams of a shard, for the shard's host.
+    pub fn loads(&self, shard: u8, now: Instant) -> Vec<(Key, Load)> {
+        let tracked = self.tracked.values().filter(|tracked| tracked.key().shard() == shard);
+        let loads = tracked.map(|tracked| (tracked.key(), tracked.load(now)));
+        loads.filter(|(_, load)| !load.is_empty()).collect()
+    }
+
+    /// Takes the uses of shared parts at the upstreams of a shard that the others have not been told.
+    pub fn uses(&mut self, shard: u8) -> Vec<Use> {
+        let (taken, left) =
+            self.uses.drain(..).partition(|used: &Use| used.engine.shard() == shard);
+        self.uses = left;
+        taken
+    }
+
+    /// A shard's host told what the other VMs have at its upstreams; they have nothing where it names none.
+    pub fn told(&mut self, summary: &Summary, now: Instant) {
+        let loads: HashMap<Key, Load> = summary.loads.iter().copied().collect();
+        for tracked in self.tracked.values_mut() {
+            let key = tracked.key();
+            if key.shard() != summary.shard {
+                continue;
+            }
+            tracked.told_by_host(loads.get(&key).copied().unwrap_or_default(), now);
+            let uses = summary.uses.iter().filter(|used| used.engine == key);
+            for used in uses {
+                let shared = Shared { key: used.part, tokens: Tokens::new(used.tokens) };
+                tracked.used_by_other(shared, now);
+            }
+        }
+    }
+
     /// How much the region's first engine for a shared part weighs against those of other regions.
     pub fn weight(&self, service: &str, shared: &Shared) -> Option<u64> {
         let weights =
@@ -272,8 +335,14 @@
         if let Some(tracked) = tracked {
             let model = self.models.entry(tracked.seen.service.clone()).or_default();
             rounds = tracked.rounds(tracked.inside(model, self.share, now));
-            model.sent(fit.reads);
+            model.sent(fit.reads, now);
             tracked.sent(work, fit.reads, memory, self.share, now);
+            let shared = work.shared.filter(|_| self.uses.len() < MOST_USES);
+            self.uses.extend(shared.map(|shared| Use {
+                engine: tracked.key(),
+                part: shared.key,
+                tokens: shared.tokens.get(),
+            }));
         }
         Held {
             id: fit.id.clone(),
@@ -294,6 +363,9 @@
     /// An event of its answer, or its whole answer, came.
     pub fn event(&mut self, held: &mut Held, now: Instant) {
         held.events = held.events.saturating_add(1);
+        if let Some(tracked) = self.tracked.get_mut(&held.id) {
+            tracked.heard(now);
+        }
         match held.paced {
             None => self.began(held, now),
             Some(paced) => self.paced(held, paced, now),
@@ -378,7 +450,7 @@
 /// The upstream that runs a request, and what is known of its service; none where the upstream is gone or has started
 /// again, so that it knows nothing of the request.
 fn held_at<'a>(
-    tracked: &'a mut HashMap<id::Upstream, Tracked>,
+    tracked: &'a mut BTreeMap<id::Upstream, Tracked>,
     models: &'a mut HashMap<String, Model>,
     held: &Held,
 ) -> Option<(&'a mut Tracked, &'a mut Model)> {
--- a/src/decide/place/health.rs
+++ b/src/decide/place/health.rs
@@ -44,11 +44,45 @@
     Abandoned,
 }
 
+/// From so many answers of all VMs on, their share of failures counts and not the own one: a VM that has had two answers of
+/// an upstream would take one failure for half of all.
+const ENOUGH: f64 = 8.0;
+
+/// Failures and good answers of late, each fading with [`FADE`].
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct Evidence {
+    /// Requests that ended well.
+    pub answered: f64,
+    /// Requests that failed.
+    pub failed: f64,
+}
+
+impl Evidence {
+    fn aged(self, age: Duration) -> Self {
+        let fresh = fresh(age);
+        Self { answered: self.answered * fresh, failed: self.failed * fresh }
+    }
+
+    fn with(self, other: Self) -> Self {
+        Self { answered: self.answered + other.answered, failed: self.failed + other.failed }
+    }
+
+    fn total(self) -> f64 {
+        self.answered + self.failed
+    }
+}
+
+/// What is left of a record after that time.
+fn fresh(age: Duration) -> f64 {
+    (-age.as_secs_f64() / FADE.as_secs_f64()).exp()
+}
+
 /// The record of one upstream.
 #[derive(Debug, Default)]
 pub struct Health {
     failing: Ewma,
     last: Option<Instant>,
+    evidence: Evidence,
     unreachable: u32,
     away_until: Option<Instant>,
 }
@@ -78,17 +112,32 @@
         self.away_until.is_some_and(|until| now < until)
     }
 
-    /// What its failures cost, as a wait.
-    pub fn penalty(&self, is_engine: bool, now: Instant) -> Duration {
-        let share = self.failing.get().unwrap_or(0.0);
-        let age = self.last.map_or(Duration::ZERO, |last| now.saturating_duration_since(last));
+    /// What this VM saw of late.
+    pub fn evidence(&self, now: Instant) -> Evidence {
+        self.evidence.aged(self.age(now))
+    }
+
+    /// What its failures cost, as a wait, beside what other VMs of the region saw of it.
+    pub fn penalty(&self, is_engine: bool, others: Evidence, now: Instant) -> Duration {
+        let all = self.evidence(now).with(others);
+        let (share, weight) = if all.total() >= ENOUGH {
+            (all.failed / all.total(), 1.0)
+        } else {
+            (self.failing.get().unwrap_or(0.0), fresh(self.age(now)))
+        };
         // A single failure among ten answers is chance as a rule. If an engine were left alone for it, its part of the load
         // would fall on the others: at the peak, one of eight engines of a region stood idle for ten seconds.
         let failure = if is_engine { cost::LOST.mul_f64(share) } else { PLAIN_FAILURE };
-        failure.mul_f64(share * (-age.as_secs_f64() / FADE.as_secs_f64()).exp())
+        failure.mul_f64(share * weight)
+    }
+
+    fn age(&self, now: Instant) -> Duration {
+        self.last.map_or(Duration::ZERO, |last| now.saturating_duration_since(last))
     }
 
     fn note(&mut self, failure: f64, now: Instant) {
+        let before = self.evidence(now);
+        self.evidence = before.with(Evidence { answered: 1.0 - failure, failed: failure });
         self.failing.add(failure);
         self.last = Some(now);
     }
--- a/src/decide/place/model.rs
+++ b/src/decide/place/model.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use tokio::time::Instant;
+
 use super::tracked::Report;
 use crate::decide::engine::Engine;
 use crate::decide::engine::Length;
@@ -31,11 +33,35 @@
     pub output: Output,
 }
 
+/// The time over which a VM measures how many requests it gets.
+const MEASURED: Duration = Duration::from_secs(2);
+
+/// How often requests come.
+#[derive(Debug, Clone, Copy, Default)]
+struct Arrivals {
+    count: f64,
+    last: Option<Instant>,
+}
+
+impl Arrivals {
+    fn add(&mut self, now: Instant) {
+        self.count = self.left(now) + 1.0;
+        self.last = Some(now);
+    }
+
+    /// Arrivals in the last [`MEASURED`] or so.
+    fn left(&self, now: Instant) -> f64 {
+        let age = self.last.map_or(Duration::ZERO, |last| now.saturating_duration_since(last));
+        self.count * (-age.as_secs_f64() / MEASURED.as_secs_f64()).exp()
+    }
+}
+
 /// What is known of a service's requests.
 #[derive(Debug, Clone, Default)]
 pub struct Model {
     served: Ewma,
     reads: Ewma,
+    arrivals: Arrivals,
     running: Ewma,
     waiting: Ewma,
     /// How fast its engines are.
@@ -64,8 +90,14 @@
 
 impl Model {
     /// A request was sent that has so much to read.
-    pub fn sent(&mut self, reads: Tokens) {
+    pub fn sent(&mut self, reads: Tokens, now: Instant) {
         self.reads.add(reads.get() as f64);
+        self.arrivals.add(now);
+    }
+
+    /// The requests that this VM sends to the service in a second.
+    pub fn rate(&self, now: Instant) -> f64 {
+        self.arrivals.left(now) / MEASURED.as_secs_f64()
     }
 
     /// A request occupied its place for so long, where it had to wait until that many rounds of others had ended before
--- a/src/decide/place/regions.rs
+++ b/src/decide/place/regions.rs
@@ -23,6 +23,7 @@
 use tokio::time::Instant;
 
 use super::cost::Case;
+use super::health::Evidence;
 use super::health::Health;
 use super::health::Outcome;
 use super::model::Shared;
@@ -212,7 +213,8 @@
             |(_, at): &(Outlook, Instant)| now.saturating_duration_since(*at) < OUTLOOK_TIME;
         let told = other.outlooks[usize::from(passage.urgent)];
         let outlook = told.filter(fresh).map_or(unknown, |(outlook, _)| outlook);
-        (outlook, other.health.penalty(passage.work.own > Tokens::ZERO, now))
+        let is_engine = passage.work.own > Tokens::ZERO;
+        (outlook, other.health.penalty(is_engine, Evidence::default(), now))
     }
 
     fn other(&mut self, region: &id::Region, service: &str) -> &mut Other {
--- a/src/decide/place/tracked.rs
+++ b/src/decide/place/tracked.rs
@@ -11,12 +11,18 @@
 use super::cold::Pace;
 use super::cold::Share;
 use super::cost::Case;
+use super::health::Evidence;
 use super::health::Health;
 use super::health::Outcome;
 use super::model::Model;
+use super::model::Shared;
 use super::model::Usual;
 use super::model::Work;
 use crate::decide::engine::Quantile;
+use crate::decide::engine::Speed;
+use crate::decide::sharing;
+use crate::decide::sharing::Key;
+use crate::decide::sharing::Load;
 use crate::unit::Tokens;
 
 /// What a report told of running requests fades within one service time, but no faster than this: reports lag by some
@@ -35,6 +41,11 @@
 /// away from full engines, half as often, and urgent requests were served in 94 of 100 cases instead of 87.
 const CROWDED: f64 = 0.9;
 
+/// An upstream with requests of which no VM has seen anything for so long, and for twice the time that it needs to read what
+/// waits there, has gone dark.
+const DARK: Duration = Duration::from_millis(700);
+const DARK_READS: f64 = 2.0;
+
 /// What an upstream told of its load.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Report {
@@ -67,6 +78,7 @@
 pub struct Tracked {
     /// What was announced.
     pub seen: Seen,
+    key: Key,
     running: u32,
     /// Of the running ones, those whose first event hasn't come.
     unread: u32,
@@ -75,6 +87,12 @@
     /// What this VM's running requests keep in memory, shared parts aside.
     memory: Tokens,
     told: Option<Told>,
+    /// What the other VMs of the region have there, as its shard's host told, and when.
+    others: Option<(Load, Instant)>,
+    /// When anything came from it last.
+    heard: Option<Instant>,
+    /// Since when this VM has had requests there without a gap.
+    busy_since: Option<Instant>,
     /// Its pauses, with what it reads in them, against those of the service's engines that read nothing.
     slowness: Quantile,
     health: Health,
@@ -86,12 +104,16 @@
     /// An upstream that has just been heard of.
     pub fn new(seen: Seen) -> Self {
         Self {
+            key: Key::new(&seen.id, seen.born),
             seen,
             running: 0,
             unread: 0,
             unread_tokens: Tokens::ZERO,
             memory: Tokens::ZERO,
             told: None,
+            others: None,
+            heard: None,
+            busy_since: None,
             slowness: Quantile::default(),
             health: Health::default(),
             cache: Cache::default(),
@@ -114,8 +136,17 @@
     }
 
     /// Whether it may get a request now.
-    pub fn may_take(&self, is_last_resort: bool, share: Share, now: Instant) -> bool {
-        let is_well = !self.seen.silent && !self.health.is_away(now);
+    pub fn may_take(
+        &self,
+        speed: &Speed,
+        is_last_resort: bool,
+        share: Share,
+        now: Instant,
+    ) -> bool {
+        let is_well = !self.seen.silent
+            && !self.health.is_away(now)
+            && !self.is_unreachable(now)
+            && !self.is_dark(speed, now);
         self.seen.open
             && self.running < self.seen.connections
             && (is_well || is_last_resort)
@@ -158,7 +189,8 @@
         };
         let reads = (again + demand.work.own).get() as f64;
         let before = self.backlog(model, share, now).get() as f64 + reads;
-        let thrown_out = self.thrown_out(&demand.work, memory, demand.urgent, share, inside);
+        let promised = self.promised(&demand.work, share, inside, now);
+        let thrown_out = self.thrown_out(promised, memory, demand.urgent, inside);
         let slowness = self.slowness(usual);
         // First events were measured at engines that read beside them as a rule.
         let against_others = slowness / usual.slowness;
@@ -174,22 +206,28 @@
 
     /// The tokens that it has to read before it gets to another request.
     pub fn backlog(&self, model: &Model, share: Share, now: Instant) -> Tokens {
+        if let Some(load) = self.region(now) {
+            return self.unread_tokens + Tokens::new(load.unread_tokens);
+        }
         let (_, others_waiting) = self.others(model, share, now);
         self.unread_tokens + Tokens::new((others_waiting * model.mean_reads()) as u64)
     }
 
+    /// The tokens that all running requests and this one will have in memory. Where others' are not known, they are taken to
+    /// be like the own ones.
+    fn promised(&self, work: &Work, share: Share, inside: f64, now: Instant) -> f64 {
+        let own = (self.memory + work.own + work.output.likely()).get() as f64;
+        match self.region(now) {
+            Some(load) => own + load.memory as f64,
+            None => {
+                let alike = (inside + 1.0) / f64::from(self.running + 1);
+                own * f64::from(share.senders()).min(alike)
+            }
+        }
+    }
+
     /// The seconds that a request is expected to lose because it is thrown out and read again.
-    fn thrown_out(
-        &self,
-        work: &Work,
-        memory: Tokens,
-        urgent: bool,
-        share: Share,
-        inside: f64,
-    ) -> f64 {
-        let senders = f64::from(share.senders());
-        let promised = (self.memory + work.own + work.output.likely()).get() as f64
-            * senders.min((inside + 1.0) / f64::from(self.running + 1));
+    fn thrown_out(&self, promised: f64, memory: Tokens, urgent: bool, inside: f64) -> f64 {
         let over = (promised / memory.get().max(1) as f64 - 1.0).clamp(0.0, 1.0);
         let chance = if urgent { over } else { over.max(self.crowd(inside)) };
         PREEMPTION.as_secs_f64() * chance
@@ -231,12 +269,101 @@
 
     /// What its failures cost, as a wait.
     pub fn penalty(&self, now: Instant) -> Duration {
-        self.health.penalty(self.seen.memory.is_some(), now)
+        let others = self.region(now).map_or_else(Evidence::default, |load| Evidence {
+            answered: f64::from(load.answered),
+            failed: f64::from(load.failed),
+        });
+        self.health.penalty(self.seen.memory.is_some(), others, now)
+    }
+
+    /// Names this start of it among the VMs of the region.
+    pub fn key(&self) -> Key {
+        self.key
+    }
+
+    /// How long ago it was told what the other VMs of the region have there; none where that counts no more.
+    pub fn told_age(&self, now: Instant) -> Option<Duration> {
+        let (_, at) = self.others?;
+        let age = now.saturating_duration_since(at);
+        (age < sharing::FRESH).then_some(age)
+    }
+
+    /// Whether the VMs of the region share what they have there at present.
+    pub fn is_shared(&self, now: Instant) -> bool {
+        self.told_age(now).is_some()
+    }
+
+    /// What the other VMs of the region have there, where that was told lately.
+    pub fn region(&self, now: Instant) -> Option<Load> {
+        let age = self.told_age(now)?;
+        self.others.map(|(load, _)| load.aged(age))
+    }
+
+    /// Takes what the other VMs of the region have there.
+    pub fn told_by_host(&mut self, load: Load, now: Instant) {
+        self.others = Some((load, now));
+    }
+
+    /// Another VM sent a prompt with that part there.
+    pub fn used_by_other(&mut self, shared: Shared, now: Instant) {
+        if let Some(memory) = self.seen.memory {
+            self.cache.used(shared, memory, now);
+        }
+    }
+
+    /// Whether it is known to hold the part.
+    pub fn holds(&self, shared: &Shared) -> bool {
+        self.cache.holds(shared)
+    }
+
+    /// What this VM has there, for the others.
+    pub fn load(&self, now: Instant) -> Load {
+        let since = |then: Option<Instant>| then.map(|then| now.saturating_duration_since(then));
+        let (heard, busy) = (since(self.heard), since(self.busy_since));
+        let quiet = busy.map(|busy| heard.map_or(busy, |heard| heard.min(busy)));
+        let evidence = self.health.evidence(now);
+        Load {
+            running: self.running,
+            unread: self.unread,
+            unread_tokens: self.unread_tokens.get(),
+            memory: self.memory.get(),
+            answered: evidence.answered.round() as u32,
+            failed: evidence.failed.round() as u32,
+            unreachable: u32::from(self.health.is_away(now)),
+            heard,
+            quiet: quiet.unwrap_or_default(),
+        }
+    }
+
+    /// Whether several other VMs can't connect to it, and none had an answer of it lately.
+    ///
+    /// Failure: an engine crashes, and each VM of the region loses a request of its own to find that out.
+    fn is_unreachable(&self, now: Instant) -> bool {
+        self.region(now).is_some_and(|load| load.unreachable >= 2 && load.answered == 0)
+    }
+
+    /// Whether VMs wait for it and none has seen anything of it for longer than what waits there explains.
+    ///
+    /// Failure: an engine goes dark without closing its connections. It answers nobody, so nothing speaks against it, and its
+    /// requests wait until their time is over.
+    fn is_dark(&self, speed: &Speed, now: Instant) -> bool {
+        let own = self.load(now);
+        let all = self.region(now).map_or(own, |others| own.with(others));
+        let reads = speed.reading(all.unread_tokens as f64);
+        let patience =
+            DARK + Duration::try_from_secs_f64(DARK_READS * reads).unwrap_or(Duration::MAX);
+        all.quiet > patience && all.heard.is_none_or(|heard| heard > patience)
+    }
+
+    /// Something came from it.
+    pub fn heard(&mut self, now: Instant) {
+        self.heard = Some(now);
     }
 
     /// A request goes there.
     pub fn sent(&mut self, work: &Work, reads: Tokens, memory: Tokens, share: Share, now: Instant) {
         self.running += 1;
+        self.busy_since.get_or_insert(now);
         self.unread += 1;
         self.unread_tokens += reads;
         self.memory += memory;
@@ -258,6 +385,12 @@
     pub fn ended(&mut self, memory: Tokens, outcome: Outcome, now: Instant) {
         self.running = self.running.saturating_sub(1);
         self.memory = self.memory.saturating_sub(memory);
+        if self.running == 0 {
+            self.busy_since = None;
+        }
+        if matches!(outcome, Outcome::Answered | Outcome::Refused | Outcome::Error) {
+            self.heard(now);
+        }
         self.health.take(outcome, now);
     }
 
@@ -277,6 +410,9 @@
     /// other engines. A VM that sends an engine one request in ten seconds hears of it as seldom: if it took old counts for
     /// new ones, or its own request for one of each VM's, it would choose among loads that are not there.
     fn others(&self, model: &Model, share: Share, now: Instant) -> (f64, f64) {
+        if let Some(load) = self.region(now) {
+            return (f64::from(load.running - load.unread), f64::from(load.unread));
+        }
         let own_running = f64::from(self.running - self.unread);
         let own_waiting = f64::from(self.unread);
         let others = f64::from(share.senders() - 1);
--- /dev/null
+++ b/src/decide/sharing/message.rs
@@ -0,0 +1,114 @@
+//! What a VM and a host say to each other.
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use super::Key;
+use super::Load;
+use super::SHARDS;
+
+/// The entries of a message at most; a datagram of an absurd size is dropped unread.
+const MOST: usize = 1000;
+
+/// One datagram.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Message {
+    /// A VM tells a host.
+    #[serde(rename = "u")]
+    Update(Update),
+    /// A host answers.
+    #[serde(rename = "s")]
+    Summary(Summary),
+}
+
+/// Up to where a VM knows a host's list of uses.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Position {
+    /// The host's start.
+    #[serde(rename = "h")]
+    pub host: u64,
+    /// The uses before this one are known.
+    #[serde(rename = "n")]
+    pub next: u64,
+}
+
+/// A prompt with that shared part was sent to an engine, which holds the part from then on.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Use {
+    /// The engine.
+    #[serde(rename = "e")]
+    pub engine: Key,
+    /// Names the part.
+    #[serde(rename = "p")]
+    pub part: u64,
+    /// Its length in tokens.
+    #[serde(rename = "t")]
+    pub tokens: u64,
+}
+
+/// All that a VM has at the upstreams of a shard.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Update {
+    /// The shard.
+    #[serde(rename = "s")]
+    pub shard: u8,
+    /// Tells one start of the VM from another.
+    #[serde(rename = "b")]
+    pub start: u64,
+    /// Counts the updates of that start; a later one replaces an earlier one.
+    #[serde(rename = "n")]
+    pub number: u64,
+    /// What it has; nothing where an upstream is not named.
+    #[serde(rename = "l")]
+    pub loads: Vec<(Key, Load)>,
+    /// Shared parts that it has used and the host has not confirmed.
+    #[serde(rename = "u")]
+    pub uses: Vec<Use>,
+    /// The uses of others that it knows.
+    #[serde(rename = "k")]
+    pub known: Position,
+}
+
+/// A host's answer to an update: what all other VMs have.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Summary {
+    /// The shard.
+    #[serde(rename = "s")]
+    pub shard: u8,
+    /// The number of the update that it answers.
+    #[serde(rename = "n")]
+    pub number: u64,
+    /// The sums over all VMs but the asking one; nothing where an upstream is not named.
+    #[serde(rename = "l")]
+    pub loads: Vec<(Key, Load)>,
+    /// Uses that the asking VM did not know.
+    #[serde(rename = "u")]
+    pub uses: Vec<Use>,
+    /// Up to where it knows them with these.
+    #[serde(rename = "k")]
+    pub known: Position,
+}
+
+impl Message {
+    /// The bytes of a datagram.
+    pub fn encode(&self) -> Vec<u8> {
+        let mut bytes = Vec::with_capacity(512);
+        ciborium::into_writer(self, &mut bytes).expect("writing to memory does not fail");
+        bytes
+    }
+
+    /// The message of a datagram; none where it is none, or says what can't be.
+    pub fn decode(bytes: &[u8]) -> Option<Self> {
+        let message: Self = ciborium::from_reader(bytes).ok()?;
+        let (shard, loads, uses) = match &message {
+            Self::Update(update) => (update.shard, &update.loads, &update.uses),
+            Self::Summary(summary) => (summary.shard, &summary.loads, &summary.uses),
+        };
+        let is_sound = shard < SHARDS
+            && loads.len() <= MOST
+            && uses.len() <= MOST
+            && loads.iter().all(|(key, load)| key.shard() == shard && load.is_sound())
+            && uses.iter().all(|used| used.engine.shard() == shard);
+        is_sound.then_some(message)
+    }
+}
--- a/src/gateway/daemon.rs
+++ b/src/gateway/daemon.rs
@@ -20,6 +20,7 @@
 use super::Hub;
 use super::follow;
 use super::receive;
+use super::share;
 use crate::entry::daemon::Error;
 use crate::entry::daemon::listen;
 use crate::http::Body;
@@ -85,6 +86,14 @@
         }
         let (following, stop) = (hub.clone(), supervisor.stop());
         supervisor.child("following", move || follow::run(following.clone(), stop.clone()));
+        if node.secret.is_empty() {
+            let (hub, stop, address) = (hub.clone(), supervisor.stop(), entry.forwards);
+            supervisor
+                .child("sharing", move || share::run(hub.clone(), address, seed, stop.clone()));
+        } else {
+            // Datagrams bear no proof of who sent them, so they are for networks that only VMs of the system reach.
+            info!(log, "sharing.off"; "why" => "the network is not closed");
+        }
         info!(log, "process.started"; "version" => env!("CARGO_PKG_VERSION"),
             "region" => %node.region, "data_centre" => %node.data_centre, "born" => born);
         Ok(Self { hub, supervisor })
--- a/src/gateway/hub.rs
+++ b/src/gateway/hub.rs
@@ -8,6 +8,7 @@
 use std::sync::MutexGuard;
 use std::sync::OnceLock;
 use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicU64;
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -93,6 +94,8 @@
     started: Instant,
     closed: AtomicBool,
     in_progress: AtomicUsize,
+    /// When a request came last, in milliseconds since the start.
+    last_request: AtomicU64,
     metrics: Metrics,
 }
 
@@ -148,6 +151,7 @@
             started: Instant::now(),
             closed: AtomicBool::new(false),
             in_progress: AtomicUsize::new(0),
+            last_request: AtomicU64::new(0),
             metrics: Metrics::default(),
         }
     }
@@ -284,6 +288,8 @@
     /// Counts a request in until it is dropped.
     pub fn enter(self: &Arc<Self>) -> InProgress {
         self.in_progress.fetch_add(1, Ordering::Relaxed);
+        let since = self.started.elapsed().as_millis() as u64;
+        self.last_request.store(since, Ordering::Relaxed);
         InProgress(self.clone())
     }
 
@@ -292,6 +298,20 @@
         self.in_progress.load(Ordering::Relaxed)
     }
 
+    /// How long no request has come, nor is in progress.
+    pub fn idle_for(&self) -> Duration {
+        if self.in_progress() > 0 {
+            return Duration::ZERO;
+        }
+        let last = Duration::from_millis(self.last_request.load(Ordering::Relaxed));
+        self.started.elapsed().saturating_sub(last)
+    }
+
+    /// Rings when the routing state or the roster has changed.
+    pub(super) fn news(&self) -> watch::Receiver<()> {
+        self.news.subscribe()
+    }
+
     /// The next statement of this VM about itself.
     pub fn state_presence(&self) -> Presence {
         let ready = self.takes_requests();
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -23,6 +23,7 @@
     ended: Family<Ended, Counter>,
     attempts: Family<Ended, Counter>,
     first_event: Histogram,
+    sharing_dropped: Counter,
     upstreams: Gauge,
     vms: Gauge,
     in_progress: Gauge,
@@ -44,6 +45,9 @@
         let first_event = times();
         let text = "Seconds from arrival to the head of the answer";
         registry.register("first_event_seconds", text, first_event.clone());
+        let sharing_dropped = Counter::default();
+        let text = "Datagrams of no VM of the region, or without sense";
+        registry.register("sharing_dropped", text, sharing_dropped.clone());
         let upstreams = Gauge::default();
         registry.register("upstreams", "Upstreams that take requests", upstreams.clone());
         let vms = Gauge::default();
@@ -52,7 +56,17 @@
         registry.register("in_progress", "Requests in progress", in_progress.clone());
         let version = Gauge::default();
         registry.register("document_version", "Number of the document in force", version.clone());
-        Self { registry, ended, attempts, first_event, upstreams, vms, in_progress, version }
+        Self {
+            registry,
+            ended,
+            attempts,
+            first_event,
+            sharing_dropped,
+            upstreams,
+            vms,
+            in_progress,
+            version,
+        }
     }
 }
 
@@ -72,6 +86,11 @@
         self.first_event.observe(took.as_secs_f64());
     }
 
+    /// A datagram came that no VM of the region can have sent, or that has no sense.
+    pub fn sharing_dropped(&self) {
+        self.sharing_dropped.inc();
+    }
+
     /// The metrics as text, with gauges as they stand now.
     pub fn encode(&self, upstreams: usize, vms: usize, in_progress: usize, version: u64) -> String {
         self.upstreams.set(upstreams as i64);
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -16,6 +16,7 @@
 pub mod metrics;
 pub mod receive;
 pub mod relay;
+pub mod share;
 pub mod stream;
 
 pub use adapter::Adapter;
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -131,6 +131,14 @@
         }
     }
 
+    /// The age of what the region's other VMs told of it, in milliseconds; none where this VM decides by its own view.
+    fn told_ms(&self) -> Option<u64> {
+        match self {
+            Self::Here(fit) => fit.told.map(|age| age.as_millis() as u64),
+            Self::There { .. } => None,
+        }
+    }
+
     /// Who it is, for the log.
     fn target(&self) -> Target {
         match self {
@@ -342,7 +350,7 @@
             "attempt" => self.attempts() + 1, "target" => ?target,
             "expected_ms" => chosen.expected().as_millis() as u64,
             "whole_ms" => chosen.whole().as_millis() as u64,
-            "beside" => chosen.beside(), "reads" => chosen.reads(),
+            "beside" => chosen.beside(), "told_ms" => chosen.told_ms(), "reads" => chosen.reads(),
             "own" => self.work.own.get(),
             "shared" => self.work.shared.map(|shared| format!("{:x}", shared.key)));
         (Claim::new(self.hub.clone(), target, service, held), address)
--- /dev/null
+++ b/src/gateway/share.rs
@@ -0,0 +1,237 @@
+//! Sharing with the entry VMs of the region what this VM has at their upstreams; [`sharing`](crate::decide::sharing) tells
+//! why, and decides.
+//!
+//! Messages are datagrams: each holds a whole state with a number, and the next one follows within a fifth of a second, so
+//! nothing is gained by sending a lost one again. They go to the port at which a VM takes requests that others pass on.
+
+use std::collections::HashMap;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::time::Duration;
+
+use slog::info;
+use slog::warn;
+use tokio::net::UdpSocket;
+use tokio::sync::watch;
+use tokio::time;
+use tokio::time::Instant;
+
+use super::Hub;
+use crate::decide::sharing::Aggregator;
+use crate::decide::sharing::Hosts;
+use crate::decide::sharing::Message;
+use crate::decide::sharing::Position;
+use crate::decide::sharing::ROUND;
+use crate::decide::sharing::SHARDS;
+use crate::decide::sharing::Summary;
+use crate::decide::sharing::Update;
+use crate::decide::sharing::Use;
+use crate::id;
+use crate::roster::Standing;
+use crate::wire::Role;
+
+/// A datagram is no longer than this.
+const MOST_BYTES: usize = 64 * 1024;
+
+/// A VM that has had no request for so long says nothing. What it knows when one comes is a round old at most.
+const IDLE: Duration = Duration::from_secs(2);
+
+/// Uses that no host has confirmed are told again in later updates, so many at most.
+const MOST_USES: usize = 64;
+
+/// What this VM tells and is told of one shard.
+#[derive(Debug, Default)]
+struct Shard {
+    /// Up to where the others' uses are known.
+    known: Position,
+    /// Own uses that are not confirmed, each with the first update that told it.
+    uses: Vec<(u64, Use)>,
+}
+
+/// Who can be talked to.
+#[derive(Debug, Default)]
+struct Book {
+    addresses: HashMap<id::Vm, SocketAddr>,
+    vms: HashMap<SocketAddr, id::Vm>,
+}
+
+#[derive(Debug)]
+struct State {
+    book: Book,
+    hosts: Hosts,
+    aggregator: Aggregator,
+    shards: Vec<Shard>,
+}
+
+/// This VM's part in the sharing.
+#[derive(Debug)]
+pub struct Sharing {
+    socket: UdpSocket,
+    /// Tells this start of the VM from another.
+    start: u64,
+    state: Mutex<State>,
+}
+
+impl Sharing {
+    /// Takes datagrams at that address. `start` tells this start of the VM from its others.
+    pub async fn bind(address: SocketAddr, start: u64) -> io::Result<Self> {
+        let state = State {
+            book: Book::default(),
+            hosts: Hosts::new(),
+            aggregator: Aggregator::new(start),
+            shards: (0..SHARDS).map(|_| Shard::default()).collect(),
+        };
+        let socket = UdpSocket::bind(address).await?;
+        Ok(Self { socket, start, state: Mutex::new(state) })
+    }
+
+    /// Tells and listens until told to stop.
+    pub async fn run(&self, hub: &Hub, mut stop: watch::Receiver<bool>) {
+        tokio::select! {
+            () = self.tell(hub) => (),
+            () = self.listen(hub) => (),
+            _ = stop.wait_for(|stop| *stop) => (),
+        }
+    }
+
+    /// The shards' hosts are told one after the other, each once a [`ROUND`].
+    async fn tell(&self, hub: &Hub) {
+        let mut news = hub.news();
+        self.meet(hub);
+        let mut turns = time::interval(ROUND / u32::from(SHARDS));
+        turns.set_missed_tick_behavior(time::MissedTickBehavior::Delay);
+        for shard in (0..SHARDS).cycle() {
+            turns.tick().await;
+            if news.has_changed().unwrap_or(false) {
+                news.mark_unchanged();
+                self.meet(hub);
+            }
+            if hub.idle_for() < IDLE {
+                self.tell_shard(hub, shard).await;
+            }
+        }
+    }
+
+    /// Takes in which VMs there are in this region.
+    fn meet(&self, hub: &Hub) {
+        let mut book = Book::default();
+        let mut ready = Vec::new();
+        {
+            let merged = hub.merged();
+            let here = merged.vms(Role::Entry).filter(|vm| vm.region == hub.node().region);
+            for (vm, address) in here.filter_map(|vm| Some((vm, vm.forwards?))) {
+                book.addresses.insert(vm.vm.clone(), address);
+                book.vms.insert(address, vm.vm.clone());
+                if vm.ready && vm.standing == Standing::Ready {
+                    ready.push(vm.vm.clone());
+                }
+            }
+        }
+        let mut state = self.state();
+        state.book = book;
+        state.hosts.sync(&ready);
+    }
+
+    async fn tell_shard(&self, hub: &Hub, shard: u8) {
+        let now = Instant::now();
+        let Some(turn) = self.state().hosts.next(shard, now) else { return };
+        if let Some(lost) = &turn.lost {
+            warn!(hub.log(), "sharing.host_lost"; "shard" => shard, "host" => %lost, "next" => %turn.host);
+        }
+        let (loads, used) = {
+            let mut place = hub.place();
+            (place.loads(shard, now), place.uses(shard))
+        };
+        let update = self.update(shard, turn.number, loads, used);
+        let me = hub.node().vm();
+        if turn.host == me {
+            let summary = self.state().aggregator.take(&me, update, now);
+            if let Some(summary) = summary {
+                self.take_summary(hub, &me, summary, now);
+            }
+            return;
+        }
+        let Some(address) = self.state().book.addresses.get(&turn.host).copied() else { return };
+        self.send(address, &Message::Update(update)).await;
+    }
+
+    fn update(
+        &self,
+        shard: u8,
+        number: u64,
+        loads: Vec<(crate::decide::sharing::Key, crate::decide::sharing::Load)>,
+        used: Vec<Use>,
+    ) -> Update {
+        let mut state = self.state();
+        let of_shard = &mut state.shards[usize::from(shard)];
+        of_shard.uses.extend(used.into_iter().map(|used| (number, used)));
+        let over = of_shard.uses.len().saturating_sub(MOST_USES);
+        of_shard.uses.drain(..over);
+        let uses = of_shard.uses.iter().map(|(_, used)| *used).collect();
+        Update { shard, start: self.start, number, loads, uses, known: of_shard.known }
+    }
+
+    async fn listen(&self, hub: &Hub) {
+        let mut bytes = vec![0; MOST_BYTES];
+        loop {
+            // An error here is that of a datagram sent before, to a VM that is gone; the next call waits again.
+            let Ok((length, from)) = self.socket.recv_from(&mut bytes).await else { continue };
+            let from = self.state().book.vms.get(&from).cloned();
+            let message = Message::decode(&bytes[..length]);
+            let (Some(from), Some(message)) = (from, message) else {
+                hub.metrics().sharing_dropped();
+                continue;
+            };
+            self.take(hub, &from, message).await;
+        }
+    }
+
+    async fn take(&self, hub: &Hub, from: &id::Vm, message: Message) {
+        let now = Instant::now();
+        match message {
+            Message::Update(update) => {
+                let summary = self.state().aggregator.take(from, update, now);
+                let address = self.state().book.addresses.get(from).copied();
+                if let (Some(summary), Some(address)) = (summary, address) {
+                    self.send(address, &Message::Summary(summary)).await;
+                }
+            }
+            Message::Summary(summary) => self.take_summary(hub, from, summary, now),
+        }
+    }
+
+    fn take_summary(&self, hub: &Hub, from: &id::Vm, summary: Summary, now: Instant) {
+        {
+            let mut state = self.state();
+            if !state.hosts.answered(from, &summary, now) {
+                return;
+            }
+            let shard = &mut state.shards[usize::from(summary.shard)];
+            shard.known = summary.known;
+            shard.uses.retain(|(number, _)| *number > summary.number);
+        }
+        hub.place().told(&summary, now);
+    }
+
+    async fn send(&self, to: SocketAddr, message: &Message) {
+        // Nothing is done about a datagram that can't be sent: the next one holds all that it held, and a host that stays
+        // without any is replaced.
+        self.socket.send_to(&message.encode(), to).await.ok();
+    }
+
+    fn state(&self) -> std::sync::MutexGuard<'_, State> {
+        self.state.lock().expect("no panic while locked")
+    }
+}
+
+/// Shares until told to stop. Where the port can't be had, this VM goes on by its own view.
+pub async fn run(hub: Arc<Hub>, address: SocketAddr, start: u64, stop: watch::Receiver<bool>) {
+    match Sharing::bind(address, start).await {
+        Ok(sharing) => sharing.run(&hub, stop).await,
+        Err(error) => {
+            info!(hub.log(), "sharing.off"; "address" => %address, "why" => %error);
+        }
+    }
+}
