Control tells each entry VM less over the lines between regions

Cause: each of 195 entry VMs follows a control VM of its own region and one of another.

Change: what is known of a control VM's table outlives its loss; the second control VM tells of entry VMs of the own region alone, and VMs of other regions stay as they were while nobody tells of them; statements have short names on the wire (the long ones are still read).

Tests: a_control_vm_that_is_followed_again_tells_only_what_changed fails before (it was asked for from 0); other_regions_vms_stay_while_nobody_tells_of_them guards the new scope.

--- a/src/directory/service.rs
+++ b/src/directory/service.rs
@@ -276,6 +276,10 @@
         };
         time::timeout(WATCH, lacks).await.ok();
         let roster = self.table().delta(have, Instant::now());
+        let roster = match (roster, &follow.entry_vms_of) {
+            (Some(delta), Some(region)) => Some(delta.without_entry_vms_but_of(region)),
+            (roster, _) => roster,
+        };
         let routing = self.routing.borrow().clone();
         let routing = (routing.revision > follow.routing).then_some(routing);
         let in_touch = *self.in_touch.borrow();
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -27,6 +27,11 @@
 
 /// The control VMs that are followed at a time, and the place of one more while none of them is in touch.
 const FOLLOWED: usize = 3;
+/// The place whose control VM tells of the entry VMs of all regions; the others tell of the own region's.
+///
+/// Failure: a hundred VMs are restarted in turn, and each of two hundred is told by two control VMs of each step of each of
+/// them. Of the VMs of other regions any few that take requests suffice, and one source for them.
+const WHOLE: usize = 0;
 /// The place of the one more.
 const SPARE: usize = 2;
 /// A call that waits for news is answered within [`WATCH`](crate::directory::service::WATCH) and a trip between regions; a VM that takes longer has
@@ -117,7 +122,7 @@
     let peer = Peer::new(vm.clone(), Role::Control);
     loop {
         draining.mark_unchanged();
-        let asked = ask(hub, &peer);
+        let asked = ask(hub, &peer, nth);
         let followed = tokio::select! {
             followed = asked => followed,
             // What this VM says of itself has changed, and must be known before the present call returns.
@@ -133,10 +138,12 @@
     }
 }
 
-async fn ask(hub: &Hub, peer: &Peer) -> Option<Followed> {
-    let (epoch, roster) = hub.merged().known(&peer.vm);
-    let routing = hub.routing().revision;
-    let follow = Follow { presence: hub.state_presence(), epoch, roster, routing };
+async fn ask(hub: &Hub, peer: &Peer, nth: usize) -> Option<Followed> {
+    let region = Some(&hub.node().region).filter(|_| nth != WHOLE);
+    let (epoch, roster) = hub.merged().ask(&peer.vm, region);
+    let (presence, routing) = (hub.state_presence(), hub.routing().revision);
+    let entry_vms_of = region.cloned();
+    let follow = Follow { presence, epoch, roster, entry_vms_of, routing };
     let reply = hub.mesh()?.call(peer, Request::Follow(Box::new(follow)), LIMIT).await;
     match reply {
         Ok(Reply::Followed(followed)) => Some(*followed),
--- a/src/roster/announcement.rs
+++ b/src/roster/announcement.rs
@@ -33,31 +33,41 @@
     pub version: u64,
 }
 
-/// What an upstream says of itself.
+/// What an upstream says of itself. Its names are short on the wire, where most messages hold many of these.
 #[serde_as]
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Announcement {
     /// Its name.
+    #[serde(rename = "i", alias = "id")]
     pub id: id::Upstream,
     /// Orders this among its statements.
+    #[serde(rename = "s", alias = "stamp")]
     pub stamp: Stamp,
     /// The service that it is a copy of.
+    #[serde(rename = "v", alias = "service")]
     pub service: String,
     /// Where it takes connections.
+    #[serde(rename = "a", alias = "address")]
     pub address: SocketAddr,
     /// Where it stands.
+    #[serde(rename = "d", alias = "data_centre")]
     pub data_centre: id::DataCentre,
     /// The requests that it runs at once.
+    #[serde(rename = "n", alias = "slots")]
     pub slots: Slots,
     /// Whether it takes requests.
+    #[serde(rename = "t", alias = "standing")]
     pub standing: Standing,
     /// How much longer it is cold, as of now.
     #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde(rename = "c", alias = "cold_left")]
     pub cold_left: Duration,
     /// When it will be gone whatever it runs, as of now; none where it ends by itself.
     #[serde_as(as = "Option<DurationMilliSeconds<u64>>")]
+    #[serde(rename = "e", alias = "ends_in")]
     pub ends_in: Option<Duration>,
     /// What it holds.
+    #[serde(rename = "m", alias = "models")]
     pub models: Vec<Model>,
 }
 
--- a/src/roster/delta.rs
+++ b/src/roster/delta.rs
@@ -5,6 +5,8 @@
 
 use super::Announcement;
 use super::Presence;
+use crate::id;
+use crate::wire::Role;
 
 /// A fact and whether its subject has fallen silent.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -27,3 +29,12 @@
     /// The VMs.
     pub vms: Vec<Fact<Presence>>,
 }
+
+impl Delta {
+    /// The same without the entry VMs of other regions.
+    #[must_use]
+    pub fn without_entry_vms_but_of(mut self, region: &id::Region) -> Self {
+        self.vms.retain(|fact| fact.said.role != Role::Entry || fact.said.region == *region);
+        self
+    }
+}
--- a/src/roster/merged.rs
+++ b/src/roster/merged.rs
@@ -29,9 +29,13 @@
 /// What one control VM said.
 #[derive(Debug, Default)]
 struct Source {
+    /// Whether its word counts at present.
+    followed: bool,
     /// Tells a start of the control VM from the one before.
     epoch: u64,
     revision: u64,
+    /// The region whose entry VMs it tells of; all where there is none.
+    entry_vms_of: Option<id::Region>,
     upstreams: HashMap<id::Upstream, (Stamp, bool)>,
     vms: HashMap<(id::Vm, Role), (Stamp, bool)>,
 }
@@ -46,14 +50,26 @@
 }
 
 impl Merged {
-    /// Up to where a control VM's table is known, for its present start.
-    pub fn known(&self, source: &id::Vm) -> (u64, u64) {
-        self.sources.get(source).map_or((0, 0), |source| (source.epoch, source.revision))
+    /// A control VM is asked for the entry VMs of that region alone, or for all. Up to where its table is known, for its present
+    /// start; nothing of it where it told of other entry VMs until now.
+    pub fn ask(&mut self, source: &id::Vm, entry_vms_of: Option<&id::Region>) -> (u64, u64) {
+        let source = self.sources.entry(source.clone()).or_default();
+        if source.entry_vms_of.as_ref() != entry_vms_of {
+            source.entry_vms_of = entry_vms_of.cloned();
+            source.revision = 0;
+        }
+        (source.epoch, source.revision)
     }
 
-    /// A control VM is no longer followed: what it found silent counts no more. The facts stay.
+    /// A control VM is no longer followed: what it found silent counts no more. The facts stay, and so does where its table is
+    /// known up to.
+    ///
+    /// Failure: a control VM is lost for a moment, and each of two hundred VMs that come back to it is told of three hundred
+    /// upstreams and VMs that it knows; the lines between regions, which requests need, are full of that for seconds.
     pub fn unfollow(&mut self, source: &id::Vm) {
-        self.sources.remove(source);
+        if let Some(source) = self.sources.get_mut(source) {
+            source.followed = false;
+        }
         self.judge();
     }
 
@@ -61,8 +77,10 @@
     pub fn take(&mut self, source: &id::Vm, epoch: u64, delta: Delta, now: Instant) {
         let entry = self.sources.entry(source.clone()).or_default();
         if entry.epoch != epoch || delta.whole {
-            *entry = Source { epoch, ..Source::default() };
+            let entry_vms_of = entry.entry_vms_of.take();
+            *entry = Source { epoch, entry_vms_of, ..Source::default() };
         }
+        entry.followed = true;
         entry.revision = delta.revision;
         for fact in &delta.upstreams {
             entry.upstreams.insert(fact.said.id.clone(), (fact.said.stamp, fact.silent));
@@ -122,19 +140,24 @@
 
     /// Decides anew who is silent, and drops what no source knows any more.
     fn judge(&mut self) {
-        let sources = &self.sources;
+        let sources: Vec<&Source> =
+            self.sources.values().filter(|source| source.followed).collect();
         if sources.is_empty() {
             return;
         }
         self.upstreams.retain(|id, upstream| {
-            let mut words =
-                sources.values().filter_map(|source| source.upstreams.get(id)).peekable();
+            let mut words = sources.iter().filter_map(|source| source.upstreams.get(id)).peekable();
             let is_known = words.peek().is_some();
             upstream.silent = is_known && words.all(|&(_, silent)| silent);
             is_known || upstream.said.standing != Standing::Gone
         });
+        let is_told_all = sources.iter().any(|source| source.entry_vms_of.is_none());
         for (key, fact) in &mut self.vms {
-            let mut words = sources.values().filter_map(|source| source.vms.get(key)).peekable();
+            let mut words = sources.iter().filter_map(|source| source.vms.get(key)).peekable();
+            // The one source that tells of other regions' VMs is lost for a moment: they are as they were.
+            if words.peek().is_none() && !is_told_all {
+                continue;
+            }
             fact.silent = words.peek().is_none() || words.all(|&(_, silent)| silent);
         }
     }
--- a/src/roster/presence.rs
+++ b/src/roster/presence.rs
@@ -10,30 +10,41 @@
 use crate::id;
 use crate::wire::Role;
 
-/// What one process of the system says of itself.
+/// What one process of the system says of itself. Its names are short on the wire, where most messages hold many of these.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Presence {
     /// Its VM.
+    #[serde(rename = "v", alias = "vm")]
     pub vm: id::Vm,
     /// What it runs.
+    #[serde(rename = "r", alias = "role")]
     pub role: Role,
     /// Orders this among its statements.
+    #[serde(rename = "s", alias = "stamp")]
     pub stamp: Stamp,
     /// Tells apart two starts that have the same stamp because the clock was set back.
+    #[serde(rename = "n", alias = "nonce")]
     pub nonce: u64,
     /// Where it stands.
+    #[serde(rename = "g", alias = "region")]
     pub region: id::Region,
     /// Where it stands.
+    #[serde(rename = "d", alias = "data_centre")]
     pub data_centre: id::DataCentre,
     /// Whether callers should come to it.
+    #[serde(rename = "t", alias = "standing")]
     pub standing: Standing,
     /// Whether it can carry requests at present.
+    #[serde(rename = "y", alias = "ready")]
     pub ready: bool,
     /// Where it takes callers' connections; none on a control VM.
+    #[serde(rename = "c", alias = "callers")]
     pub callers: Option<SocketAddr>,
     /// Where it takes requests that other VMs pass on; none on a control VM.
+    #[serde(rename = "f", alias = "forwards")]
     pub forwards: Option<SocketAddr>,
     /// Where it takes links from other VMs; none on an entry VM.
+    #[serde(rename = "l", alias = "links")]
     pub links: Option<SocketAddr>,
 }
 
--- a/src/roster/stamp.rs
+++ b/src/roster/stamp.rs
@@ -9,8 +9,10 @@
 )]
 pub struct Stamp {
     /// When the process started, in milliseconds of its own clock since the Unix epoch.
+    #[serde(rename = "b", alias = "born")]
     pub born: u64,
     /// Counts its statements since then.
+    #[serde(rename = "q", alias = "sequence")]
     pub sequence: u64,
 }
 
--- a/src/wire/message.rs
+++ b/src/wire/message.rs
@@ -151,6 +151,9 @@
     pub epoch: u64,
     /// The peer's table as the follower has it.
     pub roster: u64,
+    /// Of the entry VMs, only those of this region are told; all of them where none is given.
+    #[serde(default)]
+    pub entry_vms_of: Option<id::Region>,
     /// The routing state that the follower has in force.
     pub routing: Version,
 }
