--- a/src/decide/place/cost.rs
+++ b/src/decide/place/cost.rs
@@ -19,6 +19,13 @@
 /// as the faults of an ordinary day are fewer.
 pub const LOST: Duration = Duration::from_secs(20);
 
+/// The weight of a refusal: its caller comes back, and one in five is refused again or too late by then.
+///
+/// Failure: engines are full at a region's peak. At the weight of a lost answer, a prompt that its own engine has no time for goes to
+/// another one that must read all of it, as long as five prompts take whose shared part is there; these are late or refused in
+/// their turn, and have their parts read elsewhere.
+const REFUSED: Duration = Duration::from_secs(4);
+
 /// What reading a thousand tokens again weighs besides the time that it takes the engine: other parts yield their memory,
 /// and are read again in their turn, in engines that are full by then.
 const PER_KILOTOKEN: f64 = 0.5;
@@ -64,7 +71,7 @@
         let beside = self.running * (longer + speed.reading(self.reads));
         let evicted = self.again / 1000.0 * PER_KILOTOKEN;
         let is_refused = self.first > longest.as_secs_f64();
-        let refusal = if is_refused { LOST.as_secs_f64() } else { 0.0 };
+        let refusal = if is_refused { REFUSED.as_secs_f64() } else { 0.0 };
         Estimate { first: self.first, whole, cost: whole + beside + evicted + refusal }
     }
 }
