--- a/src/decide/place.rs
+++ b/src/decide/place.rs
@@ -10,10 +10,10 @@
 //!
 //! **Decision.** The upstream with the least cost to all callers ([`cost`]): the time to the first event (what is still to
 //! be read there before it, what it has to read of this prompt, and the wait for a slot where all are taken), the time to
-//! the last one, and how much longer those that run there take. Own requests are known exactly, those of other VMs from load
-//! reports. All VMs find the same engine for a shared part by rendezvous hashing, so that it is read once; an engine whose
-//! load exceeds the price of reading the part elsewhere loses it to another one. Which region's engine that is, `regions`
-//! tells.
+//! the last one, and how much longer those that run there take. Own requests are known exactly, those of other VMs from
+//! what the region's VMs share ([`sharing`](super::sharing)), and where that is not at hand from load reports. All VMs find
+//! the same engine for a shared part by rendezvous hashing, so that it is read once; an engine whose load exceeds the price
+//! of reading the part elsewhere loses it to another one. Which region's engine that is, `regions` tells.
 
 mod cache;
 mod cold;
--- a/src/decide/place/sample.rs
+++ b/src/decide/place/sample.rs
@@ -23,7 +23,7 @@
 const UNSEEN: f64 = 2.0;
 
 /// What is told is as old as this as a rule: a round until a host hears of it, and half of one until it tells.
-pub const AGE: Duration = ROUND.saturating_mul(3).checked_div(2).expect("two is not zero");
+const AGE: Duration = ROUND.saturating_mul(3).checked_div(2).expect("two is not zero");
 
 /// A candidate.
 pub type Candidate<'a> = (&'a id::Upstream, &'a Tracked);
--- a/src/gateway/share.rs
+++ b/src/gateway/share.rs
@@ -9,6 +9,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::MutexGuard;
 use std::time::Duration;
 
 use slog::info;
@@ -21,6 +22,8 @@
 use super::Hub;
 use crate::decide::sharing::Aggregator;
 use crate::decide::sharing::Hosts;
+use crate::decide::sharing::Key;
+use crate::decide::sharing::Load;
 use crate::decide::sharing::Message;
 use crate::decide::sharing::Position;
 use crate::decide::sharing::REMOTES;
@@ -36,6 +39,9 @@
 /// A datagram is no longer than this.
 const MOST_BYTES: usize = 64 * 1024;
 
+/// The shards' turns follow each other at this distance.
+const TURN: Duration = ROUND.checked_div(SHARDS as u32).expect("there are shards");
+
 /// A VM that has had no request for so long says nothing. What it knows when one comes is a round old at most.
 const IDLE: Duration = Duration::from_secs(2);
 
@@ -101,7 +107,7 @@
     async fn tell(&self, hub: &Hub) {
         let mut news = hub.news();
         self.meet(hub);
-        let mut turns = time::interval(ROUND / u32::from(SHARDS));
+        let mut turns = time::interval(TURN);
         turns.set_missed_tick_behavior(time::MissedTickBehavior::Delay);
         for shard in (0..SHARDS).cycle() {
             turns.tick().await;
@@ -161,13 +167,7 @@
         self.send(address, &Message::Update(update)).await;
     }
 
-    fn update(
-        &self,
-        shard: u8,
-        number: u64,
-        loads: Vec<(crate::decide::sharing::Key, crate::decide::sharing::Load)>,
-        used: Vec<Use>,
-    ) -> Update {
+    fn update(&self, shard: u8, number: u64, loads: Vec<(Key, Load)>, used: Vec<Use>) -> Update {
         let mut state = self.state();
         let of_shard = &mut state.shards[usize::from(shard)];
         of_shard.uses.extend(used.into_iter().map(|used| (number, used)));
@@ -181,8 +181,11 @@
     async fn listen(&self, hub: &Hub) {
         let mut bytes = vec![0; MOST_BYTES];
         loop {
-            // An error here is that of a datagram sent before, to a VM that is gone; the next call waits again.
-            let Ok((length, from)) = self.socket.recv_from(&mut bytes).await else { continue };
+            let Ok((length, from)) = self.socket.recv_from(&mut bytes).await else {
+                // That of a datagram sent before, to a VM that is gone. Were it another one, this would not spin.
+                time::sleep(TURN).await;
+                continue;
+            };
             let from = self.state().book.vms.get(&from).cloned();
             let message = Message::decode(&bytes[..length]);
             let (Some(from), Some(message)) = (from, message) else {
@@ -227,7 +230,7 @@
         self.socket.send_to(&message.encode(), to).await.ok();
     }
 
-    fn state(&self) -> std::sync::MutexGuard<'_, State> {
+    fn state(&self) -> MutexGuard<'_, State> {
         self.state.lock().expect("no panic while locked")
     }
 }
