--- a/src/decide/engine.rs
+++ b/src/decide/engine.rs
@@ -33,8 +33,8 @@
 const PAUSE: Fit = Fit { base: 0.04, slope: 0.04 / 60.0 };
 
 /// The share of pauses that lie below the line for them. A prompt that is read makes a step longer, and more of them are read
-/// where more run: through the middle of the pauses, each running request seemed to add 1.9 ms where it adds 0.7. A quarter
-/// of the pauses have no reading in them even in an engine that reads for half of its time.
+/// where more run: through the middle of the pauses, a running request would seem to add more than it does. A quarter of the
+/// pauses have no reading in them even in an engine that reads for half of its time.
 const UNDISTURBED: f64 = 0.25;
 
 /// The engines of one service, as far as they are alike.
--- a/src/decide/place/cost.rs
+++ b/src/decide/place/cost.rs
@@ -7,23 +7,22 @@
 //! one that runs four, though in the first its answer takes four times as long, and each stream beside it gets longer.
 //!
 //! **One measure.** All is counted as time that requests are in flight: the own request's to its end, and what it adds to
-//! those that run beside it. A request in flight is lost when its engine, its VM or the line to its caller fails; under
-//! the faults of one day, about 2.5 of 100 of them were lost in each second. So the time is what callers lose, and an
-//! answer that would not come at all weighs as the time in which it would be lost surely.
+//! those that run beside it. A request in flight is lost when its engine, its VM or the line to its caller fails, and the
+//! sooner the longer it is in flight. So the time is what callers lose, and an answer that would not come at all weighs as
+//! the time in which it would be lost surely.
 
 use std::time::Duration;
 
 use crate::decide::engine::Speed;
 
-/// The weight of an answer that is lost, as time in flight: half of that in which it is lost surely at 2.5 of 100 a second,
-/// as the faults of an ordinary day are fewer.
+/// The weight of an answer that is lost, as time in flight.
 pub const LOST: Duration = Duration::from_secs(20);
 
-/// The weight of a refusal: its caller comes back, and one in five is refused again or too late by then.
+/// The weight of a refusal, whose caller comes back.
 ///
-/// Failure: engines are full at a region's peak. At the weight of a lost answer, a prompt that its own engine has no time for goes to
-/// another one that must read all of it, as long as five prompts take whose shared part is there; these are late or refused in
-/// their turn, and have their parts read elsewhere.
+/// Failure: engines are full at a region's peak. At the weight of a lost answer, a prompt that its own engine has no time for
+/// goes to another one that must read all of it, in the time of several prompts whose shared part is there; these are late or
+/// refused in their turn, and have their parts read elsewhere.
 const REFUSED: Duration = Duration::from_secs(4);
 
 /// What reading a thousand tokens again weighs besides the time that it takes the engine: other parts yield their memory,
@@ -62,8 +61,8 @@
     /// The times and the cost. Where its first event would take longer than the longest wait, it would be refused.
     ///
     /// Failure: many ask for one part at once, and the engine that holds it falls behind. At the price of reading it again, the
-    /// others would idle while all further requests were refused. A weight that rose before the limit moved parts away from
-    /// engines that would have been in time, and three tenths more was read again (five days on twelve engines of 48 slots).
+    /// others would idle while all further requests were refused. The weight does not rise before the limit: that would move
+    /// parts away from engines that would have been in time.
     pub fn estimate(&self, speed: &Speed, longest: Duration) -> Estimate {
         let stream = self.events * speed.pause(self.running + 1.0) * self.slowness;
         let whole = self.first + stream;
--- a/src/decide/place/health.rs
+++ b/src/decide/place/health.rs
@@ -4,8 +4,8 @@
 //! is always the least loaded one, and draws the traffic into failing. Another crashes and refuses connections for some
 //! seconds, and is back with an empty cache.
 //!
-//! An engine that fails is free at once, and so looks better than those that work: nine of 62 engines that answered each
-//! request with an error got a third of all traffic until what a failure costs was put on the scale of [`super::cost`].
+//! An engine that fails is free at once, and so looks better than those that work: engines that answer each request with an
+//! error would get most of the traffic. So what a failure costs is on the scale of [`super::cost`].
 
 use std::time::Duration;
 
--- a/src/decide/place/regions.rs
+++ b/src/decide/place/regions.rs
@@ -5,13 +5,13 @@
 //! were better read at home, and all VMs of a region run to the same other one at once.
 //!
 //! A shared part of a prompt is asked for in all regions, by turns. Kept by each region for itself, it is read in each of
-//! them: where a part is asked for six times a day in three regions, half of all prompt work is reading it again. So one
-//! region holds it, found by rendezvous among the engines of all regions: a prompt's 34 kB cross a line more cheaply than
-//! its 13,300 shared tokens are read again (0.2 s of an engine), and the peak of one region spreads over the engines of all.
+//! them, and most prompt work is reading again. So one region holds it, found by rendezvous among the engines of all regions:
+//! a prompt's body crosses a line more cheaply than its shared part is read again, and the peak of one region spreads over
+//! the engines of all.
 //!
-//! Streams fill the engines of a region at its peak, and each gets slower, while engines elsewhere run a few. Compared by the
-//! first event, which comes soon in both, 130 requests ran in each engine of one region beside four in another's, and one
-//! stream in sixteen outlived its caller. So regions are compared by the cost to all callers, as engines are.
+//! Streams fill the engines of a region at its peak, and each gets slower, while engines elsewhere run a few. The first event
+//! comes soon in both, so compared by that alone they would be equal, and long streams would outlive their callers. So regions
+//! are compared by the cost to all callers, as engines are.
 //!
 //! A region tells its outlook (the expected time to the first event, and the requests that run in its best engine) with each
 //! answer that it gives to another, and the VMs of a region tell each other; an outlook that is old doesn't count.
--- a/src/decide/place/tracked.rs
+++ b/src/decide/place/tracked.rs
@@ -37,9 +37,8 @@
 /// again, which takes about as long as they have run.
 const PREEMPTION: Duration = Duration::from_secs(2);
 
-/// From this share of taken slots on, a request that isn't urgent may be thrown out for one that is. Where engines of
-/// sixteen slots were filled with prompts of 17,000 tokens, these were thrown out four thousand times in half a minute; kept
-/// away from full engines, half as often, and urgent requests were served in 94 of 100 cases instead of 87.
+/// From this share of taken slots on, a request that isn't urgent may be thrown out for one that is: its prompt is read again
+/// and again, and urgent requests wait for that.
 const CROWDED: f64 = 0.9;
 
 /// What an upstream told of its load.
--- a/src/decide/route/choice.rs
+++ b/src/decide/route/choice.rs
@@ -17,8 +17,7 @@
 /// always allowed, as upstreams have few slots.
 const BOUND: f64 = 1.25;
 
-/// How many upstreams are drawn at random, of which the best is taken. Measured over 8 seeds at a load of 75%:
-/// three make 0.15% of requests late where two make 0.23%; with one slow upstream 0.7% against 1.3%.
+/// How many upstreams are drawn at random, of which the best is taken. With two, a slow upstream makes more requests late.
 const CHOICES: usize = 3;
 
 /// The most random draws before all candidates are looked through.
--- a/src/gateway/daemon.rs
+++ b/src/gateway/daemon.rs
@@ -39,8 +39,8 @@
 /// A VM that leaves goes on taking requests while callers use answers of the directory that name it, and this much longer,
 /// until the directory has heard of it. What comes later is refused, and its caller goes to another VM.
 ///
-/// Failure: callers keep an answer for 5 s, VMs that leave take on for 2.5 s, and two VMs of a region are stopped one after
-/// the other. 523 of 1,864 callers were refused by the first and by the second within 4 s, and had no attempt left.
+/// Failure: callers keep an answer for longer than VMs that leave take on, and two VMs of a region are stopped one after the
+/// other. Callers are refused by the first and by the second, and have no attempt left.
 const HEARD: Duration = Duration::from_millis(500);
 /// The part of the grace time in which it does so at most; the rest is for streams to end.
 const MOST_TAKEN_ON: f64 = 0.4;
