--- a/src/decide/sharing/aggregator.rs
+++ b/src/decide/sharing/aggregator.rs
@@ -21,7 +21,7 @@
 /// Uses that are kept for VMs that have not heard of them: some seconds of a region's peak.
 const USES: usize = 512;
 
-/// Uses in one summary at most, so that a VM that has just started gets no datagram that must be split on its way.
+/// Uses in one summary at most, so that a VM that has just started gets no datagram of many kilobytes.
 const USES_AT_ONCE: usize = 48;
 
 #[derive(Debug)]
