A refusal weighs as much as a lost answer beside idle engines

Change: the weight falls from 20 s to 4 s as the engines' slots are taken, and is 4 s from half of them on.

The test of drawn deployments played each one once.

--- a/src/decide/place.rs
+++ b/src/decide/place.rs
@@ -211,7 +211,8 @@
         let found = self.found(demand);
         let nothing = Model::default();
         let model = self.models.get(demand.service).unwrap_or(&nothing);
-        let mut scene = Scene::new(demand, model, self.share, now);
+        let usual = self.usual(demand.service);
+        let mut scene = Scene::new(demand, (model, usual), self.share, now);
         let mut candidates = scene.candidates(&self.tracked);
         let scene = scene.with_holders(found, &candidates);
         let most = scene.sample(&mut candidates, &mut self.rng);
@@ -262,7 +263,11 @@
 
     /// What holds for all engines of the service.
     pub fn usual(&self, service: &str) -> Usual {
-        self.models.get(service).map_or_else(|| Model::default().usual(), Model::usual)
+        let mut engines = self.tracked.values().filter(|tracked| tracked.seen.service == service);
+        let slots = engines.next().map_or(1.0, Tracked::slots);
+        self.models
+            .get(service)
+            .map_or_else(|| Model::default().usual(slots), |model| model.usual(slots))
     }
 
     /// How a usual request of that urgency would fare, for VMs of other regions.
--- a/src/decide/place/cost.rs
+++ b/src/decide/place/cost.rs
@@ -13,18 +13,18 @@
 
 use std::time::Duration;
 
-use crate::decide::engine::Speed;
+use super::model::Usual;
 
 /// The weight of an answer that is lost, as time in flight.
 pub const LOST: Duration = Duration::from_secs(20);
 
-/// The weight of a refusal, whose caller comes back.
-///
-/// Failure: engines are full at a region's peak. At the weight of a lost answer, a prompt that its own engine has no time for
-/// goes to another one that must read all of it, in the time of several prompts whose shared part is there; these are late or
-/// refused in their turn, and have their parts read elsewhere.
+/// The weight of a refusal where engines are busy, whose caller comes back.
 const REFUSED: Duration = Duration::from_secs(4);
 
+/// Engines are busy while this share of their slots is taken. The fewer are, the more a refusal weighs: where they idle, as
+/// much as a lost answer.
+const BUSY: f64 = 0.5;
+
 /// What reading a thousand tokens again weighs besides the time that it takes the engine: other parts yield their memory,
 /// and are read again in their turn, in engines that are full by then.
 const PER_KILOTOKEN: f64 = 0.5;
@@ -57,20 +57,32 @@
     pub cost: f64,
 }
 
+/// The weight of a refusal, in seconds, where that share of the engines' slots is taken as a rule.
+///
+/// Failure: engines are full at a region's peak. At the weight of a lost answer, a prompt that its own engine has no time for
+/// goes to another one that must read all of it, in the time of several prompts whose shared part is there; these are late or
+/// refused in their turn, and have their parts read elsewhere. Beside idle engines, though, nobody is to be refused.
+pub fn refusal(taken: f64) -> f64 {
+    let busy = (taken / BUSY).clamp(0.0, 1.0);
+    let (least, most) = (REFUSED.as_secs_f64(), LOST.as_secs_f64());
+    most + (least - most) * busy
+}
+
 impl Case {
     /// The times and the cost. Where its first event would take longer than the longest wait, it would be refused.
     ///
     /// Failure: many ask for one part at once, and the engine that holds it falls behind. At the price of reading it again, the
     /// others would idle while all further requests were refused. The weight does not rise before the limit: that would move
     /// parts away from engines that would have been in time.
-    pub fn estimate(&self, speed: &Speed, longest: Duration) -> Estimate {
+    pub fn estimate(&self, usual: &Usual, longest: Duration) -> Estimate {
+        let speed = &usual.speed;
         let stream = self.events * speed.pause(self.running + 1.0) * self.slowness;
         let whole = self.first + stream;
         let longer = self.events * speed.pause_per_request() * self.slowness;
         let beside = self.running * (longer + speed.reading(self.reads));
         let evicted = self.again / 1000.0 * PER_KILOTOKEN;
         let is_refused = self.first > longest.as_secs_f64();
-        let refusal = if is_refused { REFUSED.as_secs_f64() } else { 0.0 };
+        let refusal = if is_refused { refusal(usual.taken) } else { 0.0 };
         Estimate { first: self.first, whole, cost: whole + beside + evicted + refusal }
     }
 }
--- a/src/decide/place/model.rs
+++ b/src/decide/place/model.rs
@@ -81,6 +81,8 @@
     pub length: Length,
     /// The requests that run in one of them.
     pub running: f64,
+    /// The share of their slots that is taken.
+    pub taken: f64,
     /// Their pauses against those in which nothing is read.
     pub slowness: f64,
 }
@@ -125,11 +127,12 @@
         Some((self.running.get()?, self.waiting.get()?))
     }
 
-    /// What holds for all engines of the service.
-    pub fn usual(&self) -> Usual {
+    /// What holds for all engines of the service, which have so many slots each.
+    pub fn usual(&self, slots: f64) -> Usual {
         let running = self.running.get().unwrap_or(0.0);
+        let taken = running / slots;
         let slowness = self.slowness.get().unwrap_or(1.0);
-        Usual { speed: self.engine.speed(), length: self.length, running, slowness }
+        Usual { speed: self.engine.speed(), length: self.length, running, taken, slowness }
     }
 
     /// The mean prompt that a request has to read, in tokens.
--- a/src/decide/place/regions.rs
+++ b/src/decide/place/regions.rs
@@ -201,7 +201,7 @@
                 _ => Tokens::ZERO,
             };
             let case = case(passage, again, &outlook, usual);
-            let estimate = case.estimate(&usual.speed, passage.longest);
+            let estimate = case.estimate(usual, passage.longest);
             let kilobytes = passage.bytes as f64 / 1000.0 + case.events * EVENT_KILOBYTES;
             let line = seconds(kilobytes * PER_KILOBYTE);
             let cost = seconds(estimate.cost) + PRICE + line + penalty + spread();
--- a/src/decide/place/regions/tests.rs
+++ b/src/decide/place/regions/tests.rs
@@ -58,7 +58,7 @@
 }
 
 fn offers(regions: &Regions, work: Work, holder: &Holder) -> Vec<Offer> {
-    let usual = Model::default().usual();
+    let usual = Model::default().usual(48.0);
     regions.offers(&passage(work), holder, &usual, || Duration::ZERO, Instant::now())
 }
 
--- a/src/decide/place/scene.rs
+++ b/src/decide/place/scene.rs
@@ -42,9 +42,14 @@
 
 impl<'a> Scene<'a> {
     /// The decision for a request, without what is known of its shared part.
-    pub fn new(demand: &'a Demand<'a>, model: &'a Model, share: Share, now: Instant) -> Self {
+    pub fn new(
+        demand: &'a Demand<'a>,
+        (model, usual): (&'a Model, Usual),
+        share: Share,
+        now: Instant,
+    ) -> Self {
         let (unseen, found, is_held) = (0.0, Vec::new(), false);
-        Self { demand, model, usual: model.usual(), share, now, unseen, found, is_held }
+        Self { demand, model, usual, share, now, unseen, found, is_held }
     }
 
     /// The upstreams that may take the request: first those that are well; where there is none, those that fell silent or
@@ -89,7 +94,7 @@
     pub fn fit(&self, id: &id::Upstream, tracked: &Tracked, drawn: f64) -> Fit {
         let again = tracked.reads_again(&self.demand.work, self.guess(id));
         let case = tracked.case(self.model, &self.usual, self.demand, again, self.share, self.now);
-        let estimate = case.estimate(&self.usual.speed, self.demand.longest);
+        let estimate = case.estimate(&self.usual, self.demand.longest);
         let cost = seconds(estimate.cost * (1.0 + JITTER_SHARE * drawn))
             + tracked.penalty(self.now)
             + JITTER.mul_f64(drawn);
--- a/src/decide/place/tracked.rs
+++ b/src/decide/place/tracked.rs
@@ -241,7 +241,8 @@
         f64::from(self.running) + others_running + others_waiting
     }
 
-    fn slots(&self) -> f64 {
+    /// The requests that it runs at once.
+    pub fn slots(&self) -> f64 {
         self.seen.slots.get().max(1) as f64
     }
 
--- a/tests/load/streams.rs
+++ b/tests/load/streams.rs
@@ -124,6 +124,10 @@
     Site { regions, vms: 2, kinds: vec![chat, long], rates, seconds: 12.0 }
 }
 
+/// Plays of each drawn deployment, with other requests and other luck. Where a deployment is asked for five times what it can do,
+/// the share in time of one play differs from the next by three times the bound below, with the same policy.
+const PLAYS: u64 = 5;
+
 // Deployments that nobody has seen, with engines that differ a hundredfold, at loads from a third to one and a half of
 // what they can do. None of them may be served worse than by the engines of each region in turn.
 #[tokio::test(start_paused = true)]
@@ -132,10 +136,14 @@
     let mut worse = Vec::new();
     for seed in 0..24 {
         let site = drawn(seed);
-        let ours = play(&site, Policy::Ours, seed);
-        let in_turn = play(&site, Policy::RoundRobin, seed);
-        let gain = ours.in_time() - in_turn.in_time();
-        println!("{seed}: {:.3} for {:.3}", ours.in_time(), in_turn.in_time());
+        let plays = (0..PLAYS).map(|play_nth| seed + 100 * play_nth);
+        let share = |policy| {
+            let in_time = plays.clone().map(|seed| play(&site, policy, seed).in_time());
+            in_time.sum::<f64>() / PLAYS as f64
+        };
+        let (ours, in_turn) = (share(Policy::Ours), share(Policy::RoundRobin));
+        let gain = ours - in_turn;
+        println!("{seed}: {ours:.3} for {in_turn:.3}");
         worse.extend((gain < -0.03).then_some((seed, ours, in_turn)));
         better += gain;
     }
