Who asks: organisations, their keys and homes, and proofs that a key is still good

Cause: the document dropped organisations, so keys went on to upstreams, unknown and revoked ones were served, and an organisation's homes did not bind.

A key is kept as a digest from the moment it is decoded; the caller's organisation is named to upstreams whatever the caller wrote, and to VMs of other regions over the address that only VMs reach. The homes of organisation and route both bind.

A VM acts on keys only while it can show that no newer document was accepted: control VMs ask the leader, who answers after a majority has confirmed it, and entry VMs hear of it with what they follow anyway. Ages are told relative to the arrival of the question, so no clocks are compared, and are measured on a clock that goes on while a VM is suspended.

--- a/src/control/service.rs
+++ b/src/control/service.rs
@@ -201,9 +201,11 @@
                 Request::Join { name, replica, witness } => {
                     service.join(from, name, replica, witness).await
                 }
-                Request::Room | Request::Follow(_) | Request::Routing(_) | Request::ReadRouting => {
-                    Reply::Unsupported
-                }
+                Request::Room
+                | Request::Follow(_)
+                | Request::Routing(_)
+                | Request::ReadRouting
+                | Request::NewestRevision => Reply::Unsupported,
             }
         }
         .boxed()
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod admission;
 pub mod engine;
+pub mod freshness;
 mod history;
 pub mod limit;
 pub mod order;
--- a/src/directory/daemon.rs
+++ b/src/directory/daemon.rs
@@ -19,6 +19,7 @@
 use super::flood;
 use super::links::Links;
 use super::plan::Found;
+use super::prove;
 use super::service;
 use crate::consensus::Role as Seated;
 use crate::control::Name;
@@ -157,6 +158,7 @@
     });
     task(supervisor, "flood", service, flood::run);
     task(supervisor, "ticks", service, service::tick);
+    task(supervisor, "proofs", service, prove::run);
     task(supervisor, "routing", service, service::copy_routing);
     task(supervisor, "roster", service, service::copy_roster);
 }
--- a/src/directory/links.rs
+++ b/src/directory/links.rs
@@ -25,6 +25,7 @@
                 Request::Follow(follow) => service.follow(*follow).await,
                 Request::Routing(command) => service.propose_for_peer(command).await,
                 Request::ReadRouting => service.read_for_peer().await,
+                Request::NewestRevision => service.newest_revision_for_peer().await,
                 Request::Identity(Name::Routing) => service.identity(),
                 Request::Join { name: Name::Routing, replica, witness } => {
                     let group = service.group();
--- a/src/directory/mod.rs
+++ b/src/directory/mod.rs
@@ -13,6 +13,7 @@
 pub mod metrics;
 mod operate;
 pub mod plan;
+pub mod prove;
 pub mod service;
 
 pub use daemon::Adapter;
--- a/src/directory/operate.rs
+++ b/src/directory/operate.rs
@@ -80,6 +80,19 @@
         }
     }
 
+    /// The newest revision, confirmed by a majority after this was called; none where no leader answers.
+    pub(super) async fn newest_revision(&self) -> Option<Version> {
+        let error = match self.group()?.read(State::revision).await {
+            Ok(revision) => return Some(revision),
+            Err(error) => error,
+        };
+        let leader = self.leader_elsewhere(&error)?;
+        match self.mesh()?.call(&leader, Request::NewestRevision, PASSED_ON).await {
+            Ok(Reply::NewestRevision(revision)) => revision,
+            Ok(_) | Err(_) => None,
+        }
+    }
+
     async fn read_at(&self, leader: &Peer) -> Result<Option<Arc<str>>, Unavailable> {
         let Some(mesh) = self.mesh() else { return Err(Unavailable::NoLeader) };
         match mesh.call(leader, Request::ReadRouting, PASSED_ON).await {
@@ -147,6 +160,11 @@
         }))
     }
 
+    pub(super) async fn newest_revision_for_peer(&self) -> Reply {
+        let Some(group) = self.group() else { return Reply::NewestRevision(None) };
+        Reply::NewestRevision(group.read(State::revision).await.ok())
+    }
+
     pub(super) async fn read_for_peer(&self) -> Reply {
         let Some(group) = self.group() else { return Reply::Source(Err(Unavailable::NoLeader)) };
         Reply::Source(group.read(State::source).await.map_err(|_| Unavailable::NoLeader))
--- a/src/directory/service.rs
+++ b/src/directory/service.rs
@@ -19,10 +19,13 @@
 use super::flood;
 use super::lookup;
 use super::metrics::Metrics;
+use crate::clock;
 use crate::consensus::Members;
 use crate::consensus::Role as Seated;
 use crate::control::Routes;
 use crate::control::Seat;
+use crate::decide::freshness::Freshness;
+use crate::decide::freshness::Proof;
 use crate::group::Group;
 use crate::group::Status;
 use crate::id;
@@ -39,6 +42,7 @@
 use crate::settings::Node;
 use crate::settings::Seeds;
 use crate::unit::Term;
+use crate::unit::Version;
 use crate::wire::Cast;
 use crate::wire::Mesh;
 use crate::wire::Peer;
@@ -62,6 +66,8 @@
 const KEPT_WORDS: u32 = 2;
 /// After news of upstreams the copy of them waits so long for more, so that a crowd is written once.
 const COPY_PACE: Duration = Duration::from_millis(500);
+/// A control VM without a proof for so long stands on the wrong side of a partition: entry VMs look for another one.
+const PROOF_LATE: Duration = Duration::from_millis(1200);
 /// Silence is looked for this often.
 const TICK: Duration = Duration::from_millis(250);
 /// A tick that comes so late means that this process stood still.
@@ -78,8 +84,9 @@
     /// The table's revision, for those who wait for a change.
     revision: watch::Sender<u64>,
     routing: watch::Sender<Replicated>,
-    /// Whether the replica hears a leader.
+    /// Whether the replica hears a leader, and that one a majority, so that what this VM holds is up to date.
     in_touch: watch::Sender<bool>,
+    freshness: Mutex<Freshness>,
     presence: Mutex<Presence>,
     flood: flood::Queue,
     routes: Arc<Routes>,
@@ -133,6 +140,7 @@
             copy,
             roster_copy,
             in_touch: watch::Sender::new(false),
+            freshness: Mutex::default(),
             presence: Mutex::new(presence),
             flood: flood::Queue::default(),
             routes,
@@ -261,6 +269,7 @@
 
     /// Waits a moment for anything that a follower lacks.
     pub(super) async fn follow(&self, follow: Follow) -> Reply {
+        let asked = clock::now();
         let is_current = follow.epoch == self.epoch;
         let known_as = self.met(follow.presence);
         let have = if is_current { follow.roster } else { 0 };
@@ -280,11 +289,14 @@
             (Some(delta), Some(region)) => Some(delta.without_entry_vms_but_of(region)),
             (roster, _) => roster,
         };
+        // Before the routing state, which is at least as new as the proof says then.
+        let proof = self.freshness().proof().map(|proof| proof.tell(asked));
         let routing = self.routing.borrow().clone();
         let routing = (routing.revision > follow.routing).then_some(routing);
         let in_touch = *self.in_touch.borrow();
         let epoch = self.epoch;
-        Reply::Followed(Box::new(Followed { epoch, roster, routing, in_touch, known_as }))
+        let followed = Followed { epoch, roster, routing, in_touch, proof, known_as };
+        Reply::Followed(Box::new(followed))
     }
 
     /// A VM says something of itself, directly; returns the newest stamp that is known of it.
@@ -385,10 +397,35 @@
         self.publish();
     }
 
+    fn freshness(&self) -> std::sync::MutexGuard<'_, Freshness> {
+        self.freshness.lock().expect("no panic while locked")
+    }
+
+    /// Takes a proof that there was no newer routing state.
+    pub(super) fn take_proof(&self, proof: Proof) {
+        let held = self.routing.borrow().revision;
+        self.freshness().take(proof, held, clock::now());
+    }
+
+    /// Waits until this VM holds that revision of the routing state, or a later one.
+    pub(super) async fn holds(&self, revision: Version) {
+        let mut routing = self.routing.subscribe();
+        // The sender lives as long as this.
+        routing.wait_for(|routing| routing.revision >= revision).await.ok();
+    }
+
+    /// Tells followers whether this VM is up to date, where that has changed.
+    pub(super) fn note_touch(&self) {
+        let hears = self.group().is_some_and(|group| group.status().leader.is_some());
+        let is_proven = self.node.bounds.revocation.is_none()
+            || self.freshness().is_within(PROOF_LATE, clock::now());
+        let now = hears && is_proven;
+        self.in_touch.send_if_modified(|last| std::mem::replace(last, now) != now);
+    }
+
     /// Logs who leads and who votes, where that has changed.
     fn note_group(&self, status: &Status, last: &mut Option<(Term, Option<id::Replica>, Members)>) {
-        let hears = status.leader.is_some();
-        self.in_touch.send_if_modified(|last| std::mem::replace(last, hears) != hears);
+        self.note_touch();
         let now = (status.term, status.leader, status.members.clone());
         if last.as_ref() == Some(&now) {
             return;
--- a/src/gateway/adapter.rs
+++ b/src/gateway/adapter.rs
@@ -52,6 +52,8 @@
     pub upstream: Option<&'a id::Upstream>,
     /// Its rank among requests that compete; 0 goes first.
     pub rank: u8,
+    /// The organisation whose caller sent it, for an upstream; none where nobody asks.
+    pub organisation: Option<&'a id::Owner>,
     /// The last event that the caller has, where the answer is to go on after it.
     pub resume_after: Option<&'a str>,
 }
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use http::HeaderMap;
 use http::HeaderValue;
 use http::Request;
 use http::Response;
@@ -170,14 +171,26 @@
     };
     let left = job.deadline.saturating_duration_since(Instant::now());
     let resume_after = terms.resume_after;
-    let instructions = Instructions { left, upstream, rank: job.route.rank, resume_after };
+    let organisation = job.caller.name().filter(|_| upstream.is_some());
+    let instructions = Instructions { left, upstream, rank: job.rank, organisation, resume_after };
     hub.adapter().instruct(&instructions, request.headers_mut());
-    if upstream.is_none() && terms.is_repeat {
-        request.headers_mut().insert(headers::REPEAT, HeaderValue::from_static("1"));
+    if upstream.is_none() {
+        tell_vm(job, terms, request.headers_mut())?;
     }
     Ok(request)
 }
 
+/// Tells another VM what only VMs tell each other.
+fn tell_vm(job: &Job, terms: &Terms<'_>, told: &mut HeaderMap) -> Result<(), http::Error> {
+    if terms.is_repeat {
+        told.insert(headers::REPEAT, HeaderValue::from_static("1"));
+    }
+    if let Some(name) = job.caller.name() {
+        told.insert(headers::ORGANISATION, HeaderValue::from_str(name.as_str())?);
+    }
+    Ok(())
+}
+
 /// Decides what an answer is worth by its head, and reads it whole unless it is a stream.
 async fn judge(
     hub: &Hub,
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -9,6 +9,7 @@
 use crate::decide::engine::Output;
 use crate::decide::place::Shared;
 use crate::decide::place::Work;
+use crate::routing::Credential;
 use crate::unit::Tokens;
 
 /// A shared part of a prompt must have so many tokens to decide where a request goes: reading fewer again takes less
@@ -30,10 +31,23 @@
     pub patience: Option<Duration>,
     /// What it asks of a model engine; none for a plain request.
     pub prompt: Option<Prompt>,
+    /// The key that it shows.
+    pub shown: Shown,
     /// The headers that go with it unchanged.
     pub headers: HeaderMap,
 }
 
+/// What a request shows of who sent it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Shown {
+    /// No key.
+    Nothing,
+    /// One key.
+    Key(Credential),
+    /// Several keys, none of which counts.
+    Several,
+}
+
 /// A prompt's size and parts.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct Prompt {
@@ -59,6 +73,11 @@
 }
 
 impl Prompt {
+    /// The tokens that it states, read and generated.
+    pub fn stated(&self) -> Tokens {
+        self.input + self.output
+    }
+
     /// The leading parts that other requests have too, named by the last of them: a part is of use only where all parts
     /// before it are there as well.
     fn shared(&self) -> Option<Shared> {
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -16,6 +16,8 @@
 use tokio::time::Instant;
 
 use super::Hub;
+use crate::clock;
+use crate::decide::freshness::Proof;
 use crate::decide::route::rendezvous;
 use crate::id;
 use crate::wire::Peer;
@@ -122,6 +124,7 @@
     let peer = Peer::new(vm.clone(), Role::Control);
     loop {
         draining.mark_unchanged();
+        let sent = clock::now();
         let asked = ask(hub, &peer, nth);
         let followed = tokio::select! {
             followed = asked => followed,
@@ -130,7 +133,7 @@
         };
         let Some(followed) = followed else { return };
         let in_touch = followed.in_touch;
-        take(hub, vm, followed);
+        take(hub, vm, followed, sent);
         if !followers.lock().expect("no panic while locked").note(nth, in_touch) {
             return;
         }
@@ -151,13 +154,16 @@
     }
 }
 
-fn take(hub: &Hub, vm: &id::Vm, followed: Followed) {
+fn take(hub: &Hub, vm: &id::Vm, followed: Followed, sent: Instant) {
     if let Some((stamp, nonce)) = followed.known_as {
         hub.overtake(stamp, nonce);
     }
     if let Some(routing) = followed.routing {
         hub.take_routing(routing);
     }
+    if let Some(proof) = followed.proof.and_then(|told| Proof::of(told, sent)) {
+        hub.take_proof(proof);
+    }
     if let Some(delta) = followed.roster {
         let links = delta.vms.iter().filter_map(|fact| Some((&fact.said, fact.said.links?)));
         if let Some(mesh) = hub.mesh() {
--- a/src/gateway/headers.rs
+++ b/src/gateway/headers.rs
@@ -25,6 +25,9 @@
 /// for the first time. Under overload a service gets hundreds of repeats that no budget counts.
 pub const ARRIVED: HeaderName = HeaderName::from_static("mastic-arrived");
 
+/// Between VMs: the organisation whose caller sent the request, which the sender has checked.
+pub const ORGANISATION: HeaderName = HeaderName::from_static("mastic-organisation");
+
 /// Headers that concern one connection (RFC 9110, 7.6.1), and the length, which the library writes by the body.
 const HOP: [HeaderName; 9] = [
     header::CONNECTION,
@@ -65,7 +68,8 @@
         .collect();
     for name in HOP
         .iter()
-        .chain([&KEEP_ALIVE, &PROXY_CONNECTION, &OUTLOOK, &OUTLOOK_RUNNING, &REPEAT, &ARRIVED])
+        .chain([&KEEP_ALIVE, &PROXY_CONNECTION, &OUTLOOK, &OUTLOOK_RUNNING])
+        .chain([&REPEAT, &ARRIVED, &ORGANISATION])
         .chain(&named)
     {
         headers.remove(name);
--- a/src/gateway/hub.rs
+++ b/src/gateway/hub.rs
@@ -25,6 +25,10 @@
 
 use super::Adapter;
 use super::metrics::Metrics;
+use crate::clock;
+use crate::decide::freshness;
+use crate::decide::freshness::Freshness;
+use crate::decide::freshness::Proof;
 use crate::decide::place::Cold;
 use crate::decide::place::Open;
 use crate::decide::place::Place;
@@ -83,6 +87,7 @@
     merged: Mutex<Merged>,
     place: Mutex<Place>,
     regions: Mutex<Regions>,
+    freshness: Mutex<Freshness>,
     repeats: Mutex<HashMap<String, Repeats>>,
     presence: Mutex<Presence>,
     rng: Mutex<SmallRng>,
@@ -141,6 +146,7 @@
             merged: Mutex::default(),
             place: Mutex::new(Place::new(SmallRng::from_rng(&mut rng))),
             regions: Mutex::default(),
+            freshness: Mutex::default(),
             repeats: Mutex::default(),
             presence: Mutex::new(presence),
             rng: Mutex::new(rng),
@@ -275,14 +281,41 @@
         self.draining.subscribe()
     }
 
-    /// Whether callers should come here: it knows where requests go, and does not leave.
+    /// Whether callers should come here: it knows where requests go and who may ask, and does not leave.
     pub fn is_ready(&self) -> bool {
-        !self.is_draining() && self.routing.lock().expect("no panic while locked").table.is_some()
+        !self.is_draining() && self.serves()
     }
 
     /// Whether requests that come are served; a VM that leaves goes on for some seconds.
     fn takes_requests(&self) -> bool {
-        !self.is_closed() && self.routing.lock().expect("no panic while locked").table.is_some()
+        !self.is_closed() && self.serves()
+    }
+
+    fn serves(&self) -> bool {
+        let table = self.routing().table;
+        table.is_some_and(|table| !table.has_organisations() || self.is_current())
+    }
+
+    /// Whether this VM may act by its document on what organisations' callers show.
+    pub fn is_current(&self) -> bool {
+        let Some(promised) = self.node.bounds.revocation else { return true };
+        self.freshness().is_within(freshness::usable(promised), clock::now())
+    }
+
+    fn freshness(&self) -> MutexGuard<'_, Freshness> {
+        self.freshness.lock().expect("no panic while locked")
+    }
+
+    /// Takes a proof that there was no newer routing state.
+    pub fn take_proof(&self, proof: Proof) {
+        let was_current = self.is_current();
+        let held = self.routing().revision;
+        self.freshness().take(proof, held, clock::now());
+        if !was_current && self.is_current() {
+            info!(self.log, "routing.proven"; "revision" => %proof.revision,
+                "age_ms" => clock::now().saturating_duration_since(proof.at).as_millis() as u64);
+            self.news.send_replace(());
+        }
     }
 
     /// Counts a request in until it is dropped.
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -7,6 +7,7 @@
 pub mod adapter;
 pub mod attempt;
 pub mod call;
+pub mod caller;
 pub mod claim;
 pub mod daemon;
 pub mod events;
@@ -22,5 +23,6 @@
 pub use adapter::Adapter;
 pub use adapter::Dialect;
 pub use call::Call;
+pub use caller::Caller;
 pub use daemon::Daemon;
 pub use hub::Hub;
--- a/src/gateway/receive.rs
+++ b/src/gateway/receive.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use http::HeaderMap;
 use http::HeaderValue;
 use http::Request;
 use http::Response;
@@ -15,9 +16,11 @@
 use tokio::time::Instant;
 
 use super::Call;
+use super::Caller;
 use super::Hub;
 use super::attempt::Content;
 use super::attempt::Opened;
+use super::caller;
 use super::headers;
 use super::hub::InProgress;
 use super::relay::Job;
@@ -28,6 +31,7 @@
 use crate::http::Reason;
 use crate::http::Refusal;
 use crate::http::body;
+use crate::id;
 use crate::routing::Limits;
 use crate::routing::Route;
 use crate::routing::Table;
@@ -39,9 +43,28 @@
 /// for the request itself, or for another VM.
 pub const WAITED: f64 = 0.4;
 
-/// A caller of a VM that is about to end is told to go to another one after this.
+/// A caller of a VM that is about to end, or out of touch with control, is told to go to another one after this.
 const ELSEWHERE: Duration = Duration::from_millis(20);
 
+/// How a request came to this VM.
+struct Origin {
+    layer: Layer,
+    /// Whether it may have arrived at an upstream before.
+    is_repeat: bool,
+    /// The organisation of its caller, as another VM names it.
+    organisation: Option<id::Owner>,
+}
+
+/// Only other VMs are believed: callers may write what they like.
+fn origin(layer: Layer, told: &HeaderMap) -> Origin {
+    let is_vm = layer == Layer::Forwarded;
+    Origin {
+        layer,
+        is_repeat: is_vm && told.contains_key(headers::REPEAT),
+        organisation: if is_vm { caller::passed_on(told) } else { None },
+    }
+}
+
 /// Answers a caller.
 pub async fn from_caller(hub: Arc<Hub>, request: Request<Incoming>) -> Response<Body> {
     receive(hub, request, Layer::First).await
@@ -56,11 +79,11 @@
     let arrived = Instant::now();
     let progress = hub.enter();
     let (head, body) = request.into_parts();
-    let is_repeat = layer == Layer::Forwarded && head.headers.contains_key(headers::REPEAT);
+    let origin = origin(layer, &head.headers);
     let mut response = match decode(&hub, head) {
         Ok(call) => {
             let id = call.id.clone();
-            match prepare(&hub, call, body, (layer, is_repeat), arrived).await {
+            match prepare(&hub, call, body, origin, arrived).await {
                 Ok(job) => answer(&hub, job, progress).await,
                 Err(refusal) => refuse(&hub, Some(&id), &refusal, arrived),
             }
@@ -93,34 +116,65 @@
     hub: &Hub,
     call: Call,
     body: Incoming,
-    (layer, is_repeat): (Layer, bool),
+    origin: Origin,
     arrived: Instant,
 ) -> Result<Job, Refusal> {
-    let waited = if layer == Layer::First { WAITED } else { 0.0 };
+    let waited = if origin.layer == Layer::First { WAITED } else { 0.0 };
     let until = arrived + call.patience.unwrap_or(STARTING).mul_f64(waited);
-    let Some(table) = table(hub, until).await else {
-        let refusal = Refusal::new(Reason::Starting, "this VM has no document yet");
-        return Err(refusal.with_retry_after(STARTING));
-    };
-    let route = route(&table, &call)?;
+    let (table, route) = find(hub, &call, until).await?;
     let body = read(body, table.limits()).await?;
+    let passed_on = origin.organisation.as_ref();
+    let caller = Caller::identify(&table, &route, &call, (origin.layer, passed_on))?;
+    if !caller.has_home(&route) {
+        let text = "its route and its organisation have no home in common";
+        return Err(Refusal::new(Reason::HomeUnreachable, text));
+    }
     let service = route.target(hub.draw()).unwrap_or_default().to_owned();
     let patience = call.patience.map_or(route.timeout, |patience| patience.min(route.timeout));
     let deadline = arrived + patience;
-    let urgent = table.goes_first(&route, &service);
-    Ok(Job { call, body, route, service, urgent, deadline, arrived, layer, is_repeat })
+    let rank = caller.rank(&route);
+    let urgent = table.goes_first(rank, &service);
+    let Origin { layer, is_repeat, .. } = origin;
+    Ok(Job {
+        call,
+        body,
+        route,
+        caller,
+        service,
+        rank,
+        urgent,
+        deadline,
+        arrived,
+        layer,
+        is_repeat,
+    })
 }
 
-/// The document in force; a VM that has just started waits for it.
-async fn table(hub: &Hub, until: Instant) -> Option<Arc<Table>> {
+/// The document in force and the request's route; a VM that has just started waits for what it needs to know.
+async fn find(hub: &Hub, call: &Call, until: Instant) -> Result<(Arc<Table>, Arc<Route>), Refusal> {
     loop {
-        let table = hub.routing().table;
-        if table.is_some() || !hub.hears_more(until).await {
-            return table;
+        let found = find_now(hub, call);
+        let is_starting =
+            |refusal: &Refusal| matches!(refusal.reason, Reason::Starting | Reason::Outdated);
+        if !found.as_ref().is_err_and(is_starting) || !hub.hears_more(until).await {
+            return found;
         }
     }
 }
 
+fn find_now(hub: &Hub, call: &Call) -> Result<(Arc<Table>, Arc<Route>), Refusal> {
+    let Some(table) = hub.routing().table else {
+        let refusal = Refusal::new(Reason::Starting, "this VM has no document yet");
+        return Err(refusal.with_retry_after(STARTING));
+    };
+    let route = route(&table, call)?;
+    if table.needs_key(&route) && !hub.is_current() {
+        let text = "this VM can't tell whether the keys that it knows are still good";
+        return Err(Refusal::new(Reason::Outdated, text).with_retry_after(ELSEWHERE));
+    }
+    Ok((table, route))
+}
+
 fn route(table: &Table, call: &Call) -> Result<Arc<Route>, Refusal> {
     let found = table.route(&call.host, call.target.path()).cloned();
     found.ok_or_else(|| Refusal::new(Reason::NotFound, "no route takes this host and path"))
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -9,6 +9,7 @@
 use tokio::time::Instant;
 
 use super::Call;
+use super::Caller;
 use super::Hub;
 use super::attempt;
 use super::attempt::Ended;
@@ -59,8 +60,12 @@
     pub body: Bytes,
     /// Its route.
     pub route: Arc<Route>,
+    /// Who sent it.
+    pub caller: Caller,
     /// The service that it goes to.
     pub service: String,
+    /// Its rank among requests that compete; 0 goes first.
+    pub rank: u8,
     /// Whether no other request to the service goes before it.
     pub urgent: bool,
     /// When its caller must have the whole answer.
@@ -209,6 +214,9 @@
                 self.log_too_late(&chosen, most);
                 return Err(self.give_up(Reason::Overload, "it would be answered too late"));
             }
+            if self.attempts() > 0 && !self.is_still_allowed() {
+                return Err(self.give_up(Reason::Outdated, "its key may have been taken away"));
+            }
             if !self.may_send(&chosen) {
                 return Err(self.give_up(Reason::UpstreamFailed, "no more attempts may be made"));
             }
@@ -254,6 +262,14 @@
         self.log("stream.broke_off", why);
     }
 
+    /// Whether the request may still be sent, as far as its caller goes: its key may have been taken away since it came.
+    fn is_still_allowed(&self) -> bool {
+        let Caller::Of { .. } = self.job.caller else { return true };
+        let table = self.hub.routing().table;
+        let is_known = table.is_some_and(|table| self.job.caller.is_known(&table));
+        is_known && (self.job.layer == Layer::Forwarded || self.hub.is_current())
+    }
+
     /// Whether it may wait for an upstream to be heard of. The VM that its caller asked waits; one that it was passed on to
     /// refuses at once, since there may be room elsewhere.
     fn may_wait(&self) -> bool {
@@ -370,12 +386,14 @@
     fn choose(&self) -> Option<Chosen> {
         let now = Instant::now();
         let (service, route) = (self.job.service.as_str(), &self.job.route);
-        let allows = |region: &id::Region| route.allows(region) && !self.refused.contains(region);
+        let caller = &self.job.caller;
+        let is_home = |region: &id::Region| caller.allows(route, region);
+        let allows = |region: &id::Region| is_home(region) && !self.refused.contains(region);
         let urgent = self.job.urgent;
         let longest = self.job.deadline.saturating_duration_since(now).min(self.longest_wait());
         let (work, bytes) = (self.work, self.job.body.len());
         let passage = Passage { service, work, urgent, bytes, longest, allows: &allows };
-        let is_home = route.allows(&self.hub.node().region);
+        let is_home = is_home(&self.hub.node().region);
         let shared = self.work.shared.filter(|_| is_home);
         let weight = shared.and_then(|shared| self.hub.place().weight(service, &shared));
         let holder = self.hub.regions().holder(&passage, weight, now);
@@ -423,7 +441,7 @@
     fn log_too_late(&self, chosen: &Chosen, longest: Duration) {
         let route = &self.job.route;
         info!(self.hub.log(), "request.too_late"; "request" => &self.job.call.id,
-            "route" => &route.name, "rank" => route.rank, "target" => ?chosen.target(),
+            "route" => &route.name, "rank" => self.job.rank, "target" => ?chosen.target(),
             "expected_ms" => chosen.expected().as_millis() as u64,
             "longest_ms" => longest.as_millis() as u64,
             "own_tokens" => self.work.own.get(),
--- a/src/http/refusal.rs
+++ b/src/http/refusal.rs
@@ -48,6 +48,8 @@
     NoUpstream,
     /// The process has just started and has no catalogue yet; another VM takes the request.
     Starting,
+    /// The process can't show that its configuration is current; another VM takes the request.
+    Outdated,
     /// The process is shutting down; another VM takes the request.
     Draining,
     /// The request ended each upstream that ran it.
@@ -81,6 +83,7 @@
             | Self::Overload
             | Self::NoUpstream
             | Self::Starting
+            | Self::Outdated
             | Self::Draining
             | Self::LedgerUnreachable => StatusCode::SERVICE_UNAVAILABLE,
         }
@@ -104,6 +107,7 @@
             Self::TooLate => "too-late",
             Self::NoUpstream => "no-upstream",
             Self::Starting => "starting",
+            Self::Outdated => "outdated",
             Self::Draining => "draining",
             Self::Quarantined => "quarantined",
             Self::LedgerUnreachable => "ledger-unreachable",
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod capacity;
 pub mod catalogue;
 pub mod cli;
+pub mod clock;
 pub mod consensus;
 pub mod control;
 pub mod decide;
--- a/src/routing/check.rs
+++ b/src/routing/check.rs
@@ -1,9 +1,12 @@
 //! What makes a document invalid, beyond what its decoder finds.
 
 use std::collections::BTreeSet;
+use std::collections::HashMap;
 
+use super::Credential;
 use super::Document;
 use super::Invalid;
+use super::Organisation;
 use super::Route;
 use super::errors::Finding;
 
@@ -21,6 +24,7 @@
             found.push(Finding::new(&place, text));
         }
     }
+    check_organisations(document.organisations.as_deref().unwrap_or_default(), &mut found);
     if found.is_empty() { Ok(()) } else { Err(Invalid(found)) }
 }
 
@@ -42,5 +46,32 @@
     }
 }
 
+/// Names and keys must tell organisations apart, and what they may ask for must be a number that can be counted to.
+fn check_organisations(organisations: &[Organisation], found: &mut Vec<Finding>) {
+    let mut names = BTreeSet::new();
+    let mut holders: HashMap<Credential, usize> = HashMap::new();
+    for (nth, organisation) in organisations.iter().enumerate() {
+        let place = format!("organisations[{nth}]");
+        if !names.insert(&organisation.name) {
+            let text =
+                format!("{:?} is the name of another one already", organisation.name.as_str());
+            found.push(Finding::new(&place, text));
+        }
+        for (key, credential) in organisation.credentials.iter().enumerate() {
+            if let Some(holder) = holders.insert(*credential, nth) {
+                let text = format!("organisations[{holder}] has the same key");
+                found.push(Finding::new(format!("{place}.keys[{key}]"), text));
+            }
+        }
+        if let Some(allowance) = &organisation.allowance
+            && !(allowance.rate.get().is_finite()
+                && (0.0..f64::INFINITY).contains(&allowance.burst))
+        {
+            let text = "the rate and the burst must be finite, and the burst not negative";
+            found.push(Finding::new(format!("{place}.allowance"), text));
+        }
+    }
+}
+
 #[cfg(test)]
 mod tests;
--- a/src/routing/check/tests.rs
+++ b/src/routing/check/tests.rs
@@ -2,12 +2,17 @@
 use std::time::Duration;
 
 use super::check;
+use crate::routing::Credential;
 use crate::routing::Document;
 use crate::routing::Limits;
+use crate::routing::Organisation;
 use crate::routing::Route;
 use crate::routing::Service;
+use crate::routing::organisation::Allowance;
+use crate::routing::organisation::Unit;
 use crate::routing::route::Kind;
 use crate::routing::route::Target;
+use crate::unit::Rate;
 use crate::unit::Version;
 
 fn route(prefix: &str, service: &str, weight: u32) -> Route {
@@ -22,6 +27,7 @@
         targets: vec![Target { service: service.to_owned(), weight }],
         attempts: 1,
         homes: BTreeSet::new(),
+        public: false,
     }
 }
 
@@ -37,6 +43,7 @@
         version: Version::new(1),
         routes,
         services: vec![service],
+        organisations: None,
         limits: Limits::default(),
     }
 }
@@ -61,3 +68,47 @@
     let places: Vec<&str> = found.iter().map(|finding| finding.place.as_str()).collect();
     assert_eq!(places, ["routes[0]", "routes[1]", "routes[2]", "routes[3]", "routes[4]"]);
 }
+
+fn organisation(name: &str, keys: &[&str]) -> Organisation {
+    Organisation {
+        name: name.parse().unwrap(),
+        credentials: keys.iter().map(|key| Credential::new(key.as_bytes())).collect(),
+        rank: None,
+        homes: BTreeSet::new(),
+        allowance: None,
+    }
+}
+
+fn places(organisations: Vec<Organisation>) -> Vec<String> {
+    let document = Document { organisations: Some(organisations), ..document(Vec::new()) };
+    let found = check(&document).err().map(|invalid| invalid.0).unwrap_or_default();
+    found.into_iter().map(|finding| finding.place).collect()
+}
+
+#[test]
+fn organisations_without_keys_are_sound() {
+    assert!(places(Vec::new()).is_empty());
+    assert!(places(vec![organisation("a", &[]), organisation("b", &["k", "l"])]).is_empty());
+}
+
+// Guards against serving one organisation's requests as another's.
+#[test]
+fn a_name_or_key_that_stands_twice_is_found_by_its_place() {
+    let found = places(vec![
+        organisation("a", &["k", "l"]),
+        organisation("b", &["m", "k"]),
+        organisation("b", &["n", "n"]),
+    ]);
+    assert_eq!(found, ["organisations[1].keys[1]", "organisations[2]", "organisations[2].keys[1]"]);
+}
+
+#[test]
+fn an_allowance_without_bound_is_found() {
+    let mut endless = organisation("a", &[]);
+    let unit = Unit::Requests;
+    endless.allowance = Some(Allowance { rate: Rate::per_second(f64::INFINITY), burst: 1.0, unit });
+    let mut negative = organisation("b", &[]);
+    negative.allowance = Some(Allowance { rate: Rate::per_second(1.0), burst: -1.0, unit });
+    let found = places(vec![endless, negative]);
+    assert_eq!(found, ["organisations[0].allowance", "organisations[1].allowance"]);
+}
--- a/src/routing/document.rs
+++ b/src/routing/document.rs
@@ -7,12 +7,13 @@
 use serde::Serialize;
 
 use super::Limits;
+use super::Organisation;
 use super::Route;
 use super::Service;
 use crate::id;
 use crate::unit::Version;
 
-/// Routes, services and limits under one number.
+/// Routes, services, organisations and limits under one number.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 pub struct Document {
     /// The operator's number; the highest one is in force.
@@ -21,6 +22,9 @@
     pub routes: Vec<Route>,
     /// The services that routes name.
     pub services: Vec<Service>,
+    /// The organisations whose callers are served; none where it is not asked who calls.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub organisations: Option<Vec<Organisation>>,
     /// What a caller may send.
     pub limits: Limits,
 }
--- a/src/routing/document/tests.rs
+++ b/src/routing/document/tests.rs
@@ -16,6 +16,7 @@
         targets: Vec::new(),
         attempts: 1,
         homes: homes.iter().map(|home| home.parse().unwrap()).collect(),
+        public: false,
     }
 }
 
--- a/src/routing/route.rs
+++ b/src/routing/route.rs
@@ -76,6 +76,9 @@
     pub attempts: u32,
     /// The regions that may serve, store and cache it; empty means all.
     pub homes: BTreeSet<id::Region>,
+    /// Whether it is open to all callers: they need no key.
+    #[serde(default)]
+    pub public: bool,
 }
 
 impl Route {
--- a/src/routing/state.rs
+++ b/src/routing/state.rs
@@ -1,6 +1,7 @@
 //! What the control group agrees on.
 
 use std::collections::BTreeSet;
+use std::fmt;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -13,7 +14,7 @@
 use crate::unit::Version;
 
 /// A document together with the text in which the operator handed it in, which is what a read gives back.
-#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Default, PartialEq, Serialize, Deserialize)]
 pub struct Accepted {
     /// The document.
     pub document: Arc<Document>,
@@ -21,6 +22,13 @@
     pub source: Arc<str>,
 }
 
+/// Leaves the operator's text out, which holds the keys of callers.
+impl fmt::Debug for Accepted {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Accepted").field("document", &self.document).finish_non_exhaustive()
+    }
+}
+
 /// A command of the group's log.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
--- a/src/routing/state/tests.rs
+++ b/src/routing/state/tests.rs
@@ -44,3 +44,26 @@
     state.apply(&Command::Restore(place));
     assert!(state.replicated().evacuated.is_empty());
 }
+
+// Guards against a VM that can't read what its earlier version kept on disk, or what a VM of that version sends.
+#[test]
+fn a_state_from_before_organisations_still_loads() {
+    let before = r#"{"accepted":{"document":{"version":7,"routes":[{"name":"r","host":"a.example","prefix":"/",
+        "kind":"safe","timeout":1000,"objective":300,"rank":1,"targets":[],"attempts":1,"homes":["r"]}],
+        "services":[],"limits":{"head_bytes":1,"body_bytes":2,"head_time":3,"idle_time":4}},"source":"seven"},
+        "evacuated":[],"revision":3}"#;
+    let value: serde_json::Value = serde_json::from_str(before).unwrap();
+    let mut bytes = Vec::new();
+    ciborium::into_writer(&value, &mut bytes).unwrap();
+    let state: State = ciborium::from_reader(bytes.as_slice()).unwrap();
+    let document = state.replicated().document.unwrap();
+    assert_eq!((document.version.get(), state.revision().get()), (7, 3));
+    assert!(document.organisations.is_none() && !document.routes[0].public);
+}
+
+// Guards against the keys of callers in a dump or log line.
+#[test]
+fn a_command_shows_nothing_of_the_operators_text() {
+    let shown = format!("{:?}", Command::Replace(accepted(7, "secret-key")));
+    assert!(!shown.contains("secret-key"), "{shown}");
+}
--- a/src/routing/table.rs
+++ b/src/routing/table.rs
@@ -4,8 +4,10 @@
 use std::collections::HashMap;
 use std::sync::Arc;
 
+use super::Credential;
 use super::Document;
 use super::Limits;
+use super::Organisation;
 use super::Route;
 use super::Service;
 use super::document;
@@ -21,18 +23,41 @@
     services: HashMap<String, Arc<Service>>,
     /// The first rank among the routes to each service.
     first_ranks: HashMap<String, u8>,
+    organisations: Option<Organisations>,
     limits: Limits,
 }
 
+/// The organisations of a document, by what their callers show and by name.
+#[derive(Debug, Default)]
+struct Organisations {
+    by_credential: HashMap<Credential, Arc<Organisation>>,
+    by_name: HashMap<id::Owner, Arc<Organisation>>,
+}
+
+impl Organisations {
+    fn new(all: &[Organisation]) -> Self {
+        let mut organisations = Self::default();
+        for organisation in all {
+            let organisation = Arc::new(organisation.clone());
+            for credential in &organisation.credentials {
+                organisations.by_credential.insert(*credential, organisation.clone());
+            }
+            organisations.by_name.insert(organisation.name.clone(), organisation);
+        }
+        organisations
+    }
+}
+
 impl Table {
     /// The table of a document.
     pub fn new(document: &Document) -> Self {
         let mut hosts: HashMap<String, Vec<Arc<Route>>> = HashMap::new();
         let mut first_ranks: HashMap<String, u8> = HashMap::new();
         for route in &document.routes {
+            let rank = first_rank(document, route);
             for target in &route.targets {
-                let first = first_ranks.entry(target.service.clone()).or_insert(route.rank);
-                *first = route.rank.min(*first);
+                let first = first_ranks.entry(target.service.clone()).or_insert(rank);
+                *first = rank.min(*first);
             }
             let host = route.host.to_ascii_lowercase();
             hosts.entry(host).or_default().push(Arc::new(route.clone()));
@@ -44,7 +69,8 @@
         let services =
             services.map(|service| (service.name.clone(), Arc::new(service.clone()))).collect();
         let (version, limits) = (document.version, document.limits.clone());
-        Self { version, hosts, services, first_ranks, limits }
+        let organisations = document.organisations.as_deref().map(Organisations::new);
+        Self { version, hosts, services, first_ranks, organisations, limits }
     }
 
     /// The document's number.
@@ -72,9 +98,29 @@
         self.hosts.get(host).or_else(|| self.hosts.get(&host.to_ascii_lowercase()))
     }
 
-    /// Whether no other route to the service goes before this one.
-    pub fn goes_first(&self, route: &Route, service: &str) -> bool {
-        self.first_ranks.get(service).is_none_or(|first| route.rank <= *first)
+    /// Whether no request to the service goes before one of that rank.
+    pub fn goes_first(&self, rank: u8, service: &str) -> bool {
+        self.first_ranks.get(service).is_none_or(|first| rank <= *first)
+    }
+
+    /// Whether callers of that route must show a key.
+    pub fn needs_key(&self, route: &Route) -> bool {
+        self.organisations.is_some() && !route.public
+    }
+
+    /// Whether callers of any route must show a key.
+    pub const fn has_organisations(&self) -> bool {
+        self.organisations.is_some()
+    }
+
+    /// The organisation that holds the key.
+    pub fn holder(&self, credential: &Credential) -> Option<&Arc<Organisation>> {
+        self.organisations.as_ref()?.by_credential.get(credential)
+    }
+
+    /// The organisation of that name.
+    pub fn organisation(&self, name: &id::Owner) -> Option<&Arc<Organisation>> {
+        self.organisations.as_ref()?.by_name.get(name)
     }
 
     /// The service of that name.
@@ -83,5 +129,12 @@
     }
 }
 
+/// The first rank that a request on the route may have; an organisation's own goes before the route's.
+fn first_rank(document: &Document, route: &Route) -> u8 {
+    let organisations = document.organisations.as_deref().filter(|_| !route.public);
+    let ranks = organisations.unwrap_or_default().iter();
+    ranks.map(|organisation| organisation.rank.unwrap_or(route.rank)).min().unwrap_or(route.rank)
+}
+
 #[cfg(test)]
 mod tests;
--- a/src/routing/table/tests.rs
+++ b/src/routing/table/tests.rs
@@ -3,6 +3,7 @@
 
 use super::Table;
 use crate::routing::Document;
+use crate::routing::Organisation;
 use crate::routing::Route;
 use crate::routing::route::Kind;
 use crate::routing::route::Target;
@@ -19,6 +20,7 @@
         targets: vec![Target { service: "s".to_owned(), weight: 1 }],
         attempts: 1,
         homes: BTreeSet::new(),
+        public: false,
     }
 }
 
@@ -53,7 +55,27 @@
     alone.targets = vec![Target { service: "x".to_owned(), weight: 1 }];
     let routes = vec![route("first", "/first/"), later.clone(), alone.clone()];
     let table = Table::new(&Document { routes, ..Document::default() });
-    assert!(table.goes_first(&route("first", "/first/"), "s"));
-    assert!(!table.goes_first(&later, "s"));
-    assert!(table.goes_first(&alone, "x"));
+    assert!(table.goes_first(route("first", "/first/").rank, "s"));
+    assert!(!table.goes_first(later.rank, "s"));
+    assert!(table.goes_first(alone.rank, "x"));
+}
+
+// Guards against taking every request for a late one where organisations have ranks of their own.
+#[test]
+fn the_first_rank_counts_those_of_organisations() {
+    let organisation = |name: &str, rank| Organisation {
+        name: name.parse().unwrap(),
+        credentials: Vec::new(),
+        rank,
+        homes: BTreeSet::new(),
+        allowance: None,
+    };
+    let goes_first = |rank, organisations| {
+        let routes = vec![route("only", "/")];
+        let document =
+            Document { routes, organisations: Some(organisations), ..Document::default() };
+        Table::new(&document).goes_first(rank, "s")
+    };
+    assert!(goes_first(2, vec![organisation("a", Some(2)), organisation("b", Some(4))]));
+    assert!(!goes_first(2, vec![organisation("a", Some(2)), organisation("b", None)]));
 }
--- a/src/settings/node.rs
+++ b/src/settings/node.rs
@@ -86,13 +86,21 @@
     pub repeat_least: f64,
     /// The window.
     pub repeat_window: Duration,
+    /// A key that was taken away is refused by all VMs after this, also by those that hear nothing: they refuse all keys.
+    /// Where there is none, VMs that hear nothing go on with what they have.
+    pub revocation: Option<Duration>,
 }
 
 /// What holds where settings say nothing: a fifth more load on a failing service, as for retries in general, and a few
 /// a second for services that are asked rarely.
 impl Default for Bounds {
     fn default() -> Self {
-        Self { repeat_ratio: 0.2, repeat_least: 50.0, repeat_window: Duration::from_secs(10) }
+        Self {
+            repeat_ratio: 0.2,
+            repeat_least: 50.0,
+            repeat_window: Duration::from_secs(10),
+            revocation: None,
+        }
     }
 }
 
@@ -100,6 +108,9 @@
 /// VM answers them; but VMs that leave must take their requests for as long, and then end their streams.
 const DIRECTORY_TIME: Duration = Duration::from_millis(2500);
 
+/// The shortest time in which a key can be taken away everywhere without refusing callers of VMs that lost a message or two.
+const SHORTEST_REVOCATION: Duration = Duration::from_secs(3);
+
 /// A yes or no, as settings write it.
 struct Flag(bool);
 
@@ -245,13 +256,24 @@
     let repeat_ratio = section.or("repeat_ratio", usual.repeat_ratio);
     let repeat_least = section.or("repeat_least", usual.repeat_least);
     let repeat_window = section.or("repeat_window", Span(usual.repeat_window));
+    let revocation: Option<Span> = section.optional("revocation");
     section.finish();
+    let revocation = revocation.map(|Span(revocation)| revocation);
+    if revocation.is_some_and(|revocation| revocation < SHORTEST_REVOCATION) {
+        let text = format!(
+            "must be {} or more: VMs hear of control once a second",
+            Span(SHORTEST_REVOCATION)
+        );
+        section.note("revocation", text);
+        return None;
+    }
     let (ratio, least) = (repeat_ratio?, repeat_least?);
     if !(ratio >= 0.0 && least >= 0.0) {
         section.note("repeat_ratio", "it and repeat_least must not be negative");
         return None;
     }
-    Some(Bounds { repeat_ratio: ratio, repeat_least: least, repeat_window: repeat_window?.0 })
+    let repeat_window = repeat_window?.0;
+    Some(Bounds { repeat_ratio: ratio, repeat_least: least, repeat_window, revocation })
 }
 
 fn entry(section: &Section<'_>) -> Option<Entry> {
--- a/src/settings/node/tests.rs
+++ b/src/settings/node/tests.rs
@@ -47,3 +47,11 @@
     let text = ENTRY.split("entry:").next().unwrap();
     assert!(findings(text)[0].contains("either an entry or a control daemon"));
 }
+
+#[test]
+fn the_time_in_which_keys_are_taken_away_is_checked() {
+    let with = |time: &str| format!("{ENTRY}bounds:\n  revocation: {time}\n");
+    let node = Node::parse("node.yaml", &with("5000ms"), Path::new(".")).unwrap();
+    assert_eq!(node.bounds.revocation, Some(Duration::from_secs(5)));
+    assert!(findings(&with("1s"))[0].contains("bounds.revocation"));
+}
--- a/src/wire/message.rs
+++ b/src/wire/message.rs
@@ -10,6 +10,7 @@
 use crate::catalogue;
 use crate::consensus::Members;
 use crate::control::Name;
+use crate::decide::freshness;
 use crate::decide::limit;
 use crate::decide::quarantine;
 use crate::decide::spill;
@@ -95,6 +96,8 @@
     Routing(routing::Command),
     /// What did the operator hand in last? The answer is confirmed by a majority.
     ReadRouting,
+    /// Which revision of the routing state is the newest one? The answer is confirmed by a majority.
+    NewestRevision,
 }
 
 /// What comes back.
@@ -125,6 +128,8 @@
     Routing(Result<Version, Unavailable>),
     /// The operator's own text of the document in force, if there is one.
     Source(Result<Option<Arc<str>>, Unavailable>),
+    /// The newest revision of the routing state; none where the peer doesn't lead.
+    NewestRevision(Option<Version>),
     /// The peer has no answer to such a request.
     Unsupported,
 }
@@ -169,6 +174,9 @@
     pub routing: Option<routing::state::Replicated>,
     /// Whether the peer hears a leader of the routing group, so that what it holds is up to date.
     pub in_touch: bool,
+    /// The peer's proof that there was no newer routing state; none where it has none.
+    #[serde(default)]
+    pub proof: Option<freshness::Told>,
     /// The stamp and nonce under which the follower is known to the peer.
     pub known_as: Option<(Stamp, u64)>,
 }
