Allowances of organisations, counted over the VMs of all regions

Each VM counts what organisations ask for and what it lets through, tells it to a host of its region with what it tells already, hosts exchange sums, and a host answers with the part that is let through where an organisation is limited.

--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -9,6 +9,7 @@
 pub mod place;
 pub mod quarantine;
 pub mod queue;
+pub mod quota;
 pub mod retry;
 pub mod route;
 pub mod sharing;
--- a/src/decide/sharing/aggregator.rs
+++ b/src/decide/sharing/aggregator.rs
@@ -72,7 +72,8 @@
         shard.told.insert(from.clone(), Told { update, at: now });
         let loads = shard.others(from, now).into_iter().collect();
         let remotes = if index == REMOTES { self.remotes.told(now) } else { Vec::new() };
-        Some(Summary { shard: index, number, loads, uses, known, remotes })
+        let quotas = Vec::new();
+        Some(Summary { shard: index, number, loads, quotas, uses, known, remotes })
     }
 }
 
--- a/src/decide/sharing/message.rs
+++ b/src/decide/sharing/message.rs
@@ -10,6 +10,7 @@
 use super::Key;
 use super::Load;
 use super::SHARDS;
+use crate::decide::quota;
 use crate::id;
 
 /// The entries of a message at most; a datagram of an absurd size is dropped unread.
@@ -24,6 +25,9 @@
     /// A host answers.
     #[serde(rename = "s")]
     Summary(Summary),
+    /// A host tells those of other regions.
+    #[serde(rename = "t")]
+    Totals(quota::Totals),
 }
 
 /// Up to where a VM knows a host's list of uses.
@@ -92,6 +96,9 @@
     /// What it has; nothing where an upstream is not named.
     #[serde(rename = "l")]
     pub loads: Vec<(Key, Load)>,
+    /// What organisations of the shard have asked it for.
+    #[serde(rename = "q", default, skip_serializing_if = "Vec::is_empty")]
+    pub quotas: Vec<(quota::Key, quota::Count)>,
     /// Shared parts that it has used and the host has not confirmed.
     #[serde(rename = "u")]
     pub uses: Vec<Use>,
@@ -115,6 +122,9 @@
     /// The sums over all VMs but the asking one; nothing where an upstream is not named.
     #[serde(rename = "l")]
     pub loads: Vec<(Key, Load)>,
+    /// The organisations of the shard that are limited.
+    #[serde(rename = "q", default, skip_serializing_if = "Vec::is_empty")]
+    pub quotas: Vec<(quota::Key, quota::Part)>,
     /// Uses that the asking VM did not know.
     #[serde(rename = "u")]
     pub uses: Vec<Use>,
@@ -138,6 +148,10 @@
     pub fn decode(bytes: &[u8]) -> Option<Self> {
         let message: Self = ciborium::from_reader(bytes).ok()?;
         let (shard, loads, uses, remotes) = match &message {
+            Self::Totals(totals) if totals.shard < SHARDS && totals.is_sound() => {
+                return Some(message);
+            }
+            Self::Totals(_) => return None,
             Self::Update(update) => (update.shard, &update.loads, &update.uses, &update.remotes),
             Self::Summary(summary) => {
                 (summary.shard, &summary.loads, &summary.uses, &summary.remotes)
--- a/src/gateway/hub.rs
+++ b/src/gateway/hub.rs
@@ -35,6 +35,7 @@
 use crate::decide::place::Regions;
 use crate::decide::place::Seen;
 use crate::decide::place::Share;
+use crate::decide::quota::Meter;
 use crate::decide::retry::repeats::Bound;
 use crate::decide::retry::repeats::Repeats;
 use crate::directory::lookup;
@@ -88,6 +89,7 @@
     place: Mutex<Place>,
     regions: Mutex<Regions>,
     freshness: Mutex<Freshness>,
+    meter: Mutex<Meter>,
     repeats: Mutex<HashMap<String, Repeats>>,
     presence: Mutex<Presence>,
     rng: Mutex<SmallRng>,
@@ -124,6 +126,7 @@
     ) -> Self {
         let mut rng = SmallRng::seed_from_u64(seed);
         let entry = node.entry.as_ref();
+        let slack = node.bounds.allowance_slack;
         let presence = Presence {
             vm: node.vm(),
             role: Role::Entry,
@@ -147,6 +150,7 @@
             place: Mutex::new(Place::new(SmallRng::from_rng(&mut rng))),
             regions: Mutex::default(),
             freshness: Mutex::default(),
+            meter: Mutex::new(Meter::new(SmallRng::from_rng(&mut rng), slack)),
             repeats: Mutex::default(),
             presence: Mutex::new(presence),
             rng: Mutex::new(rng),
@@ -302,6 +306,10 @@
         self.freshness().is_within(freshness::usable(promised), clock::now())
     }
 
+    pub(super) fn meter(&self) -> MutexGuard<'_, Meter> {
+        self.meter.lock().expect("no panic while locked")
+    }
+
     fn freshness(&self) -> MutexGuard<'_, Freshness> {
         self.freshness.lock().expect("no panic while locked")
     }
@@ -465,7 +473,9 @@
         });
         let seen = seen.collect();
         let elsewhere = self.elsewhere(&merged, &routing.evacuated);
+        let vms = merged.all_vms(Role::Entry).count() as u32;
         drop(merged);
+        self.meter().set_vms(vms);
         self.place().sync(seen, share);
         self.regions().sync(elsewhere);
         self.news.send_replace(());
--- a/src/gateway/receive.rs
+++ b/src/gateway/receive.rs
@@ -14,20 +14,25 @@
 use slog::info;
 use tokio::time;
 use tokio::time::Instant;
+use xxhash_rust::xxh3::xxh3_64;
 
 use super::Call;
 use super::Caller;
 use super::Hub;
 use super::attempt::Content;
 use super::attempt::Opened;
+use super::call::Prompt;
 use super::caller;
 use super::headers;
 use super::hub::InProgress;
+use super::relay::Charge;
 use super::relay::Job;
 use super::relay::Layer;
 use super::relay::Relay;
 use super::stream::Stream;
+use crate::decide::quota;
 use crate::http::Body;
+use crate::http::Ran;
 use crate::http::Reason;
 use crate::http::Refusal;
 use crate::http::body;
@@ -129,6 +134,10 @@
         let text = "its route and its organisation have no home in common";
         return Err(Refusal::new(Reason::HomeUnreachable, text));
     }
+    let charge = match origin.layer {
+        Layer::First => charge(hub, &caller, &call, &route)?,
+        Layer::Forwarded => None,
+    };
     let service = route.target(hub.draw()).unwrap_or_default().to_owned();
     let patience = call.patience.map_or(route.timeout, |patience| patience.min(route.timeout));
     let deadline = arrived + patience;
@@ -140,6 +149,7 @@
         body,
         route,
         caller,
+        charge,
         service,
         rank,
         urgent,
@@ -180,6 +190,31 @@
     found.ok_or_else(|| Refusal::new(Reason::NotFound, "no route takes this host and path"))
 }
 
+/// Takes a request off its organisation's allowance, once, at the VM that its caller asked.
+fn charge(
+    hub: &Hub,
+    caller: &Caller,
+    call: &Call,
+    route: &Route,
+) -> Result<Option<Charge>, Refusal> {
+    let Some(organisation) = caller.organisation() else { return Ok(None) };
+    let Some(allowance) = &organisation.allowance else { return Ok(None) };
+    let charge = Charge {
+        organisation: quota::Key::new(&organisation.name),
+        cost: allowance.unit.cost(call.prompt.as_ref().map(Prompt::stated)),
+    };
+    let (cost, lane) = (charge.cost, xxh3_64(route.name.as_bytes()));
+    let admitted = hub.meter().admit(charge.organisation, allowance, (cost, lane), Instant::now());
+    match admitted {
+        Ok(()) => Ok(Some(charge)),
+        Err(after) => {
+            let spread = 1.0 + (hub.draw() % 256) as f64 / 512.0;
+            let text = format!("{} asks for more than its allowance", organisation.name);
+            Err(Refusal::new(Reason::Limit, text).with_retry_after(after.mul_f64(spread)))
+        }
+    }
+}
+
 async fn read(body: Incoming, limits: &Limits) -> Result<Bytes, Refusal> {
     match time::timeout(limits.head_time, body::read(body, limits.body_bytes)).await {
         Ok(Ok(bytes)) => Ok(bytes),
@@ -202,6 +237,9 @@
             pass_on(hub, relay, opened, progress)
         }
         Err(refusal) => {
+            if let (Some(charge), Ran::No) = (relay.job().charge, refusal.ran) {
+                hub.meter().give_back(charge.organisation, charge.cost);
+            }
             hub.metrics().ended(refusal.reason.name());
             info!(hub.log(), "request.ended"; "request" => &relay.job().call.id,
                 "outcome" => refusal.reason.name(), "detail" => &refusal.detail,
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -25,6 +25,7 @@
 use crate::decide::place::Passage;
 use crate::decide::place::Work;
 use crate::decide::place::wait;
+use crate::decide::quota;
 use crate::http::Ran;
 use crate::http::Reason;
 use crate::http::Refusal;
@@ -52,6 +53,15 @@
     Forwarded,
 }
 
+/// What a request took off its organisation's allowance.
+#[derive(Debug, Clone, Copy)]
+pub struct Charge {
+    /// The organisation.
+    pub organisation: quota::Key,
+    /// The cost in the allowance's unit.
+    pub cost: u64,
+}
+
 /// A request that has been read whole and has a route.
 pub struct Job {
     /// The request.
@@ -62,6 +72,8 @@
     pub route: Arc<Route>,
     /// Who sent it.
     pub caller: Caller,
+    /// What it took off an allowance at this VM.
+    pub charge: Option<Charge>,
     /// The service that it goes to.
     pub service: String,
     /// Its rank among requests that compete; 0 goes first.
--- a/src/gateway/share.rs
+++ b/src/gateway/share.rs
@@ -4,6 +4,7 @@
 //! Messages are datagrams: each holds a whole state with a number, and the next one follows within a fifth of a second, so
 //! nothing is gained by sending a lost one again. They go to the port at which a VM takes requests that others pass on.
 
+use std::collections::BTreeMap;
 use std::collections::HashMap;
 use std::io;
 use std::net::SocketAddr;
@@ -20,6 +21,10 @@
 use tokio::time::Instant;
 
 use super::Hub;
+use crate::decide::quota;
+use crate::decide::quota::Balances;
+use crate::decide::quota::Totals;
+use crate::decide::route::rendezvous;
 use crate::decide::sharing::Aggregator;
 use crate::decide::sharing::Hosts;
 use crate::decide::sharing::Key;
@@ -34,6 +39,9 @@
 use crate::decide::sharing::Use;
 use crate::id;
 use crate::roster::Standing;
+use crate::routing::Table;
+use crate::routing::organisation::Allowance;
+use crate::unit::Version;
 use crate::wire::Role;
 
 /// A datagram is no longer than this.
@@ -45,6 +53,9 @@
 /// A VM that has had no request for so long says nothing. What it knows when one comes is a round old at most.
 const IDLE: Duration = Duration::from_secs(2);
 
+/// Of another region, the first VMs in line to host a shard are told, so that the loss of one is made up for.
+const TOLD_ABROAD: usize = 2;
+
 /// Uses that no host has confirmed are told again in later updates, so many at most.
 const MOST_USES: usize = 64;
 
@@ -60,8 +71,13 @@
 /// Who can be talked to.
 #[derive(Debug, Default)]
 struct Book {
+    /// Those of this region.
     addresses: HashMap<id::Vm, SocketAddr>,
     vms: HashMap<SocketAddr, id::Vm>,
+    /// Those of other regions.
+    abroad: HashMap<SocketAddr, (id::Vm, id::Region)>,
+    /// The hosts of each shard in other regions.
+    hosts: Vec<Vec<SocketAddr>>,
 }
 
 #[derive(Debug)]
@@ -69,6 +85,9 @@
     book: Book,
     hosts: Hosts,
     aggregator: Aggregator,
+    balances: Balances,
+    /// The document whose allowances the balances hold.
+    version: Version,
     shards: Vec<Shard>,
 }
 
@@ -83,11 +102,13 @@
 
 impl Sharing {
     /// Takes datagrams at that address. `start` tells this start of the VM from its others.
-    pub async fn bind(address: SocketAddr, start: u64) -> io::Result<Self> {
+    pub async fn bind(address: SocketAddr, start: u64, slack: f64) -> io::Result<Self> {
         let state = State {
             book: Book::default(),
             hosts: Hosts::new(),
             aggregator: Aggregator::new(start),
+            balances: Balances::new(start, slack),
+            version: Version::ZERO,
             shards: (0..SHARDS).map(|_| Shard::default()).collect(),
         };
         let socket = UdpSocket::bind(address).await?;
@@ -118,6 +139,7 @@
             if hub.idle_for() < IDLE {
                 self.tell_shard(hub, shard).await;
             }
+            self.tell_abroad(shard).await;
         }
     }
 
@@ -126,19 +148,34 @@
         let mut book = Book::default();
         let mut ready = Vec::new();
         {
+            let mut abroad: BTreeMap<&id::Region, Vec<(&id::Vm, SocketAddr)>> = BTreeMap::new();
             let merged = hub.merged();
-            let here = merged.vms(Role::Entry).filter(|vm| vm.region == hub.node().region);
-            for (vm, address) in here.filter_map(|vm| Some((vm, vm.forwards?))) {
+            let known = merged.vms(Role::Entry).filter_map(|vm| Some((vm, vm.forwards?)));
+            for (vm, address) in known {
+                let is_ready = vm.ready && vm.standing == Standing::Ready;
+                if vm.region != hub.node().region {
+                    book.abroad.insert(address, (vm.vm.clone(), vm.region.clone()));
+                    if is_ready {
+                        abroad.entry(&vm.region).or_default().push((&vm.vm, address));
+                    }
+                    continue;
+                }
                 book.addresses.insert(vm.vm.clone(), address);
                 book.vms.insert(address, vm.vm.clone());
-                if vm.ready && vm.standing == Standing::Ready {
+                if is_ready {
                     ready.push(vm.vm.clone());
                 }
             }
+            book.hosts = (0..SHARDS).map(|shard| hosts_abroad(shard, &abroad)).collect();
         }
+        let table = hub.routing().table;
         let mut state = self.state();
         state.book = book;
         state.hosts.sync(&ready);
+        if let Some(table) = table.filter(|table| table.version() != state.version) {
+            state.version = table.version();
+            state.balances.set_allowances(allowances(&table));
+        }
     }
 
     async fn tell_shard(&self, hub: &Hub, shard: u8) {
@@ -152,12 +189,13 @@
             (place.loads(shard, now), place.uses(shard))
         };
         let mut update = self.update(shard, turn.number, loads, used);
+        update.quotas = hub.meter().counts(shard, now);
         if shard == REMOTES {
             update.remotes = hub.regions().news(now);
         }
         let me = hub.node().vm();
         if turn.host == me {
-            let summary = self.state().aggregator.take(&me, update, now);
+            let summary = self.state().answer(&me, update, now);
             if let Some(summary) = summary {
                 self.take_summary(hub, &me, summary, now);
             }
@@ -175,7 +213,7 @@
         of_shard.uses.drain(..over);
         let uses = of_shard.uses.iter().map(|(_, used)| *used).collect();
         let (start, known) = (self.start, of_shard.known);
-        Update { shard, start, number, loads, uses, known, remotes: Vec::new() }
+        Update { shard, start, number, loads, uses, known, ..Update::default() }
     }
 
     async fn listen(&self, hub: &Hub) {
@@ -186,13 +224,48 @@
                 time::sleep(TURN).await;
                 continue;
             };
-            let from = self.state().book.vms.get(&from).cloned();
-            let message = Message::decode(&bytes[..length]);
-            let (Some(from), Some(message)) = (from, message) else {
-                hub.metrics().sharing_dropped();
-                continue;
+            let is_taken = match Message::decode(&bytes[..length]) {
+                Some(Message::Totals(totals)) => self.take_totals(from, &totals),
+                Some(message) => self.take_from(hub, from, message).await,
+                None => false,
             };
-            self.take(hub, &from, message).await;
+            if !is_taken {
+                hub.metrics().sharing_dropped();
+            }
+        }
+    }
+
+    /// Takes what a VM of this region says; whether there is such a VM.
+    async fn take_from(&self, hub: &Hub, from: SocketAddr, message: Message) -> bool {
+        let vm = self.state().book.vms.get(&from).cloned();
+        if let Some(vm) = &vm {
+            self.take(hub, vm, message).await;
+        }
+        vm.is_some()
+    }
+
+    /// Takes what a host of another region says; whether there is such a VM.
+    fn take_totals(&self, from: SocketAddr, totals: &Totals) -> bool {
+        let mut state = self.state();
+        let host = state.book.abroad.get(&from).cloned();
+        if let Some((vm, region)) = &host {
+            state.balances.take_totals((vm, region), totals, Instant::now());
+        }
+        host.is_some()
+    }
+
+    /// As the host of a shard, tells those of other regions what organisations ask for here.
+    async fn tell_abroad(&self, shard: u8) {
+        let (totals, hosts) = {
+            let mut state = self.state();
+            let totals = state.balances.totals(shard, Instant::now());
+            let hosts = state.book.hosts.get(usize::from(shard)).cloned();
+            (totals, hosts.unwrap_or_default())
+        };
+        let Some(totals) = totals else { return };
+        let message = Message::Totals(totals);
+        for host in hosts {
+            self.send(host, &message).await;
         }
     }
 
@@ -200,13 +273,15 @@
         let now = Instant::now();
         match message {
             Message::Update(update) => {
-                let summary = self.state().aggregator.take(from, update, now);
+                let summary = self.state().answer(from, update, now);
                 let address = self.state().book.addresses.get(from).copied();
                 if let (Some(summary), Some(address)) = (summary, address) {
                     self.send(address, &Message::Summary(summary)).await;
                 }
             }
             Message::Summary(summary) => self.take_summary(hub, from, summary, now),
+            // These come from other regions.
+            Message::Totals(_) => hub.metrics().sharing_dropped(),
         }
     }
 
@@ -220,6 +295,7 @@
             shard.known = summary.known;
             shard.uses.retain(|(number, _)| *number > summary.number);
         }
+        hub.meter().told(summary.shard, &summary.quotas, now);
         hub.place().told(&summary, now);
         hub.regions().told_by_host(&summary.remotes, now);
     }
@@ -235,9 +311,38 @@
     }
 }
 
+impl State {
+    /// As a host, takes a VM's statement and answers it.
+    fn answer(&mut self, from: &id::Vm, update: Update, now: Instant) -> Option<Summary> {
+        let (shard, version) = (update.shard, (update.start, update.number));
+        self.balances.take((from, shard), version, &update.quotas, now);
+        let mut summary = self.aggregator.take(from, update, now)?;
+        summary.quotas = self.balances.parts(shard, now);
+        Some(summary)
+    }
+}
+
+/// The VMs that are likely to host a shard in each other region.
+fn hosts_abroad(
+    shard: u8,
+    regions: &BTreeMap<&id::Region, Vec<(&id::Vm, SocketAddr)>>,
+) -> Vec<SocketAddr> {
+    let of_region = |vms: &Vec<(&id::Vm, SocketAddr)>| {
+        let named = vms.iter().map(|(vm, address)| (*address, vm.as_str()));
+        rendezvous::top(u64::from(shard), named, TOLD_ABROAD)
+    };
+    regions.values().flat_map(of_region).collect()
+}
+
+fn allowances(table: &Table) -> HashMap<quota::Key, Allowance> {
+    let limited =
+        table.organisations().filter_map(|one| Some((quota::Key::new(&one.name), one.allowance?)));
+    limited.collect()
+}
+
 /// Shares until told to stop. Where the port can't be had, this VM goes on by its own view.
 pub async fn run(hub: Arc<Hub>, address: SocketAddr, start: u64, stop: watch::Receiver<bool>) {
-    match Sharing::bind(address, start).await {
+    match Sharing::bind(address, start, hub.node().bounds.allowance_slack).await {
         Ok(sharing) => sharing.run(&hub, stop).await,
         Err(error) => {
             info!(hub.log(), "sharing.off"; "address" => %address, "why" => %error);
--- a/src/log.rs
+++ b/src/log.rs
@@ -26,6 +26,12 @@
     Logger::root(drain, o!("vm" => vm.to_string(), "role" => role))
 }
 
+/// A logger that writes all lines as JSON to that place, for tests.
+pub fn to(place: impl io::Write + Send + 'static) -> Logger {
+    let json = slog_json::Json::default(place);
+    Logger::root(std::sync::Mutex::new(json).fuse(), o!())
+}
+
 /// A logger that writes nothing, for tests.
 pub fn silent() -> Logger {
     Logger::root(slog::Discard, o!())
--- a/src/routing/table.rs
+++ b/src/routing/table.rs
@@ -118,6 +118,12 @@
         self.organisations.as_ref()?.by_credential.get(credential)
     }
 
+    /// The organisations.
+    pub fn organisations(&self) -> impl Iterator<Item = &Organisation> {
+        let all = self.organisations.iter().flat_map(|all| all.by_name.values());
+        all.map(Arc::as_ref)
+    }
+
     /// The organisation of that name.
     pub fn organisation(&self, name: &id::Owner) -> Option<&Arc<Organisation>> {
         self.organisations.as_ref()?.by_name.get(name)
--- a/src/settings/node.rs
+++ b/src/settings/node.rs
@@ -89,6 +89,8 @@
     /// A key that was taken away is refused by all VMs after this, also by those that hear nothing: they refuse all keys.
     /// Where there is none, VMs that hear nothing go on with what they have.
     pub revocation: Option<Duration>,
+    /// Units by which an organisation may exceed its allowance before it is limited, in any span of some seconds.
+    pub allowance_slack: f64,
 }
 
 /// What holds where settings say nothing: a fifth more load on a failing service, as for retries in general, and a few
@@ -100,6 +102,7 @@
             repeat_least: 50.0,
             repeat_window: Duration::from_secs(10),
             revocation: None,
+            allowance_slack: 0.0,
         }
     }
 }
@@ -257,6 +260,7 @@
     let repeat_least = section.or("repeat_least", usual.repeat_least);
     let repeat_window = section.or("repeat_window", Span(usual.repeat_window));
     let revocation: Option<Span> = section.optional("revocation");
+    let allowance_slack = section.or("allowance_slack", usual.allowance_slack);
     section.finish();
     let revocation = revocation.map(|Span(revocation)| revocation);
     if revocation.is_some_and(|revocation| revocation < SHORTEST_REVOCATION) {
@@ -267,13 +271,23 @@
         section.note("revocation", text);
         return None;
     }
-    let (ratio, least) = (repeat_ratio?, repeat_least?);
+    let (ratio, least, slack) = (repeat_ratio?, repeat_least?, allowance_slack?);
+    if !(slack >= 0.0 && slack.is_finite()) {
+        section.note("allowance_slack", "must be a number that is not negative");
+        return None;
+    }
     if !(ratio >= 0.0 && least >= 0.0) {
         section.note("repeat_ratio", "it and repeat_least must not be negative");
         return None;
     }
     let repeat_window = repeat_window?.0;
-    Some(Bounds { repeat_ratio: ratio, repeat_least: least, repeat_window, revocation })
+    Some(Bounds {
+        repeat_ratio: ratio,
+        repeat_least: least,
+        repeat_window,
+        revocation,
+        allowance_slack: slack,
+    })
 }
 
 fn entry(section: &Section<'_>) -> Option<Entry> {
--- a/tests/load/main.rs
+++ b/tests/load/main.rs
@@ -17,6 +17,7 @@
 mod overload;
 mod policy;
 mod pool;
+mod quotas;
 mod regions;
 mod returning;
 mod rounds;
--- a/tests/load/streams/world.rs
+++ b/tests/load/streams/world.rs
@@ -160,7 +160,8 @@
         let known = vm.known[usize::from(shard)];
         let (loads, uses) = (vm.place.loads(shard, now), vm.place.uses(shard));
         let remotes = if shard == REMOTES { vm.regions.news(now) } else { Vec::new() };
-        let update = Update { shard, start: 1, number, loads, uses, known, remotes };
+        let quotas = Vec::new();
+        let update = Update { shard, start: 1, number, loads, quotas, uses, known, remotes };
         let summary = host.take(&name, update, now).unwrap();
         vm.known[usize::from(shard)] = summary.known;
         vm.place.told(&summary, now);
