--- a/src/directory/flood.rs
+++ b/src/directory/flood.rs
@@ -14,6 +14,7 @@
 
 use super::Service;
 use crate::id;
+use crate::roster::Alive;
 use crate::roster::Announcement;
 use crate::roster::Presence;
 use crate::wire::Cast;
@@ -31,42 +32,70 @@
 pub struct Queue {
     upstreams: Mutex<HashMap<id::Upstream, (Announcement, u8)>>,
     vms: Mutex<HashMap<(id::Vm, Role), (Presence, u8)>>,
+    /// Digests and sequences of statements that are merely renewed.
+    alive: Mutex<HashMap<u64, u64>>,
     news: Notify,
 }
 
 impl Queue {
-    /// An upstream said something.
-    pub fn announced(&self, said: Announcement, is_news: bool) {
+    /// An upstream said something new.
+    pub fn announced(&self, said: Announcement) {
         let mut waiting = self.upstreams.lock().expect("no panic while locked");
-        let repeats = if is_news { REPEATS } else { 0 };
-        let repeats = waiting.get(&said.id).map_or(repeats, |(_, left)| repeats.max(*left));
-        waiting.insert(said.id.clone(), (said, repeats));
+        waiting.insert(said.id.clone(), (said, REPEATS));
         drop(waiting);
-        self.ring(is_news);
+        self.news.notify_one();
     }
 
-    /// A VM said something.
-    pub fn met(&self, said: Presence, is_news: bool) {
+    /// A VM said something new.
+    pub fn met(&self, said: Presence) {
         let mut waiting = self.vms.lock().expect("no panic while locked");
-        let key = (said.vm.clone(), said.role);
-        let repeats = if is_news { REPEATS } else { 0 };
-        let repeats = waiting.get(&key).map_or(repeats, |(_, left)| repeats.max(*left));
-        waiting.insert(key, (said, repeats));
+        waiting.insert((said.vm.clone(), said.role), (said, REPEATS));
         drop(waiting);
-        self.ring(is_news);
+        self.news.notify_one();
+    }
+
+    /// An upstream said that it is as it was.
+    pub fn upstream_still_there(&self, said: Announcement) {
+        let mut waiting = self.upstreams.lock().expect("no panic while locked");
+        match waiting.get_mut(&said.id) {
+            Some((last, _)) => *last = said,
+            // Spans of time are no part of what a short word stands for.
+            None if said.is_settled() => self.still_there(said.digest(), said.stamp.sequence),
+            None => {
+                waiting.insert(said.id.clone(), (said, 0));
+            }
+        }
     }
 
-    fn ring(&self, is_news: bool) {
-        if is_news {
-            self.news.notify_one();
+    /// A VM said that it is as it was.
+    pub fn vm_still_there(&self, said: Presence) {
+        let mut waiting = self.vms.lock().expect("no panic while locked");
+        let key = (said.vm.clone(), said.role);
+        match waiting.get_mut(&key) {
+            Some((last, _)) => *last = said,
+            // Others learn from what a control VM says where it takes links.
+            None if said.role == Role::Entry => {
+                self.still_there(said.digest(), said.stamp.sequence);
+            }
+            None => {
+                waiting.insert(key, (said, 0));
+            }
         }
     }
 
+    fn still_there(&self, digest: u64, sequence: u64) {
+        let mut waiting = self.alive.lock().expect("no panic while locked");
+        let last = waiting.entry(digest).or_default();
+        *last = sequence.max(*last);
+    }
+
     /// What goes out now; what is to be repeated stays.
     fn take(&self) -> Heard {
         let upstreams = drain(&mut self.upstreams.lock().expect("no panic while locked"));
         let vms = drain(&mut self.vms.lock().expect("no panic while locked"));
-        Heard { upstreams, vms }
+        let alive = std::mem::take(&mut *self.alive.lock().expect("no panic while locked"));
+        let alive = alive.into_iter().map(Alive::from).collect();
+        Heard { upstreams, vms, alive, wanted: Vec::new() }
     }
 }
 
--- a/src/directory/service.rs
+++ b/src/directory/service.rs
@@ -240,8 +240,10 @@
                 "sequence" => said.stamp.sequence, "cold_ms" => said.cold_left.as_millis() as u64);
             self.publish();
         }
-        if taken != Taken::Stale {
-            self.flood.announced(said, is_news);
+        match taken {
+            Taken::Stale => (),
+            Taken::Still => self.flood.upstream_still_there(said),
+            Taken::News => self.flood.announced(said),
         }
     }
 
@@ -255,7 +257,7 @@
         info!(self.log, "upstream.left"; "upstream" => %upstream, "known" => said.is_some());
         self.publish();
         if let Some(said) = said {
-            self.flood.announced(said, true);
+            self.flood.announced(said);
         }
     }
 
@@ -285,8 +287,11 @@
         };
         time::timeout(WATCH, lacks).await.ok();
         let roster = self.table().delta(have, Instant::now());
-        let roster = match (roster, &follow.entry_vms_of) {
-            (Some(delta), Some(region)) => Some(delta.without_entry_vms_but_of(region)),
+        let roster = match (roster, &follow.only_of) {
+            (Some(delta), Some(region)) => {
+                let here = |centre: &id::DataCentre| self.node.region_of(centre) == Some(region);
+                Some(delta.only_of(region, here))
+            }
             (roster, _) => roster,
         };
         // Before the routing state, which is at least as new as the proof says then.
@@ -311,8 +316,10 @@
                 "standing" => ?said.standing, "ready" => said.ready);
             self.publish();
         }
-        if taken != Taken::Stale {
-            self.flood.met(said, taken == Taken::News);
+        match taken {
+            Taken::Stale => (),
+            Taken::Still => self.flood.vm_still_there(said),
+            Taken::News => self.flood.met(said),
         }
         known
     }
@@ -342,8 +349,10 @@
             // Failure: two control VMs that are no seeds hear of each other only through the seeds. If what a control VM
             // says of itself were not passed on, they could not vote for each other, and a group that lost its seeds
             // would have no leader although a majority is there.
-            if is_sender && taken != Taken::Stale {
-                self.flood.met(said, taken == Taken::News);
+            match taken {
+                Taken::Still if is_sender => self.flood.vm_still_there(said),
+                Taken::News if is_sender => self.flood.met(said),
+                _ => (),
             }
             if is_sender
                 && taken == Taken::Stale
@@ -354,6 +363,12 @@
                 );
             }
         }
+        let still_there = table.still_there(&heard.alive, now);
+        news |= still_there.is_news;
+        outdated.wanted = still_there.unknown;
+        let (upstreams, vms) = table.statements(&heard.wanted);
+        outdated.upstreams.extend(upstreams);
+        outdated.vms.extend(vms);
         drop(table);
         if news {
             self.publish();
@@ -393,7 +408,10 @@
             presence.clone()
         };
         let taken = self.table().meet(said.clone(), Instant::now());
-        self.flood.met(said, taken == Taken::News);
+        match taken {
+            Taken::News => self.flood.met(said),
+            _ => self.flood.vm_still_there(said),
+        }
         self.publish();
     }
 
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -145,8 +145,8 @@
     let region = Some(&hub.node().region).filter(|_| nth != WHOLE);
     let (epoch, roster) = hub.merged().ask(&peer.vm, region);
     let (presence, routing) = (hub.state_presence(), hub.routing().revision);
-    let entry_vms_of = region.cloned();
-    let follow = Follow { presence, epoch, roster, entry_vms_of, routing };
+    let only_of = region.cloned();
+    let follow = Follow { presence, epoch, roster, only_of, routing };
     let reply = hub.mesh()?.call(peer, Request::Follow(Box::new(follow)), LIMIT).await;
     match reply {
         Ok(Reply::Followed(followed)) => Some(*followed),
--- a/src/roster/announcement.rs
+++ b/src/roster/announcement.rs
@@ -9,6 +9,7 @@
 use serde_with::serde_as;
 
 use super::Stamp;
+use super::alive::digest;
 use crate::id;
 use crate::unit::Slots;
 
@@ -75,6 +76,17 @@
 const JITTER: Duration = Duration::from_millis(500);
 
 impl Announcement {
+    /// Whether it tells no span of time, which would be another one a moment later.
+    pub fn is_settled(&self) -> bool {
+        self.cold_left.is_zero() && self.ends_in.is_none()
+    }
+
+    /// Names the upstream, its start and all that it says but for spans of time.
+    pub fn digest(&self) -> u64 {
+        let said = (&self.service, self.address, &self.data_centre, self.slots);
+        digest(&(&self.id, self.stamp.born, said, self.standing, &self.models))
+    }
+
     /// Whether a later statement tells anything that matters to those who send requests.
     pub fn says_more_than(&self, last: &Self, since: Duration) -> bool {
         let cold = last.cold_left.saturating_sub(since);
--- a/src/roster/delta.rs
+++ b/src/roster/delta.rs
@@ -31,10 +31,11 @@
 }
 
 impl Delta {
-    /// The same without the entry VMs of other regions.
+    /// The same without the entry VMs of other regions, and without upstreams in data centres that are not `here`.
     #[must_use]
-    pub fn without_entry_vms_but_of(mut self, region: &id::Region) -> Self {
+    pub fn only_of(mut self, region: &id::Region, here: impl Fn(&id::DataCentre) -> bool) -> Self {
         self.vms.retain(|fact| fact.said.role != Role::Entry || fact.said.region == *region);
+        self.upstreams.retain(|fact| here(&fact.said.data_centre));
         self
     }
 }
--- a/src/roster/merged.rs
+++ b/src/roster/merged.rs
@@ -35,7 +35,7 @@
     epoch: u64,
     revision: u64,
     /// The region whose entry VMs it tells of; all where there is none.
-    entry_vms_of: Option<id::Region>,
+    only_of: Option<id::Region>,
     upstreams: HashMap<id::Upstream, (Stamp, bool)>,
     vms: HashMap<(id::Vm, Role), (Stamp, bool)>,
 }
@@ -52,10 +52,10 @@
 impl Merged {
     /// A control VM is asked for the entry VMs of that region alone, or for all. Up to where its table is known, for its present
     /// start; nothing of it where it told of other entry VMs until now.
-    pub fn ask(&mut self, source: &id::Vm, entry_vms_of: Option<&id::Region>) -> (u64, u64) {
+    pub fn ask(&mut self, source: &id::Vm, only_of: Option<&id::Region>) -> (u64, u64) {
         let source = self.sources.entry(source.clone()).or_default();
-        if source.entry_vms_of.as_ref() != entry_vms_of {
-            source.entry_vms_of = entry_vms_of.cloned();
+        if source.only_of.as_ref() != only_of {
+            source.only_of = only_of.cloned();
             source.revision = 0;
         }
         (source.epoch, source.revision)
@@ -77,8 +77,8 @@
     pub fn take(&mut self, source: &id::Vm, epoch: u64, delta: Delta, now: Instant) {
         let entry = self.sources.entry(source.clone()).or_default();
         if entry.epoch != epoch || delta.whole {
-            let entry_vms_of = entry.entry_vms_of.take();
-            *entry = Source { epoch, entry_vms_of, ..Source::default() };
+            let only_of = entry.only_of.take();
+            *entry = Source { epoch, only_of, ..Source::default() };
         }
         entry.followed = true;
         entry.revision = delta.revision;
@@ -151,7 +151,7 @@
             upstream.silent = is_known && words.all(|&(_, silent)| silent);
             is_known || upstream.said.standing != Standing::Gone
         });
-        let is_told_all = sources.iter().any(|source| source.entry_vms_of.is_none());
+        let is_told_all = sources.iter().any(|source| source.only_of.is_none());
         for (key, fact) in &mut self.vms {
             let mut words = sources.iter().filter_map(|source| source.vms.get(key)).peekable();
             // The one source that tells of other regions' VMs is lost for a moment: they are as they were.
--- a/src/roster/mod.rs
+++ b/src/roster/mod.rs
@@ -4,6 +4,7 @@
 //! order; so copies may arrive in any order, by any way, and as often as they like. A control VM keeps a [`Table`];
 //! an entry VM follows two of them and keeps what both say in a [`Merged`].
 
+pub mod alive;
 pub mod announcement;
 pub mod delta;
 pub mod merged;
@@ -11,6 +12,7 @@
 pub mod stamp;
 pub mod table;
 
+pub use alive::Alive;
 pub use announcement::Announcement;
 pub use announcement::Standing;
 pub use delta::Delta;
--- a/src/roster/presence.rs
+++ b/src/roster/presence.rs
@@ -7,6 +7,7 @@
 
 use super::Stamp;
 use super::Standing;
+use super::alive::digest;
 use crate::id;
 use crate::wire::Role;
 
@@ -49,6 +50,13 @@
 }
 
 impl Presence {
+    /// Names the VM, its start and all that it says.
+    pub fn digest(&self) -> u64 {
+        let place = (&self.vm, self.role, &self.region, &self.data_centre);
+        let reached = (self.callers, self.forwards, self.links);
+        digest(&(place, self.stamp.born, self.nonce, self.standing, self.ready, reached))
+    }
+
     /// Whether a later statement tells anything that matters to others.
     pub fn says_more_than(&self, last: &Self) -> bool {
         (self.stamp.born, self.nonce) != (last.stamp.born, last.nonce)
--- a/src/roster/table.rs
+++ b/src/roster/table.rs
@@ -6,6 +6,7 @@
 
 use tokio::time::Instant;
 
+use super::Alive;
 use super::Announcement;
 use super::Delta;
 use super::Presence;
@@ -62,6 +63,24 @@
     /// The upstream that took each address last.
     addresses: HashMap<SocketAddr, id::Upstream>,
     vms: HashMap<(id::Vm, Role), Known<Presence>>,
+    /// The subjects by the digests of what they said last.
+    digests: HashMap<u64, Subject>,
+}
+
+/// Whom a statement is about.
+#[derive(Debug, Clone)]
+enum Subject {
+    Upstream(id::Upstream),
+    Vm(id::Vm, Role),
+}
+
+/// What came of words that subjects are still there.
+#[derive(Debug, Default)]
+pub struct StillThere {
+    /// Whether some had been silent.
+    pub is_news: bool,
+    /// Digests of no statement that is known.
+    pub unknown: Vec<u64>,
 }
 
 impl Table {
@@ -74,6 +93,7 @@
             upstreams: HashMap::new(),
             addresses: HashMap::new(),
             vms: HashMap::new(),
+            digests: HashMap::new(),
         }
     }
 
@@ -116,6 +136,45 @@
         true
     }
 
+    /// Takes words that subjects are still there and as they were.
+    pub fn still_there(&mut self, words: &[Alive], now: Instant) -> StillThere {
+        let mut taken = StillThere::default();
+        for word in words {
+            let renewed = match self.digests.get(&word.digest) {
+                Some(Subject::Upstream(id)) => {
+                    let known = self.upstreams.get_mut(id);
+                    known.map(|known| known.renew(word.sequence, &mut self.revision, now))
+                }
+                Some(Subject::Vm(vm, role)) => {
+                    let known = self.vms.get_mut(&(vm.clone(), *role));
+                    known.map(|known| known.renew(word.sequence, &mut self.revision, now))
+                }
+                None => None,
+            };
+            match renewed {
+                Some(is_news) => taken.is_news |= is_news,
+                None => taken.unknown.push(word.digest),
+            }
+        }
+        taken
+    }
+
+    /// The whole statements of those digests that are known.
+    pub fn statements(&self, digests: &[u64]) -> (Vec<Announcement>, Vec<Presence>) {
+        let subjects = digests.iter().filter_map(|digest| self.digests.get(digest));
+        let (mut upstreams, mut vms) = (Vec::new(), Vec::new());
+        for subject in subjects {
+            match subject {
+                Subject::Upstream(id) => upstreams.extend(self.upstream(id).cloned()),
+                Subject::Vm(vm, role) => {
+                    let known = self.vms.get(&(vm.clone(), *role));
+                    vms.extend(known.map(|known| known.said.clone()));
+                }
+            }
+        }
+        (upstreams, vms)
+    }
+
     /// What was last said by an upstream.
     pub fn upstream(&self, upstream: &id::Upstream) -> Option<&Announcement> {
         self.upstreams.get(upstream).map(|known| &known.said)
@@ -145,9 +204,17 @@
             return Taken::Still;
         }
         self.revision += 1;
+        self.digests.insert(said.digest(), Subject::Vm(said.vm.clone(), said.role));
         let known =
             Known { said, heard: now, changed: now, revision: self.revision, silent: false };
-        self.vms.insert(key, known);
+        if let Some(last) = self.vms.insert(key, known) {
+            self.drop_digest(last.said.digest(), |table| {
+                table
+                    .vms
+                    .get(&(last.said.vm.clone(), last.said.role))
+                    .map(|known| known.said.digest())
+            });
+        }
         Taken::News
     }
 
@@ -244,9 +311,21 @@
             self.take_address(&said, now);
         }
         let id = said.id.clone();
+        self.digests.insert(said.digest(), Subject::Upstream(id.clone()));
         let known =
             Known { said, heard: now, changed: now, revision: self.revision, silent: false };
-        self.upstreams.insert(id, known);
+        if let Some(last) = self.upstreams.insert(id, known) {
+            self.drop_digest(last.said.digest(), |table| {
+                table.upstream(&last.said.id).map(Announcement::digest)
+            });
+        }
+    }
+
+    /// Forgets the digest of a statement that was replaced, unless the new one says the same.
+    fn drop_digest(&mut self, last: u64, now: impl Fn(&Self) -> Option<u64>) {
+        if now(self) != Some(last) {
+            self.digests.remove(&last);
+        }
     }
 
     /// Whoever had the address before is gone: an address has one owner at a time.
@@ -289,11 +368,52 @@
             !forgotten
         });
         self.floor = floor;
+        let (upstreams, vms) = (&self.upstreams, &self.vms);
+        self.digests.retain(|_, subject| match subject {
+            Subject::Upstream(id) => upstreams.contains_key(id),
+            Subject::Vm(vm, role) => vms.contains_key(&(vm.clone(), *role)),
+        });
         let upstreams = &self.upstreams;
         self.addresses.retain(|_, id| upstreams.contains_key(id));
     }
 }
 
+/// A statement that says when it was made.
+trait Stamped {
+    fn stamp(&mut self) -> &mut Stamp;
+}
+
+impl Stamped for Announcement {
+    fn stamp(&mut self) -> &mut Stamp {
+        &mut self.stamp
+    }
+}
+
+impl Stamped for Presence {
+    fn stamp(&mut self) -> &mut Stamp {
+        &mut self.stamp
+    }
+}
+
+impl<T: Stamped> Known<T> {
+    /// The same was said again under that sequence; whether it had been silent.
+    fn renew(&mut self, sequence: u64, revision: &mut u64, now: Instant) -> bool {
+        let stamp = self.said.stamp();
+        if sequence <= stamp.sequence {
+            return false;
+        }
+        stamp.sequence = sequence;
+        self.heard = now;
+        if !self.silent {
+            return false;
+        }
+        *revision += 1;
+        self.revision = *revision;
+        self.silent = false;
+        true
+    }
+}
+
 impl Known<Announcement> {
     /// The statement with its spans of time as of now.
     fn aged(&self, now: Instant) -> Fact<Announcement> {
--- a/src/roster/table/tests.rs
+++ b/src/roster/table/tests.rs
@@ -6,6 +6,7 @@
 use super::Table;
 use super::Taken;
 use crate::id;
+use crate::roster::Alive;
 use crate::roster::Announcement;
 use crate::roster::Presence;
 use crate::roster::Stamp;
@@ -163,3 +164,71 @@
     let left: Vec<&str> = after.upstreams().map(|upstream| upstream.id.as_str()).collect();
     assert_eq!(left, ["well"]);
 }
+
+fn word(said: &Announcement, sequence: u64) -> Alive {
+    Alive { digest: said.digest(), sequence }
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_short_word_renews_what_is_known() {
+    let start = Instant::now();
+    let mut table = Table::new(PATIENCE);
+    let first = said("x", 1, 10, 1);
+    table.announce(first.clone(), start);
+    let later = start + PATIENCE.upstream - Duration::from_secs(1);
+    let revision = table.revision();
+    assert!(table.still_there(&[word(&first, 2)], later).unknown.is_empty());
+    assert!(!table.expire(later + Duration::from_secs(2)));
+    assert_eq!(table.revision(), revision);
+    assert_eq!(table.announce(said("x", 1, 10, 2), later), Taken::Stale);
+}
+
+// Guards against an upstream that is taken to be ready by a VM that missed its word that it drains.
+#[tokio::test(start_paused = true)]
+async fn a_short_word_about_another_statement_is_not_known() {
+    let now = Instant::now();
+    let (mut table, mut other) = (Table::new(PATIENCE), Table::new(PATIENCE));
+    table.announce(said("x", 1, 10, 1), now);
+    let mut draining = said("x", 1, 10, 2);
+    draining.standing = Standing::Draining;
+    other.announce(draining.clone(), now);
+    let unknown = table.still_there(&[word(&draining, 3)], now).unknown;
+    assert_eq!(unknown, [draining.digest()]);
+    assert_eq!(standing(&table, "x"), Standing::Ready);
+    let (upstreams, vms) = other.statements(&unknown);
+    assert!(vms.is_empty());
+    for said in upstreams {
+        assert_eq!(table.announce(said, now), Taken::News);
+    }
+    assert_eq!(standing(&table, "x"), Standing::Draining);
+    assert!(table.still_there(&[word(&draining, 4)], now).unknown.is_empty());
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_short_word_brings_back_who_was_silent_and_nobody_who_left() {
+    let start = Instant::now();
+    let mut table = Table::new(PATIENCE);
+    let first = said("x", 1, 10, 1);
+    table.announce(first.clone(), start);
+    table.meet(presence("v", 10, 1), start);
+    let later = start + PATIENCE.upstream * 2;
+    assert!(table.expire(later));
+    let words = [word(&first, 2), Alive { digest: presence("v", 10, 1).digest(), sequence: 2 }];
+    assert!(table.still_there(&words, later).is_news);
+    assert_eq!((table.upstreams().count(), table.present().count()), (1, 1));
+    table.leave(&first.id, None, later);
+    assert!(!table.still_there(&[word(&first, 9)], later).is_news);
+    assert_eq!(standing(&table, "x"), Standing::Gone);
+}
+
+#[test]
+fn each_thing_that_is_said_makes_another_digest() {
+    let first = said("x", 1, 10, 1);
+    assert_eq!(first.digest(), said("x", 1, 10, 2).digest());
+    let mut others = vec![said("y", 1, 10, 1), said("x", 2, 10, 1), said("x", 1, 11, 1)];
+    others.push(Announcement { service: "t".to_owned(), ..first.clone() });
+    others.push(Announcement { slots: Slots::new(9), ..first.clone() });
+    others.push(Announcement { standing: Standing::Draining, ..first.clone() });
+    others.push(Announcement { data_centre: "b".parse().unwrap(), ..first.clone() });
+    assert!(others.iter().all(|other| other.digest() != first.digest()));
+}
--- a/src/wire/message.rs
+++ b/src/wire/message.rs
@@ -19,6 +19,7 @@
 use crate::ledger;
 use crate::membership;
 use crate::roster;
+use crate::roster::Alive;
 use crate::roster::Announcement;
 use crate::roster::Presence;
 use crate::roster::Stamp;
@@ -156,9 +157,9 @@
     pub epoch: u64,
     /// The peer's table as the follower has it.
     pub roster: u64,
-    /// Of the entry VMs, only those of this region are told; all of them where none is given.
-    #[serde(default)]
-    pub entry_vms_of: Option<id::Region>,
+    /// Of entry VMs and upstreams, only those of this region are told; all of them where none is given.
+    #[serde(default, alias = "entry_vms_of")]
+    pub only_of: Option<id::Region>,
     /// The routing state that the follower has in force.
     pub routing: Version,
 }
@@ -188,12 +189,21 @@
     pub upstreams: Vec<Announcement>,
     /// Of VMs.
     pub vms: Vec<Presence>,
+    /// Subjects of either kind that are as they were.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub alive: Vec<Alive>,
+    /// Digests of words that the sender could not make out: it asks for the whole statements.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub wanted: Vec<u64>,
 }
 
 impl Heard {
     /// Whether there is nothing to tell.
     pub fn is_empty(&self) -> bool {
-        self.upstreams.is_empty() && self.vms.is_empty()
+        self.upstreams.is_empty()
+            && self.vms.is_empty()
+            && self.alive.is_empty()
+            && self.wanted.is_empty()
     }
 }
 
