--- a/src/consensus/timer.rs
+++ b/src/consensus/timer.rs
@@ -18,7 +18,7 @@
 
 /// A replica that starts waits for a fraction of the usual time: where a leader is there, the pre-vote fails and disturbs
 /// nobody, and where all have started at once, nothing is served before there is one.
-const FIRST_ELECTION: u32 = 2;
+const FIRST_ELECTION: u32 = 3;
 
 /// A span of time that has run out.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
--- a/src/decide/quota.rs
+++ b/src/decide/quota.rs
@@ -10,9 +10,10 @@
 //! **Decision.** Each VM counts what every organisation asked for and what it let through ([`Meter`]), and tells it to a host
 //! of its region with what it tells it already ([`sharing`](super::sharing)). The hosts of the regions exchange their sums. A
 //! host keeps the balance of each organisation ([`Balances`]): what its allowance has earned less what was let through.
-//! From the balance and from what is asked for now follows the part that all VMs let through. A part that is applied by
-//! chance to each request needs no share a VM, so callers may move between VMs as they like, and large requests get as
-//! much of it as small ones.
+//! From the balance and from what is asked for now follows the part of each [`Lane`] that all VMs let through. A part that is
+//! applied to each request needs no share a VM, so callers may move between VMs as they like. Requests of about one size are a
+//! lane, and lanes share max-min fairly: short questions, which hold a tenth of the tokens, don't wait for long prompts that hold
+//! the rest.
 //!
 //! What is known is some tenths of a second old. The balance counts all that was let through, so what was too much is
 //! made up for; the burst of an allowance is room for what is let through before a sudden rise is known.
@@ -31,6 +32,8 @@
 
 use super::sharing::SHARDS;
 use crate::id;
+use crate::routing::organisation::Allowance;
+use crate::unit::Rate;
 
 pub use balances::Balances;
 pub use balances::Totals;
@@ -39,7 +42,7 @@
 /// An organisation that asked for nothing for so long is not told of, and then forgotten.
 pub const ACTIVE: Duration = Duration::from_secs(2);
 
-/// The part of the slack that is given away; the rest is for what is let through before it is known.
+/// The part of the excess that is given away; the rest is for what is let through before it is known.
 const GIVEN: f64 = 0.5;
 
 /// A short name for an organisation in messages.
@@ -58,6 +61,64 @@
     }
 }
 
+/// The requests of an organisation that cost about as much.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(from = "(Key, u8)", into = "(Key, u8)")]
+pub struct Lane {
+    /// The organisation.
+    pub organisation: Key,
+    /// The logarithm of the cost to the base of [`LANE_COSTS`].
+    size: u8,
+}
+
+/// The costs in a lane differ by this factor at most.
+const LANE_COSTS: u64 = 8;
+
+impl Lane {
+    /// The lane of a request of that cost.
+    pub fn new(organisation: Key, cost: u64) -> Self {
+        Self { organisation, size: cost.max(1).ilog(LANE_COSTS) as u8 }
+    }
+
+    /// The shard whose host counts it.
+    pub const fn shard(self) -> u8 {
+        self.organisation.shard()
+    }
+}
+
+impl From<(Key, u8)> for Lane {
+    fn from((organisation, size): (Key, u8)) -> Self {
+        Self { organisation, size }
+    }
+}
+
+impl From<Lane> for (Key, u8) {
+    fn from(lane: Lane) -> Self {
+        (lane.organisation, lane.size)
+    }
+}
+
+/// What the operator bears beyond an allowance in any span of some seconds.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct Excess {
+    /// A part of the allowance.
+    pub share: f64,
+    /// Units besides.
+    pub units: f64,
+}
+
+impl Excess {
+    /// The allowance with the part of the excess that is given away.
+    fn give(self, allowance: &Allowance) -> Allowance {
+        let more = 1.0 + self.share * GIVEN;
+        Allowance {
+            rate: Rate::per_second(allowance.rate.get() * more),
+            burst: allowance.burst * more + self.units * GIVEN,
+            ..*allowance
+        }
+    }
+}
+
 /// Units since a start.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(from = "(u64, u64)", into = "(u64, u64)")]
--- a/src/decide/quota/balances.rs
+++ b/src/decide/quota/balances.rs
@@ -10,17 +10,28 @@
 
 use super::ACTIVE;
 use super::Count;
+use super::Excess;
 use super::GIVEN;
 use super::Key;
+use super::Lane;
 use super::Part;
 use super::flow::Flow;
+use crate::decide::sharing::KEPT;
+use crate::decide::sharing::ROUND;
 use crate::decide::sharing::SHARDS;
+use crate::decide::sharing::hosts::MISSED;
 use crate::id;
 use crate::routing::organisation::Allowance;
 
 /// A balance that differs from zero is made up for within this: longer than what is known is old, or the part would swing.
 const SETTLED: Duration = Duration::from_secs(1);
 
+/// A host that VMs have told for a shorter time doesn't know yet who asks for too much.
+const LEARNING: Duration = Duration::from_secs(1);
+
+/// What VMs let through between the last word to one host and the first to the next isn't counted by either.
+const UNSEEN: Duration = ROUND.saturating_mul(MISSED as u32);
+
 /// A region that says nothing is taken to let as much through as before, for so long.
 const ASSUMED: Duration = Duration::from_secs(6);
 
@@ -39,15 +50,15 @@
     /// Counts the messages of that start.
     #[serde(rename = "n")]
     pub number: u64,
-    /// The counts since that start, of organisations that ask for anything.
+    /// The counts since that start, of lanes in which anything is asked for.
     #[serde(rename = "c")]
-    pub counts: Vec<(Key, Count)>,
+    pub counts: Vec<(Lane, Count)>,
 }
 
 impl Totals {
     /// Whether a host can have sent it.
     pub fn is_sound(&self) -> bool {
-        self.counts.len() <= MOST && self.counts.iter().all(|(key, _)| key.shard() == self.shard)
+        self.counts.len() <= MOST && self.counts.iter().all(|(lane, _)| lane.shard() == self.shard)
     }
 }
 
@@ -56,7 +67,7 @@
 struct Source {
     start: u64,
     number: u64,
-    counts: HashMap<Key, Count>,
+    counts: HashMap<Lane, Count>,
 }
 
 impl Source {
@@ -64,8 +75,8 @@
     fn take(
         &mut self,
         (start, number): (u64, u64),
-        counts: &[(Key, Count)],
-    ) -> Option<Vec<(Key, Step)>> {
+        counts: &[(Lane, Count)],
+    ) -> Option<Vec<(Lane, Step)>> {
         let is_known = self.start == start;
         if is_known && number <= self.number {
             return None;
@@ -75,8 +86,8 @@
         }
         (self.start, self.number) = (start, number);
         let mut steps = Vec::with_capacity(counts.len());
-        for (key, count) in counts {
-            let before = self.counts.insert(*key, *count);
+        for (lane, count) in counts {
+            let before = self.counts.insert(*lane, *count);
             let base = match before {
                 // A count that starts anew, where a source has forgotten it.
                 Some(before) if before.asked <= count.asked => before,
@@ -84,7 +95,7 @@
                 None if is_known => Count::default(),
                 None => *count,
             };
-            steps.push((*key, Step::between(base, *count)));
+            steps.push((*lane, Step::between(base, *count)));
         }
         Some(steps)
     }
@@ -109,7 +120,7 @@
 /// One organisation in another region.
 #[derive(Debug)]
 struct There {
-    asked: Flow,
+    asked: BTreeMap<Lane, Flow>,
     passed: Flow,
     /// When the region's host told anything of the shard.
     heard: Instant,
@@ -124,9 +135,8 @@
     level: f64,
     at: Instant,
     last: Instant,
-    asked: Flow,
-    /// This region's counts since the host's start.
-    count: Count,
+    /// What is asked for in this region, and its counts since the host's start.
+    here: BTreeMap<Lane, (Flow, Count)>,
     there: BTreeMap<id::Region, There>,
 }
 
@@ -135,26 +145,23 @@
 pub struct Balances {
     start: u64,
     number: u64,
-    /// Units that are let through beyond the allowances, so that what is only a little too much is not refused.
-    slack: f64,
+    excess: Excess,
     allowances: HashMap<Key, Allowance>,
     vms: HashMap<(id::Vm, u8), Source>,
     /// Hosts of other regions, each with the shard that it told of.
     abroad: HashMap<(id::Vm, u8), Source>,
-    /// When a VM of this region told anything of each shard.
-    told: [Option<Instant>; SHARDS as usize],
+    /// Since when VMs of this region tell of each shard without a pause, and when one did last.
+    told: [Option<(Instant, Instant)>; SHARDS as usize],
     balances: HashMap<Key, Balance>,
 }
 
 impl Balances {
-    /// A host that has heard nothing; `start` tells it from its starts before. An organisation's requests may exceed its
-    /// allowance by `slack` units in any span of some seconds.
-    pub fn new(start: u64, slack: f64) -> Self {
-        let slack = slack * GIVEN;
+    /// A host that has heard nothing; `start` tells it from its starts before.
+    pub fn new(start: u64, excess: Excess) -> Self {
         Self {
             start,
             number: 0,
-            slack,
+            excess,
             allowances: HashMap::new(),
             vms: HashMap::new(),
             abroad: HashMap::new(),
@@ -166,7 +173,9 @@
     /// Takes in what organisations may ask for.
     pub fn set_allowances(&mut self, allowances: HashMap<Key, Allowance>) {
         self.balances.retain(|key, _| allowances.contains_key(key));
-        self.allowances = allowances;
+        let given = allowances.into_iter();
+        self.allowances =
+            given.map(|(key, allowance)| (key, self.excess.give(&allowance))).collect();
     }
 
     /// A VM of this region tells its counts.
@@ -174,20 +183,23 @@
         &mut self,
         (vm, shard): (&id::Vm, u8),
         version: (u64, u64),
-        counts: &[(Key, Count)],
+        counts: &[(Lane, Count)],
         now: Instant,
     ) {
         let Some(told) = self.told.get_mut(usize::from(shard)) else { return };
-        *told = Some(now);
+        let since = told.filter(|(_, last)| now.saturating_duration_since(*last) < KEPT);
+        *told = Some((since.map_or(now, |(since, _)| since), now));
         let source = self.vms.entry((vm.clone(), shard)).or_default();
         // A host that takes over doesn't know how much of a VM's count its predecessor knew.
-        for (key, step) in source.take(version, counts).unwrap_or_default() {
-            let Some(balance) = self.balance(key, now) else { continue };
-            balance.asked.add(step.asked, now);
+        for (lane, step) in source.take(version, counts).unwrap_or_default() {
+            let Some(balance) = self.balance(lane.organisation, now) else { continue };
             balance.level -= step.passed;
             balance.last = now;
-            balance.count.asked = balance.count.asked.saturating_add(step.asked as u64);
-            balance.count.passed = balance.count.passed.saturating_add_signed(step.passed as i64);
+            let (asked, count) =
+                balance.here.entry(lane).or_insert_with(|| (Flow::new(now), Count::default()));
+            asked.add(step.asked, now);
+            count.asked = count.asked.saturating_add(step.asked as u64);
+            count.passed = count.passed.saturating_add_signed(step.passed as i64);
         }
     }
 
@@ -206,10 +218,10 @@
         for there in of_shard.filter_map(|(_, balance)| balance.there.get_mut(region)) {
             there.heard = now;
         }
-        for (key, step) in steps {
-            let Some(balance) = self.balance(key, now) else { continue };
+        for (lane, step) in steps {
+            let Some(balance) = self.balance(lane.organisation, now) else { continue };
             balance.last = now;
-            balance.there(region, now).heard(step, now);
+            balance.there(region, now).heard(lane, step, now);
         }
     }
 
@@ -220,56 +232,59 @@
     /// empty sums replace those of the host.
     pub fn totals(&mut self, shard: u8, now: Instant) -> Option<Totals> {
         self.balances.retain(|_, balance| now.saturating_duration_since(balance.last) < ASSUMED);
-        let told = (*self.told.get(usize::from(shard))?)?;
+        let (_, told) = (*self.told.get(usize::from(shard))?)?;
         if now.saturating_duration_since(told) >= ASSUMED {
             return None;
         }
         let of_shard = self.balances.iter().filter(|(key, _)| key.shard() == shard);
         let active = of_shard.filter(|(_, balance)| balance.is_active(now));
-        let counts = active.map(|(key, balance)| (*key, balance.count)).take(MOST).collect();
+        let lanes = active.flat_map(|(_, balance)| &balance.here);
+        let counts = lanes.map(|(lane, (_, count))| (*lane, *count)).take(MOST).collect();
         self.number += 1;
         Some(Totals { shard, start: self.start, number: self.number, counts })
     }
 
-    /// The parts of the organisations of a shard that are limited.
-    pub fn parts(&mut self, shard: u8, now: Instant) -> Vec<(Key, Part)> {
-        let slack = self.slack;
-        let of_shard = self.balances.iter_mut().filter(|(key, _)| key.shard() == shard);
-        let parts = of_shard.filter_map(|(key, balance)| {
-            let part = balance.part(self.allowances.get(key)?, slack, now);
-            (part < Part::WHOLE).then_some((*key, part))
-        });
-        parts.collect()
+    /// The parts of the lanes of a shard that are limited; none where this VM has hosted the shard for too short a time to tell.
+    ///
+    /// Failure: a host is lost, the next one has seen no rise, and tells VMs that nobody is limited.
+    pub fn parts(&mut self, shard: u8, now: Instant) -> Option<Vec<(Lane, Part)>> {
+        let (since, _) = (*self.told.get(usize::from(shard))?)?;
+        if now.saturating_duration_since(since) < LEARNING {
+            return None;
+        }
+        let mut parts = Vec::new();
+        for (key, balance) in self.balances.iter_mut().filter(|(key, _)| key.shard() == shard) {
+            if let Some(allowance) = self.allowances.get(key) {
+                parts.extend(balance.parts(allowance, now));
+            }
+        }
+        Some(parts)
     }
 
     fn balance(&mut self, key: Key, now: Instant) -> Option<&mut Balance> {
         let allowance = self.allowances.get(&key)?;
-        let balance = self.balances.entry(key).or_insert_with(|| Balance::new(self.slack, now));
-        balance.earn(allowance, self.slack, now);
+        let balance = self.balances.entry(key).or_insert_with(|| {
+            Balance::new(self.excess.units * GIVEN - allowance.rate.over(UNSEEN), now)
+        });
+        balance.earn(allowance, now);
         Some(balance)
     }
 }
 
 impl Balance {
-    /// What was let through before isn't known, so nothing but the slack is there.
-    fn new(slack: f64, now: Instant) -> Self {
-        Self {
-            level: slack,
-            at: now,
-            last: now,
-            asked: Flow::new(now),
-            count: Count::default(),
-            there: BTreeMap::new(),
-        }
+    /// What was let through before isn't known: it starts with what is given away in any case, less what may have been let
+    /// through unseen.
+    fn new(level: f64, now: Instant) -> Self {
+        Self { level, at: now, last: now, here: BTreeMap::new(), there: BTreeMap::new() }
     }
 
     fn is_active(&self, now: Instant) -> bool {
-        self.asked.rate(now) > 0.0 && now.saturating_duration_since(self.last) < ACTIVE
+        now.saturating_duration_since(self.last) < ACTIVE
     }
 
     fn there(&mut self, region: &id::Region, now: Instant) -> &mut There {
         self.there.entry(region.clone()).or_insert_with(|| There {
-            asked: Flow::new(now),
+            asked: BTreeMap::new(),
             passed: Flow::new(now),
             heard: now,
             due: 0.0,
@@ -277,31 +292,52 @@
     }
 
     /// Takes in what the allowance has earned, and what other regions have told, or are taken to have let through.
-    fn earn(&mut self, allowance: &Allowance, slack: f64, now: Instant) {
+    fn earn(&mut self, allowance: &Allowance, now: Instant) {
         let span = now.saturating_duration_since(self.at);
         self.at = now;
         self.level += allowance.rate.over(span);
         for there in self.there.values_mut() {
             self.level -= there.settle(span, now);
         }
-        self.level = self.level.min(allowance.burst + slack);
+        self.level = self.level.min(allowance.burst);
     }
 
-    fn part(&mut self, allowance: &Allowance, slack: f64, now: Instant) -> Part {
-        self.earn(allowance, slack, now);
-        let there: f64 = self.there.values().map(|there| there.asked_now(now)).sum();
-        let asked = self.asked.rate(now) + there;
-        let allowed = allowance.rate.get() + self.level / SETTLED.as_secs_f64();
-        if asked <= allowed { Part::WHOLE } else { Part::new(allowed / asked) }
+    fn parts(&mut self, allowance: &Allowance, now: Instant) -> Vec<(Lane, Part)> {
+        self.earn(allowance, now);
+        let mut asked: BTreeMap<Lane, f64> =
+            self.here.iter().map(|(lane, (asked, _))| (*lane, asked.rate(now))).collect();
+        for there in self.there.values() {
+            for (lane, flow) in &there.asked {
+                *asked.entry(*lane).or_default() += there.rate(flow, now);
+            }
+        }
+        let allowed = (allowance.rate.get() + self.level / SETTLED.as_secs_f64()).max(0.0);
+        let most = level_of(allowed, asked.values().copied().collect());
+        let limited = asked.into_iter().filter(|(_, asked)| *asked > most);
+        limited.map(|(lane, asked)| (lane, Part::new(most / asked))).collect()
+    }
+}
+
+/// The most that each of those that ask gets, so that all together get `allowed`: max-min fair.
+fn level_of(allowed: f64, mut asked: Vec<f64>) -> f64 {
+    asked.sort_unstable_by(f64::total_cmp);
+    let mut left = allowed;
+    for (nth, asks) in asked.iter().enumerate() {
+        let level = left / (asked.len() - nth) as f64;
+        if *asks > level {
+            return level;
+        }
+        left -= asks;
     }
+    f64::INFINITY
 }
 
 /// A region's totals are a round and a trip old; after this it is taken to be silent.
 const QUIET: Duration = Duration::from_millis(500);
 
 impl There {
-    fn heard(&mut self, step: Step, now: Instant) {
-        self.asked.add(step.asked, now);
+    fn heard(&mut self, lane: Lane, step: Step, now: Instant) {
+        self.asked.entry(lane).or_insert_with(|| Flow::new(now)).add(step.asked, now);
         self.passed.add(step.passed, now);
         self.due += step.passed;
     }
@@ -321,7 +357,7 @@
         std::mem::take(&mut self.due)
     }
 
-    fn asked_now(&self, now: Instant) -> f64 {
-        if self.is_silent(now) { self.asked.last() } else { self.asked.rate(now) }
+    fn rate(&self, flow: &Flow, now: Instant) -> f64 {
+        if self.is_silent(now) { flow.last() } else { flow.rate(now) }
     }
 }
--- a/src/decide/quota/meter.rs
+++ b/src/decide/quota/meter.rs
@@ -9,8 +9,9 @@
 
 use super::ACTIVE;
 use super::Count;
-use super::GIVEN;
+use super::Excess;
 use super::Key;
+use super::Lane;
 use super::Part;
 use crate::decide::sharing::SHARDS;
 use crate::routing::organisation::Allowance;
@@ -29,14 +30,19 @@
 const SOONEST: Duration = Duration::from_millis(300);
 const LATEST: Duration = Duration::from_secs(2);
 
+/// One lane of an organisation at this VM.
+#[derive(Debug, Default)]
+struct Counted {
+    count: Count,
+    /// What is left of the part: a request is let through whenever it reaches one.
+    credit: f64,
+}
+
 /// One organisation at this VM.
 #[derive(Debug)]
 struct Entry {
-    count: Count,
+    lanes: HashMap<Lane, Counted>,
     last: Instant,
-    part: Option<(Part, Instant)>,
-    /// What is left of each lane's part: a request is let through whenever it reaches one.
-    credits: HashMap<u64, f64>,
     /// What this VM may let through while it hears no host, in units.
     alone: f64,
     /// What is left of the whole allowance if no other VM let anything through, in units.
@@ -50,19 +56,19 @@
     rng: SmallRng,
     /// The VMs that organisations may ask, this one among them.
     vms: u32,
-    /// Units that are let through beyond an allowance.
-    slack: f64,
+    excess: Excess,
     entries: HashMap<Key, Entry>,
+    /// The lanes that are limited, and when that was told. A lane may be limited that this VM has not seen yet.
+    parts: HashMap<Lane, (Part, Instant)>,
     /// When the host of each shard answered last.
     heard: [Option<Instant>; SHARDS as usize],
 }
 
 impl Meter {
-    /// A meter of a VM that knows of no other one. An organisation's requests may exceed its allowance by `slack` units in any
-    /// span of some seconds.
-    pub fn new(rng: SmallRng, slack: f64) -> Self {
-        let slack = slack * GIVEN;
-        Self { rng, vms: 1, slack, entries: HashMap::new(), heard: [None; SHARDS as usize] }
+    /// A meter of a VM that knows of no other one.
+    pub fn new(rng: SmallRng, excess: Excess) -> Self {
+        let (entries, parts) = (HashMap::new(), HashMap::new());
+        Self { rng, vms: 1, excess, entries, parts, heard: [None; SHARDS as usize] }
     }
 
     /// There are so many VMs, this one among them.
@@ -70,101 +76,100 @@
         self.vms = vms.max(1);
     }
 
-    /// Decides on a request of that cost. Requests of a lane compete with each other alone, so that each kind of request gets
-    /// the same part. If it is refused, its caller should come back after the time that is returned.
+    /// Decides on a request of that cost. If it is refused, its caller should come back after the time that is returned.
     pub fn admit(
         &mut self,
         key: Key,
         allowance: &Allowance,
-        (cost, lane): (u64, u64),
+        cost: u64,
         now: Instant,
     ) -> Result<(), Duration> {
+        let allowance = self.excess.give(allowance);
         let share = (ALONE_SHARES / f64::from(self.vms)).min(1.0);
         let alone_most = allowance.burst.max(allowance.rate.get()) * share;
-        let whole_most = allowance.burst + self.slack;
+        let part = self.part(Lane::new(key, cost), now);
         let heard = self.heard[usize::from(key.shard())];
+        let is_fresh = heard.is_some_and(|at| now.saturating_duration_since(at) < FRESH);
         let entry = self.entries.entry(key).or_insert_with(|| Entry {
-            count: Count::default(),
+            lanes: HashMap::new(),
             last: now,
-            part: None,
-            credits: HashMap::new(),
             alone: alone_most,
-            whole: whole_most,
+            whole: allowance.burst,
             refilled: now,
         });
-        entry.last = now;
-        entry.count.asked = entry.count.asked.saturating_add(cost);
-        let is_fresh = heard.is_some_and(|at| now.saturating_duration_since(at) < FRESH);
         let earned = allowance.rate.over(now.saturating_duration_since(entry.refilled));
         entry.alone = (entry.alone + earned * share).min(alone_most);
-        entry.whole = (entry.whole + earned).min(whole_most);
-        entry.refilled = now;
-        let is_let_through = match entry.part(now) {
-            _ if entry.whole <= 0.0 => false,
-            Some(part) => {
-                let first = self.rng.random::<f64>();
-                let credit = entry.credits.entry(lane).or_insert(first);
-                *credit += part.get();
-                let is_due = *credit >= 1.0;
-                *credit -= f64::from(u8::from(is_due));
-                is_due
-            }
-            None => is_fresh || entry.alone > 0.0,
+        entry.whole = (entry.whole + earned).min(allowance.burst);
+        (entry.last, entry.refilled) = (now, now);
+        let has_room = entry.whole > 0.0;
+        let may_alone = is_fresh || entry.alone > 0.0;
+        let lane = entry.lanes.entry(Lane::new(key, cost)).or_default();
+        lane.count.asked = lane.count.asked.saturating_add(cost);
+        let is_let_through = match part {
+            _ if !has_room => false,
+            Some(part) => lane.draw(part, &mut self.rng),
+            None => may_alone,
         };
         if !is_let_through {
-            return Err(entry.comes_back(now));
+            return Err(comes_back(part));
         }
+        lane.count.passed = lane.count.passed.saturating_add(cost);
         entry.alone -= cost as f64;
         entry.whole -= cost as f64;
-        entry.count.passed = entry.count.passed.saturating_add(cost);
         Ok(())
     }
 
     /// A request that was let through has surely not run.
     pub fn give_back(&mut self, key: Key, cost: u64) {
-        if let Some(entry) = self.entries.get_mut(&key) {
-            entry.count.passed = entry.count.passed.saturating_sub(cost);
-            entry.alone += cost as f64;
-            entry.whole += cost as f64;
-        }
+        let Some(entry) = self.entries.get_mut(&key) else { return };
+        let Some(lane) = entry.lanes.get_mut(&Lane::new(key, cost)) else { return };
+        lane.count.passed = lane.count.passed.saturating_sub(cost);
+        entry.alone += cost as f64;
+        entry.whole += cost as f64;
     }
 
     /// What the host of a shard is told.
-    pub fn counts(&mut self, shard: u8, now: Instant) -> Vec<(Key, Count)> {
-        let is_active =
-            |entry: &Entry| now.saturating_duration_since(entry.last) < ACTIVE.max(HELD);
+    pub fn counts(&mut self, shard: u8, now: Instant) -> Vec<(Lane, Count)> {
+        let is_within =
+            |entry: &Entry, span: Duration| now.saturating_duration_since(entry.last) < span;
         // A count starts anew where it is forgotten, which a host takes for nothing new.
-        self.entries.retain(|_, entry| is_active(entry));
+        self.entries.retain(|_, entry| is_within(entry, HELD));
         let of_shard = self.entries.iter().filter(|(key, _)| key.shard() == shard);
-        let active =
-            of_shard.filter(|(_, entry)| now.saturating_duration_since(entry.last) < ACTIVE);
-        active.map(|(key, entry)| (*key, entry.count)).collect()
+        let active = of_shard.filter(|(_, entry)| is_within(entry, ACTIVE));
+        let lanes = active.flat_map(|(_, entry)| &entry.lanes);
+        lanes.map(|(lane, counted)| (*lane, counted.count)).collect()
     }
 
-    /// The host of a shard told the parts of organisations that are limited; the others are not.
-    pub fn told(&mut self, shard: u8, parts: &[(Key, Part)], now: Instant) {
+    /// The host of a shard told the parts of lanes that are limited; the others are not.
+    pub fn told(&mut self, shard: u8, parts: &[(Lane, Part)], now: Instant) {
         let Some(heard) = self.heard.get_mut(usize::from(shard)) else { return };
         *heard = Some(now);
-        let of_shard = self.entries.iter_mut().filter(|(key, _)| key.shard() == shard);
-        for (key, entry) in of_shard {
-            let part = parts.iter().find(|(told, _)| told == key);
-            entry.part = part.map(|(_, part)| (*part, now));
-            if part.is_none() {
-                entry.credits.clear();
-            }
-        }
+        self.parts.retain(|lane, _| lane.shard() != shard);
+        self.parts.extend(parts.iter().map(|(lane, part)| (*lane, (*part, now))));
     }
-}
 
-impl Entry {
-    /// The part in force; none where the organisation isn't limited as far as is known.
-    fn part(&self, now: Instant) -> Option<Part> {
-        let (part, at) = self.part?;
-        (now.saturating_duration_since(at) < HELD).then_some(part)
+    /// The part of a lane in force; none where it isn't limited as far as is known.
+    fn part(&self, lane: Lane, now: Instant) -> Option<Part> {
+        let (part, at) = self.parts.get(&lane)?;
+        (now.saturating_duration_since(*at) < HELD).then_some(*part)
     }
+}
 
-    fn comes_back(&self, now: Instant) -> Duration {
-        let part = self.part(now).map_or(1.0, Part::get).max(0.01);
-        SOONEST.div_f64(part).clamp(SOONEST, LATEST)
+fn comes_back(part: Option<Part>) -> Duration {
+    let part = part.map_or(1.0, Part::get).max(0.01);
+    SOONEST.div_f64(part).clamp(SOONEST, LATEST)
+}
+
+impl Counted {
+    /// Whether the next request belongs to the part.
+    fn draw(&mut self, part: Part, rng: &mut SmallRng) -> bool {
+        if self.credit == 0.0 {
+            // VMs that begin at the same moment must not all let their first request through.
+            self.credit = rng.random();
+        }
+        self.credit += part.get();
+        let is_due = self.credit >= 1.0;
+        self.credit -= f64::from(u8::from(is_due));
+        is_due
     }
 }
--- a/src/decide/quota/tests.rs
+++ b/src/decide/quota/tests.rs
@@ -8,7 +8,9 @@
 
 use super::Balances;
 use super::Count;
+use super::Excess;
 use super::Key;
+use super::Lane;
 use super::Meter;
 use super::Part;
 use crate::id;
@@ -25,6 +27,11 @@
     Key::new(&"bank".parse().unwrap())
 }
 
+/// The lane of requests that cost one.
+fn lane() -> Lane {
+    Lane::new(key(), 1)
+}
+
 fn vm(nth: u64) -> id::Vm {
     format!("vm{nth}").parse().unwrap()
 }
@@ -34,7 +41,7 @@
 }
 
 fn host() -> Balances {
-    let mut host = Balances::new(1, 0.0);
+    let mut host = Balances::new(1, Excess::default());
     host.set_allowances(HashMap::from([(key(), allowance())]));
     host
 }
@@ -44,19 +51,19 @@
 }
 
 fn meter() -> Meter {
-    Meter::new(SmallRng::seed_from_u64(1), 0.0)
+    Meter::new(SmallRng::seed_from_u64(1), Excess::default())
 }
 
 /// The part that a host has for the organisation; the whole where it names none.
 fn part(host: &mut Balances, now: Instant) -> f64 {
-    host.parts(key().shard(), now).first().map_or(1.0, |(_, part)| part.get())
+    host.parts(key().shard(), now).unwrap_or_default().first().map_or(1.0, |(_, part)| part.get())
 }
 
 /// A host that one VM has told of so much a tenth of a second for that time.
 fn told(host: &mut Balances, each: u64, tenths: u64, start: Instant) -> Instant {
     for nth in 0..tenths {
         let now = start + millis(100 * nth);
-        let counts = [(key(), count(each * nth))];
+        let counts = [(lane(), count(each * nth))];
         host.take((&vm(1), key().shard()), (1, nth + 1), &counts, now);
     }
     start + millis(100 * tenths)
@@ -66,7 +73,7 @@
 fn who_asks_for_less_than_its_allowance_is_not_limited() {
     let mut host = host();
     let now = told(&mut host, 50, 50, Instant::now());
-    assert!(host.parts(key().shard(), now).is_empty());
+    assert!(host.parts(key().shard(), now).unwrap().is_empty());
 }
 
 #[test]
@@ -77,7 +84,7 @@
     for nth in 1..100_u64 {
         let now = start + millis(100 * nth);
         passed += 400.0 * part(&mut host, now);
-        let counts = [(key(), Count { asked: 400 * nth, passed: passed as u64 })];
+        let counts = [(lane(), Count { asked: 400 * nth, passed: passed as u64 })];
         host.take((&vm(1), key().shard()), (1, nth), &counts, now);
     }
     let now = start + millis(10_000);
@@ -92,7 +99,7 @@
     let start = Instant::now();
     for nth in 0..30 {
         let now = start + millis(100 * nth);
-        let counts = [(key(), count(80 * nth))];
+        let counts = [(lane(), count(80 * nth))];
         here.take((&vm(1), key().shard()), (1, nth + 1), &counts, now);
         there.take((&vm(2), key().shard()), (2, nth + 1), &counts, now);
         let totals = there.totals(key().shard(), now).unwrap();
@@ -102,7 +109,7 @@
     assert!(part(&mut here, now) < 0.9);
     for nth in 30..60 {
         now = start + millis(100 * nth);
-        here.take((&vm(1), key().shard()), (1, nth + 1), &[(key(), count(80 * nth))], now);
+        here.take((&vm(1), key().shard()), (1, nth + 1), &[(lane(), count(80 * nth))], now);
     }
     assert!(part(&mut here, now) < 0.9, "the other region is forgotten while it is cut off");
 }
@@ -115,7 +122,7 @@
     let region = "q".parse().unwrap();
     for nth in 0..20 {
         let now = start + millis(100 * nth);
-        host.take((&vm(1), key().shard()), (1, nth + 1), &[(key(), count(200 * nth))], now);
+        host.take((&vm(1), key().shard()), (1, nth + 1), &[(lane(), count(200 * nth))], now);
         let totals = host.totals(key().shard(), now).unwrap();
         next.take_totals((&vm(1), &region), &totals, now);
         assert!(next.totals(key().shard(), now).is_none());
@@ -128,11 +135,10 @@
     let mut meter = meter();
     meter.set_vms(10);
     let start = Instant::now();
-    meter.admit(key(), &allowance(), (1, 0), start).unwrap();
-    meter.told(key().shard(), &[(key(), Part::new(0.25))], start);
+    meter.admit(key(), &allowance(), 1, start).unwrap();
+    meter.told(key().shard(), &[(lane(), Part::new(0.25))], start);
     let later = start + millis(3000);
-    let passed =
-        (0..400).filter(|_| meter.admit(key(), &allowance(), (1, 0), later).is_ok()).count();
+    let passed = (0..400).filter(|_| meter.admit(key(), &allowance(), 1, later).is_ok()).count();
     assert!((99..=101).contains(&passed), "{passed}");
 }
 
@@ -144,47 +150,58 @@
     let passed = (0..5_000_u32)
         .filter(|nth| {
             let now = start + Duration::from_millis(1) * *nth;
-            meter.admit(key(), &allowance(), (1, 0), now).is_ok()
+            meter.admit(key(), &allowance(), 1, now).is_ok()
         })
         .count();
     assert!((200..=260).contains(&passed), "{passed}");
 }
 
-// Guards against long requests that never get a part because short ones use it up.
+// Guards against short questions that wait for the long prompts of their own organisation.
+#[test]
+fn short_requests_are_let_through_before_long_ones_take_the_rest() {
+    let mut host = host();
+    let start = Instant::now();
+    let long = Lane::new(key(), 500);
+    for nth in 0..30 {
+        let now = start + millis(100 * nth);
+        let of_long = Count { asked: 200 * nth, passed: 60 * nth };
+        let counts = [(lane(), count(30 * nth)), (long, of_long)];
+        host.take((&vm(1), key().shard()), (1, nth + 1), &counts, now);
+    }
+    let parts = host.parts(key().shard(), start + millis(3000)).unwrap();
+    let part = |of: Lane| parts.iter().find(|(lane, _)| *lane == of).map(|(_, part)| part.get());
+    assert_eq!(part(lane()), None, "300 a second of the short ones are less than half of 1000");
+    assert!(part(long).unwrap() < 0.9, "{parts:?}");
+}
+
 #[test]
-fn each_kind_of_request_gets_the_same_part() {
+fn a_part_is_let_through_evenly() {
     let mut meter = meter();
     let now = Instant::now();
-    meter.admit(key(), &allowance(), (1, 0), now).unwrap();
-    meter.told(key().shard(), &[(key(), Part::new(0.5))], now);
-    let mut passed = [0, 0];
-    for nth in 0..1000 {
-        let lane = usize::from(nth % 20 == 0);
-        let cost = if lane == 1 { 5 } else { 1 };
-        passed[lane] +=
-            u32::from(meter.admit(key(), &allowance(), (cost, lane as u64), now).is_ok());
-    }
-    assert!((470..=480).contains(&passed[0]) && (24..=26).contains(&passed[1]), "{passed:?}");
+    meter.admit(key(), &allowance(), 1, now).unwrap();
+    meter.told(key().shard(), &[(lane(), Part::new(0.5))], now);
+    let passed = (0..1000).filter(|_| meter.admit(key(), &allowance(), 1, now).is_ok()).count();
+    assert!((499..=501).contains(&passed), "{passed}");
 }
 
 #[test]
 fn what_did_not_run_is_given_back() {
     let mut meter = meter();
     let now = Instant::now();
-    meter.admit(key(), &allowance(), (7, 0), now).unwrap();
+    meter.admit(key(), &allowance(), 7, now).unwrap();
     meter.give_back(key(), 7);
     let counts = meter.counts(key().shard(), now);
-    assert_eq!(counts, [(key(), Count { asked: 7, passed: 0 })]);
+    assert_eq!(counts, [(lane(), Count { asked: 7, passed: 0 })]);
 }
 
 #[test]
 fn a_caller_beyond_the_allowance_is_told_to_come_back_the_later_the_smaller_its_part() {
     let mut meter = meter();
     let now = Instant::now();
-    meter.admit(key(), &allowance(), (1, 0), now).unwrap();
+    meter.admit(key(), &allowance(), 1, now).unwrap();
     let mut after = |part: f64| {
-        meter.told(key().shard(), &[(key(), Part::new(part))], now);
-        (0..50).find_map(|_| meter.admit(key(), &allowance(), (1, 0), now).err()).unwrap()
+        meter.told(key().shard(), &[(lane(), Part::new(part))], now);
+        (0..50).find_map(|_| meter.admit(key(), &allowance(), 1, now).err()).unwrap()
     };
     assert!(after(0.2) > after(0.8));
 }
@@ -195,7 +212,7 @@
     fn statements_may_be_lost_repeated_and_overtaken(order in prop::collection::vec(1_u64..40, 1..80)) {
         let mut host = host();
         let now = Instant::now();
-        let of = |nth: u64| (nth, [(key(), count(10 * nth))]);
+        let of = |nth: u64| (nth, [(lane(), count(10 * nth))]);
         let (number, counts) = of(0);
         host.take((&vm(1), key().shard()), (1, number + 1), &counts, now);
         for &nth in &order {
@@ -215,7 +232,7 @@
         let start = Instant::now();
         for (nth, (from, begun, number, asked, passed)) in said.into_iter().enumerate() {
             let now = start + millis(nth as u64 * 50);
-            let counts = [(key(), Count { asked, passed })];
+            let counts = [(lane(), Count { asked, passed })];
             host.take((&vm(from), key().shard()), (begun, number), &counts, now);
             let part = part(&mut host, now);
             prop_assert!((0.0..=1.0).contains(&part));
--- a/src/decide/sharing/aggregator.rs
+++ b/src/decide/sharing/aggregator.rs
@@ -72,7 +72,7 @@
         shard.told.insert(from.clone(), Told { update, at: now });
         let loads = shard.others(from, now).into_iter().collect();
         let remotes = if index == REMOTES { self.remotes.told(now) } else { Vec::new() };
-        let quotas = Vec::new();
+        let quotas = None;
         Some(Summary { shard: index, number, loads, quotas, uses, known, remotes })
     }
 }
--- a/src/decide/sharing/message.rs
+++ b/src/decide/sharing/message.rs
@@ -98,7 +98,7 @@
     pub loads: Vec<(Key, Load)>,
     /// What organisations of the shard have asked it for.
     #[serde(rename = "q", default, skip_serializing_if = "Vec::is_empty")]
-    pub quotas: Vec<(quota::Key, quota::Count)>,
+    pub quotas: Vec<(quota::Lane, quota::Count)>,
     /// Shared parts that it has used and the host has not confirmed.
     #[serde(rename = "u")]
     pub uses: Vec<Use>,
@@ -122,9 +122,9 @@
     /// The sums over all VMs but the asking one; nothing where an upstream is not named.
     #[serde(rename = "l")]
     pub loads: Vec<(Key, Load)>,
-    /// The organisations of the shard that are limited.
-    #[serde(rename = "q", default, skip_serializing_if = "Vec::is_empty")]
-    pub quotas: Vec<(quota::Key, quota::Part)>,
+    /// The organisations of the shard that are limited; none where the host can't tell yet.
+    #[serde(rename = "q", default, skip_serializing_if = "Option::is_none")]
+    pub quotas: Option<Vec<(quota::Lane, quota::Part)>>,
     /// Uses that the asking VM did not know.
     #[serde(rename = "u")]
     pub uses: Vec<Use>,
--- a/src/gateway/hub.rs
+++ b/src/gateway/hub.rs
@@ -126,7 +126,7 @@
     ) -> Self {
         let mut rng = SmallRng::seed_from_u64(seed);
         let entry = node.entry.as_ref();
-        let slack = node.bounds.allowance_slack;
+        let excess = node.bounds.excess;
         let presence = Presence {
             vm: node.vm(),
             role: Role::Entry,
@@ -150,7 +150,7 @@
             place: Mutex::new(Place::new(SmallRng::from_rng(&mut rng))),
             regions: Mutex::default(),
             freshness: Mutex::default(),
-            meter: Mutex::new(Meter::new(SmallRng::from_rng(&mut rng), slack)),
+            meter: Mutex::new(Meter::new(SmallRng::from_rng(&mut rng), excess)),
             repeats: Mutex::default(),
             presence: Mutex::new(presence),
             rng: Mutex::new(rng),
--- a/src/gateway/receive.rs
+++ b/src/gateway/receive.rs
@@ -14,7 +14,6 @@
 use slog::info;
 use tokio::time;
 use tokio::time::Instant;
-use xxhash_rust::xxh3::xxh3_64;
 
 use super::Call;
 use super::Caller;
@@ -135,7 +134,7 @@
         return Err(Refusal::new(Reason::HomeUnreachable, text));
     }
     let charge = match origin.layer {
-        Layer::First => charge(hub, &caller, &call, &route)?,
+        Layer::First => charge(hub, &caller, &call)?,
         Layer::Forwarded => None,
     };
     let service = route.target(hub.draw()).unwrap_or_default().to_owned();
@@ -191,20 +190,14 @@
 }
 
 /// Takes a request off its organisation's allowance, once, at the VM that its caller asked.
-fn charge(
-    hub: &Hub,
-    caller: &Caller,
-    call: &Call,
-    route: &Route,
-) -> Result<Option<Charge>, Refusal> {
+fn charge(hub: &Hub, caller: &Caller, call: &Call) -> Result<Option<Charge>, Refusal> {
     let Some(organisation) = caller.organisation() else { return Ok(None) };
     let Some(allowance) = &organisation.allowance else { return Ok(None) };
     let charge = Charge {
         organisation: quota::Key::new(&organisation.name),
         cost: allowance.unit.cost(call.prompt.as_ref().map(Prompt::stated)),
     };
-    let (cost, lane) = (charge.cost, xxh3_64(route.name.as_bytes()));
-    let admitted = hub.meter().admit(charge.organisation, allowance, (cost, lane), Instant::now());
+    let admitted = hub.meter().admit(charge.organisation, allowance, charge.cost, Instant::now());
     match admitted {
         Ok(()) => Ok(Some(charge)),
         Err(after) => {
--- a/src/gateway/share.rs
+++ b/src/gateway/share.rs
@@ -23,6 +23,7 @@
 use super::Hub;
 use crate::decide::quota;
 use crate::decide::quota::Balances;
+use crate::decide::quota::Excess;
 use crate::decide::quota::Totals;
 use crate::decide::route::rendezvous;
 use crate::decide::sharing::Aggregator;
@@ -102,12 +103,12 @@
 
 impl Sharing {
     /// Takes datagrams at that address. `start` tells this start of the VM from its others.
-    pub async fn bind(address: SocketAddr, start: u64, slack: f64) -> io::Result<Self> {
+    pub async fn bind(address: SocketAddr, start: u64, excess: Excess) -> io::Result<Self> {
         let state = State {
             book: Book::default(),
             hosts: Hosts::new(),
             aggregator: Aggregator::new(start),
-            balances: Balances::new(start, slack),
+            balances: Balances::new(start, excess),
             version: Version::ZERO,
             shards: (0..SHARDS).map(|_| Shard::default()).collect(),
         };
@@ -295,7 +296,9 @@
             shard.known = summary.known;
             shard.uses.retain(|(number, _)| *number > summary.number);
         }
-        hub.meter().told(summary.shard, &summary.quotas, now);
+        if let Some(parts) = &summary.quotas {
+            hub.meter().told(summary.shard, parts, now);
+        }
         hub.place().told(&summary, now);
         hub.regions().told_by_host(&summary.remotes, now);
     }
@@ -342,7 +345,7 @@
 
 /// Shares until told to stop. Where the port can't be had, this VM goes on by its own view.
 pub async fn run(hub: Arc<Hub>, address: SocketAddr, start: u64, stop: watch::Receiver<bool>) {
-    match Sharing::bind(address, start, hub.node().bounds.allowance_slack).await {
+    match Sharing::bind(address, start, hub.node().bounds.excess).await {
         Ok(sharing) => sharing.run(&hub, stop).await,
         Err(error) => {
             info!(hub.log(), "sharing.off"; "address" => %address, "why" => %error);
--- a/src/settings/node.rs
+++ b/src/settings/node.rs
@@ -7,6 +7,7 @@
 use std::str::FromStr;
 use std::time::Duration;
 
+use crate::decide::quota::Excess;
 use crate::id;
 use crate::settings::Findings;
 use crate::settings::Section;
@@ -89,8 +90,8 @@
     /// A key that was taken away is refused by all VMs after this, also by those that hear nothing: they refuse all keys.
     /// Where there is none, VMs that hear nothing go on with what they have.
     pub revocation: Option<Duration>,
-    /// Units by which an organisation may exceed its allowance before it is limited, in any span of some seconds.
-    pub allowance_slack: f64,
+    /// What organisations may ask for beyond their allowances.
+    pub excess: Excess,
 }
 
 /// What holds where settings say nothing: a fifth more load on a failing service, as for retries in general, and a few
@@ -102,7 +103,7 @@
             repeat_least: 50.0,
             repeat_window: Duration::from_secs(10),
             revocation: None,
-            allowance_slack: 0.0,
+            excess: Excess::default(),
         }
     }
 }
@@ -260,7 +261,8 @@
     let repeat_least = section.or("repeat_least", usual.repeat_least);
     let repeat_window = section.or("repeat_window", Span(usual.repeat_window));
     let revocation: Option<Span> = section.optional("revocation");
-    let allowance_slack = section.or("allowance_slack", usual.allowance_slack);
+    let excess_share = section.or("allowance_excess", usual.excess.share);
+    let excess_units = section.or("allowance_slack", usual.excess.units);
     section.finish();
     let revocation = revocation.map(|Span(revocation)| revocation);
     if revocation.is_some_and(|revocation| revocation < SHORTEST_REVOCATION) {
@@ -271,9 +273,11 @@
         section.note("revocation", text);
         return None;
     }
-    let (ratio, least, slack) = (repeat_ratio?, repeat_least?, allowance_slack?);
-    if !(slack >= 0.0 && slack.is_finite()) {
-        section.note("allowance_slack", "must be a number that is not negative");
+    let (ratio, least) = (repeat_ratio?, repeat_least?);
+    let excess = Excess { share: excess_share?, units: excess_units? };
+    if !(0.0..=1.0).contains(&excess.share) || !(0.0..f64::INFINITY).contains(&excess.units) {
+        let text = "must be from 0 to 1, and allowance_slack a number that is not negative";
+        section.note("allowance_excess", text);
         return None;
     }
     if !(ratio >= 0.0 && least >= 0.0) {
@@ -281,13 +285,7 @@
         return None;
     }
     let repeat_window = repeat_window?.0;
-    Some(Bounds {
-        repeat_ratio: ratio,
-        repeat_least: least,
-        repeat_window,
-        revocation,
-        allowance_slack: slack,
-    })
+    Some(Bounds { repeat_ratio: ratio, repeat_least: least, repeat_window, revocation, excess })
 }
 
 fn entry(section: &Section<'_>) -> Option<Entry> {
--- a/src/settings/node/tests.rs
+++ b/src/settings/node/tests.rs
@@ -55,3 +55,15 @@
     assert_eq!(node.bounds.revocation, Some(Duration::from_secs(5)));
     assert!(findings(&with("1s"))[0].contains("bounds.revocation"));
 }
+
+#[test]
+fn what_may_be_asked_for_beyond_an_allowance_is_checked() {
+    let with = |text: &str| format!("{ENTRY}bounds:\n{text}");
+    let text = "  allowance_excess: 0.1\n  allowance_slack: 190000\n";
+    let node = Node::parse("node.yaml", &with(text), Path::new(".")).unwrap();
+    assert_eq!((node.bounds.excess.share, node.bounds.excess.units), (0.1, 190_000.0));
+    for bad in ["  allowance_excess: 1.5\n", "  allowance_excess: NaN\n", "  allowance_slack: -1\n"]
+    {
+        assert!(findings(&with(bad))[0].contains("bounds.allowance_excess"), "{bad}");
+    }
+}
--- a/tests/load/quotas.rs
+++ b/tests/load/quotas.rs
@@ -10,7 +10,9 @@
 use masticstream::decide::limit::Grant;
 use masticstream::decide::limit::Home;
 use masticstream::decide::quota::Balances;
+use masticstream::decide::quota::Excess;
 use masticstream::decide::quota::Key;
+use masticstream::decide::quota::Lane;
 use masticstream::decide::quota::Meter;
 use masticstream::decide::sharing::ROUND;
 use masticstream::id;
@@ -41,8 +43,7 @@
 /// Any window of this length is held against the allowance.
 const WINDOW: Duration = Duration::from_secs(8);
 /// What the operator bears beyond it: a part of the allowance, and tokens besides.
-const OVERAGE: f64 = 0.1;
-const SLACK: f64 = 190_000.0;
+const EXCESS: Excess = Excess { share: 0.1, units: 190_000.0 };
 
 const TRIP: Duration = Duration::from_millis(56);
 const NEAR: Duration = Duration::from_millis(2);
@@ -102,8 +103,8 @@
     Tell(usize),
     Abroad(usize),
     Totals(usize, usize, masticstream::decide::quota::Totals),
-    Counts(usize, (u64, u64), Vec<(Key, masticstream::decide::quota::Count)>),
-    Parts(usize, Vec<(Key, masticstream::decide::quota::Part)>),
+    Counts(usize, (u64, u64), Vec<(Lane, masticstream::decide::quota::Count)>),
+    Parts(usize, Vec<(Lane, masticstream::decide::quota::Part)>),
     Demand(Demand),
     Grant(usize, Grant),
 }
@@ -154,7 +155,7 @@
     let key = Key::new(&owner);
     let entry: id::Entry = "hot".parse().unwrap();
     let mut world = World {
-        meters: (0..VMS).map(|_| Meter::new(SmallRng::from_rng(&mut rng), SLACK)).collect(),
+        meters: (0..VMS).map(|_| Meter::new(SmallRng::from_rng(&mut rng), EXCESS)).collect(),
         numbers: vec![0; VMS],
         hosts: (0..REGIONS).map(|nth| host(nth as u64, key, allowance)).collect(),
         is_replaced: false,
@@ -200,7 +201,7 @@
 }
 
 fn host(start: u64, key: Key, allowance: Allowance) -> Balances {
-    let mut host = Balances::new(start, SLACK);
+    let mut host = Balances::new(start, EXCESS);
     host.set_allowances(HashMap::from([(key, allowance)]));
     host
 }
@@ -251,7 +252,9 @@
                 let shard = self.key.shard();
                 host.take((&vm(nth), shard), version, &counts, now);
                 let parts = host.parts(shard, now);
-                self.agenda.after(NEAR, Event::Parts(nth, parts));
+                if let Some(parts) = parts {
+                    self.agenda.after(NEAR, Event::Parts(nth, parts));
+                }
             }
             Event::Parts(nth, parts) => self.meters[nth].told(self.key.shard(), &parts, now),
             Event::Demand(demand) => {
@@ -272,11 +275,9 @@
     fn ask(&mut self, nth: usize) {
         let now = self.agenda.now();
         let is_long = self.rng.random::<f64>() < LONG_SHARE;
-        let (cost, lane) = if is_long { (LONG, 1) } else { (SHORT, 0) };
+        let cost = if is_long { LONG } else { SHORT };
         let is_passed = match self.rule {
-            Rule::Parts => {
-                self.meters[nth].admit(self.key, &self.allowance, (cost, lane), now).is_ok()
-            }
+            Rule::Parts => self.meters[nth].admit(self.key, &self.allowance, cost, now).is_ok(),
             Rule::Leases => match self.leases[nth].charge(Tokens::new(cost), now) {
                 Ok(charge) => {
                     self.leases[nth].settle(charge, Tokens::new(cost), now);
@@ -319,7 +320,7 @@
             self.in_window -= cost;
         }
         let Allowance { rate, burst, .. } = self.allowance;
-        let borne = (rate.over(WINDOW) + burst) * (1.0 + OVERAGE) + SLACK;
+        let borne = (rate.over(WINDOW) + burst) * (1.0 + EXCESS.share) + EXCESS.units;
         self.sums.worst = self.sums.worst.max(self.in_window as f64 / borne);
     }
 
