An organisation's rank comes before its routes', which still orders its own requests

Ruled out: allowances (5 refusals), proofs (none).

The rank at an engine is now the place of (organisation's, route's) among all such pairs; whether a request is urgent at its service follows from its route, as before.

--- a/src/gateway/caller.rs
+++ b/src/gateway/caller.rs
@@ -86,11 +86,6 @@
         self.organisation().map(|organisation| &organisation.name)
     }
 
-    /// The rank of the caller's requests on the route.
-    pub fn rank(&self, route: &Route) -> u8 {
-        self.organisation().and_then(|organisation| organisation.rank).unwrap_or(route.rank)
-    }
-
     /// Whether the region may serve the caller's requests on the route: the homes of both bind.
     pub fn allows(&self, route: &Route, region: &id::Region) -> bool {
         let is_home = self.organisation().is_none_or(|organisation| organisation.allows(region));
--- a/src/gateway/receive.rs
+++ b/src/gateway/receive.rs
@@ -140,8 +140,8 @@
     let service = route.target(hub.draw()).unwrap_or_default().to_owned();
     let patience = call.patience.map_or(route.timeout, |patience| patience.min(route.timeout));
     let deadline = arrived + patience;
-    let rank = caller.rank(&route);
-    let urgent = table.goes_first(rank, &service);
+    let rank = table.rank(&route, caller.organisation());
+    let urgent = table.goes_first(&route, &service);
     let Origin { layer, is_repeat, .. } = origin;
     Ok(Job {
         call,
--- a/src/routing/table.rs
+++ b/src/routing/table.rs
@@ -24,6 +24,8 @@
     /// The first rank among the routes to each service.
     first_ranks: HashMap<String, u8>,
     organisations: Option<Organisations>,
+    /// The ranks of organisations, each with each rank of routes, in order.
+    ranks: Vec<(u8, u8)>,
     limits: Limits,
 }
 
@@ -54,10 +56,9 @@
         let mut hosts: HashMap<String, Vec<Arc<Route>>> = HashMap::new();
         let mut first_ranks: HashMap<String, u8> = HashMap::new();
         for route in &document.routes {
-            let rank = first_rank(document, route);
             for target in &route.targets {
-                let first = first_ranks.entry(target.service.clone()).or_insert(rank);
-                *first = rank.min(*first);
+                let first = first_ranks.entry(target.service.clone()).or_insert(route.rank);
+                *first = route.rank.min(*first);
             }
             let host = route.host.to_ascii_lowercase();
             hosts.entry(host).or_default().push(Arc::new(route.clone()));
@@ -70,7 +71,8 @@
             services.map(|service| (service.name.clone(), Arc::new(service.clone()))).collect();
         let (version, limits) = (document.version, document.limits.clone());
         let organisations = document.organisations.as_deref().map(Organisations::new);
-        Self { version, hosts, services, first_ranks, organisations, limits }
+        let ranks = ranks(document);
+        Self { version, hosts, services, first_ranks, organisations, ranks, limits }
     }
 
     /// The document's number.
@@ -98,9 +100,18 @@
         self.hosts.get(host).or_else(|| self.hosts.get(&host.to_ascii_lowercase()))
     }
 
-    /// Whether no request to the service goes before one of that rank.
-    pub fn goes_first(&self, rank: u8, service: &str) -> bool {
-        self.first_ranks.get(service).is_none_or(|first| rank <= *first)
+    /// Whether no other route to the service goes before this one.
+    pub fn goes_first(&self, route: &Route, service: &str) -> bool {
+        self.first_ranks.get(service).is_none_or(|first| route.rank <= *first)
+    }
+
+    /// The rank of an organisation's requests on the route: the organisation's own comes before the route's, which orders
+    /// what is of the same organisation's rank.
+    pub fn rank(&self, route: &Route, organisation: Option<&Organisation>) -> u8 {
+        let Some(organisation) = organisation else { return route.rank };
+        let pair = (organisation.rank.unwrap_or(route.rank), route.rank);
+        let before = self.ranks.partition_point(|other| *other < pair);
+        u8::try_from(before).unwrap_or(u8::MAX)
     }
 
     /// Whether callers of that route must show a key.
@@ -135,11 +146,13 @@
     }
 }
 
-/// The first rank that a request on the route may have; an organisation's own goes before the route's.
-fn first_rank(document: &Document, route: &Route) -> u8 {
-    let organisations = document.organisations.as_deref().filter(|_| !route.public);
-    let ranks = organisations.unwrap_or_default().iter();
-    ranks.map(|organisation| organisation.rank.unwrap_or(route.rank)).min().unwrap_or(route.rank)
+/// All pairs of an organisation's and a route's rank that requests may have, in order.
+fn ranks(document: &Document) -> Vec<(u8, u8)> {
+    let routes: BTreeSet<u8> = document.routes.iter().map(|route| route.rank).collect();
+    let organisations = document.organisations.iter().flatten();
+    let own: BTreeSet<Option<u8>> = organisations.map(|organisation| organisation.rank).collect();
+    let pairs = own.iter().flat_map(|own| routes.iter().map(|rank| (own.unwrap_or(*rank), *rank)));
+    pairs.collect::<BTreeSet<_>>().into_iter().collect()
 }
 
 #[cfg(test)]
