--- a/src/consensus/timer.rs
+++ b/src/consensus/timer.rs
@@ -16,9 +16,10 @@
 /// An election won takes no more heartbeats than this: the answer to the pre-vote, the vote and its answer, each with a sync.
 const ELECTED_HEARTBEATS: u32 = 4;
 
-/// A replica that starts waits for a fraction of the usual time: where a leader is there, the pre-vote fails and disturbs
-/// nobody, and where all have started at once, nothing is served before there is one.
-const FIRST_ELECTION: u32 = 3;
+/// A replica that has met no leader since its start waits for this part of the usual time: where a leader is there, the
+/// pre-vote fails and disturbs nobody, and where all have started at once, nothing is served before there is one. The first
+/// pre-votes may be lost, as links come up one by one.
+const FIRST_ELECTION: u32 = 2;
 
 /// A span of time that has run out.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -37,6 +38,8 @@
 #[derive(Debug, Clone)]
 pub(super) struct Timers {
     election: Instant,
+    /// Whether a leader was heard since the start.
+    met_leader: bool,
     /// Until when a leader counts as heard of.
     leader: Instant,
     heartbeat: Instant,
@@ -45,8 +48,8 @@
 
 impl Timers {
     pub(super) fn new(config: &Config, rng: &mut SmallRng, now: Instant) -> Self {
-        let first = election(config, rng) / FIRST_ELECTION;
-        Self { election: now + first, leader: now, heartbeat: now, quorum: now }
+        let election = now + election(config, rng) / FIRST_ELECTION;
+        Self { election, met_leader: false, leader: now, heartbeat: now, quorum: now }
     }
 
     pub(super) fn deadline(&self, leads: bool) -> Instant {
@@ -102,7 +105,8 @@
     }
 
     pub(super) fn restart_election(&mut self, now: Instant) {
-        self.timers.election = now + election(&self.config, &mut self.rng);
+        let part = if self.timers.met_leader { 1 } else { FIRST_ELECTION };
+        self.timers.election = now + election(&self.config, &mut self.rng) / part;
     }
 
     /// Leaves the election that another replica began the time to end.
@@ -122,6 +126,7 @@
     /// A leader's message came.
     pub(super) fn hear_leader(&mut self, now: Instant) {
         self.leader_recent = true;
+        self.timers.met_leader = true;
         self.timers.leader = now + self.config.election;
         self.restart_election(now);
     }
