--- a/src/directory/service.rs
+++ b/src/directory/service.rs
@@ -25,7 +25,6 @@
 use crate::control::Routes;
 use crate::control::Seat;
 use crate::decide::freshness::Freshness;
-use crate::decide::freshness::Proof;
 use crate::group::Group;
 use crate::group::Status;
 use crate::id;
@@ -42,7 +41,6 @@
 use crate::settings::Node;
 use crate::settings::Seeds;
 use crate::unit::Term;
-use crate::unit::Version;
 use crate::wire::Cast;
 use crate::wire::Mesh;
 use crate::wire::Peer;
@@ -52,6 +50,8 @@
 use crate::wire::message::Followed;
 use crate::wire::message::Heard;
 
+mod proofs;
+
 /// A follower that lacks nothing is answered after this, which also tells it that this VM is alive.
 pub const WATCH: Duration = Duration::from_secs(1);
 /// Where the replica doesn't run, it is looked for this often.
@@ -66,8 +66,6 @@
 const KEPT_WORDS: u32 = 2;
 /// After news of upstreams the copy of them waits so long for more, so that a crowd is written once.
 const COPY_PACE: Duration = Duration::from_millis(500);
-/// A control VM without a proof for so long stands on the wrong side of a partition: entry VMs look for another one.
-const PROOF_LATE: Duration = Duration::from_millis(1200);
 /// Silence is looked for this often.
 const TICK: Duration = Duration::from_millis(250);
 /// A tick that comes so late means that this process stood still.
@@ -415,32 +413,6 @@
         self.publish();
     }
 
-    fn freshness(&self) -> std::sync::MutexGuard<'_, Freshness> {
-        self.freshness.lock().expect("no panic while locked")
-    }
-
-    /// Takes a proof that there was no newer routing state.
-    pub(super) fn take_proof(&self, proof: Proof) {
-        let held = self.routing.borrow().revision;
-        self.freshness().take(proof, held, clock::now());
-    }
-
-    /// Waits until this VM holds that revision of the routing state, or a later one.
-    pub(super) async fn holds(&self, revision: Version) {
-        let mut routing = self.routing.subscribe();
-        // The sender lives as long as this.
-        routing.wait_for(|routing| routing.revision >= revision).await.ok();
-    }
-
-    /// Tells followers whether this VM is up to date, where that has changed.
-    pub(super) fn note_touch(&self) {
-        let hears = self.group().is_some_and(|group| group.status().leader.is_some());
-        let is_proven = self.node.bounds.revocation.is_none()
-            || self.freshness().is_within(PROOF_LATE, clock::now());
-        let now = hears && is_proven;
-        self.in_touch.send_if_modified(|last| std::mem::replace(last, now) != now);
-    }
-
     /// Logs who leads and who votes, where that has changed.
     fn note_group(&self, status: &Status, last: &mut Option<(Term, Option<id::Replica>, Members)>) {
         self.note_touch();
