--- a/src/directory/flood.rs
+++ b/src/directory/flood.rs
@@ -14,8 +14,8 @@
 
 use super::Service;
 use crate::id;
-use crate::roster::Alive;
 use crate::roster::Announcement;
+use crate::roster::Heartbeat;
 use crate::roster::Presence;
 use crate::wire::Cast;
 use crate::wire::Peer;
@@ -94,7 +94,7 @@
         let upstreams = drain(&mut self.upstreams.lock().expect("no panic while locked"));
         let vms = drain(&mut self.vms.lock().expect("no panic while locked"));
         let alive = std::mem::take(&mut *self.alive.lock().expect("no panic while locked"));
-        let alive = alive.into_iter().map(Alive::from).collect();
+        let alive = alive.into_iter().map(Heartbeat::from).collect();
         Heard { upstreams, vms, alive, wanted: Vec::new() }
     }
 }
--- a/src/roster/announcement.rs
+++ b/src/roster/announcement.rs
@@ -9,7 +9,7 @@
 use serde_with::serde_as;
 
 use super::Stamp;
-use super::alive::digest;
+use super::heartbeat::digest;
 use crate::id;
 use crate::unit::Slots;
 
--- a/src/roster/mod.rs
+++ b/src/roster/mod.rs
@@ -4,19 +4,19 @@
 //! order; so copies may arrive in any order, by any way, and as often as they like. A control VM keeps a [`Table`];
 //! an entry VM follows two of them and keeps what both say in a [`Merged`].
 
-pub mod alive;
 pub mod announcement;
 pub mod delta;
+pub mod heartbeat;
 pub mod merged;
 pub mod presence;
 pub mod stamp;
 pub mod table;
 
-pub use alive::Alive;
 pub use announcement::Announcement;
 pub use announcement::Standing;
 pub use delta::Delta;
 pub use delta::Fact;
+pub use heartbeat::Heartbeat;
 pub use merged::Merged;
 pub use presence::Presence;
 pub use stamp::Stamp;
--- a/src/roster/presence.rs
+++ b/src/roster/presence.rs
@@ -7,7 +7,7 @@
 
 use super::Stamp;
 use super::Standing;
-use super::alive::digest;
+use super::heartbeat::digest;
 use crate::id;
 use crate::wire::Role;
 
--- a/src/roster/table.rs
+++ b/src/roster/table.rs
@@ -6,9 +6,9 @@
 
 use tokio::time::Instant;
 
-use super::Alive;
 use super::Announcement;
 use super::Delta;
+use super::Heartbeat;
 use super::Presence;
 use super::Stamp;
 use super::Standing;
@@ -74,7 +74,7 @@
     Vm(id::Vm, Role),
 }
 
-/// What came of words that subjects are still there.
+/// What came of heartbeats.
 #[derive(Debug, Default)]
 pub struct StillThere {
     /// Whether some had been silent.
@@ -136,24 +136,24 @@
         true
     }
 
-    /// Takes words that subjects are still there and as they were.
-    pub fn still_there(&mut self, words: &[Alive], now: Instant) -> StillThere {
+    /// Takes heartbeats: subjects are still there and as they were.
+    pub fn still_there(&mut self, heartbeats: &[Heartbeat], now: Instant) -> StillThere {
         let mut taken = StillThere::default();
-        for word in words {
-            let renewed = match self.digests.get(&word.digest) {
+        for heartbeat in heartbeats {
+            let renewed = match self.digests.get(&heartbeat.digest) {
                 Some(Subject::Upstream(id)) => {
                     let known = self.upstreams.get_mut(id);
-                    known.map(|known| known.renew(word.sequence, &mut self.revision, now))
+                    known.map(|known| known.renew(heartbeat.sequence, &mut self.revision, now))
                 }
                 Some(Subject::Vm(vm, role)) => {
                     let known = self.vms.get_mut(&(vm.clone(), *role));
-                    known.map(|known| known.renew(word.sequence, &mut self.revision, now))
+                    known.map(|known| known.renew(heartbeat.sequence, &mut self.revision, now))
                 }
                 None => None,
             };
             match renewed {
                 Some(is_news) => taken.is_news |= is_news,
-                None => taken.unknown.push(word.digest),
+                None => taken.unknown.push(heartbeat.digest),
             }
         }
         taken
--- a/src/roster/table/tests.rs
+++ b/src/roster/table/tests.rs
@@ -6,8 +6,8 @@
 use super::Table;
 use super::Taken;
 use crate::id;
-use crate::roster::Alive;
 use crate::roster::Announcement;
+use crate::roster::Heartbeat;
 use crate::roster::Presence;
 use crate::roster::Stamp;
 use crate::roster::Standing;
@@ -165,8 +165,8 @@
     assert_eq!(left, ["well"]);
 }
 
-fn word(said: &Announcement, sequence: u64) -> Alive {
-    Alive { digest: said.digest(), sequence }
+fn word(said: &Announcement, sequence: u64) -> Heartbeat {
+    Heartbeat { digest: said.digest(), sequence }
 }
 
 #[tokio::test(start_paused = true)]
@@ -213,7 +213,7 @@
     table.meet(presence("v", 10, 1), start);
     let later = start + PATIENCE.upstream * 2;
     assert!(table.expire(later));
-    let words = [word(&first, 2), Alive { digest: presence("v", 10, 1).digest(), sequence: 2 }];
+    let words = [word(&first, 2), Heartbeat { digest: presence("v", 10, 1).digest(), sequence: 2 }];
     assert!(table.still_there(&words, later).is_news);
     assert_eq!((table.upstreams().count(), table.present().count()), (1, 1));
     table.leave(&first.id, None, later);
--- a/src/wire/message.rs
+++ b/src/wire/message.rs
@@ -19,8 +19,8 @@
 use crate::ledger;
 use crate::membership;
 use crate::roster;
-use crate::roster::Alive;
 use crate::roster::Announcement;
+use crate::roster::Heartbeat;
 use crate::roster::Presence;
 use crate::roster::Stamp;
 use crate::routing;
@@ -191,8 +191,8 @@
     pub vms: Vec<Presence>,
     /// Subjects of either kind that are as they were.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
-    pub alive: Vec<Alive>,
-    /// Digests of words that the sender could not make out: it asks for the whole statements.
+    pub alive: Vec<Heartbeat>,
+    /// Digests of heartbeats whose statements the sender doesn't have, and asks for.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub wanted: Vec<u64>,
 }
