Links hold 4 KiB to read into, and a broadcast is encoded once

Cause: each link between VMs reserved 128 KiB to read into and cleared all of it for every read, at both ends: 38 MB for 300 followers of a control VM, besides what they are sent. A broadcast was cloned and encoded for each of nine control VMs, and each new statement started one of its own with all that were pending. Change: the buffer starts at 4 KiB and grows while a larger frame is received; a broadcast is encoded once for all peers; two broadcasts are at least 20 ms apart.

--- a/src/directory/broadcast.rs
+++ b/src/directory/broadcast.rs
@@ -8,6 +8,7 @@
 use std::sync::Mutex;
 use std::time::Duration;
 
+use slog::error;
 use tokio::sync::Notify;
 use tokio::sync::watch;
 use tokio::time;
@@ -24,6 +25,9 @@
 
 /// Interval between batches of heartbeats; it is short compared with the timeouts for silence.
 const BATCH_INTERVAL: Duration = Duration::from_millis(250);
+/// Minimum interval between batches: if many statements change at once, each is sent in a few batches together with the
+/// others and not in one of its own.
+const MIN_INTERVAL: Duration = Duration::from_millis(20);
 /// Number of batches in which a changed statement is repeated.
 const REPEATS: u8 = 4;
 
@@ -125,11 +129,11 @@
             continue;
         }
         let Some(mesh) = service.mesh() else { continue };
-        for vm in service.control_vms() {
-            if vm != service.vm() {
-                let peer = Peer::new(vm, Role::Control);
-                mesh.cast(&peer, Cast::Heard(Box::new(heard.clone())));
-            }
+        let others = service.control_vms().into_iter().filter(|vm| *vm != service.vm());
+        let peers = others.map(|vm| Peer::new(vm, Role::Control));
+        if let Err(error) = mesh.cast_all(peers, Cast::Heard(Box::new(heard))) {
+            error!(service.log(), "broadcast.not_sent"; "why" => %error);
         }
+        time::sleep(MIN_INTERVAL).await;
     }
 }
--- a/src/wire/link.rs
+++ b/src/wire/link.rs
@@ -51,11 +51,19 @@
 #[derive(Debug, Clone)]
 pub struct Link {
     peer: Peer,
-    out: mpsc::Sender<Frame>,
+    out: mpsc::Sender<Outgoing>,
     calls: Calls,
     next: Arc<AtomicU64>,
 }
 
+/// A frame that waits to be sent.
+#[derive(Debug)]
+enum Outgoing {
+    Frame(Frame),
+    /// An encoded frame, shared by several links.
+    Encoded(Bytes),
+}
+
 impl Link {
     /// Greets over a fresh connection and starts to serve it; ends with an error where the peer is a stranger.
     pub async fn open<S>(
@@ -69,7 +77,7 @@
     {
         let (mut sink, mut stream) = socket.split();
         let hello = Frame::Hello { peer: me, secret: secret.to_owned() };
-        send(&mut sink, &hello).await.ok_or(Error::Stranger)?;
+        send(&mut sink, hello.encode()?).await.ok_or(Error::Stranger)?;
         let greeting = time::timeout(SILENCE, receive(&mut stream)).await;
         let peer = match greeting {
             Ok(Some(Frame::Hello { peer, secret: theirs })) if same(secret, &theirs) => peer,
@@ -110,7 +118,8 @@
         let (sender, receiver) = oneshot::channel();
         self.calls.lock().expect("no panic while locked").insert(number, sender);
         let asked = async {
-            if self.out.send(Frame::Call { number, request }).await.is_err() {
+            let frame = Outgoing::Frame(Frame::Call { number, request });
+            if self.out.send(frame).await.is_err() {
                 return Err(Error::Unsent { peer: self.peer.clone(), why: "closed".to_owned() });
             }
             receiver.await.map_err(|_| Error::Lost { peer: self.peer.clone() })
@@ -122,7 +131,12 @@
 
     /// Sends without a reply; false where the link is closed or its backlog is full.
     pub fn cast(&self, cast: Cast) -> bool {
-        self.out.try_send(Frame::Cast(cast)).is_ok()
+        self.out.try_send(Outgoing::Frame(Frame::Cast(cast))).is_ok()
+    }
+
+    /// Sends an encoded frame without a reply; false where the link is closed or its backlog is full.
+    pub fn cast_encoded(&self, frame: Bytes) -> bool {
+        self.out.try_send(Outgoing::Encoded(frame)).is_ok()
     }
 }
 
@@ -132,11 +146,10 @@
     ours.as_bytes().ct_eq(theirs.as_bytes()).into()
 }
 
-async fn send<S>(sink: &mut S, frame: &Frame) -> Option<()>
+async fn send<S>(sink: &mut S, bytes: Bytes) -> Option<()>
 where
     S: Sink<Message, Error = tungstenite::Error> + Unpin,
 {
-    let bytes: Bytes = frame.encode().ok()?;
     // A peer that takes no bytes for this long is gone, though the system still believes in the connection.
     time::timeout(SILENCE, sink.send(Message::Binary(bytes))).await.ok()?.ok()
 }
@@ -154,17 +167,19 @@
     }
 }
 
-async fn write<S>(mut sink: S, mut frames: mpsc::Receiver<Frame>)
+async fn write<S>(mut sink: S, mut frames: mpsc::Receiver<Outgoing>)
 where
     S: Sink<Message, Error = tungstenite::Error> + Unpin,
 {
     loop {
-        let frame = match time::timeout(HEARTBEAT, frames.recv()).await {
-            Ok(Some(frame)) => frame,
+        let encoded = match time::timeout(HEARTBEAT, frames.recv()).await {
+            Ok(Some(Outgoing::Frame(frame))) => frame.encode(),
+            Ok(Some(Outgoing::Encoded(bytes))) => Ok(bytes),
             Ok(None) => return,
-            Err(_) => Frame::Ping,
+            Err(_) => Frame::Ping.encode(),
         };
-        if send(&mut sink, &frame).await.is_none() {
+        let Ok(bytes) = encoded else { return };
+        if send(&mut sink, bytes).await.is_none() {
             return;
         }
     }
@@ -173,7 +188,7 @@
 async fn read<S>(
     mut stream: S,
     peer: Peer,
-    out: mpsc::Sender<Frame>,
+    out: mpsc::Sender<Outgoing>,
     calls: Calls,
     handler: Arc<dyn Handler>,
 ) where
@@ -187,7 +202,7 @@
                 let out = out.clone();
                 tokio::spawn(async move {
                     let reply = answer.await;
-                    out.send(Frame::Reply { number, reply }).await.ok();
+                    out.send(Outgoing::Frame(Frame::Reply { number, reply })).await.ok();
                 });
             }
             Frame::Reply { number, reply } => {
--- a/src/wire/mesh.rs
+++ b/src/wire/mesh.rs
@@ -17,6 +17,7 @@
 
 use crate::wire::Cast;
 use crate::wire::Error;
+use crate::wire::Frame;
 use crate::wire::Link;
 use crate::wire::Peer;
 use crate::wire::Reply;
@@ -33,6 +34,8 @@
 const RETRY_AFTER: Duration = Duration::from_millis(100);
 /// Greetings in progress at once on the listener: strangers can't use up memory.
 const GREETINGS: usize = 256;
+/// Bytes that each link reserves and clears for every read. A larger frame extends the buffer while it is received.
+const READ_BUFFER_BYTES: usize = 4 << 10;
 
 /// The links of one process.
 #[derive(Clone)]
@@ -108,6 +111,24 @@
         });
     }
 
+    /// Sends the same message to several peers, encoded once.
+    pub fn cast_all(&self, peers: impl Iterator<Item = Peer>, cast: Cast) -> Result<(), Error> {
+        let frame = Frame::Cast(cast).encode()?;
+        for peer in peers {
+            if let Some(link) = self.present(&peer) {
+                link.cast_encoded(frame.clone());
+                continue;
+            }
+            let (mesh, frame) = (self.clone(), frame.clone());
+            tokio::spawn(async move {
+                if let Ok(link) = mesh.link(&peer).await {
+                    link.cast_encoded(frame);
+                }
+            });
+        }
+        Ok(())
+    }
+
     fn present(&self, peer: &Peer) -> Option<Link> {
         let links = self.shared.links.lock().expect("no panic while locked");
         links.get(peer)?.link.clone().filter(|link| !link.is_closed())
@@ -233,6 +254,7 @@
 
 fn limits() -> WebSocketConfig {
     WebSocketConfig::default()
+        .read_buffer_size(READ_BUFFER_BYTES)
         .max_message_size(Some(MAX_FRAME_BYTES))
         .max_frame_size(Some(MAX_FRAME_BYTES))
 }
