--- a/src/decide/place.rs
+++ b/src/decide/place.rs
@@ -166,8 +166,8 @@
     /// Ordered, so that decisions are reproducible for a given seed.
     upstreams: BTreeMap<id::Upstream, UpstreamState>,
     services: HashMap<String, ServiceStats>,
-    /// This VM's rank among the VMs that send to these upstreams.
-    sender: Sender,
+    /// This VM's rank among the VMs that send to the upstreams of a service.
+    senders: HashMap<String, Sender>,
     /// Prefix uses not yet sent to other VMs.
     uses: Vec<PrefixUse>,
 }
@@ -179,14 +179,14 @@
             rng,
             upstreams: BTreeMap::new(),
             services: HashMap::new(),
-            sender: Sender::new(0, 1),
+            senders: HashMap::new(),
             uses: Vec::new(),
         }
     }
 
-    /// Updates the list of upstreams and this VM's rank.
-    pub fn sync(&mut self, endpoints: Vec<Endpoint>, sender: Sender) {
-        self.sender = sender;
+    /// Updates the list of upstreams and this VM's rank among the VMs that send to those of each service.
+    pub fn sync(&mut self, endpoints: Vec<Endpoint>, senders: HashMap<String, Sender>) {
+        self.senders = senders;
         let names: std::collections::HashSet<id::Upstream> =
             endpoints.iter().map(|endpoint| endpoint.id.clone()).collect();
         self.upstreams.retain(|id, upstream| names.contains(id) || upstream.running() > 0);
@@ -211,7 +211,7 @@
         let no_stats = ServiceStats::default();
         let stats = self.services.get(query.service).unwrap_or(&no_stats);
         let profile = self.profile(query.service);
-        let mut decision = Decision::new(query, (stats, profile), self.sender, now);
+        let mut decision = Decision::new(query, (stats, profile), self.sender(query.service), now);
         let mut candidates = decision.candidates(&self.upstreams);
         let decision = decision.with_prefix_candidates(prefix_candidates, &candidates);
         let count = decision.sample(&mut candidates, &mut self.rng);
@@ -282,15 +282,17 @@
 
     /// Records that a request was sent to the selected upstream.
     pub fn record_sent(&mut self, placement: &Placement, work: &Work, now: Instant) -> InFlight {
+        let service = self.upstreams.get(&placement.id).map(|known| &known.endpoint.service);
+        let sender = service.map_or_else(Sender::default, |service| self.sender(service));
         let upstream = self.upstreams.get_mut(&placement.id);
         let incarnation = upstream.as_ref().map_or(0, |upstream| upstream.endpoint.incarnation);
         let memory = work.suffix + work.output.likely();
         let mut rounds = 1.0;
         if let Some(upstream) = upstream {
             let stats = self.services.entry(upstream.endpoint.service.clone()).or_default();
-            rounds = upstream.rounds(upstream.total_requests(stats, self.sender, now));
+            rounds = upstream.rounds(upstream.total_requests(stats, sender, now));
             stats.record_sent(placement.prefill, now);
-            upstream.record_sent(work, placement.prefill, memory, self.sender, now);
+            upstream.record_sent(work, placement.prefill, memory, sender, now);
             let prefix = work.prefix.filter(|_| self.uses.len() < MAX_PENDING_USES);
             self.uses.extend(prefix.map(|prefix| PrefixUse {
                 engine: upstream.key(),
@@ -351,11 +353,11 @@
         (since, first): (Instant, u32),
         now: Instant,
     ) {
-        let sender = self.sender;
         let Some((upstream, stats)) = state_of(&mut self.upstreams, &mut self.services, in_flight)
         else {
             return;
         };
+        let sender = self.senders.get(&upstream.endpoint.service).copied().unwrap_or_default();
         let running = upstream.total_requests(stats, sender, now);
         stats.engine.record_gap(running, now.saturating_duration_since(in_flight.last_event));
         if in_flight.events - first >= GAP_SAMPLES {
@@ -400,6 +402,10 @@
         }
     }
 
+    fn sender(&self, service: &str) -> Sender {
+        self.senders.get(service).copied().unwrap_or_default()
+    }
+
     /// Returns the engines for the query's prefix by rendezvous hashing, in order of preference.
     fn prefix_candidates(&self, query: &Query<'_>) -> Vec<id::Upstream> {
         let Some(prefix) = query.work.prefix else { return Vec::new() };
--- a/src/decide/place/cold.rs
+++ b/src/decide/place/cold.rs
@@ -24,6 +24,13 @@
     rank: u32,
 }
 
+/// The only VM.
+impl Default for Sender {
+    fn default() -> Self {
+        Self::new(0, 1)
+    }
+}
+
 impl Sender {
     /// Creates a sender of the given rank, counted from 0, among `count` VMs.
     pub fn new(rank: u32, count: u32) -> Self {
--- a/src/decide/place/tests.rs
+++ b/src/decide/place/tests.rs
@@ -1,3 +1,4 @@
+use std::collections::HashMap;
 use std::time::Duration;
 
 use rand::SeedableRng;
@@ -24,6 +25,10 @@
     Balancer::new(SmallRng::seed_from_u64(1))
 }
 
+fn senders(rank: u32, count: u32) -> HashMap<String, Sender> {
+    HashMap::from([("s".to_owned(), Sender::new(rank, count))])
+}
+
 fn engine(name: &str) -> Endpoint {
     Endpoint {
         id: name.parse().unwrap(),
@@ -59,7 +64,7 @@
     let now = Instant::now();
     let (mut one, mut other) = (balancer(), balancer());
     for vm in [&mut one, &mut other] {
-        vm.sync(["a", "b", "c", "d"].map(engine).to_vec(), Sender::new(0, 2));
+        vm.sync(["a", "b", "c", "d"].map(engine).to_vec(), senders(0, 2));
     }
     for key in 0..50 {
         let first = one.choose(&query(long_prompt(key)), now).unwrap();
@@ -75,7 +80,7 @@
 async fn a_hot_prefix_is_replicated() {
     let now = Instant::now();
     let mut balancer = balancer();
-    balancer.sync(["a", "b", "c", "d"].map(engine).to_vec(), Sender::new(0, 1));
+    balancer.sync(["a", "b", "c", "d"].map(engine).to_vec(), senders(0, 1));
     let mut waits = Vec::new();
     let mut used = std::collections::BTreeSet::new();
     for _ in 0..40 {
@@ -94,7 +99,7 @@
     let now = Instant::now();
     let mut balancer = balancer();
     let cold = Cold { until: now + Duration::from_secs(3), rate: Rate::per_second(6.0) };
-    balancer.sync(vec![Endpoint { cold: Some(cold), ..engine("a") }], Sender::new(0, 3));
+    balancer.sync(vec![Endpoint { cold: Some(cold), ..engine("a") }], senders(0, 3));
     let mut sent = 0;
     for millis in (0..3000).step_by(10) {
         let now = now + Duration::from_millis(millis);
@@ -116,7 +121,7 @@
     let cold = Cold { until: now + Duration::from_secs(3), rate: Rate::per_second(6.7) };
     let mut vms: Vec<Balancer> = (0..VMS).map(|_| balancer()).collect();
     for (rank, vm) in (0..).zip(&mut vms) {
-        vm.sync(vec![Endpoint { cold: Some(cold), ..engine("a") }], Sender::new(rank, VMS));
+        vm.sync(vec![Endpoint { cold: Some(cold), ..engine("a") }], senders(rank, VMS));
     }
     let mut sent: Vec<Duration> = Vec::new();
     for at in (0..3000).step_by(5).map(Duration::from_millis) {
@@ -139,7 +144,7 @@
 async fn an_unreachable_upstream_is_avoided_during_its_backoff() {
     let now = Instant::now();
     let mut balancer = balancer();
-    balancer.sync(vec![engine("a"), engine("b")], Sender::new(0, 1));
+    balancer.sync(vec![engine("a"), engine("b")], senders(0, 1));
     for _ in 0..20 {
         let placement = balancer.choose(&query(Work::default()), now).unwrap();
         let in_flight = balancer.record_sent(&placement, &Work::default(), now);
@@ -152,7 +157,7 @@
         placement.id.as_str() == "a"
     });
     assert_eq!(tries.count(), 0);
-    balancer.sync(vec![engine("a")], Sender::new(0, 1));
+    balancer.sync(vec![engine("a")], senders(0, 1));
     assert!(
         balancer.choose(&query(Work::default()), now).is_some(),
         "the only upstream is used despite the backoff"
@@ -164,7 +169,7 @@
 async fn a_failing_upstream_loses_its_traffic() {
     let mut now = Instant::now();
     let mut balancer = balancer();
-    balancer.sync(["a", "b", "c"].map(engine).to_vec(), Sender::new(0, 1));
+    balancer.sync(["a", "b", "c"].map(engine).to_vec(), senders(0, 1));
     let mut to_a = 0;
     for nth in 0..300 {
         now += Duration::from_millis(10);
@@ -184,7 +189,7 @@
 async fn an_idle_failing_engine_attracts_no_streams() {
     let mut now = Instant::now();
     let mut balancer = balancer();
-    balancer.sync(["a", "b", "c"].map(engine).to_vec(), Sender::new(0, 3));
+    balancer.sync(["a", "b", "c"].map(engine).to_vec(), senders(0, 3));
     let stream = Work {
         suffix: Tokens::new(800),
         output: Output { limit: Tokens::new(400), hint: Some(Tokens::new(300)) },
@@ -211,7 +216,7 @@
 async fn load_reports_count_the_requests_of_other_vms() {
     let now = Instant::now();
     let mut balancer = balancer();
-    balancer.sync(vec![engine("a"), engine("b")], Sender::new(0, 3));
+    balancer.sync(vec![engine("a"), engine("b")], senders(0, 3));
     balancer.record_report(&"a".parse().unwrap(), Report { running: 40, waiting: 20 }, now);
     balancer.record_report(&"b".parse().unwrap(), Report { running: 2, waiting: 0 }, now);
     for _ in 0..10 {
@@ -224,10 +229,10 @@
 async fn a_restart_clears_the_failure_history() {
     let now = Instant::now();
     let mut balancer = balancer();
-    balancer.sync(vec![engine("a")], Sender::new(0, 1));
+    balancer.sync(vec![engine("a")], senders(0, 1));
     let placement = balancer.choose(&query(long_prompt(1)), now).unwrap();
     let in_flight = balancer.record_sent(&placement, &long_prompt(1), now);
-    balancer.sync(vec![Endpoint { incarnation: 2, ..engine("a") }], Sender::new(0, 1));
+    balancer.sync(vec![Endpoint { incarnation: 2, ..engine("a") }], senders(0, 1));
     balancer.record_end(in_flight, Outcome::Failed, now);
     let placement = balancer.choose(&query(Work::default()), now).unwrap();
     assert!(placement.first_event < Duration::from_millis(60));
@@ -240,7 +245,7 @@
     const READS: Duration = Duration::from_millis(100);
     let start = Instant::now();
     let mut balancer = balancer();
-    balancer.sync(["a", "b"].map(engine).to_vec(), Sender::new(0, 1));
+    balancer.sync(["a", "b"].map(engine).to_vec(), senders(0, 1));
     let work = Work { suffix: Tokens::new(5_000), ..Work::default() };
     let mut free = std::collections::HashMap::new();
     let mut running = Vec::new();
@@ -289,7 +294,7 @@
         let mut balancer = balancer();
         balancer.sync(
             vec![Endpoint { slots: Slots::new(6), memory: None, ..engine("a") }],
-            Sender::new(0, 1),
+            senders(0, 1),
         );
         Self { balancer, free: [now; 6], running: Vec::new() }
     }
@@ -329,7 +334,7 @@
 async fn requests_that_are_not_urgent_avoid_a_full_engine() {
     let now = Instant::now();
     let mut balancer = balancer();
-    balancer.sync(["a", "b"].map(engine).to_vec(), Sender::new(0, 2));
+    balancer.sync(["a", "b"].map(engine).to_vec(), senders(0, 2));
     let first = balancer.choose(&query(long_prompt(1)), now).unwrap().id;
     balancer.record_report(&first, Report { running: 48, waiting: 2 }, now);
     let query = Query { urgent: false, ..query(long_prompt(1)) };
@@ -351,7 +356,7 @@
     for key in 0..30 {
         for vm in [&mut one, &mut other] {
             *vm = balancer();
-            vm.sync(["a", "b", "c", "d", "e", "f"].map(engine).to_vec(), Sender::new(0, 2));
+            vm.sync(["a", "b", "c", "d", "e", "f"].map(engine).to_vec(), senders(0, 2));
         }
         let first = one.choose(&query(long_prompt(key)), now).unwrap().id;
         let seconds = [&mut one, &mut other].map(|vm| {
--- a/src/directory/daemon.rs
+++ b/src/directory/daemon.rs
@@ -20,7 +20,7 @@
 use super::links::LinkHandler;
 use super::plan::DiscoveredPlan;
 use super::prove;
-use super::service;
+use super::tasks;
 use crate::consensus::Role as ReplicaRole;
 use crate::control::Name;
 use crate::control::Routes;
@@ -159,10 +159,10 @@
         })
     });
     spawn_task(supervisor, "flood", service, broadcast::run);
-    spawn_task(supervisor, "ticks", service, service::tick);
+    spawn_task(supervisor, "ticks", service, tasks::tick);
     spawn_task(supervisor, "proofs", service, prove::run);
-    spawn_task(supervisor, "routing", service, service::mirror_routing);
-    spawn_task(supervisor, "roster", service, service::save_roster);
+    spawn_task(supervisor, "routing", service, tasks::mirror_routing);
+    spawn_task(supervisor, "roster", service, tasks::save_roster);
 }
 
 fn spawn_task<F, R>(supervisor: &mut Supervisor, name: &'static str, service: &Arc<Service>, run: F)
--- a/src/directory/mod.rs
+++ b/src/directory/mod.rs
@@ -6,6 +6,7 @@
 //! statements that it received directly. A region that is cut off therefore keeps working with the
 //! upstreams and VMs that it can still reach.
 
+mod batching;
 pub mod broadcast;
 pub mod cache;
 pub mod daemon;
@@ -16,6 +17,8 @@
 pub mod plan;
 pub mod prove;
 pub mod service;
+pub mod tasks;
+mod wakeups;
 
 pub use daemon::Adapter;
 pub use daemon::Daemon;
--- a/src/directory/service.rs
+++ b/src/directory/service.rs
@@ -9,17 +9,16 @@
 
 use slog::Logger;
 use slog::info;
-use slog::warn;
 use tokio::sync::watch;
-use tokio::time;
 use tokio::time::Instant;
 
+use super::batching::Batching;
 use super::broadcast;
 use super::cache;
 use super::cache::Cache;
 use super::lookup;
 use super::metrics::Metrics;
-use crate::clock;
+use super::wakeups::Wakeups;
 use crate::consensus::Members;
 use crate::consensus::Role as ReplicaRole;
 use crate::control::Routes;
@@ -46,16 +45,13 @@
 use crate::wire::Peer;
 use crate::wire::Reply;
 use crate::wire::Role;
-use crate::wire::message::Follow;
-use crate::wire::message::Followed;
 use crate::wire::message::Heard;
 
+mod follow;
 mod freshness;
 
 /// Timeout of a long poll by a follower. The empty response tells it that this VM is alive.
 pub const LONG_POLL_TIMEOUT: Duration = Duration::from_secs(1);
-/// Interval of checks for the replica while it is not running.
-const POLL_INTERVAL: Duration = Duration::from_millis(50);
 /// Timeout for the presence of a VM, which is sent every [`LONG_POLL_TIMEOUT`]: one may be lost and
 /// the next may be delayed.
 const VM_TIMEOUT: Duration = Duration::from_millis(2700);
@@ -64,24 +60,21 @@
 const MISSED_CHECK_INS: u32 = 4;
 /// The same for an upstream that was restored from the cache.
 const RESTORED_MISSED_CHECK_INS: u32 = 2;
-/// Delay before the upstreams are saved, so that bursts of changes are written once.
-const ROSTER_SAVE_DELAY: Duration = Duration::from_millis(500);
-/// Interval of checks for silent VMs and upstreams.
-const TICK_INTERVAL: Duration = Duration::from_millis(250);
-/// Delay of a tick beyond which the process is assumed to have been suspended.
-const STALL_THRESHOLD: Duration = Duration::from_millis(1500);
 
 /// The state of a control daemon.
 pub struct Service {
     node: Arc<Node>,
     seeds: Seeds,
-    log: Logger,
+    pub(super) log: Logger,
     /// Distinguishes this start from earlier ones.
     epoch: u64,
     table: Mutex<Table>,
-    /// The revision of `table`, for followers that wait for a change.
-    revision: watch::Sender<u64>,
-    routing: watch::Sender<Replicated>,
+    /// The revision of `table`, for those that wait for any change.
+    pub(super) revision: watch::Sender<u64>,
+    wakeups: Wakeups,
+    batching: Batching,
+    directory: Mutex<lookup::Index>,
+    pub(super) routing: watch::Sender<Replicated>,
     /// Whether this VM holds current data: its replica has a leader and, if required, a recent
     /// proof.
     up_to_date: watch::Sender<bool>,
@@ -89,8 +82,8 @@
     presence: Mutex<Presence>,
     broadcast: broadcast::Queue,
     routes: Arc<Routes>,
-    routing_cache: Cache<Replicated>,
-    roster_cache: Cache<Vec<Observed<Announcement>>>,
+    pub(super) routing_cache: Cache<Replicated>,
+    pub(super) roster_cache: Cache<Vec<Observed<Announcement>>>,
     seat: OnceLock<Seat<State>>,
     mesh: OnceLock<Mesh>,
     started: Instant,
@@ -129,7 +122,7 @@
             info!(log, "routing.kept"; "revision" => %restored.revision);
         }
         let roster_cache = Cache::<Vec<Observed<Announcement>>>::new(&folder, cache::ROSTER_FILE);
-        let mut table = Table::new(timeouts);
+        let mut table = Table::new(timeouts).with_regions(node.data_centres.iter().cloned());
         if let Some(upstreams) = roster_cache.load(&log) {
             info!(log, "roster.kept"; "upstreams" => upstreams.len());
             table.restore(upstreams, node.check_in * RESTORED_MISSED_CHECK_INS, Instant::now());
@@ -142,6 +135,9 @@
             epoch: nonce,
             table: Mutex::new(table),
             revision: watch::Sender::new(revision),
+            wakeups: Wakeups::new(),
+            batching: Batching::default(),
+            directory: Mutex::default(),
             routing: watch::Sender::new(restored.unwrap_or_default()),
             routing_cache,
             roster_cache,
@@ -227,9 +223,7 @@
 
     /// The known control VMs, including the seeds and this VM.
     pub fn control_vms(&self) -> BTreeSet<id::Vm> {
-        let table = self.table.lock().expect("no panic while locked");
-        let heard = table.all_vms().filter(|vm| vm.role == Role::Control);
-        let mut vms: BTreeSet<id::Vm> = heard.map(|vm| vm.vm.clone()).collect();
+        let mut vms = self.table().control_vms().clone();
         vms.extend(self.seeds.links().into_iter().map(|(vm, _)| vm));
         vms.insert(self.vm());
         vms
@@ -274,47 +268,12 @@
         let document = self.routing.borrow().document.clone();
         let homes = document.map(|document| document.homes(host)).unwrap_or_default();
         let table = self.table();
-        lookup::addresses(region, &homes, table.live_vms(), table.all_vms())
-    }
-
-    /// Handles a long poll: returns when there is an update for the follower, or at the timeout.
-    pub(super) async fn handle_follow(&self, follow: Follow) -> Reply {
-        let received_at = clock::now();
-        let is_current = follow.epoch == self.epoch;
-        let known_as = self.apply_presence(follow.presence);
-        let have = if is_current { follow.roster } else { 0 };
-        let mut revision = self.revision.subscribe();
-        let mut routing = self.routing.subscribe();
-        let mut up_to_date = self.up_to_date.subscribe();
-        let update = async {
-            tokio::select! {
-                _ = up_to_date.changed() => (),
-                _ = revision.wait_for(|revision| *revision > have) => (),
-                _ = routing.wait_for(|routing| routing.revision > follow.routing) => (),
-            }
-        };
-        time::timeout(LONG_POLL_TIMEOUT, update).await.ok();
-        let roster = self.table().delta(have, Instant::now());
-        let roster = match (roster, &follow.only_of) {
-            (Some(delta), Some(region)) => {
-                let is_local =
-                    |centre: &id::DataCentre| self.node.region_of(centre) == Some(region);
-                Some(delta.for_region(region, is_local))
-            }
-            (roster, _) => roster,
-        };
-        // Read before the routing state, which is then at least as new as the proof.
-        let proof = self.freshness().proof().map(|proof| proof.to_message(received_at));
-        let routing = self.routing.borrow().clone();
-        let routing = (routing.revision > follow.routing).then_some(routing);
-        let in_touch = *self.up_to_date.borrow();
-        let epoch = self.epoch;
-        let followed = Followed { epoch, roster, routing, in_touch, proof, known_as };
-        Reply::Followed(Box::new(followed))
+        let mut index = self.directory.lock().expect("no panic while locked");
+        index.addresses(region, homes, &table)
     }
 
     /// Applies the presence of a VM received directly; returns the newest known stamp of the VM.
-    fn apply_presence(&self, presence: Presence) -> Option<(Stamp, u64)> {
+    pub(super) fn apply_presence(&self, presence: Presence) -> Option<(Stamp, u64)> {
         let (outcome, known) = {
             let mut table = self.table();
             let outcome = table.apply_presence(presence.clone(), Instant::now());
@@ -366,9 +325,7 @@
                 && outcome == Outcome::Stale
                 && table.stamp_and_nonce(&vm, role).is_some_and(|known| known.1 != nonce)
             {
-                reply.vms.extend(
-                    table.all_vms().find(|known| known.vm == vm && known.role == role).cloned(),
-                );
+                reply.vms.extend(table.vm(&vm, role).cloned());
             }
         }
         let renewed = table.apply_heartbeats(&heard.alive, now);
@@ -399,17 +356,22 @@
         self.table.lock().expect("no panic while locked")
     }
 
-    fn notify_followers(&self) {
-        let revision = self.table().revision();
+    pub(super) fn notify_followers(&self) {
+        let (revision, touched) = {
+            let mut table = self.table();
+            (table.revision(), table.take_touched())
+        };
+        self.batching.record(revision, Instant::now());
         self.revision.send_if_modified(|last| {
             let newer = revision > *last;
             *last = revision.max(*last);
             newer
         });
+        self.wakeups.wake(&touched);
     }
 
     /// Renews the presence of this VM.
-    fn announce_presence(&self) {
+    pub(super) fn announce_presence(&self) {
         let presence = {
             let mut presence = self.presence.lock().expect("no panic while locked");
             presence.stamp.sequence += 1;
@@ -424,7 +386,7 @@
     }
 
     /// Logs changes of leader and voters.
-    fn log_group_change(
+    pub(super) fn log_group_change(
         &self,
         status: &Status,
         last: &mut Option<(Term, Option<id::Replica>, Members)>,
@@ -446,93 +408,3 @@
         Reply::Identity(self.seat.get().and_then(Seat::identity))
     }
 }
-
-/// Expires silent VMs and upstreams, and renews this VM's presence, until shutdown.
-pub async fn tick(service: Arc<Service>, mut stop: watch::Receiver<bool>) {
-    let mut ticks = time::interval(TICK_INTERVAL);
-    ticks.set_missed_tick_behavior(time::MissedTickBehavior::Delay);
-    let mut last = Instant::now();
-    let mut announced_at: Option<Instant> = None;
-    loop {
-        tokio::select! {
-            _ = ticks.tick() => (),
-            _ = stop.wait_for(|stop| *stop) => return,
-        }
-        let now = Instant::now();
-        if now.saturating_duration_since(last) > STALL_THRESHOLD {
-            info!(service.log, "process.stood_still"; "ms" => (now - last).as_millis() as u64);
-            service.table().reset_timers(now);
-        }
-        last = now;
-        if announced_at.is_none_or(|at| now.saturating_duration_since(at) >= LONG_POLL_TIMEOUT) {
-            announced_at = Some(now);
-            service.announce_presence();
-        }
-        if service.table().expire(now) {
-            service.notify_followers();
-        }
-    }
-}
-
-/// Mirrors the replicated routing state for followers until shutdown.
-pub async fn mirror_routing(service: Arc<Service>, mut stop: watch::Receiver<bool>) {
-    loop {
-        tokio::select! {
-            () = mirror_while_running(&service) => (),
-            _ = stop.wait_for(|stop| *stop) => return,
-        }
-        tokio::select! {
-            () = time::sleep(POLL_INTERVAL) => (),
-            _ = stop.wait_for(|stop| *stop) => return,
-        }
-    }
-}
-
-/// Saves the known upstreams after changes until shutdown.
-pub async fn save_roster(service: Arc<Service>, mut stop: watch::Receiver<bool>) {
-    let mut revision = service.revision.subscribe();
-    loop {
-        tokio::select! {
-            changed = revision.changed() => if changed.is_err() { return },
-            _ = stop.wait_for(|stop| *stop) => return,
-        }
-        time::sleep(ROSTER_SAVE_DELAY).await;
-        revision.mark_unchanged();
-        let upstreams = service.table().observed_upstreams(Instant::now());
-        let (cache, log) = (service.roster_cache.clone(), service.log.clone());
-        let saved = tokio::task::spawn_blocking(move || cache.save(&upstreams, &log));
-        if let Err(error) = saved.await {
-            warn!(service.log, "copy.not_written"; "file" => cache::ROSTER_FILE, "why" => %error);
-        }
-    }
-}
-
-async fn mirror_while_running(service: &Service) {
-    let Some(group) = service.group() else { return };
-    let mut status = group.watch();
-    let mut last = None;
-    loop {
-        let now = status.borrow_and_update().clone();
-        service.log_group_change(&now, &mut last);
-        let have = service.routing.borrow().revision;
-        let newer_than_held =
-            move |state: &State| (state.revision() > have).then(|| state.replicated());
-        match group.peek(newer_than_held).await {
-            Ok(Some(newer)) => {
-                info!(service.log, "routing.in_force"; "revision" => %newer.revision,
-                    "version" => newer.document.as_ref().map_or(0, |document| document.version.get()));
-                service.routing.send_replace(newer.clone());
-                let (cache, log) = (service.routing_cache.clone(), service.log.clone());
-                let saved = tokio::task::spawn_blocking(move || cache.save(&newer, &log));
-                if let Err(error) = saved.await {
-                    warn!(service.log, "copy.not_written"; "file" => cache::ROUTING_FILE, "why" => %error);
-                }
-            }
-            Ok(None) => (),
-            Err(_) => return,
-        }
-        if status.changed().await.is_err() {
-            return;
-        }
-    }
-}
--- /dev/null
+++ b/src/directory/service/follow.rs
@@ -0,0 +1,109 @@
+//! Long polls of followers.
+
+use std::time::Duration;
+
+use tokio::time;
+use tokio::time::Instant;
+
+use super::LONG_POLL_TIMEOUT;
+use super::Service;
+use crate::clock;
+use crate::id;
+use crate::roster::Delta;
+use crate::roster::Interest;
+use crate::roster::News;
+use crate::roster::slice::Position;
+use crate::wire::Reply;
+use crate::wire::message::Follow;
+use crate::wire::message::Followed;
+
+/// Where a follower's copy of its slice ends.
+#[derive(Debug, Clone, Copy)]
+struct Held {
+    revision: u64,
+    base: u64,
+}
+
+impl Service {
+    /// Handles a long poll: returns when there is an update for the follower, or at the timeout.
+    pub(in crate::directory) async fn handle_follow(&self, follow: Follow) -> Reply {
+        let received_at = clock::now();
+        let is_current = follow.epoch == self.epoch;
+        let position = Position::of_vm(&follow.presence.vm);
+        let interest = Interest { position, region: follow.only_of };
+        let known_as = self.apply_presence(follow.presence);
+        let revision = if is_current { follow.roster } else { 0 };
+        let base = follow.base.map(|base| if is_current { base } else { 0 });
+        self.wait_for_update(&interest, revision, base, follow.routing).await;
+        let (roster, piece) = match base {
+            Some(base) => (None, self.table().piece(&interest, revision, base, Instant::now())),
+            None => (self.whole_delta(interest.region.as_ref(), revision), None),
+        };
+        // Read before the routing state, which is then at least as new as the proof.
+        let proof = self.freshness().proof().map(|proof| proof.to_message(received_at));
+        let routing = self.routing.borrow().clone();
+        let routing = (routing.revision > follow.routing).then_some(routing);
+        let in_touch = *self.up_to_date.borrow();
+        let epoch = self.epoch;
+        let followed = Followed { epoch, roster, routing, in_touch, proof, known_as, piece };
+        Reply::Followed(Box::new(followed))
+    }
+
+    async fn wait_for_update(
+        &self,
+        interest: &Interest,
+        revision: u64,
+        base: Option<u64>,
+        routing_revision: crate::unit::Version,
+    ) {
+        let mut routing = self.routing.subscribe();
+        let mut up_to_date = self.up_to_date.subscribe();
+        let roster = async {
+            match base {
+                Some(base) => self.wait_for_news(interest, Held { revision, base }).await,
+                None => {
+                    let mut latest = self.revision.subscribe();
+                    // The sender can't be dropped while `self` is borrowed.
+                    latest.wait_for(|latest| *latest > revision).await.ok();
+                }
+            }
+        };
+        let update = async {
+            tokio::select! {
+                _ = up_to_date.changed() => (),
+                () = roster => (),
+                _ = routing.wait_for(|routing| routing.revision > routing_revision) => (),
+            }
+        };
+        time::timeout(LONG_POLL_TIMEOUT, update).await.ok();
+    }
+
+    /// Waits until the follower lacks changes that are to be sent now.
+    async fn wait_for_news(&self, interest: &Interest, held: Held) {
+        let _waiting = self.batching.track_follower();
+        let mut changes = self.wakeups.subscribe(interest.position);
+        loop {
+            let news = self.table().news(interest, held.revision, held.base);
+            let due = match news {
+                News::None => None,
+                News::Withdrawals => return,
+                News::Additions(first) => Some(self.batching.due(first)),
+            };
+            let pause =
+                due.map_or(Duration::MAX, |due| due.saturating_duration_since(Instant::now()));
+            if pause.is_zero() {
+                return;
+            }
+            // The sender can't be dropped while `self` is borrowed.
+            time::timeout(pause.min(LONG_POLL_TIMEOUT), changes.changed()).await.ok();
+        }
+    }
+
+    /// The changes for a follower that does not take pieces.
+    fn whole_delta(&self, region: Option<&id::Region>, revision: u64) -> Option<Delta> {
+        let delta = self.table().delta(revision, Instant::now())?;
+        let Some(region) = region else { return Some(delta) };
+        let is_local = |centre: &id::DataCentre| self.node.region_of(centre) == Some(region);
+        Some(delta.for_region(region, is_local))
+    }
+}
--- /dev/null
+++ b/src/directory/tasks.rs
@@ -0,0 +1,126 @@
+//! Background tasks of a control daemon.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use slog::info;
+use slog::warn;
+use tokio::sync::watch;
+use tokio::time;
+use tokio::time::Instant;
+
+use super::Service;
+use super::cache;
+use super::service::LONG_POLL_TIMEOUT;
+use crate::routing::State;
+
+/// Interval of checks for the replica while it is not running.
+const POLL_INTERVAL: Duration = Duration::from_millis(50);
+/// Delay before the upstreams are saved, so that bursts of changes are written once.
+const ROSTER_SAVE_DELAY: Duration = Duration::from_millis(500);
+/// Interval of checks for silent VMs and upstreams.
+const TICK_INTERVAL: Duration = Duration::from_millis(250);
+/// Delay of a tick beyond which the process is assumed to have been suspended.
+const STALL_THRESHOLD: Duration = Duration::from_millis(1500);
+/// The pause between two saves of the roster, in multiples of the time that the last one took.
+const ROSTER_SAVE_PAUSE: u32 = 40;
+
+/// Expires silent VMs and upstreams, and renews this VM's presence, until shutdown.
+pub async fn tick(service: Arc<Service>, mut stop: watch::Receiver<bool>) {
+    let mut ticks = time::interval(TICK_INTERVAL);
+    ticks.set_missed_tick_behavior(time::MissedTickBehavior::Delay);
+    let mut last = Instant::now();
+    let mut announced_at: Option<Instant> = None;
+    loop {
+        tokio::select! {
+            _ = ticks.tick() => (),
+            _ = stop.wait_for(|stop| *stop) => return,
+        }
+        let now = Instant::now();
+        if now.saturating_duration_since(last) > STALL_THRESHOLD {
+            info!(service.log(), "process.stood_still"; "ms" => (now - last).as_millis() as u64);
+            service.table().reset_timers(now);
+        }
+        last = now;
+        if announced_at.is_none_or(|at| now.saturating_duration_since(at) >= LONG_POLL_TIMEOUT) {
+            announced_at = Some(now);
+            service.announce_presence();
+        }
+        let changed = {
+            let mut table = service.table();
+            let expired = table.expire(now);
+            table.adapt() || expired
+        };
+        if changed {
+            service.notify_followers();
+        }
+    }
+}
+
+/// Mirrors the replicated routing state for followers until shutdown.
+pub async fn mirror_routing(service: Arc<Service>, mut stop: watch::Receiver<bool>) {
+    loop {
+        tokio::select! {
+            () = mirror_while_running(&service) => (),
+            _ = stop.wait_for(|stop| *stop) => return,
+        }
+        tokio::select! {
+            () = time::sleep(POLL_INTERVAL) => (),
+            _ = stop.wait_for(|stop| *stop) => return,
+        }
+    }
+}
+
+/// Saves the known upstreams after changes until shutdown.
+///
+/// In a large fleet something always changes, so the pause between two saves grows with the time that one takes.
+pub async fn save_roster(service: Arc<Service>, mut stop: watch::Receiver<bool>) {
+    let mut revision = service.revision.subscribe();
+    let mut pause = ROSTER_SAVE_DELAY;
+    loop {
+        tokio::select! {
+            changed = revision.changed() => if changed.is_err() { return },
+            _ = stop.wait_for(|stop| *stop) => return,
+        }
+        time::sleep(pause).await;
+        revision.mark_unchanged();
+        let began = Instant::now();
+        let upstreams = service.table().observed_upstreams(began);
+        let (cache, log) = (service.roster_cache.clone(), service.log().clone());
+        let saved = tokio::task::spawn_blocking(move || cache.save(&upstreams, &log));
+        if let Err(error) = saved.await {
+            warn!(service.log(), "copy.not_written"; "file" => cache::ROSTER_FILE, "why" => %error);
+        }
+        pause = ROSTER_SAVE_DELAY.max(began.elapsed() * ROSTER_SAVE_PAUSE);
+    }
+}
+
+async fn mirror_while_running(service: &Service) {
+    let Some(group) = service.group() else { return };
+    let mut status = group.watch();
+    let mut last = None;
+    loop {
+        let now = status.borrow_and_update().clone();
+        service.log_group_change(&now, &mut last);
+        let have = service.routing.borrow().revision;
+        let newer_than_held =
+            move |state: &State| (state.revision() > have).then(|| state.replicated());
+        match group.peek(newer_than_held).await {
+            Ok(Some(newer)) => {
+                info!(service.log(), "routing.in_force"; "revision" => %newer.revision,
+                    "version" => newer.document.as_ref().map_or(0, |document| document.version.get()));
+                service.routing.send_replace(newer.clone());
+                let (cache, log) = (service.routing_cache.clone(), service.log().clone());
+                let saved = tokio::task::spawn_blocking(move || cache.save(&newer, &log));
+                if let Err(error) = saved.await {
+                    warn!(service.log(), "copy.not_written"; "file" => cache::ROUTING_FILE, "why" => %error);
+                }
+            }
+            Ok(None) => (),
+            Err(_) => return,
+        }
+        if status.changed().await.is_err() {
+            return;
+        }
+    }
+}
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -20,6 +20,7 @@
 use crate::decide::freshness::Proof;
 use crate::decide::route::rendezvous;
 use crate::id;
+use crate::roster::Delta;
 use crate::wire::Peer;
 use crate::wire::Reply;
 use crate::wire::Request;
@@ -135,20 +136,24 @@
         };
         let Some(followed) = followed else { return };
         let is_fresh = followed.in_touch;
+        let has_more = followed.piece.as_ref().is_some_and(|piece| piece.has_more);
         apply(state, vm, followed, sent);
         if !sources.lock().expect("no panic while locked").record_freshness(slot, is_fresh) {
             return;
         }
-        time::sleep(MIN_CALL_INTERVAL).await;
+        if !has_more {
+            time::sleep(MIN_CALL_INTERVAL).await;
+        }
     }
 }
 
 async fn fetch(state: &State, peer: &Peer, slot: usize) -> Option<Followed> {
     let region = Some(&state.node().region).filter(|_| slot != FULL_ROSTER);
-    let (epoch, roster) = state.merged().prepare_request(&peer.vm, region);
+    let cursor = state.merged().prepare_request(&peer.vm, region);
     let (presence, routing) = (state.next_presence(), state.routing().revision);
     let only_of = region.cloned();
-    let follow = Follow { presence, epoch, roster, only_of, routing };
+    let (epoch, roster, base) = (cursor.epoch, cursor.revision, Some(cursor.base));
+    let follow = Follow { presence, epoch, roster, only_of, routing, base };
     let reply = state.mesh()?.call(peer, Request::Follow(Box::new(follow)), CALL_TIMEOUT).await;
     match reply {
         Ok(Reply::Followed(followed)) => Some(*followed),
@@ -166,16 +171,29 @@
     if let Some(proof) = followed.proof.and_then(|message| Proof::from_message(message, sent)) {
         state.apply_proof(proof);
     }
+    // A control VM of an older release sends deltas of the whole roster.
     if let Some(delta) = followed.roster {
-        let links = delta
-            .vms
-            .iter()
-            .filter_map(|observed| Some((&observed.record, observed.record.links?)));
-        if let Some(mesh) = state.mesh() {
-            links.for_each(|(vm, link)| mesh.learn(Peer::new(vm.vm.clone(), vm.role), link));
-        }
+        learn_links(state, &delta);
         state.apply_roster(vm, followed.epoch, delta);
     }
+    let Some(piece) = followed.piece else { return };
+    let base = piece.base;
+    match piece.into_delta() {
+        Ok((delta, scope)) => {
+            learn_links(state, &delta);
+            state.apply_piece(vm, followed.epoch, base, (delta, scope));
+        }
+        Err(error) => warn!(state.log(), "roster.unreadable"; "control" => %vm, "why" => %error),
+    }
+}
+
+fn learn_links(state: &State, delta: &Delta) {
+    let Some(mesh) = state.mesh() else { return };
+    for observed in &delta.vms {
+        if let Some(link) = observed.record.links {
+            mesh.learn(Peer::new(observed.record.vm.clone(), observed.record.role), link);
+        }
+    }
 }
 
 /// Prefers a control VM of this region for the first subscription, so that an isolated region keeps
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -40,8 +40,10 @@
 use crate::roster::Delta;
 use crate::roster::MergedTable;
 use crate::roster::Presence;
+use crate::roster::Scope;
 use crate::roster::Stamp;
 use crate::roster::Standing;
+use crate::roster::slice::Position;
 use crate::routing::Table;
 use crate::routing::state::Replicated;
 use crate::settings::Node;
@@ -135,13 +137,15 @@
             forwards: entry.map(|entry| entry.forwards),
             links: None,
         };
+        let position = Position::of_vm(&node.vm());
+        let merged = MergedTable::default().with_position(position, node.data_centres.clone());
         Self {
             seeds: Seeds::new(&node),
             node,
             log,
             adapter,
             routing: Mutex::default(),
-            merged: Mutex::default(),
+            merged: Mutex::new(merged),
             place: Mutex::new(Balancer::new(SmallRng::from_rng(&mut rng))),
             regions: Mutex::default(),
             freshness: Mutex::default(),
@@ -373,6 +377,25 @@
         self.sync_placement();
     }
 
+    /// Applies a piece of this VM's slice of the roster.
+    pub fn apply_piece(
+        &self,
+        from: &id::Vm,
+        epoch: u64,
+        base: u64,
+        changes: (Delta, Option<Scope>),
+    ) {
+        let (delta, scope) = &changes;
+        let has_changes = delta.is_full
+            || scope.is_some()
+            || !delta.upstreams.is_empty()
+            || !delta.vms.is_empty();
+        self.merged().apply_piece(from, epoch, base, changes, Instant::now());
+        if has_changes {
+            self.sync_placement();
+        }
+    }
+
     /// Drops the roster of a control VM that is no longer followed.
     pub fn unfollow(&self, vm: &id::Vm) {
         self.merged().unfollow(vm);
@@ -400,7 +423,7 @@
 
     /// Whether the retry budget of the service allows a retry.
     pub fn allow_retry(&self, service: &str) -> bool {
-        let vms = self.merged().all_vms(Role::Entry).count() as u32;
+        let vms = self.merged().entry_vm_count();
         self.with_retry_budget(service, |budget| budget.try_acquire(vms, Instant::now()))
     }
 
@@ -427,7 +450,9 @@
     pub fn directory_addresses(&self, region: &id::Region, host: &str) -> Vec<SocketAddr> {
         let homes = self.routing().table.map(|table| table.homes(host)).unwrap_or_default();
         let merged = self.merged();
-        lookup::addresses(region, &homes, merged.vms(Role::Entry), merged.all_vms(Role::Entry))
+        let all = merged.all_vms(Role::Entry);
+        let addresses = lookup::addresses(region, &homes, merged.vms(Role::Entry), all);
+        lookup::select(&addresses, self.random())
     }
 
     /// How long a directory answer may be cached.
--- a/src/gateway/state/upstreams.rs
+++ b/src/gateway/state/upstreams.rs
@@ -13,6 +13,8 @@
 use crate::roster::MergedTable;
 use crate::roster::Standing;
 use crate::roster::merged::Upstream;
+use crate::roster::slice::Level;
+use crate::roster::slice::Position;
 use crate::routing::Service;
 use crate::wire::Role;
 
@@ -23,24 +25,35 @@
         let Some(table) = &routing.table else { return };
         let merged = self.merged();
         // Includes VMs that are currently silent, so that a returning VM is counted at once.
-        let senders = merged.all_vms(Role::Entry).filter(|vm| vm.region == self.node.region);
+        let local_vms = merged.all_vms(Role::Entry).filter(|vm| vm.region == self.node.region);
         let own_vm = self.node.vm();
-        let names: BTreeSet<&id::Vm> = senders.map(|vm| &vm.vm).chain([&own_vm]).collect();
-        let rank = names.iter().take_while(|name| ***name < own_vm).count();
-        let share = Sender::new(rank as u32, names.len() as u32);
-        let local = merged.upstreams().filter(|upstream| {
-            self.node.region_of(&upstream.record.data_centre) == Some(&self.node.region)
-        });
-        let seen = local.map(|upstream| {
+        let names: BTreeSet<&id::Vm> = local_vms.map(|vm| &vm.vm).chain([&own_vm]).collect();
+        let peers = Peers { own_vm: &own_vm, names, level: merged.vm_level(&self.node.region) };
+        let local: Vec<&Upstream> = merged
+            .upstreams()
+            .filter(|upstream| {
+                self.node.region_of(&upstream.record.data_centre) == Some(&self.node.region)
+            })
+            .collect();
+        let mut senders: HashMap<String, Sender> = HashMap::new();
+        for upstream in &local {
+            let service = &upstream.record.service;
+            if !senders.contains_key(service) {
+                let level = merged.upstream_level(&self.node.region, service);
+                senders.insert(service.clone(), peers.sender(level));
+            }
+        }
+        let seen = local.into_iter().map(|upstream| {
             let is_evacuated = routing.evacuated.contains(&upstream.record.data_centre);
-            to_seen(upstream, table.service(&upstream.record.service), is_evacuated, share.count())
+            let service = &upstream.record.service;
+            to_seen(upstream, table.service(service), is_evacuated, senders[service].count())
         });
         let seen = seen.collect();
         let remote = self.remote_upstreams(&merged, &routing.evacuated);
-        let vms = merged.all_vms(Role::Entry).count() as u32;
+        let vms = merged.entry_vm_count();
         drop(merged);
         self.meter().set_vm_count(vms);
-        self.place().sync(seen, share);
+        self.place().sync(seen, senders);
         self.regions().sync(remote);
         self.updates.send_replace(());
     }
@@ -69,6 +82,30 @@
     }
 }
 
+/// The entry VMs of this region that this VM knows.
+struct Peers<'a> {
+    own_vm: &'a id::Vm,
+    names: BTreeSet<&'a id::Vm>,
+    level: Level,
+}
+
+impl Peers<'_> {
+    /// This VM's rank among the VMs that send to the same shard of a service's upstreams.
+    fn sender(&self, level: Level) -> Sender {
+        let own = Position::of_vm(self.own_vm);
+        let senders = self.names.iter().filter(|name| level.joins(own, Position::of_vm(name)));
+        let (mut rank, mut count) = (0, 0);
+        for name in senders {
+            rank += u32::from(**name < *self.own_vm);
+            count += 1;
+        }
+        // VMs of several shards send to these upstreams, but only those of one are known.
+        let unknown = self.level.bits().saturating_sub(level.bits());
+        let nth = own.shard(self.level) >> level.bits();
+        Sender::new((rank << unknown) + nth as u32, count << unknown)
+    }
+}
+
 /// Converts an upstream for the placement. The connection limit is divided among the entry VMs of
 /// the region, the only ones that connect to it.
 fn to_seen(
--- a/src/golden/mod.rs
+++ b/src/golden/mod.rs
@@ -42,22 +42,28 @@
 
 /// Pins a type's CBOR: samples of it encode to the golden bytes, and the golden bytes decode to values that encode to them.
 pub fn check_cbor<T: Serialize + DeserializeOwned>(name: &str) {
-    let encode = |value: &T| {
-        let mut bytes = Vec::new();
-        ciborium::into_writer(value, &mut bytes).expect("writing to memory does not fail");
-        hex::encode(bytes)
-    };
-    let lines: Vec<String> = sample::all::<T>(false).iter().map(encode).collect();
+    let lines: Vec<String> = sample::all::<T>(false).iter().map(cbor).collect();
+    check_text(&format!("cbor/{name}.txt"), &(lines.join("\n") + "\n"));
+    check_decoding::<T>(name);
+}
+
+/// Checks that golden bytes decode to values that encode to them.
+pub fn check_decoding<T: Serialize + DeserializeOwned>(name: &str) {
     let file = format!("cbor/{name}.txt");
-    check_text(&file, &(lines.join("\n") + "\n"));
     for (number, line) in read(&file).lines().enumerate() {
         let bytes = hex::decode(line).expect("golden files are hexadecimal");
         let value: T = ciborium::from_reader(bytes.as_slice())
             .unwrap_or_else(|error| panic!("{file}, line {}: {error}", number + 1));
-        assert_eq!(encode(&value), line, "{file}, line {}", number + 1);
+        assert_eq!(cbor(&value), line, "{file}, line {}", number + 1);
     }
 }
 
+fn cbor<T: Serialize>(value: &T) -> String {
+    let mut bytes = Vec::new();
+    ciborium::into_writer(value, &mut bytes).expect("writing to memory does not fail");
+    hex::encode(bytes)
+}
+
 /// Pins a type's JSON in the same way.
 pub fn check_json<T: Serialize + DeserializeOwned>(name: &str) {
     let encode = |value: &T| serde_json::to_string(value).expect("plain data always encodes");
--- a/src/golden/tests.rs
+++ b/src/golden/tests.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use super::check_cbor;
+use super::check_decoding;
 use super::check_json;
 use super::check_text;
 use super::read;
@@ -49,9 +50,18 @@
     check_cbor::<sharing::Message>("sharing-message");
     check_cbor::<upstream::pool::Message>("slots-message");
     check_cbor::<roster::Delta>("roster-delta");
+    check_cbor::<roster::Piece>("roster-piece");
+    check_cbor::<roster::piece::Change>("roster-change");
     check_cbor::<control::Name>("group-name");
 }
 
+// Guards against a release that can't follow, or be followed by, one that sends whole deltas instead of pieces.
+#[test]
+fn messages_of_a_release_without_pieces_are_read() {
+    check_decoding::<wire::Request>("wire-request-whole-deltas");
+    check_decoding::<wire::Reply>("wire-reply-whole-deltas");
+}
+
 #[test]
 fn records_of_the_membership() {
     check_cbor::<membership::Key>("membership-key");
--- a/src/roster/merged/tests.rs
+++ b/src/roster/merged/tests.rs
@@ -92,7 +92,8 @@
     let mut merged = MergedTable::default();
     merged.apply_delta(&vm("a"), 7, delta(40, vec![observed(5, Standing::Ready, false)]), now);
     merged.unfollow(&vm("a"));
-    assert_eq!(merged.prepare_request(&vm("a"), None), (7, 40));
+    let cursor = merged.prepare_request(&vm("a"), None);
+    assert_eq!((cursor.epoch, cursor.revision), (7, 40));
     merged.apply_delta(&vm("a"), 7, delta(41, vec![observed(5, Standing::Ready, true)]), now);
     assert!(merged.upstreams().next().unwrap().silent);
 }
@@ -112,7 +113,8 @@
     merged.unfollow(&a);
     assert_eq!(merged.vms(Role::Entry).count(), 2);
     // Removing the filter requires a full delta.
-    assert_eq!(merged.prepare_request(&b, None), (1, 0));
+    let cursor = merged.prepare_request(&b, None);
+    assert_eq!((cursor.epoch, cursor.revision), (1, 0));
     merged.apply_delta(&b, 1, full_delta(3, vec![entry("far", "there", true)]), now);
     assert_eq!(merged.vms(Role::Entry).count(), 0, "a full delta replaces the source's VMs");
 }
--- a/src/roster/mod.rs
+++ b/src/roster/mod.rs
@@ -5,19 +5,28 @@
 //! [`Table`]; an entry VM follows two control VMs and combines their tables in a [`MergedTable`].
 
 pub mod announcement;
+pub mod change_log;
 pub mod delta;
+#[cfg(test)]
+mod fuzz;
 pub mod heartbeat;
 pub mod merged;
+pub mod piece;
 pub mod presence;
+pub mod slice;
 pub mod stamp;
 pub mod table;
 
 pub use announcement::Announcement;
 pub use announcement::Standing;
+pub use change_log::Interest;
+pub use change_log::News;
 pub use delta::Delta;
 pub use delta::Observed;
 pub use heartbeat::Heartbeat;
 pub use merged::MergedTable;
+pub use piece::Piece;
 pub use presence::Presence;
+pub use slice::Scope;
 pub use stamp::Stamp;
 pub use table::Table;
--- a/src/roster/table.rs
+++ b/src/roster/table.rs
@@ -1,23 +1,41 @@
 //! A control VM's table of upstreams and VMs, with a revision for each change.
 
+use std::collections::BTreeSet;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use tokio::time::Instant;
 
+use self::expiry::Expiry;
+use self::tracked::Tracked;
 use super::Announcement;
 use super::Delta;
 use super::Heartbeat;
+use super::Interest;
+use super::News;
+use super::Piece;
 use super::Presence;
 use super::Stamp;
 use super::Standing;
+use super::change_log::ChangeLog;
+use super::change_log::Entry;
+use super::change_log::Group;
+use super::change_log::Subject;
 use super::delta::Observed;
+use super::piece::MAX_PIECE_BYTES;
+use super::slice::Level;
+use super::slice::Position;
 use crate::id;
 use crate::wire::Role;
 
+mod expiry;
+mod tracked;
+
 /// How long subjects that left or went silent are kept, so that a delayed record does not bring them back.
 const TOMBSTONE_RETENTION: Duration = Duration::from_secs(60);
+/// The most records in a piece; more than fit into [`MAX_PIECE_BYTES`].
+const MAX_PIECE_RECORDS: usize = 512;
 
 /// The longest time between renewals before a subject counts as silent.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -39,18 +57,6 @@
     Stale,
 }
 
-/// A record and its liveness.
-#[derive(Debug, Clone)]
-struct Tracked<T> {
-    record: T,
-    /// When the record was last renewed.
-    last_renewed: Instant,
-    /// When the record last changed; its remaining durations count from then.
-    changed_at: Instant,
-    revision: u64,
-    silent: bool,
-}
-
 /// The upstreams and VMs known to a control VM.
 #[derive(Debug)]
 pub struct Table {
@@ -62,15 +68,26 @@
     /// The latest upstream at each address.
     addresses: HashMap<SocketAddr, id::Upstream>,
     vms: HashMap<(id::Vm, Role), Tracked<Presence>>,
+    /// The keys of control VMs in `vms`.
+    control_vms: BTreeSet<id::Vm>,
+    /// The number of changes of VMs.
+    vm_revision: u64,
     /// Subjects by the digest of their latest record.
     digests: HashMap<u64, Subject>,
+    /// The regions of data centres.
+    regions: HashMap<id::DataCentre, id::Region>,
+    log: ChangeLog,
+    expiry: Expiry,
+    touched: Touched,
 }
 
-/// The subject of a record.
-#[derive(Debug, Clone)]
-enum Subject {
-    Upstream(id::Upstream),
-    Vm(id::Vm, Role),
+/// The followers concerned by changes.
+#[derive(Debug, Default, PartialEq, Eq)]
+pub struct Touched {
+    /// All followers.
+    pub all: bool,
+    /// Those in the same shard as a position.
+    pub shards: Vec<(Level, Position)>,
 }
 
 /// The result of applying heartbeats.
@@ -92,15 +109,35 @@
             upstreams: HashMap::new(),
             addresses: HashMap::new(),
             vms: HashMap::new(),
+            control_vms: BTreeSet::new(),
+            vm_revision: 0,
             digests: HashMap::new(),
+            regions: HashMap::new(),
+            log: ChangeLog::default(),
+            expiry: Expiry::default(),
+            touched: Touched::default(),
         }
     }
 
+    /// Sets the regions of data centres, by which upstreams are divided.
+    #[must_use]
+    pub fn with_regions(
+        self,
+        regions: impl IntoIterator<Item = (id::DataCentre, id::Region)>,
+    ) -> Self {
+        Self { regions: regions.into_iter().collect(), ..self }
+    }
+
     /// The number of the latest change.
     pub const fn revision(&self) -> u64 {
         self.revision
     }
 
+    /// The number of the latest change of a VM.
+    pub const fn vm_revision(&self) -> u64 {
+        self.vm_revision
+    }
+
     /// Applies an upstream's record, received directly or relayed.
     pub fn apply_announcement(&mut self, record: Announcement, now: Instant) -> Outcome {
         if let Some(known) = self.upstreams.get_mut(&record.id) {
@@ -143,20 +180,25 @@
     pub fn apply_heartbeats(&mut self, heartbeats: &[Heartbeat], now: Instant) -> Renewal {
         let mut renewal = Renewal::default();
         for heartbeat in heartbeats {
-            let renewed = match self.digests.get(&heartbeat.digest) {
+            let subject = self.digests.get(&heartbeat.digest).cloned();
+            let was_silent = match &subject {
                 Some(Subject::Upstream(id)) => {
                     let known = self.upstreams.get_mut(id);
-                    known.map(|known| known.renew(heartbeat.sequence, &mut self.revision, now))
+                    known.map(|known| known.renew(heartbeat.sequence, now))
                 }
                 Some(Subject::Vm(vm, role)) => {
                     let known = self.vms.get_mut(&(vm.clone(), *role));
-                    known.map(|known| known.renew(heartbeat.sequence, &mut self.revision, now))
+                    known.map(|known| known.renew(heartbeat.sequence, now))
                 }
                 None => None,
             };
-            match renewed {
-                Some(has_changes) => renewal.has_changes |= has_changes,
-                None => renewal.unknown.push(heartbeat.digest),
+            match (subject, was_silent) {
+                (Some(subject), Some(true)) => {
+                    self.record_change(&subject);
+                    renewal.has_changes = true;
+                }
+                (_, Some(_)) => (),
+                (_, None) => renewal.unknown.push(heartbeat.digest),
             }
         }
         renewal
@@ -207,23 +249,19 @@
         if !changed {
             return Outcome::Renewed;
         }
-        self.revision += 1;
-        self.digests.insert(record.digest(), Subject::Vm(record.vm.clone(), record.role));
-        let known = Tracked {
-            record,
-            last_renewed: now,
-            changed_at: now,
-            revision: self.revision,
-            silent: false,
-        };
-        if let Some(last) = self.vms.insert(key, known) {
-            self.drop_digest(last.record.digest(), |table| {
-                table
-                    .vms
-                    .get(&(last.record.vm.clone(), last.record.role))
-                    .map(|known| known.record.digest())
-            });
+        let subject = Subject::Vm(record.vm.clone(), record.role);
+        self.digests.insert(record.digest(), subject.clone());
+        if record.role == Role::Control {
+            self.control_vms.insert(record.vm.clone());
+        }
+        let last = self.vms.remove(&key);
+        let entry = last.as_ref().and_then(|last| last.entry.clone());
+        self.vms.insert(key.clone(), Tracked::new(record, entry, now));
+        if let Some(last) = last {
+            let latest = self.vms.get(&key).map(|known| known.record.digest());
+            self.drop_digest(last.record.digest(), latest);
         }
+        self.record_change(&subject);
         Outcome::Changed
     }
 
@@ -245,29 +283,73 @@
         self.vms.values().map(|known| &known.record)
     }
 
+    /// The known control VMs, including silent ones.
+    pub const fn control_vms(&self) -> &BTreeSet<id::Vm> {
+        &self.control_vms
+    }
+
+    /// The latest record of a VM's process.
+    pub fn vm(&self, vm: &id::Vm, role: Role) -> Option<&Presence> {
+        self.vms.get(&(vm.clone(), role)).map(|known| &known.record)
+    }
+
     /// Marks subjects past their timeout as silent, removes old ones, and returns whether any became silent.
     pub fn expire(&mut self, now: Instant) -> bool {
         let before = self.revision;
-        let elapsed = |last_renewed: Instant| now.saturating_duration_since(last_renewed);
-        for known in self.upstreams.values_mut() {
-            let is_overdue = elapsed(known.last_renewed) > self.timeouts.upstream;
-            if is_overdue && !known.silent && known.record.standing != Standing::Gone {
-                self.revision += 1;
-                known.silent = true;
-                known.revision = self.revision;
-            }
-        }
-        for known in self.vms.values_mut() {
-            if elapsed(known.last_renewed) > self.timeouts.vm && !known.silent {
-                self.revision += 1;
-                known.silent = true;
-                known.revision = self.revision;
+        while let Some((due, subject)) = self.expiry.pop(now) {
+            match &subject {
+                Subject::Upstream(id) => {
+                    let Some(known) = self.upstreams.get_mut(id) else { continue };
+                    let is_active = !known.silent && known.record.standing != Standing::Gone;
+                    match known.expire(due, is_active, self.timeouts.upstream, now) {
+                        tracked::Expired::NotYet(due) => self.expiry.push(due, subject),
+                        tracked::Expired::Silent(due) => {
+                            self.expiry.push(due, subject.clone());
+                            self.record_change(&subject);
+                        }
+                        tracked::Expired::Removed => self.remove_upstream(id),
+                        tracked::Expired::Superseded => (),
+                    }
+                }
+                Subject::Vm(vm, role) => {
+                    let key = (vm.clone(), *role);
+                    let Some(known) = self.vms.get_mut(&key) else { continue };
+                    let is_active = !known.silent;
+                    match known.expire(due, is_active, self.timeouts.vm, now) {
+                        tracked::Expired::NotYet(due) => self.expiry.push(due, subject),
+                        tracked::Expired::Silent(due) => {
+                            self.expiry.push(due, subject.clone());
+                            self.record_change(&subject);
+                        }
+                        tracked::Expired::Removed => self.remove_vm(&key),
+                        tracked::Expired::Superseded => (),
+                    }
+                }
             }
         }
-        self.remove_expired(now);
         self.revision != before
     }
 
+    /// Adapts the division into slices to the number of subjects, at regular intervals; returns whether followers lack
+    /// changes.
+    pub fn adapt(&mut self) -> bool {
+        let before = (self.revision, self.log.scope_revision());
+        let lacking = self.log.adapt(self.revision + 1);
+        if self.log.scope_revision() != before.1 {
+            self.revision += 1;
+            self.touched.all = true;
+        }
+        for subject in lacking {
+            self.log_change(&subject);
+        }
+        self.revision != before.0
+    }
+
+    /// Removes and returns the followers concerned by changes since the last call.
+    pub fn take_touched(&mut self) -> Touched {
+        std::mem::take(&mut self.touched)
+    }
+
     /// Restarts all timeouts after this process was suspended or disconnected, so that it does not report all others as
     /// silent.
     pub fn reset_timers(&mut self, now: Instant) {
@@ -296,7 +378,56 @@
                 known.last_renewed = last_renewed;
                 known.silent = silent;
             }
+            self.log_change(&Subject::Upstream(id));
+        }
+        self.log.settle();
+        self.adapt();
+    }
+
+    /// Whether a follower at a revision lacks changes of its slice. `base` is the revision at which it began to receive
+    /// the slice.
+    pub fn news(&self, interest: &Interest, from: u64, base: u64) -> News {
+        if from.max(base) < self.oldest_delta_revision {
+            return News::Withdrawals;
         }
+        self.log.news(interest, from)
+    }
+
+    /// The next changes of a follower's slice after a revision; none if the revision is the latest one.
+    pub fn piece(&self, interest: &Interest, from: u64, base: u64, now: Instant) -> Option<Piece> {
+        if from >= self.revision {
+            return None;
+        }
+        let is_first = from.max(base) < self.oldest_delta_revision;
+        let (from, base) = if is_first { (0, self.revision) } else { (from, base) };
+        let changes = self.log.changes(interest, from, MAX_PIECE_RECORDS);
+        let (mut encoded, mut bytes, mut last) = (Vec::new(), 0, from);
+        for (revision, subject) in &changes {
+            if bytes >= MAX_PIECE_BYTES {
+                break;
+            }
+            let change = match subject {
+                Subject::Upstream(id) => self.upstreams.get(id).map(|known| known.encoded_at(now)),
+                Subject::Vm(vm, role) => {
+                    self.vms.get(&(vm.clone(), *role)).map(|known| known.encoded.clone())
+                }
+            };
+            bytes += change.as_ref().map_or(0, bytes::Bytes::len);
+            encoded.extend(change);
+            last = *revision;
+        }
+        let has_more = changes.last().is_some_and(|(revision, _)| *revision > last)
+            || changes.len() == MAX_PIECE_RECORDS;
+        let is_scope_known = self.log.scope_revision() <= from && !is_first;
+        let piece = Piece {
+            revision: if has_more { last } else { self.revision },
+            base,
+            is_first,
+            has_more,
+            scope: (!is_scope_known).then(|| self.log.scope()),
+            ..Piece::default()
+        };
+        Some(piece.with_changes(&encoded))
     }
 
     /// The changes after a revision, if there are any.
@@ -306,8 +437,8 @@
         }
         let is_full = from < self.oldest_delta_revision;
         let is_newer = |revision: u64| is_full || revision > from;
-        let upstreams = self.upstreams.values().filter(|known| is_newer(known.revision));
-        let vms = self.vms.values().filter(|known| is_newer(known.revision));
+        let upstreams = self.upstreams.values().filter(|known| is_newer(known.revision()));
+        let vms = self.vms.values().filter(|known| is_newer(known.revision()));
         Some(Delta {
             revision: self.revision,
             is_full,
@@ -319,29 +450,101 @@
     }
 
     fn insert_upstream(&mut self, record: Announcement, now: Instant) {
-        self.revision += 1;
         if record.standing != Standing::Gone {
             self.claim_address(&record, now);
         }
         let id = record.id.clone();
-        self.digests.insert(record.digest(), Subject::Upstream(id.clone()));
-        let known = Tracked {
-            record,
-            last_renewed: now,
-            changed_at: now,
-            revision: self.revision,
-            silent: false,
+        let subject = Subject::Upstream(id.clone());
+        self.digests.insert(record.digest(), subject.clone());
+        let last = self.upstreams.remove(&id);
+        let entry = last.as_ref().and_then(|last| last.entry.clone());
+        self.upstreams.insert(id.clone(), Tracked::new(record, entry, now));
+        if let Some(last) = last {
+            let latest = self.upstream(&id).map(Announcement::digest);
+            self.drop_digest(last.record.digest(), latest);
+        }
+        self.record_change(&subject);
+    }
+
+    /// Logs a change, or defers a new subject.
+    fn record_change(&mut self, subject: &Subject) {
+        let Some((group, is_new)) = self.group(subject) else { return };
+        if matches!(subject, Subject::Vm(..)) {
+            self.vm_revision += 1;
+        }
+        if is_new && self.log.defer(subject, &group) {
+            self.schedule_expiry(subject);
+        } else {
+            self.log_change(subject);
+        }
+    }
+
+    /// The group of a subject, and whether it has not been logged yet.
+    fn group(&self, subject: &Subject) -> Option<(Group, bool)> {
+        match subject {
+            Subject::Upstream(id) => {
+                let known = self.upstreams.get(id)?;
+                let region = self.regions.get(&known.record.data_centre).cloned();
+                let group = Group::Upstreams(region, known.record.service.clone());
+                Some((group, known.entry.is_none()))
+            }
+            Subject::Vm(vm, role) => {
+                let known = self.vms.get(&(vm.clone(), *role))?;
+                let group = match role {
+                    Role::Control => Group::Control,
+                    Role::Entry => Group::Vms(known.record.region.clone()),
+                };
+                Some((group, known.entry.is_none()))
+            }
+        }
+    }
+
+    fn schedule_expiry(&mut self, subject: &Subject) {
+        let due = match subject {
+            Subject::Upstream(id) => {
+                let known = self.upstreams.get_mut(id);
+                known.and_then(|known| known.reschedule(self.timeouts.upstream))
+            }
+            Subject::Vm(vm, role) => {
+                let known = self.vms.get_mut(&(vm.clone(), *role));
+                known.and_then(|known| known.reschedule(self.timeouts.vm))
+            }
         };
-        if let Some(last) = self.upstreams.insert(id, known) {
-            self.drop_digest(last.record.digest(), |table| {
-                table.upstream(&last.record.id).map(Announcement::digest)
-            });
+        if let Some(due) = due {
+            self.expiry.push(due, subject.clone());
         }
     }
 
-    /// Removes the digest of a replaced record, unless the new record has the same one.
-    fn drop_digest(&mut self, last: u64, now: impl Fn(&Self) -> Option<u64>) {
-        if now(self) != Some(last) {
+    /// Assigns the next revision to a subject and logs the change.
+    fn log_change(&mut self, subject: &Subject) {
+        let Some((group, _)) = self.group(subject) else { return };
+        self.revision += 1;
+        let revision = self.revision;
+        let (entry, previous) = match subject {
+            Subject::Upstream(id) => {
+                let Some(known) = self.upstreams.get_mut(id) else { return };
+                let is_gone = known.record.standing == Standing::Gone;
+                let is_withdrawal = known.silent || known.record.standing != Standing::Ready;
+                let entry = Entry { group, revision, is_gone, is_withdrawal };
+                (entry.clone(), known.log(entry))
+            }
+            Subject::Vm(vm, role) => {
+                let Some(known) = self.vms.get_mut(&(vm.clone(), *role)) else { return };
+                let is_gone = known.record.standing == Standing::Gone;
+                let is_usable = known.record.ready && known.record.standing == Standing::Ready;
+                let is_withdrawal = known.silent || !is_usable;
+                let entry = Entry { group, revision, is_gone, is_withdrawal };
+                (entry.clone(), known.log(entry))
+            }
+        };
+        self.schedule_expiry(subject);
+        let level = self.log.record(subject.clone(), &entry, previous.as_ref());
+        self.touched.shards.push((level, subject.position()));
+    }
+
+    /// Removes the digest of a replaced record, unless the latest record has the same one.
+    fn drop_digest(&mut self, last: u64, latest: Option<u64>) {
+        if latest != Some(last) {
             self.digests.remove(&last);
         }
     }
@@ -356,7 +559,7 @@
             known.record.stamp = Stamp::last_of(known.record.stamp.start_time_ms);
             known.last_renewed = now;
             known.changed_at = now;
-            known.revision = self.revision;
+            self.record_change(&Subject::Upstream(last));
         }
     }
 
@@ -367,81 +570,37 @@
         owner.is_some_and(|owner| owner.record.stamp.start_time_ms > record.stamp.start_time_ms)
     }
 
-    fn remove_expired(&mut self, now: Instant) {
-        let is_old = |last_renewed: Instant| {
-            now.saturating_duration_since(last_renewed) > TOMBSTONE_RETENTION
-        };
-        let mut oldest_delta_revision = self.oldest_delta_revision;
-        self.upstreams.retain(|_, known| {
-            let is_inactive = known.silent || known.record.standing == Standing::Gone;
-            let is_removed = is_inactive && is_old(known.last_renewed);
-            if is_removed {
-                oldest_delta_revision = oldest_delta_revision.max(known.revision);
-            }
-            !is_removed
-        });
-        self.vms.retain(|_, known| {
-            let is_removed = known.silent && is_old(known.last_renewed);
-            if is_removed {
-                oldest_delta_revision = oldest_delta_revision.max(known.revision);
-            }
-            !is_removed
-        });
-        self.oldest_delta_revision = oldest_delta_revision;
-        let (upstreams, vms) = (&self.upstreams, &self.vms);
-        self.digests.retain(|_, subject| match subject {
-            Subject::Upstream(id) => upstreams.contains_key(id),
-            Subject::Vm(vm, role) => vms.contains_key(&(vm.clone(), *role)),
-        });
-        let upstreams = &self.upstreams;
-        self.addresses.retain(|_, id| upstreams.contains_key(id));
-    }
-}
-
-/// A record with a stamp.
-trait Stamped {
-    fn stamp(&mut self) -> &mut Stamp;
-}
-
-impl Stamped for Announcement {
-    fn stamp(&mut self) -> &mut Stamp {
-        &mut self.stamp
-    }
-}
-
-impl Stamped for Presence {
-    fn stamp(&mut self) -> &mut Stamp {
-        &mut self.stamp
+    fn remove_upstream(&mut self, id: &id::Upstream) {
+        let subject = Subject::Upstream(id.clone());
+        let group = self.group(&subject);
+        let Some(known) = self.upstreams.remove(id) else { return };
+        self.drop_digest(known.record.digest(), None);
+        if self.addresses.get(&known.record.address) == Some(id) {
+            self.addresses.remove(&known.record.address);
+        }
+        self.forget(&subject, group, known.entry.as_ref());
     }
-}
 
-impl<T: Stamped> Tracked<T> {
-    /// Renews the record if the sequence number is newer, and returns whether it had been silent.
-    fn renew(&mut self, sequence: u64, revision: &mut u64, now: Instant) -> bool {
-        let stamp = self.record.stamp();
-        if sequence <= stamp.sequence {
-            return false;
-        }
-        stamp.sequence = sequence;
-        self.last_renewed = now;
-        if !self.silent {
-            return false;
+    fn remove_vm(&mut self, key: &(id::Vm, Role)) {
+        let subject = Subject::Vm(key.0.clone(), key.1);
+        let group = self.group(&subject);
+        let Some(known) = self.vms.remove(key) else { return };
+        self.drop_digest(known.record.digest(), None);
+        if key.1 == Role::Control {
+            self.control_vms.remove(&key.0);
         }
-        *revision += 1;
-        self.revision = *revision;
-        self.silent = false;
-        true
+        self.forget(&subject, group, known.entry.as_ref());
+        self.vm_revision += 1;
     }
-}
 
-impl Tracked<Announcement> {
-    /// The record with its remaining durations as of now.
-    fn to_observed(&self, now: Instant) -> Observed<Announcement> {
-        let since = now.saturating_duration_since(self.changed_at);
-        let mut record = self.record.clone();
-        record.cold_left = record.cold_left.saturating_sub(since);
-        record.ends_in = record.ends_in.map(|ends| ends.saturating_sub(since));
-        Observed { record, silent: self.silent }
+    /// Removes a subject from the log. A follower that has not seen its last change needs the full table.
+    fn forget(&mut self, subject: &Subject, group: Option<(Group, bool)>, entry: Option<&Entry>) {
+        if let Some((group, true)) = &group {
+            self.log.remove_deferred(subject, group);
+        }
+        let Some(entry) = entry else { return };
+        self.oldest_delta_revision = self.oldest_delta_revision.max(entry.revision);
+        self.log.remove(subject, entry);
     }
 }
 
--- a/src/wire/message.rs
+++ b/src/wire/message.rs
@@ -162,6 +162,10 @@
     pub only_of: Option<id::Region>,
     /// The routing state that the follower has in force.
     pub routing: Version,
+    /// The follower takes its slice of the roster in pieces; this is the revision of the peer's table when it began to
+    /// send the slice. None from a follower that takes whole deltas.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub base: Option<u64>,
 }
 
 /// What a follower lacked.
@@ -180,6 +184,9 @@
     pub proof: Option<freshness::ProofMessage>,
     /// The stamp and nonce under which the follower is known to the peer.
     pub known_as: Option<(Stamp, u64)>,
+    /// The next piece of the follower's slice, if it takes pieces.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub piece: Option<roster::Piece>,
 }
 
 /// What a control VM has heard since it last told.
--- a/tests/load/streams/world.rs
+++ b/tests/load/streams/world.rs
@@ -214,7 +214,8 @@
         let vms = (0..site.regions.len()).map(|region| {
             let vms = (0..site.vms).map(|nth| {
                 let mut place = Balancer::new(SmallRng::from_rng(&mut rng));
-                place.sync(seen(region), Sender::new(nth as u32, site.vms as u32));
+                let sender = Sender::new(nth as u32, site.vms as u32);
+                place.sync(seen(region), HashMap::from([(SERVICE.to_owned(), sender)]));
                 let open: OpenUpstreams = (0..site.regions.len())
                     .filter(|other| *other != region)
                     .map(|other| {
