Routing states are encoded once, and come from one control VM

Cause: each change of the configuration was encoded for each follower (60 kB at 250 routes) and reached each entry VM twice, once over the line between regions. Change: a state is encoded once for all followers; a VM's second control VM only tells the revision while the first one is up to date, and is asked for the state 200 ms later if the first has not sent it. The change log moved out of roster::Table's file.

--- a/src/directory/service.rs
+++ b/src/directory/service.rs
@@ -7,6 +7,7 @@
 use std::sync::OnceLock;
 use std::time::Duration;
 
+use bytes::Bytes;
 use slog::Logger;
 use slog::info;
 use tokio::sync::watch;
@@ -40,6 +41,7 @@
 use crate::settings::Node;
 use crate::settings::Seeds;
 use crate::unit::Term;
+use crate::unit::Version;
 use crate::wire::Cast;
 use crate::wire::Mesh;
 use crate::wire::Peer;
@@ -75,6 +77,8 @@
     batching: Batching,
     directory: Mutex<lookup::Index>,
     pub(super) routing: watch::Sender<Replicated>,
+    /// The encoded `routing` of a revision.
+    encoded_routing: Mutex<(Version, Bytes)>,
     /// Whether this VM holds current data: its replica has a leader and, if required, a recent
     /// proof.
     up_to_date: watch::Sender<bool>,
@@ -139,6 +143,7 @@
             batching: Batching::default(),
             directory: Mutex::default(),
             routing: watch::Sender::new(restored.unwrap_or_default()),
+            encoded_routing: Mutex::default(),
             routing_cache,
             roster_cache,
             up_to_date: watch::Sender::new(false),
--- a/src/directory/service/follow.rs
+++ b/src/directory/service/follow.rs
@@ -1,7 +1,9 @@
 //! Long polls of followers.
 
+use std::future;
 use std::time::Duration;
 
+use bytes::Bytes;
 use tokio::time;
 use tokio::time::Instant;
 
@@ -13,6 +15,8 @@
 use crate::roster::Interest;
 use crate::roster::News;
 use crate::roster::slice::Position;
+use crate::routing::state::Replicated;
+use crate::unit::Version;
 use crate::wire::Reply;
 use crate::wire::message::Follow;
 use crate::wire::message::Followed;
@@ -34,27 +38,52 @@
         let known_as = self.apply_presence(follow.presence);
         let revision = if is_current { follow.roster } else { 0 };
         let base = follow.base.map(|base| if is_current { base } else { 0 });
-        self.wait_for_update(&interest, revision, base, follow.routing).await;
+        let awaited = (!follow.defers_routing).then_some(follow.routing);
+        self.wait_for_update(&interest, revision, base, awaited).await;
         let (roster, piece) = match base {
             Some(base) => (None, self.table().piece(&interest, revision, base, Instant::now())),
             None => (self.whole_delta(interest.region.as_ref(), revision), None),
         };
         // Read before the routing state, which is then at least as new as the proof.
         let proof = self.freshness().proof().map(|proof| proof.to_message(received_at));
-        let routing = self.routing.borrow().clone();
-        let routing = (routing.revision > follow.routing).then_some(routing);
-        let in_touch = *self.up_to_date.borrow();
-        let epoch = self.epoch;
-        let followed = Followed { epoch, roster, routing, in_touch, proof, known_as, piece };
+        let newer = self.routing.borrow().clone();
+        let newer = (newer.revision > follow.routing).then_some(newer);
+        let mut followed = Followed {
+            epoch: self.epoch,
+            roster,
+            routing: None,
+            in_touch: *self.up_to_date.borrow(),
+            proof,
+            known_as,
+            piece,
+            encoded_routing: None,
+            routing_revision: None,
+        };
+        if follow.defers_routing {
+            followed.routing_revision = newer.map(|newer| newer.revision);
+        } else if base.is_some() {
+            followed.encoded_routing = newer.map(|newer| self.encode_routing(&newer));
+        } else {
+            followed.routing = newer;
+        }
         Reply::Followed(Box::new(followed))
     }
 
+    /// Encodes a routing state, once for all followers.
+    fn encode_routing(&self, routing: &Replicated) -> Bytes {
+        let mut encoded = self.encoded_routing.lock().expect("no panic while locked");
+        if encoded.0 < routing.revision {
+            *encoded = (routing.revision, routing.encode());
+        }
+        encoded.1.clone()
+    }
+
     async fn wait_for_update(
         &self,
         interest: &Interest,
         revision: u64,
         base: Option<u64>,
-        routing_revision: crate::unit::Version,
+        routing_revision: Option<Version>,
     ) {
         let mut routing = self.routing.subscribe();
         let mut up_to_date = self.up_to_date.subscribe();
@@ -68,11 +97,19 @@
                 }
             }
         };
+        let routing = async {
+            match routing_revision {
+                Some(held) => {
+                    routing.wait_for(|routing| routing.revision > held).await.ok();
+                }
+                None => future::pending().await,
+            }
+        };
         let update = async {
             tokio::select! {
                 _ = up_to_date.changed() => (),
                 () = roster => (),
-                _ = routing.wait_for(|routing| routing.revision > routing_revision) => (),
+                () = routing => (),
             }
         };
         time::timeout(LONG_POLL_TIMEOUT, update).await.ok();
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -21,6 +21,8 @@
 use crate::decide::route::rendezvous;
 use crate::id;
 use crate::roster::Delta;
+use crate::routing::state::Replicated;
+use crate::unit::Version;
 use crate::wire::Peer;
 use crate::wire::Reply;
 use crate::wire::Request;
@@ -47,6 +49,8 @@
 /// Backoff for a control VM that did not respond. It is short because entry VMs start faster than
 /// control VMs after a power failure.
 const FAILURE_BACKOFF: Duration = Duration::from_millis(150);
+/// How long a routing state may take to arrive from the first source before another one is asked for it.
+const ROUTING_PATIENCE: Duration = Duration::from_millis(200);
 /// Delay before the next try if no control VM is available.
 const NO_SOURCE_DELAY: Duration = Duration::from_millis(50);
 
@@ -71,6 +75,13 @@
         slot != FALLBACK || !self.has_fresh_source()
     }
 
+    /// Whether a source need not send routing states, since the first one does.
+    ///
+    /// Each state would otherwise reach each VM twice, once over the links between regions.
+    fn defers_routing(&self, slot: usize) -> bool {
+        slot != FULL_ROSTER && self.is_fresh[FULL_ROSTER]
+    }
+
     /// Whether a permanent source is up to date.
     fn has_fresh_source(&self) -> bool {
         self.is_fresh[..FALLBACK].contains(&true)
@@ -125,10 +136,12 @@
     draining: &mut watch::Receiver<bool>,
 ) {
     let peer = Peer::new(vm.clone(), Role::Control);
+    let mut is_behind = false;
     loop {
         draining.mark_unchanged();
         let sent = clock::now();
-        let call = fetch(state, &peer, slot);
+        let can_defer = sources.lock().expect("no panic while locked").defers_routing(slot);
+        let call = fetch(state, &peer, slot, can_defer && !is_behind);
         let followed = tokio::select! {
             followed = call => followed,
             // Draining must be reported before the pending call returns.
@@ -136,24 +149,31 @@
         };
         let Some(followed) = followed else { return };
         let is_fresh = followed.in_touch;
+        let newest = followed.routing_revision;
         let has_more = followed.piece.as_ref().is_some_and(|piece| piece.has_more);
         apply(state, vm, followed, sent);
         if !sources.lock().expect("no panic while locked").record_freshness(slot, is_fresh) {
             return;
         }
-        if !has_more {
+        let lacks_routing = || newest.is_some_and(|newest| newest > state.routing().revision);
+        if lacks_routing() {
+            time::sleep(ROUTING_PATIENCE).await;
+        } else if !has_more {
             time::sleep(MIN_CALL_INTERVAL).await;
         }
+        is_behind = lacks_routing();
     }
 }
 
-async fn fetch(state: &State, peer: &Peer, slot: usize) -> Option<Followed> {
+async fn fetch(state: &State, peer: &Peer, slot: usize, defers_routing: bool) -> Option<Followed> {
     let region = Some(&state.node().region).filter(|_| slot != FULL_ROSTER);
     let cursor = state.merged().prepare_request(&peer.vm, region);
     let (presence, routing) = (state.next_presence(), state.routing().revision);
     let only_of = region.cloned();
     let (epoch, roster, base) = (cursor.epoch, cursor.revision, Some(cursor.base));
-    let follow = Follow { presence, epoch, roster, only_of, routing, base };
+    // A VM that has just started needs the first state that it can get.
+    let defers_routing = defers_routing && routing > Version::ZERO;
+    let follow = Follow { presence, epoch, roster, only_of, routing, base, defers_routing };
     let reply = state.mesh()?.call(peer, Request::Follow(Box::new(follow)), CALL_TIMEOUT).await;
     match reply {
         Ok(Reply::Followed(followed)) => Some(*followed),
@@ -168,6 +188,14 @@
     if let Some(routing) = followed.routing {
         state.apply_routing(routing);
     }
+    if let Some(encoded) = followed.encoded_routing {
+        match Replicated::decode(&encoded) {
+            Ok(routing) => state.apply_routing(routing),
+            Err(error) => {
+                warn!(state.log(), "routing.unreadable"; "control" => %vm, "why" => %error);
+            }
+        }
+    }
     if let Some(proof) = followed.proof.and_then(|message| Proof::from_message(message, sent)) {
         state.apply_proof(proof);
     }
--- a/src/gateway/follow/tests.rs
+++ b/src/gateway/follow/tests.rs
@@ -20,3 +20,15 @@
     assert!(!sources.record_freshness(FALLBACK, true));
     assert!(!sources.needs(FALLBACK));
 }
+
+// Guards against each routing state reaching each VM twice, and against waiting for a first source that lags.
+#[test]
+fn routing_states_come_from_the_first_source_while_it_is_up_to_date() {
+    let mut sources = Sources::default();
+    assert!(!sources.defers_routing(1));
+    sources.record_freshness(0, true);
+    assert!(sources.defers_routing(1) && sources.defers_routing(FALLBACK));
+    assert!(!sources.defers_routing(0));
+    sources.record_freshness(0, false);
+    assert!(!sources.defers_routing(1));
+}
--- a/src/roster/table.rs
+++ b/src/roster/table.rs
@@ -8,35 +8,28 @@
 use tokio::time::Instant;
 
 use self::expiry::Expiry;
+use self::tracked::Expired;
 use self::tracked::Tracked;
 use super::Announcement;
 use super::Delta;
 use super::Heartbeat;
-use super::Interest;
-use super::News;
-use super::Piece;
 use super::Presence;
 use super::Stamp;
 use super::Standing;
 use super::change_log::ChangeLog;
-use super::change_log::Entry;
-use super::change_log::Group;
 use super::change_log::Subject;
 use super::delta::Observed;
-use super::piece::MAX_PIECE_BYTES;
-use super::slice::Level;
-use super::slice::Position;
 use crate::id;
 use crate::wire::Role;
 
+mod changes;
 mod expiry;
 mod tracked;
 
+pub use changes::Touched;
+
 /// How long subjects that left or went silent are kept, so that a delayed record does not bring them back.
 const TOMBSTONE_RETENTION: Duration = Duration::from_secs(60);
-/// The most records in a piece; more than fit into [`MAX_PIECE_BYTES`].
-const MAX_PIECE_RECORDS: usize = 512;
-
 /// The longest time between renewals before a subject counts as silent.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Timeouts {
@@ -81,15 +74,6 @@
     touched: Touched,
 }
 
-/// The followers concerned by changes.
-#[derive(Debug, Default, PartialEq, Eq)]
-pub struct Touched {
-    /// All followers.
-    pub all: bool,
-    /// Those in the same shard as a position.
-    pub shards: Vec<(Level, Position)>,
-}
-
 /// The result of applying heartbeats.
 #[derive(Debug, Default)]
 pub struct Renewal {
@@ -297,57 +281,32 @@
     pub fn expire(&mut self, now: Instant) -> bool {
         let before = self.revision;
         while let Some((due, subject)) = self.expiry.pop(now) {
-            match &subject {
-                Subject::Upstream(id) => {
-                    let Some(known) = self.upstreams.get_mut(id) else { continue };
-                    let is_active = !known.silent && known.record.standing != Standing::Gone;
-                    match known.expire(due, is_active, self.timeouts.upstream, now) {
-                        tracked::Expired::NotYet(due) => self.expiry.push(due, subject),
-                        tracked::Expired::Silent(due) => {
-                            self.expiry.push(due, subject.clone());
-                            self.record_change(&subject);
-                        }
-                        tracked::Expired::Removed => self.remove_upstream(id),
-                        tracked::Expired::Superseded => (),
-                    }
-                }
-                Subject::Vm(vm, role) => {
-                    let key = (vm.clone(), *role);
-                    let Some(known) = self.vms.get_mut(&key) else { continue };
-                    let is_active = !known.silent;
-                    match known.expire(due, is_active, self.timeouts.vm, now) {
-                        tracked::Expired::NotYet(due) => self.expiry.push(due, subject),
-                        tracked::Expired::Silent(due) => {
-                            self.expiry.push(due, subject.clone());
-                            self.record_change(&subject);
-                        }
-                        tracked::Expired::Removed => self.remove_vm(&key),
-                        tracked::Expired::Superseded => (),
-                    }
+            match self.check_expiry(&subject, due, now) {
+                Some(Expired::NotYet(next)) => self.expiry.push(next, subject),
+                Some(Expired::Silent(next)) => {
+                    self.log_change(&subject);
+                    self.expiry.push(next, subject);
                 }
+                Some(Expired::Removed) => self.remove(&subject),
+                Some(Expired::Superseded) | None => (),
             }
         }
         self.revision != before
     }
 
-    /// Adapts the division into slices to the number of subjects, at regular intervals; returns whether followers lack
-    /// changes.
-    pub fn adapt(&mut self) -> bool {
-        let before = (self.revision, self.log.scope_revision());
-        let lacking = self.log.adapt(self.revision + 1);
-        if self.log.scope_revision() != before.1 {
-            self.revision += 1;
-            self.touched.all = true;
-        }
-        for subject in lacking {
-            self.log_change(&subject);
+    fn check_expiry(&mut self, subject: &Subject, due: Instant, now: Instant) -> Option<Expired> {
+        match subject {
+            Subject::Upstream(id) => {
+                let known = self.upstreams.get_mut(id)?;
+                let is_active = !known.silent && known.record.standing != Standing::Gone;
+                Some(known.expire(due, is_active, self.timeouts.upstream, now))
+            }
+            Subject::Vm(vm, role) => {
+                let known = self.vms.get_mut(&(vm.clone(), *role))?;
+                let is_active = !known.silent;
+                Some(known.expire(due, is_active, self.timeouts.vm, now))
+            }
         }
-        self.revision != before.0
-    }
-
-    /// Removes and returns the followers concerned by changes since the last call.
-    pub fn take_touched(&mut self) -> Touched {
-        std::mem::take(&mut self.touched)
     }
 
     /// Restarts all timeouts after this process was suspended or disconnected, so that it does not report all others as
@@ -384,52 +343,6 @@
         self.adapt();
     }
 
-    /// Whether a follower at a revision lacks changes of its slice. `base` is the revision at which it began to receive
-    /// the slice.
-    pub fn news(&self, interest: &Interest, from: u64, base: u64) -> News {
-        if from.max(base) < self.oldest_delta_revision {
-            return News::Withdrawals;
-        }
-        self.log.news(interest, from)
-    }
-
-    /// The next changes of a follower's slice after a revision; none if the revision is the latest one.
-    pub fn piece(&self, interest: &Interest, from: u64, base: u64, now: Instant) -> Option<Piece> {
-        if from >= self.revision {
-            return None;
-        }
-        let is_first = from.max(base) < self.oldest_delta_revision;
-        let (from, base) = if is_first { (0, self.revision) } else { (from, base) };
-        let changes = self.log.changes(interest, from, MAX_PIECE_RECORDS);
-        let (mut encoded, mut bytes, mut last) = (Vec::new(), 0, from);
-        for (revision, subject) in &changes {
-            if bytes >= MAX_PIECE_BYTES {
-                break;
-            }
-            let change = match subject {
-                Subject::Upstream(id) => self.upstreams.get(id).map(|known| known.encoded_at(now)),
-                Subject::Vm(vm, role) => {
-                    self.vms.get(&(vm.clone(), *role)).map(|known| known.encoded.clone())
-                }
-            };
-            bytes += change.as_ref().map_or(0, bytes::Bytes::len);
-            encoded.extend(change);
-            last = *revision;
-        }
-        let has_more = changes.last().is_some_and(|(revision, _)| *revision > last)
-            || changes.len() == MAX_PIECE_RECORDS;
-        let is_scope_known = self.log.scope_revision() <= from && !is_first;
-        let piece = Piece {
-            revision: if has_more { last } else { self.revision },
-            base,
-            is_first,
-            has_more,
-            scope: (!is_scope_known).then(|| self.log.scope()),
-            ..Piece::default()
-        };
-        Some(piece.with_changes(&encoded))
-    }
-
     /// The changes after a revision, if there are any.
     pub fn delta(&self, from: u64, now: Instant) -> Option<Delta> {
         if from >= self.revision {
@@ -466,82 +379,6 @@
         self.record_change(&subject);
     }
 
-    /// Logs a change, or defers a new subject.
-    fn record_change(&mut self, subject: &Subject) {
-        let Some((group, is_new)) = self.group(subject) else { return };
-        if matches!(subject, Subject::Vm(..)) {
-            self.vm_revision += 1;
-        }
-        if is_new && self.log.defer(subject, &group) {
-            self.schedule_expiry(subject);
-        } else {
-            self.log_change(subject);
-        }
-    }
-
-    /// The group of a subject, and whether it has not been logged yet.
-    fn group(&self, subject: &Subject) -> Option<(Group, bool)> {
-        match subject {
-            Subject::Upstream(id) => {
-                let known = self.upstreams.get(id)?;
-                let region = self.regions.get(&known.record.data_centre).cloned();
-                let group = Group::Upstreams(region, known.record.service.clone());
-                Some((group, known.entry.is_none()))
-            }
-            Subject::Vm(vm, role) => {
-                let known = self.vms.get(&(vm.clone(), *role))?;
-                let group = match role {
-                    Role::Control => Group::Control,
-                    Role::Entry => Group::Vms(known.record.region.clone()),
-                };
-                Some((group, known.entry.is_none()))
-            }
-        }
-    }
-
-    fn schedule_expiry(&mut self, subject: &Subject) {
-        let due = match subject {
-            Subject::Upstream(id) => {
-                let known = self.upstreams.get_mut(id);
-                known.and_then(|known| known.reschedule(self.timeouts.upstream))
-            }
-            Subject::Vm(vm, role) => {
-                let known = self.vms.get_mut(&(vm.clone(), *role));
-                known.and_then(|known| known.reschedule(self.timeouts.vm))
-            }
-        };
-        if let Some(due) = due {
-            self.expiry.push(due, subject.clone());
-        }
-    }
-
-    /// Assigns the next revision to a subject and logs the change.
-    fn log_change(&mut self, subject: &Subject) {
-        let Some((group, _)) = self.group(subject) else { return };
-        self.revision += 1;
-        let revision = self.revision;
-        let (entry, previous) = match subject {
-            Subject::Upstream(id) => {
-                let Some(known) = self.upstreams.get_mut(id) else { return };
-                let is_gone = known.record.standing == Standing::Gone;
-                let is_withdrawal = known.silent || known.record.standing != Standing::Ready;
-                let entry = Entry { group, revision, is_gone, is_withdrawal };
-                (entry.clone(), known.log(entry))
-            }
-            Subject::Vm(vm, role) => {
-                let Some(known) = self.vms.get_mut(&(vm.clone(), *role)) else { return };
-                let is_gone = known.record.standing == Standing::Gone;
-                let is_usable = known.record.ready && known.record.standing == Standing::Ready;
-                let is_withdrawal = known.silent || !is_usable;
-                let entry = Entry { group, revision, is_gone, is_withdrawal };
-                (entry.clone(), known.log(entry))
-            }
-        };
-        self.schedule_expiry(subject);
-        let level = self.log.record(subject.clone(), &entry, previous.as_ref());
-        self.touched.shards.push((level, subject.position()));
-    }
-
     /// Removes the digest of a replaced record, unless the latest record has the same one.
     fn drop_digest(&mut self, last: u64, latest: Option<u64>) {
         if latest != Some(last) {
@@ -570,37 +407,27 @@
         owner.is_some_and(|owner| owner.record.stamp.start_time_ms > record.stamp.start_time_ms)
     }
 
-    fn remove_upstream(&mut self, id: &id::Upstream) {
-        let subject = Subject::Upstream(id.clone());
-        let group = self.group(&subject);
-        let Some(known) = self.upstreams.remove(id) else { return };
-        self.drop_digest(known.record.digest(), None);
-        if self.addresses.get(&known.record.address) == Some(id) {
-            self.addresses.remove(&known.record.address);
-        }
-        self.forget(&subject, group, known.entry.as_ref());
-    }
-
-    fn remove_vm(&mut self, key: &(id::Vm, Role)) {
-        let subject = Subject::Vm(key.0.clone(), key.1);
-        let group = self.group(&subject);
-        let Some(known) = self.vms.remove(key) else { return };
-        self.drop_digest(known.record.digest(), None);
-        if key.1 == Role::Control {
-            self.control_vms.remove(&key.0);
-        }
-        self.forget(&subject, group, known.entry.as_ref());
-        self.vm_revision += 1;
-    }
-
-    /// Removes a subject from the log. A follower that has not seen its last change needs the full table.
-    fn forget(&mut self, subject: &Subject, group: Option<(Group, bool)>, entry: Option<&Entry>) {
-        if let Some((group, true)) = &group {
-            self.log.remove_deferred(subject, group);
-        }
-        let Some(entry) = entry else { return };
-        self.oldest_delta_revision = self.oldest_delta_revision.max(entry.revision);
-        self.log.remove(subject, entry);
+    fn remove(&mut self, subject: &Subject) {
+        let group = self.group(subject);
+        let (digest, entry) = match subject {
+            Subject::Upstream(id) => {
+                let Some(known) = self.upstreams.remove(id) else { return };
+                if self.addresses.get(&known.record.address) == Some(id) {
+                    self.addresses.remove(&known.record.address);
+                }
+                (known.record.digest(), known.entry)
+            }
+            Subject::Vm(vm, role) => {
+                let Some(known) = self.vms.remove(&(vm.clone(), *role)) else { return };
+                if *role == Role::Control {
+                    self.control_vms.remove(vm);
+                }
+                self.vm_revision += 1;
+                (known.record.digest(), known.entry)
+            }
+        };
+        self.drop_digest(digest, None);
+        self.forget(subject, group, entry.as_ref());
     }
 }
 
--- a/src/routing/state.rs
+++ b/src/routing/state.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use bytes::Bytes;
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -63,6 +64,20 @@
     pub evacuated: BTreeSet<id::DataCentre>,
 }
 
+impl Replicated {
+    /// Encodes the copy, so that one encoding serves all followers.
+    pub fn encode(&self) -> Bytes {
+        let mut bytes = Vec::new();
+        ciborium::into_writer(self, &mut bytes).expect("writing to memory does not fail");
+        Bytes::from(bytes)
+    }
+
+    /// Decodes a copy.
+    pub fn decode(bytes: &[u8]) -> Result<Self, ciborium::de::Error<std::io::Error>> {
+        ciborium::from_reader(bytes)
+    }
+}
+
 impl State {
     /// Counts the changes.
     pub const fn revision(&self) -> Version {
--- a/src/wire/message.rs
+++ b/src/wire/message.rs
@@ -4,6 +4,7 @@
 use std::fmt;
 use std::sync::Arc;
 
+use bytes::Bytes;
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -166,6 +167,9 @@
     /// send the slice. None from a follower that takes whole deltas.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub base: Option<u64>,
+    /// The follower gets routing states from another control VM; only the revision is told.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub defers_routing: bool,
 }
 
 /// What a follower lacked.
@@ -187,6 +191,13 @@
     /// The next piece of the follower's slice, if it takes pieces.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub piece: Option<roster::Piece>,
+    /// The routing state as encoded by [`Replicated::encode`](routing::state::Replicated::encode), where it is newer and
+    /// the follower takes pieces.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub encoded_routing: Option<Bytes>,
+    /// The revision of the routing state, where it is newer and the follower defers it.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub routing_revision: Option<Version>,
 }
 
 /// What a control VM has heard since it last told.
