Metrics and log lines of slices; the second control VM tells of a lagging first one within 250 ms

Followers that defer routing states were told of a newer one at the end of their long poll, up to a second later; they are now told 250 ms after it came into force, when the first control VM should have sent it. Metrics: followers, pieces, their bytes, slices begun. Log: slice.begun, slices.changed.

--- a/src/directory/batching.rs
+++ b/src/directory/batching.rs
@@ -51,9 +51,14 @@
         FollowerGuard(&self.followers)
     }
 
+    /// The number of followers that wait.
+    pub fn followers(&self) -> u32 {
+        self.followers.load(Ordering::Relaxed)
+    }
+
     /// When a follower whose first missing addition has that revision is to be sent it.
     pub fn due(&self, first: u64) -> Instant {
-        let delay = REPLY_INTERVAL * self.followers.load(Ordering::Relaxed);
+        let delay = REPLY_INTERVAL * self.followers();
         let times = self.times.lock().expect("no panic while locked");
         let at = times.iter().find(|(revision, _)| *revision >= first).map(|(_, at)| *at);
         // A change that is no longer listed has waited longer than any may; one not yet listed is about to be.
--- a/src/directory/metrics.rs
+++ b/src/directory/metrics.rs
@@ -7,13 +7,18 @@
 
 use crate::consensus::Role;
 use crate::group::Status;
+use crate::roster::Piece;
 
 /// The metrics of one control daemon.
 #[derive(Debug)]
 pub struct Metrics {
     registry: Registry,
     check_ins: Counter,
+    pieces: Counter,
+    piece_bytes: Counter,
+    slices: Counter,
     upstreams: Gauge,
+    followers: Gauge,
     vms: Gauge,
     version: Gauge,
     leads: Gauge,
@@ -27,6 +32,12 @@
         let mut registry = Registry::with_prefix("mastic_control");
         let check_ins = Counter::default();
         registry.register("check_ins", "Statements of upstreams heard directly", check_ins.clone());
+        let pieces = Counter::default();
+        registry.register("pieces", "Pieces of the roster sent to followers", pieces.clone());
+        let piece_bytes = Counter::default();
+        registry.register("piece_bytes", "Bytes of changes in these pieces", piece_bytes.clone());
+        let slices = Counter::default();
+        registry.register("slices", "Followers that began to receive a slice", slices.clone());
         let mut gauge = |name: &str, text: &str| {
             let gauge = Gauge::default();
             registry.register(name, text, gauge.clone());
@@ -39,7 +50,22 @@
         let term = gauge("term", "Term of this replica");
         let commit = gauge("commit", "Last committed index that this replica knows of");
         let voters = gauge("voters", "Voters of the group, as this replica knows them");
-        Self { registry, check_ins, upstreams, vms, version, leads, term, commit, voters }
+        let followers = gauge("followers", "Followers that wait for changes");
+        Self {
+            registry,
+            check_ins,
+            pieces,
+            piece_bytes,
+            slices,
+            upstreams,
+            followers,
+            vms,
+            version,
+            leads,
+            term,
+            commit,
+            voters,
+        }
     }
 }
 
@@ -49,16 +75,24 @@
         self.check_ins.inc();
     }
 
+    /// Counts a piece sent to a follower.
+    pub fn record_piece(&self, piece: &Piece) {
+        self.pieces.inc();
+        self.piece_bytes.inc_by(piece.changes.len() as u64);
+        self.slices.inc_by(u64::from(piece.is_first));
+    }
+
     /// Encodes all metrics in the text format, after updating the gauges.
     pub fn encode(
         &self,
-        upstreams: usize,
-        vms: usize,
+        (upstreams, vms): (usize, usize),
+        followers: u32,
         version: u64,
         status: Option<&Status>,
     ) -> String {
         self.upstreams.set(upstreams as i64);
         self.vms.set(vms as i64);
+        self.followers.set(i64::from(followers));
         self.version.set(version as i64);
         if let Some(status) = status {
             self.leads.set(i64::from(status.leads));
--- a/src/directory/service.rs
+++ b/src/directory/service.rs
@@ -187,13 +187,13 @@
 
     /// The metrics in text format.
     pub fn metrics_text(&self) -> String {
-        let (upstreams, vms) = {
+        let live = {
             let table = self.table();
             (table.upstreams().count(), table.live_vms().count())
         };
         let status = self.group().map(|group| group.status());
         let version = self.routing.borrow().document.as_ref().map_or(0, |held| held.version.get());
-        self.metrics.encode(upstreams, vms, version, status.as_ref())
+        self.metrics.encode(live, self.batching.followers(), version, status.as_ref())
     }
 
     pub(super) fn broadcast(&self) -> &broadcast::Queue {
@@ -375,6 +375,23 @@
         self.wakeups.wake(&touched);
     }
 
+    /// Expires silent subjects and adapts the slices, at regular intervals.
+    pub(super) fn refresh_table(&self, now: Instant) {
+        let (changed, scope) = {
+            let mut table = self.table();
+            let scope_revision = table.scope_revision();
+            let expired = table.expire(now);
+            let changed = table.adapt() || expired;
+            (changed, (table.scope_revision() != scope_revision).then(|| table.scope()))
+        };
+        if let Some(scope) = scope {
+            info!(self.log, "slices.changed"; "scope" => %scope);
+        }
+        if changed {
+            self.notify_followers();
+        }
+    }
+
     /// Renews the presence of this VM.
     pub(super) fn announce_presence(&self) {
         let presence = {
--- a/src/directory/service/follow.rs
+++ b/src/directory/service/follow.rs
@@ -1,9 +1,9 @@
 //! Long polls of followers.
 
-use std::future;
 use std::time::Duration;
 
 use bytes::Bytes;
+use slog::info;
 use tokio::time;
 use tokio::time::Instant;
 
@@ -21,6 +21,10 @@
 use crate::wire::message::Follow;
 use crate::wire::message::Followed;
 
+/// How long the control VM that a follower gets routing states from has to send one. Then the others tell the follower
+/// that there is a newer one, in case the first lags.
+const DEFERRED_ROUTING_DELAY: Duration = Duration::from_millis(250);
+
 /// Where a follower's copy of its slice ends.
 #[derive(Debug, Clone, Copy)]
 struct Held {
@@ -33,17 +37,30 @@
     pub(in crate::directory) async fn handle_follow(&self, follow: Follow) -> Reply {
         let received_at = clock::now();
         let is_current = follow.epoch == self.epoch;
+        let follower = follow.presence.vm.clone();
         let position = Position::of_vm(&follow.presence.vm);
         let interest = Interest { position, region: follow.only_of };
         let known_as = self.apply_presence(follow.presence);
         let revision = if is_current { follow.roster } else { 0 };
         let base = follow.base.map(|base| if is_current { base } else { 0 });
-        let awaited = (!follow.defers_routing).then_some(follow.routing);
-        self.wait_for_update(&interest, revision, base, awaited).await;
+        let roster = async {
+            match base {
+                Some(base) => self.wait_for_news(&interest, Held { revision, base }).await,
+                None => self.wait_for_revision_after(revision).await,
+            }
+        };
+        self.wait_for_update(roster, follow.routing, follow.defers_routing).await;
         let (roster, piece) = match base {
             Some(base) => (None, self.table().piece(&interest, revision, base, Instant::now())),
             None => (self.whole_delta(interest.region.as_ref(), revision), None),
         };
+        if let Some(piece) = &piece {
+            self.metrics.record_piece(piece);
+            if piece.is_first {
+                info!(self.log, "slice.begun"; "follower" => %follower, "base" => piece.base,
+                    "held" => revision, "known_epoch" => is_current);
+            }
+        }
         // Read before the routing state, which is then at least as new as the proof.
         let proof = self.freshness().proof().map(|proof| proof.to_message(received_at));
         let newer = self.routing.borrow().clone();
@@ -78,31 +95,18 @@
         encoded.1.clone()
     }
 
+    /// Waits until there is an update for a follower, or until the timeout.
     async fn wait_for_update(
         &self,
-        interest: &Interest,
-        revision: u64,
-        base: Option<u64>,
-        routing_revision: Option<Version>,
+        roster: impl Future<Output = ()>,
+        held: Version,
+        defers_routing: bool,
     ) {
-        let mut routing = self.routing.subscribe();
         let mut up_to_date = self.up_to_date.subscribe();
-        let roster = async {
-            match base {
-                Some(base) => self.wait_for_news(interest, Held { revision, base }).await,
-                None => {
-                    let mut latest = self.revision.subscribe();
-                    // The sender can't be dropped while `self` is borrowed.
-                    latest.wait_for(|latest| *latest > revision).await.ok();
-                }
-            }
-        };
         let routing = async {
-            match routing_revision {
-                Some(held) => {
-                    routing.wait_for(|routing| routing.revision > held).await.ok();
-                }
-                None => future::pending().await,
+            self.wait_for_revision(held.next()).await;
+            if defers_routing {
+                time::sleep(DEFERRED_ROUTING_DELAY).await;
             }
         };
         let update = async {
@@ -115,6 +119,13 @@
         time::timeout(LONG_POLL_TIMEOUT, update).await.ok();
     }
 
+    /// Waits for any change of the table.
+    async fn wait_for_revision_after(&self, revision: u64) {
+        let mut latest = self.revision.subscribe();
+        // The sender can't be dropped while `self` is borrowed.
+        latest.wait_for(|latest| *latest > revision).await.ok();
+    }
+
     /// Waits until the follower lacks changes that are to be sent now.
     async fn wait_for_news(&self, interest: &Interest, held: Held) {
         let _waiting = self.batching.track_follower();
--- a/src/directory/tasks.rs
+++ b/src/directory/tasks.rs
@@ -46,14 +46,7 @@
             announced_at = Some(now);
             service.announce_presence();
         }
-        let changed = {
-            let mut table = service.table();
-            let expired = table.expire(now);
-            table.adapt() || expired
-        };
-        if changed {
-            service.notify_followers();
-        }
+        service.refresh_table(now);
     }
 }
 
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -49,8 +49,6 @@
 /// Backoff for a control VM that did not respond. It is short because entry VMs start faster than
 /// control VMs after a power failure.
 const FAILURE_BACKOFF: Duration = Duration::from_millis(150);
-/// How long a routing state may take to arrive from the first source before another one is asked for it.
-const ROUTING_PATIENCE: Duration = Duration::from_millis(200);
 /// Delay before the next try if no control VM is available.
 const NO_SOURCE_DELAY: Duration = Duration::from_millis(50);
 
@@ -155,13 +153,10 @@
         if !sources.lock().expect("no panic while locked").record_freshness(slot, is_fresh) {
             return;
         }
-        let lacks_routing = || newest.is_some_and(|newest| newest > state.routing().revision);
-        if lacks_routing() {
-            time::sleep(ROUTING_PATIENCE).await;
-        } else if !has_more {
+        is_behind = newest.is_some_and(|newest| newest > state.routing().revision);
+        if !has_more && !is_behind {
             time::sleep(MIN_CALL_INTERVAL).await;
         }
-        is_behind = lacks_routing();
     }
 }
 
--- a/src/golden/tests.rs
+++ b/src/golden/tests.rs
@@ -191,7 +191,7 @@
     check_text("metrics/gateway.txt", &in_order(&gateway.encode(1, 2, 3, 4)));
     let control = directory::metrics::Metrics::default();
     control.record_check_in();
-    check_text("metrics/control.txt", &in_order(&control.encode(1, 2, 3, None)));
+    check_text("metrics/control.txt", &in_order(&control.encode((1, 2), 4, 3, None)));
 }
 
 /// Label sets come in the order of a hash table.
--- a/src/roster/slice.rs
+++ b/src/roster/slice.rs
@@ -6,6 +6,7 @@
 //! `docs/design/fleet.md`.
 
 use std::collections::BTreeMap;
+use std::fmt;
 
 use serde::Deserialize;
 use serde::Serialize;
@@ -135,5 +136,19 @@
     }
 }
 
+impl fmt::Display for Scope {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for (region, level) in &self.vms {
+            write!(f, "{region}: VMs in {} shards; ", level.shards())?;
+        }
+        for (region, services) in &self.upstreams {
+            for (service, level) in services {
+                write!(f, "{region}: {service} in {} shards; ", level.shards())?;
+            }
+        }
+        Ok(())
+    }
+}
+
 #[cfg(test)]
 mod tests;
--- a/src/roster/table/changes.rs
+++ b/src/roster/table/changes.rs
@@ -9,6 +9,7 @@
 use crate::roster::Interest;
 use crate::roster::News;
 use crate::roster::Piece;
+use crate::roster::Scope;
 use crate::roster::Standing;
 use crate::roster::change_log::Entry;
 use crate::roster::change_log::Group;
@@ -46,6 +47,16 @@
         self.revision != before.0
     }
 
+    /// The revision at which the division into slices changed last.
+    pub const fn scope_revision(&self) -> u64 {
+        self.log.scope_revision()
+    }
+
+    /// The division into slices.
+    pub fn scope(&self) -> Scope {
+        self.log.scope()
+    }
+
     /// Removes and returns the followers concerned by changes since the last call.
     pub fn take_touched(&mut self) -> Touched {
         mem::take(&mut self.touched)
