Plain wording of src/wire; the gateway's state and relay in smaller files

Retries and the roster leave gateway::State's file, the choice of a target leaves Relay's. No behaviour changes.

--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -8,6 +8,7 @@
 use slog::info;
 use tokio::time::Instant;
 
+use self::placement::Placement;
 use super::Call;
 use super::Caller;
 use super::State;
@@ -18,11 +19,6 @@
 use super::receive::STARTUP_WAIT_FRACTION;
 use super::reservation::Reservation;
 use super::reservation::Target;
-use crate::decide::place;
-use crate::decide::place::Holder;
-use crate::decide::place::Query;
-use crate::decide::place::RegionCandidate;
-use crate::decide::place::RegionQuery;
 use crate::decide::place::Work;
 use crate::decide::place::wait;
 use crate::decide::quota;
@@ -32,6 +28,8 @@
 use crate::id;
 use crate::routing::Route;
 
+mod placement;
+
 /// No attempt is started with less time left, since its response would be late.
 const MIN_REMAINING: Duration = Duration::from_millis(15);
 /// Limit of attempts that were not executed.
@@ -110,61 +108,6 @@
     upstream_error: Option<OpenResponse>,
 }
 
-/// The target of the next attempt.
-enum Placement {
-    Local(place::Placement),
-    Remote { vm: id::Vm, address: SocketAddr, offer: RegionCandidate },
-}
-
-impl Placement {
-    const fn expected(&self) -> Duration {
-        match self {
-            Self::Local(fit) => fit.first_event,
-            Self::Remote { offer, .. } => offer.first_event,
-        }
-    }
-
-    /// The expected time to the last event.
-    const fn expected_total(&self) -> Duration {
-        match self {
-            Self::Local(fit) => fit.last_event,
-            Self::Remote { offer, .. } => offer.last_event,
-        }
-    }
-
-    /// Prompt tokens that the upstream has to read; none for remote targets.
-    fn prompt_tokens(&self) -> Option<u64> {
-        match self {
-            Self::Local(fit) => Some(fit.prefill.get()),
-            Self::Remote { .. } => None,
-        }
-    }
-
-    /// Requests running on the upstream; none for remote targets.
-    fn running(&self) -> Option<u32> {
-        match self {
-            Self::Local(fit) => Some(fit.running),
-            Self::Remote { .. } => None,
-        }
-    }
-
-    /// The age of the load data shared by other VMs, in milliseconds; none if only local data was
-    /// used.
-    fn load_age_ms(&self) -> Option<u64> {
-        match self {
-            Self::Local(fit) => fit.load_age.map(|age| age.as_millis() as u64),
-            Self::Remote { .. } => None,
-        }
-    }
-
-    fn target(&self) -> Target {
-        match self {
-            Self::Local(fit) => Target::Upstream(fit.id.clone()),
-            Self::Remote { vm, offer, .. } => Target::Vm(offer.region.clone(), vm.clone()),
-        }
-    }
-}
-
 impl Relay {
     /// Creates a relay without any attempt.
     pub fn new(state: Arc<State>, job: Job) -> Self {
@@ -399,52 +342,6 @@
         (expected * TIMEOUT_FACTOR + self.job.route.objective).min(remaining)
     }
 
-    /// Chooses the target with the lowest cost, in this region or another one.
-    fn choose_target(&self) -> Option<Placement> {
-        let now = Instant::now();
-        let (service, route) = (self.job.service.as_str(), &self.job.route);
-        let caller = &self.job.caller;
-        let is_home = |region: &id::Region| caller.allows(route, region);
-        let allows =
-            |region: &id::Region| is_home(region) && !self.refused_regions.contains(region);
-        let urgent = self.job.urgent;
-        let longest = self.job.deadline.saturating_duration_since(now).min(self.max_wait());
-        let (work, bytes) = (self.work, self.job.body.len());
-        let passage =
-            RegionQuery { service, work, urgent, bytes, max_wait: longest, allows: &allows };
-        let is_home = is_home(&self.state.node().region);
-        let shared = self.work.prefix.filter(|_| is_home);
-        let weight =
-            shared.and_then(|shared| self.state.place().rendezvous_weight(service, &shared));
-        let holder = self.state.regions().holder(&passage, weight, now);
-        let holds_prefix = holder == Holder::Local;
-        let tried = &self.tried;
-        let demand = Query { service, work, tried, holds_prefix, urgent, max_wait: longest };
-        let here = if is_home { self.state.place().choose(&demand, now) } else { None };
-        let offers = match self.job.hop {
-            Hop::Ingress => {
-                let spread = || Duration::from_micros(self.state.random() % OFFER_JITTER_MICROS);
-                let usual = self.state.place().profile(service);
-                self.state.regions().candidates(&passage, &holder, &usual, spread, now)
-            }
-            Hop::Forwarded => Vec::new(),
-        };
-        let cost = here.as_ref().map_or(Duration::MAX, |fit| fit.cost);
-        let better = offers.into_iter().take_while(|offer| offer.cost < cost);
-        self.first_reachable(better).or(here.map(Placement::Local))
-    }
-
-    /// The first of the offered regions that has an available VM.
-    fn first_reachable(
-        &self,
-        mut offers: impl Iterator<Item = RegionCandidate>,
-    ) -> Option<Placement> {
-        offers.find_map(|offer| {
-            let (vm, address) = self.state.random_vm_in(&offer.region, &self.tried_vms)?;
-            Some(Placement::Remote { vm, address, offer })
-        })
-    }
-
     /// Builds the refusal of a failed request. It states that the request did not run only if no
     /// attempt can have been executed.
     fn refusal(&self, reason: Reason, detail: &str) -> Refusal {
@@ -480,6 +377,3 @@
             "left_ms" => remaining.as_millis() as u64);
     }
 }
-
-/// Random jitter that spreads requests over regions of similar cost.
-const OFFER_JITTER_MICROS: u64 = 20_000;
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -2,7 +2,6 @@
 
 use std::collections::BTreeSet;
 use std::collections::HashMap;
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
@@ -16,7 +15,6 @@
 use rand::Rng;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
-use rand::seq::IteratorRandom;
 use slog::Logger;
 use slog::info;
 use tokio::sync::watch;
@@ -32,15 +30,11 @@
 use crate::decide::place::Balancer;
 use crate::decide::place::Regions;
 use crate::decide::quota::Meter;
-use crate::decide::retry::repeats::RepeatLimit;
 use crate::decide::retry::repeats::Repeats;
-use crate::directory::lookup;
 use crate::http::client::Client;
 use crate::id;
-use crate::roster::Delta;
 use crate::roster::MergedTable;
 use crate::roster::Presence;
-use crate::roster::Scope;
 use crate::roster::Stamp;
 use crate::roster::Standing;
 use crate::roster::slice::Position;
@@ -52,6 +46,8 @@
 use crate::wire::Mesh;
 use crate::wire::Role;
 
+mod retries;
+mod roster;
 mod upstreams;
 
 /// Covers a round trip between regions and one retransmitted SYN.
@@ -371,37 +367,6 @@
         }
     }
 
-    /// Applies roster changes from a control VM.
-    pub fn apply_roster(&self, from: &id::Vm, epoch: u64, delta: Delta) {
-        self.merged().apply_delta(from, epoch, delta, Instant::now());
-        self.sync_placement();
-    }
-
-    /// Applies a piece of this VM's slice of the roster.
-    pub fn apply_piece(
-        &self,
-        from: &id::Vm,
-        epoch: u64,
-        base: u64,
-        changes: (Delta, Option<Scope>),
-    ) {
-        let (delta, scope) = &changes;
-        let has_changes = delta.is_full
-            || scope.is_some()
-            || !delta.upstreams.is_empty()
-            || !delta.vms.is_empty();
-        self.merged().apply_piece(from, epoch, base, changes, Instant::now());
-        if has_changes {
-            self.sync_placement();
-        }
-    }
-
-    /// Drops the roster of a control VM that is no longer followed.
-    pub fn unfollow(&self, vm: &id::Vm) {
-        self.merged().unfollow(vm);
-        self.sync_placement();
-    }
-
     /// Applies a routing state unless it is older than the current one.
     ///
     /// Guards against a lagging control VM, whose older document would route requests to removed
@@ -420,61 +385,4 @@
         drop(routing);
         self.sync_placement();
     }
-
-    /// Whether the retry budget of the service allows a retry.
-    pub fn allow_retry(&self, service: &str) -> bool {
-        let vms = self.merged().entry_vm_count();
-        self.with_retry_budget(service, |budget| budget.try_acquire(vms, Instant::now()))
-    }
-
-    /// Records a first attempt, which adds to the retry budget of the service.
-    pub fn record_first_attempt(&self, service: &str) {
-        self.with_retry_budget(service, |budget| budget.record_first(Instant::now()));
-    }
-
-    fn with_retry_budget<T>(&self, service: &str, update: impl FnOnce(&mut Repeats) -> T) -> T {
-        let bounds = &self.node.bounds;
-        let limit = RepeatLimit {
-            ratio: bounds.repeat_ratio,
-            minimum: bounds.repeat_least,
-            window: bounds.repeat_window,
-        };
-        let mut budgets = self.retry_budgets.lock().expect("no panic while locked");
-        if !budgets.contains_key(service) {
-            budgets.insert(service.to_owned(), Repeats::new(limit));
-        }
-        update(budgets.get_mut(service).expect("it was just inserted where it was missing"))
-    }
-
-    /// The entry VMs that a caller in the region should use for the host.
-    pub fn directory_addresses(&self, region: &id::Region, host: &str) -> Vec<SocketAddr> {
-        let homes = self.routing().table.map(|table| table.homes(host)).unwrap_or_default();
-        let merged = self.merged();
-        let all = merged.all_vms(Role::Entry);
-        let addresses = lookup::addresses(region, &homes, merged.vms(Role::Entry), all);
-        lookup::select(&addresses, self.random())
-    }
-
-    /// How long a directory answer may be cached.
-    pub fn directory_ttl(&self) -> Duration {
-        self.node.entry.as_ref().map_or(Duration::ZERO, |entry| entry.directory_time)
-    }
-
-    /// Chooses a random available entry VM of the region that is not in `tried`.
-    pub fn random_vm_in(
-        &self,
-        region: &id::Region,
-        tried: &[id::Vm],
-    ) -> Option<(id::Vm, SocketAddr)> {
-        let merged = self.merged();
-        let ready = merged.vms(Role::Entry).filter(|vm| {
-            vm.region == *region
-                && vm.ready
-                && vm.standing == Standing::Ready
-                && !tried.contains(&vm.vm)
-        });
-        let mut rng = self.rng.lock().expect("no panic while locked");
-        let vm = ready.choose(&mut *rng)?;
-        Some((vm.vm.clone(), vm.forwards?))
-    }
 }
--- a/src/wire/errors.rs
+++ b/src/wire/errors.rs
@@ -1,36 +1,36 @@
-//! What can go wrong on a link, told so that a caller knows whether its request may have arrived.
+//! Errors of links. They tell a caller whether its request may have arrived.
 
 use thiserror::Error;
 
 use crate::wire::Peer;
 
-/// Why a call on a link has no reply.
+/// Reasons why a call has no reply.
 #[derive(Debug, Clone, PartialEq, Eq, Error)]
 pub enum Error {
-    /// No byte of the call left this process: the peer can't have acted on it.
+    /// The call was not sent, so the peer can't have handled it.
     #[error("{peer} can't be reached: {why}")]
     Unsent {
-        /// Whom the call was meant for.
+        /// The peer.
         peer: Peer,
-        /// What went wrong.
+        /// The cause.
         why: String,
     },
-    /// The call left, and no reply came: the peer may or may not have acted on it.
+    /// The call was sent and no reply was received: the peer may have handled it.
     #[error("{peer} did not reply")]
     Lost {
-        /// Whom the call was meant for.
+        /// The peer.
         peer: Peer,
     },
-    /// A frame could not be read: the peer speaks another version, or the stream is damaged.
+    /// A frame can't be decoded: the peer has another version, or the stream is damaged.
     #[error("a frame can't be read: {0}")]
     Frame(String),
-    /// The peer's first frame is no greeting with our secret.
-    #[error("the peer did not prove that it belongs to the system")]
-    Stranger,
+    /// The first frame does not hold the shared secret.
+    #[error("the peer did not send the site's shared secret")]
+    Unauthenticated,
 }
 
 impl Error {
-    /// Whether the peer surely never got the call.
+    /// Whether the peer can't have received the call.
     pub fn is_unsent(&self) -> bool {
         matches!(self, Self::Unsent { .. })
     }
--- a/src/wire/frame.rs
+++ b/src/wire/frame.rs
@@ -1,4 +1,4 @@
-//! The unit that travels on a link, and its encoding.
+//! The frames of a link and their encoding.
 
 use bytes::Bytes;
 use serde::Deserialize;
@@ -10,48 +10,48 @@
 use crate::wire::Reply;
 use crate::wire::Request;
 
-/// The largest frame that is read, in bytes: a catalogue snapshot of 8,900 owners fits several times.
+/// The largest frame that is read; a catalogue snapshot of 8,900 owners fits several times.
 pub const MAX_FRAME_BYTES: usize = 64 << 20;
 
-/// One message of a link, in CBOR, in one binary WebSocket message.
+/// A frame, sent as CBOR in one binary WebSocket message.
 #[derive(Debug, Serialize, Deserialize)]
 pub enum Frame {
-    /// The first frame each way: who speaks, and the proof that it belongs to the system.
+    /// The first frame in each direction: identifies and authenticates the sender.
     Hello {
-        /// Who speaks.
+        /// The sender.
         peer: Peer,
-        /// The site's shared secret; empty where none is set.
+        /// The site's shared secret; empty if none is set.
         secret: String,
     },
-    /// A heartbeat, sent where nothing else was for a while.
+    /// A heartbeat, sent if no other frame was sent for a while.
     Ping,
-    /// A request that wants a reply with the same number.
+    /// A request; its reply has the same number.
     Call {
-        /// Numbers the call on this link.
+        /// The number of the call on this link.
         number: u64,
-        /// What is asked.
+        /// The request.
         request: Request,
     },
-    /// The reply to the call of that number.
+    /// The reply to a call.
     Reply {
-        /// The call's number.
+        /// The number of the call.
         number: u64,
-        /// What is answered.
+        /// The reply.
         reply: Reply,
     },
-    /// A message that wants no reply and may be lost.
+    /// A message without a reply; it may be lost.
     Cast(Cast),
 }
 
 impl Frame {
-    /// The frame's bytes.
+    /// Encodes the frame.
     pub fn encode(&self) -> Result<Bytes, Error> {
         let mut bytes = Vec::with_capacity(256);
         ciborium::into_writer(self, &mut bytes).map_err(|error| Error::Frame(error.to_string()))?;
         Ok(Bytes::from(bytes))
     }
 
-    /// The frame of these bytes.
+    /// Decodes a frame.
     pub fn decode(bytes: &[u8]) -> Result<Self, Error> {
         ciborium::from_reader(bytes).map_err(|error| Error::Frame(error.to_string()))
     }
--- a/src/wire/link.rs
+++ b/src/wire/link.rs
@@ -29,25 +29,25 @@
 use crate::wire::Reply;
 use crate::wire::Request;
 
-/// A heartbeat goes out after so long without another frame.
-pub const HEARTBEAT: Duration = Duration::from_millis(700);
-/// A link on which nothing came for so long is closed: four heartbeats, so that one lost to a pause of the
-/// scheduler doesn't close it, and short enough that a silent link is replaced within 3 s.
-pub const SILENCE: Duration = Duration::from_millis(2800);
-/// Frames that wait to be sent on one link; a cast beyond is dropped, a call waits.
-const BACKLOG: usize = 1024;
-
-/// What a process does with the calls and casts of its peers.
+/// Interval without another frame after which a heartbeat is sent.
+pub const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(700);
+/// Time without a received frame after which a link is closed: four heartbeats, so that a short pause of the scheduler
+/// doesn't close it, and a silent link is replaced within 3 s.
+pub const IDLE_TIMEOUT: Duration = Duration::from_millis(2800);
+/// Capacity of a link's send queue, in frames. If it is full, casts are dropped and calls wait.
+const SEND_QUEUE_FRAMES: usize = 1024;
+
+/// Handles the calls and casts of peers.
 pub trait Handler: Send + Sync + 'static {
-    /// Answers a call.
+    /// Handles a call.
     fn call(&self, from: Peer, request: Request) -> BoxFuture<'static, Reply>;
-    /// Takes a message that wants no reply.
+    /// Handles a message without a reply.
     fn cast(&self, from: Peer, cast: Cast);
 }
 
 type Calls = Arc<Mutex<HashMap<u64, oneshot::Sender<Reply>>>>;
 
-/// A handle on one connection; the connection ends when it goes silent or breaks, and the handle tells.
+/// A handle to one connection, which ends when it is idle for [`IDLE_TIMEOUT`] or fails.
 #[derive(Debug, Clone)]
 pub struct Link {
     peer: Peer,
@@ -65,7 +65,7 @@
 }
 
 impl Link {
-    /// Greets over a fresh connection and starts to serve it; ends with an error where the peer is a stranger.
+    /// Authenticates both ends of a new connection. Returns the link and the task that serves it.
     pub async fn open<S>(
         socket: WebSocketStream<S>,
         me: Peer,
@@ -77,13 +77,15 @@
     {
         let (mut sink, mut stream) = socket.split();
         let hello = Frame::Hello { peer: me, secret: secret.to_owned() };
-        send(&mut sink, hello.encode()?).await.ok_or(Error::Stranger)?;
-        let greeting = time::timeout(SILENCE, receive(&mut stream)).await;
+        send(&mut sink, hello.encode()?).await.ok_or(Error::Unauthenticated)?;
+        let greeting = time::timeout(IDLE_TIMEOUT, receive(&mut stream)).await;
         let peer = match greeting {
-            Ok(Some(Frame::Hello { peer, secret: theirs })) if same(secret, &theirs) => peer,
-            _ => return Err(Error::Stranger),
+            Ok(Some(Frame::Hello { peer, secret: theirs })) if is_same_secret(secret, &theirs) => {
+                peer
+            }
+            _ => return Err(Error::Unauthenticated),
         };
-        let (out, frames) = mpsc::channel(BACKLOG);
+        let (out, frames) = mpsc::channel(SEND_QUEUE_FRAMES);
         let calls = Calls::default();
         let link = Self {
             peer: peer.clone(),
@@ -96,13 +98,13 @@
                 () = write(sink, frames) => (),
                 () = read(stream, peer, out, calls.clone(), handler) => (),
             }
-            // Who still waits hears at once that the reply is lost, not at the end of its time limit.
+            // Fails pending calls at once instead of at their timeouts.
             calls.lock().expect("no panic while locked").clear();
         };
         Ok((link, Box::pin(task)))
     }
 
-    /// Who is at the other end.
+    /// The other end.
     pub fn peer(&self) -> &Peer {
         &self.peer
     }
@@ -112,8 +114,8 @@
         self.out.is_closed()
     }
 
-    /// Asks, and waits for the reply until the time limit.
-    pub async fn call(&self, request: Request, limit: Duration) -> Result<Reply, Error> {
+    /// Sends a call and waits for the reply until the timeout.
+    pub async fn call(&self, request: Request, timeout: Duration) -> Result<Reply, Error> {
         let number = self.next.fetch_add(1, Ordering::Relaxed);
         let (sender, receiver) = oneshot::channel();
         self.calls.lock().expect("no panic while locked").insert(number, sender);
@@ -124,24 +126,24 @@
             }
             receiver.await.map_err(|_| Error::Lost { peer: self.peer.clone() })
         };
-        let reply = time::timeout(limit, asked).await;
+        let reply = time::timeout(timeout, asked).await;
         self.calls.lock().expect("no panic while locked").remove(&number);
         reply.unwrap_or_else(|_| Err(Error::Lost { peer: self.peer.clone() }))
     }
 
-    /// Sends without a reply; false where the link is closed or its backlog is full.
+    /// Sends a message without a reply. Returns false if the link is closed or its send queue is full.
     pub fn cast(&self, cast: Cast) -> bool {
         self.out.try_send(Outgoing::Frame(Frame::Cast(cast))).is_ok()
     }
 
-    /// Sends an encoded frame without a reply; false where the link is closed or its backlog is full.
+    /// Sends an encoded frame without a reply. Returns false if the link is closed or its send queue is full.
     pub fn cast_encoded(&self, frame: Bytes) -> bool {
         self.out.try_send(Outgoing::Encoded(frame)).is_ok()
     }
 }
 
-/// Compares in constant time, so that the time taken tells nothing about the secret.
-fn same(ours: &str, theirs: &str) -> bool {
+/// Compares in constant time, so that the duration reveals nothing about the secret.
+fn is_same_secret(ours: &str, theirs: &str) -> bool {
     use subtle::ConstantTimeEq;
     ours.as_bytes().ct_eq(theirs.as_bytes()).into()
 }
@@ -150,8 +152,8 @@
 where
     S: Sink<Message, Error = tungstenite::Error> + Unpin,
 {
-    // A peer that takes no bytes for this long is gone, though the system still believes in the connection.
-    time::timeout(SILENCE, sink.send(Message::Binary(bytes))).await.ok()?.ok()
+    // A peer that reads nothing for this long has failed, even if the connection still looks open.
+    time::timeout(IDLE_TIMEOUT, sink.send(Message::Binary(bytes))).await.ok()?.ok()
 }
 
 async fn receive<S>(stream: &mut S) -> Option<Frame>
@@ -172,7 +174,7 @@
     S: Sink<Message, Error = tungstenite::Error> + Unpin,
 {
     loop {
-        let encoded = match time::timeout(HEARTBEAT, frames.recv()).await {
+        let encoded = match time::timeout(HEARTBEAT_INTERVAL, frames.recv()).await {
             Ok(Some(Outgoing::Frame(frame))) => frame.encode(),
             Ok(Some(Outgoing::Encoded(bytes))) => Ok(bytes),
             Ok(None) => return,
@@ -194,7 +196,7 @@
 ) where
     S: Stream<Item = Result<Message, tungstenite::Error>> + Unpin,
 {
-    while let Ok(Some(frame)) = time::timeout(SILENCE, receive(&mut stream)).await {
+    while let Ok(Some(frame)) = time::timeout(IDLE_TIMEOUT, receive(&mut stream)).await {
         match frame {
             Frame::Ping | Frame::Hello { .. } => (),
             Frame::Call { number, request } => {
--- a/src/wire/mesh.rs
+++ b/src/wire/mesh.rs
@@ -1,4 +1,4 @@
-//! The links of one process, made when they are first needed and made anew when they break.
+//! The links of one process, opened when they are first needed and reopened when they fail.
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -25,15 +25,14 @@
 use crate::wire::frame::MAX_FRAME_BYTES;
 use crate::wire::link::Handler;
 
-/// Connecting takes no longer than this; between regions a trip takes a tenth of it at most.
-const CONNECT: Duration = Duration::from_millis(1500);
-/// A connection that hasn't come about is asked for once more after this, beside the first one: a trip between regions
-/// there and back, and a little more.
-const ASK_AGAIN: Duration = Duration::from_millis(150);
-/// After a failed attempt the next one to the same peer waits so long, so that a dead peer costs little.
-const RETRY_AFTER: Duration = Duration::from_millis(100);
-/// Greetings in progress at once on the listener: strangers can't use up memory.
-const GREETINGS: usize = 256;
+/// Timeout for opening a link, over ten round trips between regions.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(1500);
+/// Delay before another connection is attempted beside a pending one, slightly more than a round trip between regions.
+const PARALLEL_CONNECT_DELAY: Duration = Duration::from_millis(150);
+/// Delay after a failed attempt before the next one to the same peer.
+const RETRY_DELAY: Duration = Duration::from_millis(100);
+/// Maximum number of connections that are being authenticated, so that unknown peers can't exhaust memory.
+const MAX_HANDSHAKES: usize = 256;
 /// Bytes that each link reserves and clears for every read. A larger frame extends the buffer while it is received.
 const READ_BUFFER_BYTES: usize = 4 << 10;
 
@@ -51,17 +50,17 @@
     handler: Arc<dyn Handler>,
 }
 
-/// What is known of the link to one peer.
+/// The state of the link to one peer.
 #[derive(Default)]
 struct Slot {
     link: Option<Link>,
     failed: Option<Instant>,
-    /// Held while one task connects, so that a crowd of callers makes one connection.
+    /// Held while one task connects, so that concurrent callers open one connection.
     connecting: Arc<tokio::sync::Mutex<()>>,
 }
 
 impl Mesh {
-    /// A mesh without links. `book` gives the addresses of the peers.
+    /// Creates a mesh without links. `book` holds the addresses of peers.
     pub fn new(
         me: Peer,
         secret: String,
@@ -72,31 +71,31 @@
         Self { shared: Arc::new(Shared { me, secret, book: Mutex::new(book), links, handler }) }
     }
 
-    /// Notes or replaces a peer's address.
+    /// Sets a peer's address.
     pub fn learn(&self, peer: Peer, address: SocketAddr) {
         self.shared.book.lock().expect("no panic while locked").insert(peer, address);
     }
 
-    /// The peers with a link at present.
+    /// The peers with an open link.
     pub fn linked(&self) -> Vec<Peer> {
         let links = self.shared.links.lock().expect("no panic while locked");
         let open = |slot: &Slot| slot.link.as_ref().is_some_and(|link| !link.is_closed());
         links.iter().filter(|(_, slot)| open(slot)).map(|(peer, _)| peer.clone()).collect()
     }
 
-    /// Asks a peer; connects first where there is no link.
+    /// Calls a peer, opening a link if there is none.
     pub async fn call(
         &self,
         peer: &Peer,
         request: Request,
-        limit: Duration,
+        timeout: Duration,
     ) -> Result<Reply, Error> {
-        let until = Instant::now() + limit;
+        let until = Instant::now() + timeout;
         let link = self.link(peer).await?;
         link.call(request, until.saturating_duration_since(Instant::now())).await
     }
 
-    /// Sends without a reply. Where there is no link, one is made in the background and the message goes after.
+    /// Sends a message without a reply. If there is no link, one is opened in the background first.
     pub fn cast(&self, peer: &Peer, cast: Cast) {
         if let Some(link) = self.present(peer) {
             link.cast(cast);
@@ -134,7 +133,7 @@
         links.get(peer)?.link.clone().filter(|link| !link.is_closed())
     }
 
-    /// The link to a peer, made where there is none.
+    /// The link to a peer, opened if there is none.
     pub async fn link(&self, peer: &Peer) -> Result<Link, Error> {
         if let Some(link) = self.present(peer) {
             return Ok(link);
@@ -146,12 +145,12 @@
             return Ok(link);
         }
         let failed = self.slot(peer, |slot| slot.failed);
-        if failed.is_some_and(|at| at.elapsed() < RETRY_AFTER) {
-            return Err(unsent("it could not be reached a moment ago"));
+        if failed.is_some_and(|at| at.elapsed() < RETRY_DELAY) {
+            return Err(unsent("the last attempt failed a moment ago"));
         }
         let address = self.shared.book.lock().expect("no panic while locked").get(peer).copied();
         let address = address.ok_or_else(|| unsent("its address is not known"))?;
-        let made = time::timeout(CONNECT, self.connect(peer, address)).await;
+        let made = time::timeout(CONNECT_TIMEOUT, self.connect(peer, address)).await;
         match made {
             Ok(Ok(link)) => {
                 self.slot(peer, |slot| slot.failed = None);
@@ -163,7 +162,7 @@
             }
             Err(_) => {
                 self.slot(peer, |slot| slot.failed = Some(Instant::now()));
-                Err(unsent("connecting took too long"))
+                Err(unsent("connecting timed out"))
             }
         }
     }
@@ -181,7 +180,7 @@
         let opened = Link::open(socket, shared.me.clone(), &shared.secret, handler).await;
         let (link, task) = opened?;
         if link.peer() != peer {
-            return Err(Error::Stranger);
+            return Err(Error::Unauthenticated);
         }
         tokio::spawn(task);
         self.slot(peer, |slot| slot.link = Some(link.clone()));
@@ -195,21 +194,21 @@
 
     /// Accepts links until `stop` turns true.
     pub async fn listen(self, listener: Arc<TcpListener>, mut stop: watch::Receiver<bool>) {
-        let greetings = Arc::new(tokio::sync::Semaphore::new(GREETINGS));
+        let handshakes = Arc::new(tokio::sync::Semaphore::new(MAX_HANDSHAKES));
         loop {
             let accepted = tokio::select! {
                 accepted = listener.accept() => accepted,
                 _ = stop.wait_for(|stop| *stop) => return,
             };
             let Ok((stream, _)) = accepted else {
-                // Out of file descriptors, most likely: accepting at once again would spin.
-                time::sleep(RETRY_AFTER).await;
+                // Probably out of file descriptors; accepting again at once would be a busy loop.
+                time::sleep(RETRY_DELAY).await;
                 continue;
             };
-            let Ok(permit) = greetings.clone().try_acquire_owned() else { continue };
+            let Ok(permit) = handshakes.clone().try_acquire_owned() else { continue };
             let mesh = self.clone();
             tokio::spawn(async move {
-                let greeted = time::timeout(CONNECT, mesh.accept(stream)).await;
+                let greeted = time::timeout(CONNECT_TIMEOUT, mesh.accept(stream)).await;
                 drop(permit);
                 if let Ok(Ok(task)) = greeted {
                     task.await;
@@ -238,15 +237,15 @@
     }
 }
 
-/// Connects, asking once more each [`ASK_AGAIN`]; the first attempt that comes about, or is refused, counts.
+/// Connects, with another attempt after each [`PARALLEL_CONNECT_DELAY`]. The first result counts.
 ///
-/// Failure: two VMs start at the same moment, and the first packet reaches one that isn't up yet. The system sends it
-/// again after a second; the caller's own time limit cuts it off after that.
+/// Guards against two VMs that start at the same time: a SYN that arrives before the peer listens is retransmitted only
+/// after a second.
 async fn dial(address: SocketAddr) -> std::io::Result<TcpStream> {
     let mut attempts = FuturesUnordered::new();
     loop {
         attempts.push(TcpStream::connect(address));
-        if let Ok(Some(connected)) = time::timeout(ASK_AGAIN, attempts.next()).await {
+        if let Ok(Some(connected)) = time::timeout(PARALLEL_CONNECT_DELAY, attempts.next()).await {
             return connected;
         }
     }
--- a/src/wire/message.rs
+++ b/src/wire/message.rs
@@ -1,4 +1,4 @@
-//! What processes of the system say to each other.
+//! Messages between processes of the system.
 
 use std::collections::BTreeMap;
 use std::fmt;
@@ -28,27 +28,27 @@
 use crate::unit::Version;
 use crate::upstream;
 
-/// Which of the two daemons.
+/// The kind of a daemon.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum Role {
-    /// Carries requests.
+    /// Serves requests.
     Entry,
     /// Holds replicas.
     Control,
 }
 
-/// One process of the system: a VM runs at most one of each role.
+/// A process of the system. A VM runs at most one of each role.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Peer {
     /// The VM.
     pub vm: id::Vm,
-    /// Which daemon of it.
+    /// The daemon.
     pub role: Role,
 }
 
 impl Peer {
-    /// The daemon of that role on that VM.
+    /// The process of a role on a VM.
     pub fn new(vm: id::Vm, role: Role) -> Self {
         Self { vm, role }
     }
@@ -63,160 +63,160 @@
     }
 }
 
-/// What one process asks another.
+/// A request to a peer.
 #[derive(Debug, Serialize, Deserialize)]
 pub enum Request {
-    /// Wait a moment for a catalogue newer than this, and send what changed.
+    /// Long poll for changes of the catalogue.
     Watch {
-        /// The version that the asker has in force.
+        /// The version in force at the sender.
         have: Version,
     },
-    /// Change the catalogue.
+    /// Changes the catalogue.
     Change(catalogue::Change),
-    /// Have a command committed by the ledger of the peer's region.
+    /// Commits a command to the ledger of the peer's region.
     Ledger(ledger::Command),
-    /// What does the ledger of the peer's region know of a key?
+    /// Looks up a key in the ledger of the peer's region.
     Peek(ledger::Look),
-    /// Who is the peer's replica of a group?
+    /// Requests the identity of the peer's replica of a group.
     Identity(Name),
-    /// Take a newcomer into a group that the peer leads.
+    /// Adds a replica to a group that the peer leads.
     Join {
         /// The group.
         name: Name,
-        /// The newcomer.
+        /// The new replica.
         replica: id::Replica,
-        /// Whether it is to be the witness.
+        /// Whether it becomes the witness.
         witness: bool,
     },
-    /// How much room does the peer have for each model?
+    /// Requests the peer's free capacity for each model.
     Room,
-    /// Which version of the catalogue is in force at the peer?
+    /// Requests the version of the catalogue in force at the peer.
     InForce,
-    /// Wait a moment for anything that the asker lacks, and send it.
+    /// Long poll for changes of the roster and the routing state.
     Follow(Box<Follow>),
-    /// Have a command committed by the routing group.
+    /// Commits a command to the routing group.
     Routing(routing::Command),
-    /// What did the operator hand in last? The answer is confirmed by a majority.
+    /// Reads the operator's text of the document in force, confirmed by a majority.
     ReadRouting,
-    /// Which revision of the routing state is the newest one? The answer is confirmed by a majority.
+    /// Reads the newest revision of the routing state, confirmed by a majority.
     NewestRevision,
 }
 
-/// What comes back.
+/// The reply to a request.
 #[derive(Debug, Serialize, Deserialize)]
 pub enum Reply {
-    /// What changed; none where nothing did within the wait.
+    /// Changes of the catalogue; none if there were none until the timeout.
     Delta(Option<catalogue::Delta>),
-    /// What the change came to; none where that is not known or the peer can't tell.
+    /// The result of a change of the catalogue.
     Changed(Result<catalogue::Reply, Unavailable>),
     /// The version in force.
     InForce {
         /// The version.
         version: Version,
-        /// Whether the daemon takes requests.
+        /// Whether the daemon accepts requests.
         takes_requests: bool,
     },
-    /// What came of the command, or of the look.
+    /// The result of a ledger command or lookup.
     Ledger(Result<ledger::Reply, Unavailable>),
-    /// Who the peer's replica is; none where it has none, or its folder isn't open.
+    /// The identity of the peer's replica; none if it has none or its folder isn't open.
     Identity(Option<Identity>),
-    /// Whether the newcomer was taken in.
+    /// Whether the replica was added.
     Joined(bool),
-    /// The peer's room: of each model the slots in the region, those that this VM uses, and its wait.
+    /// The peer's capacity for each model: the slots in the region, those that it uses, and its wait.
     Room(BTreeMap<id::Model, spill::Room>),
-    /// What the follower lacked.
+    /// The reply to [`Request::Follow`].
     Followed(Box<Followed>),
-    /// The document's number in force after the command.
+    /// The version of the document in force after the command.
     Routing(Result<Version, Unavailable>),
-    /// The operator's own text of the document in force, if there is one.
+    /// The operator's text of the document in force, if there is one.
     Source(Result<Option<Arc<str>>, Unavailable>),
-    /// The newest revision of the routing state; none where the peer doesn't lead.
+    /// The newest revision of the routing state; none if the peer doesn't lead.
     NewestRevision(Option<Version>),
-    /// The peer has no answer to such a request.
+    /// The peer does not support the request.
     Unsupported,
 }
 
-/// Who a replica is.
+/// The identity and state of a replica.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Identity {
     /// The identity of its folder.
     pub replica: id::Replica,
     /// Whether it has never taken part in any group.
     pub pristine: bool,
-    /// The members that it knows of.
+    /// The members that it knows.
     pub members: Members,
-    /// Whether it leads, as far as it knows.
+    /// Whether it considers itself the leader.
     pub leads: bool,
 }
 
-/// What a follower says of itself, and what it has.
+/// A follower's presence and the state that it holds.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct Follow {
-    /// Who follows.
+    /// The follower's presence.
     pub presence: Presence,
-    /// The start of the peer that the revision below belongs to.
+    /// The process start of the peer to which `roster` refers.
     pub epoch: u64,
-    /// The peer's table as the follower has it.
+    /// The revision of the peer's table that the follower holds.
     pub roster: u64,
-    /// Of entry VMs and upstreams, only those of this region are told; all of them where none is given.
+    /// The region whose entry VMs and upstreams are sent; those of all regions if none.
     #[serde(default, alias = "entry_vms_of")]
     pub only_of: Option<id::Region>,
-    /// The routing state that the follower has in force.
+    /// The revision of the routing state in force at the follower.
     pub routing: Version,
     /// The follower takes its slice of the roster in pieces; this is the revision of the peer's table when it began to
     /// send the slice. None from a follower that takes whole deltas.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub base: Option<u64>,
-    /// The follower gets routing states from another control VM; only the revision is told.
+    /// The follower receives routing states from another control VM and needs only their revision.
     #[serde(default, skip_serializing_if = "std::ops::Not::not")]
     pub defers_routing: bool,
 }
 
-/// What a follower lacked.
+/// The changes that a follower lacked.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct Followed {
-    /// Tells one start of the peer from another.
+    /// Identifies the peer's process start.
     pub epoch: u64,
-    /// What changed of upstreams and VMs.
+    /// Changed upstreams and VMs, if the follower does not take pieces.
     pub roster: Option<roster::Delta>,
-    /// The routing state, where it is newer.
+    /// The routing state, if it is newer and the follower does not take pieces.
     pub routing: Option<routing::state::Replicated>,
-    /// Whether the peer hears a leader of the routing group, so that what it holds is up to date.
+    /// Whether the routing group has a leader that the peer can reach, so that its state is up to date.
     pub in_touch: bool,
-    /// The peer's proof that there was no newer routing state; none where it has none.
+    /// The peer's proof that there was no newer routing state.
     #[serde(default)]
     pub proof: Option<freshness::ProofMessage>,
-    /// The stamp and nonce under which the follower is known to the peer.
+    /// The newest stamp and nonce of the follower that the peer knows.
     pub known_as: Option<(Stamp, u64)>,
     /// The next piece of the follower's slice, if it takes pieces.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub piece: Option<roster::Piece>,
-    /// The routing state as encoded by [`Replicated::encode`](routing::state::Replicated::encode), where it is newer and
-    /// the follower takes pieces.
+    /// The routing state as encoded by [`Replicated::encode`](routing::state::Replicated::encode), if it is newer and the
+    /// follower takes pieces.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub encoded_routing: Option<Bytes>,
-    /// The revision of the routing state, where it is newer and the follower defers it.
+    /// The revision of the routing state, if it is newer and the follower defers it.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub routing_revision: Option<Version>,
 }
 
-/// What a control VM has heard since it last told.
+/// Records that a control VM has received since its last broadcast.
 #[derive(Debug, Clone, Default, Serialize, Deserialize)]
 pub struct Heard {
-    /// Of upstreams.
+    /// Records of upstreams.
     pub upstreams: Vec<Announcement>,
-    /// Of VMs.
+    /// Records of VMs.
     pub vms: Vec<Presence>,
-    /// Subjects of either kind that are as they were.
+    /// Renewals of unchanged records.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub alive: Vec<Heartbeat>,
-    /// Digests of heartbeats whose statements the sender doesn't have, and asks for.
+    /// Digests of renewed records that the sender does not have and requests.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub wanted: Vec<u64>,
 }
 
 impl Heard {
-    /// Whether there is nothing to tell.
+    /// Whether it holds nothing.
     pub fn is_empty(&self) -> bool {
         self.upstreams.is_empty()
             && self.vms.is_empty()
@@ -225,18 +225,18 @@
     }
 }
 
-/// Why a group of replicas gives no answer.
+/// Reasons why a group of replicas does not answer.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize, thiserror::Error)]
 pub enum Unavailable {
-    /// No replica leads at present, or this one doesn't and knows none that does; nothing was done.
-    #[error("no replica leads at present")]
+    /// No leader is known; nothing was done.
+    #[error("no leader is known")]
     NoLeader,
-    /// The request was passed on, and no answer came: it may have been carried out.
-    #[error("it is not known whether it was carried out")]
+    /// The request was forwarded and no answer was received: it may have been executed.
+    #[error("it is not known whether the request was executed")]
     Unknown,
 }
 
-/// What needs no reply.
+/// A message without a reply.
 #[derive(Debug, Serialize, Deserialize)]
 pub enum Cast {
     /// A message between the replicas of a group.
@@ -250,15 +250,15 @@
         /// The message.
         message: group::Message,
     },
-    /// What a VM saw of upstreams that died, and of requests that were cleared.
+    /// A VM's report on crashed upstreams and on requests that were cleared.
     Quarantine(quarantine::Report),
-    /// A VM needs a part of an entry's limits from the receiver, the entry's home.
+    /// Requests a lease on an entry's limits from its home, the receiver.
     Demand(limit::Demand),
-    /// The home leases a part of an entry's limits.
+    /// Grants a lease on an entry's limits.
     Grant(limit::Grant),
     /// A message about the slots of an upstream.
     Slots(upstream::pool::Message),
-    /// What a control VM has heard of upstreams and VMs.
+    /// Records of upstreams and VMs that a control VM received.
     Heard(Box<Heard>),
     /// A message between the entry VMs' memberships.
     Membership(membership::Message),
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -1,7 +1,7 @@
 //! Links between the system's own processes: CBOR frames over WebSocket, with heartbeats both ways.
 //!
-//! A link that carried nothing for [`link::SILENCE`] is closed and made anew: something between two VMs may
-//! have lost track of a connection that both ends still believe in.
+//! A link on which nothing was received for [`link::IDLE_TIMEOUT`] is closed and replaced: a device between two VMs may
+//! have dropped a connection that both ends still consider open.
 
 pub mod errors;
 pub mod frame;
