Entry VMs move from the seeds to the control VMs of their region

Cause: at their start VMs know the seeds alone and stayed with them: three of ten control VMs served the whole fleet, and two thirds of the VMs took their slice of all regions over the lines between regions. Change: a subscription whose rank is beaten by a live control VM for two seconds, and a random delay, moves to it; not to one that failed in the last 15 s. A subscription that isn't needed any more is logged as left, not as lost. Tests: 300 VMs spread over the three control VMs of their region (all on seeds before); no move back to one that can't be reached.

--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -4,7 +4,6 @@
 //! followed while neither of them hears a leader, since both may be on the minority side of a
 //! partition.
 
-use std::collections::HashMap;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::time::Duration;
@@ -15,10 +14,13 @@
 use tokio::time;
 use tokio::time::Instant;
 
+use self::sources::Candidate;
+use self::sources::FULL_ROSTER;
+use self::sources::SLOTS;
+use self::sources::Sources;
 use super::State;
 use crate::clock;
 use crate::decide::freshness::Proof;
-use crate::decide::route::rendezvous;
 use crate::id;
 use crate::roster::Delta;
 use crate::routing::state::Replicated;
@@ -30,65 +32,33 @@
 use crate::wire::message::Follow;
 use crate::wire::message::Followed;
 
-/// Number of subscriptions: two permanent ones and the fallback.
-const SLOTS: usize = 3;
-/// The subscription that receives the entry VMs of all regions; the others receive those of this
-/// region.
-///
-/// Guards against an update storm during rolling restarts: a few VMs of each other region are
-/// enough, and so is one source for them.
-const FULL_ROSTER: usize = 0;
-/// The subscription that is active only while no other source is up to date.
-const FALLBACK: usize = 2;
+mod sources;
+
 /// A long poll returns within
 /// [`LONG_POLL_TIMEOUT`](crate::directory::service::LONG_POLL_TIMEOUT) plus a round trip between
 /// regions. After this timeout the control VM is replaced by another one.
 const CALL_TIMEOUT: Duration = Duration::from_millis(1800);
 /// Minimum interval between calls, so that bursts of updates arrive in batches.
 const MIN_CALL_INTERVAL: Duration = Duration::from_millis(40);
-/// Backoff for a control VM that did not respond. It is short because entry VMs start faster than
-/// control VMs after a power failure.
-const FAILURE_BACKOFF: Duration = Duration::from_millis(150);
+/// Upper bound on the random delay before a source is replaced by a better one, so that the VMs of a
+/// fleet don't all move at once.
+const MAX_MOVE_JITTER: Duration = Duration::from_secs(2);
 /// Delay before the next try if no control VM is available.
 const NO_SOURCE_DELAY: Duration = Duration::from_millis(50);
 
-/// The followed control VMs and those in backoff.
-#[derive(Debug, Default)]
-struct Sources {
-    current: [Option<id::Vm>; SLOTS],
-    backoff: HashMap<id::Vm, Instant>,
-    is_fresh: [bool; SLOTS],
-}
-
-impl Sources {
-    /// Records whether a source is up to date and returns whether to keep following it. The
-    /// fallback is kept only while it is up to date and no other source is.
-    fn record_freshness(&mut self, slot: usize, is_fresh: bool) -> bool {
-        self.is_fresh[slot] = is_fresh;
-        slot != FALLBACK || (is_fresh && !self.has_fresh_source())
-    }
-
-    /// Whether the subscription should be active.
-    fn needs(&self, slot: usize) -> bool {
-        slot != FALLBACK || !self.has_fresh_source()
-    }
-
-    /// Whether a source need not send routing states, since the first one does.
-    ///
-    /// Each state would otherwise reach each VM twice, once over the links between regions.
-    fn defers_routing(&self, slot: usize) -> bool {
-        slot != FULL_ROSTER && self.is_fresh[FULL_ROSTER]
-    }
-
-    /// Whether a permanent source is up to date.
-    fn has_fresh_source(&self) -> bool {
-        self.is_fresh[..FALLBACK].contains(&true)
-    }
+/// Why a subscription ended.
+enum End {
+    /// The control VM failed.
+    Failed,
+    /// It is not needed any more.
+    Unneeded,
+    /// A better control VM is known.
+    Moved,
 }
 
 /// Follows control VMs until shutdown.
 pub async fn run(state: Arc<State>, stop: watch::Receiver<bool>) {
-    let shared = Arc::new(Mutex::new(Sources::default()));
+    let shared = Arc::new(Mutex::new(Sources::new(state.node().vm())));
     let each = (0..SLOTS).map(|slot| run_slot(&state, slot, &shared, stop.clone()));
     futures::future::join_all(each).await;
 }
@@ -102,8 +72,10 @@
     let mut draining = state.draining();
     loop {
         let vm = {
+            let candidates = candidates(state);
             let mut sources = sources.lock().expect("no panic while locked");
-            if sources.needs(slot) { choose_source(state, slot, &mut sources) } else { None }
+            let is_needed = sources.needs(slot);
+            is_needed.then(|| sources.choose(slot, &candidates, Instant::now())).flatten()
         };
         let Some(vm) = vm else {
             tokio::select! {
@@ -112,27 +84,34 @@
             }
         };
         info!(state.log(), "control.followed"; "control" => %vm, "nth" => slot);
-        tokio::select! {
-            () = follow_source(state, &vm, slot, sources, &mut draining) => (),
+        let end = tokio::select! {
+            end = follow_source(state, &vm, slot, sources, &mut draining) => end,
             _ = stop.wait_for(|stop| *stop) => return,
-        }
-        warn!(state.log(), "control.lost"; "control" => %vm, "nth" => slot);
+        };
         let mut sources = sources.lock().expect("no panic while locked");
-        sources.current[slot] = None;
-        sources.is_fresh[slot] = false;
-        sources.backoff.insert(vm.clone(), Instant::now() + FAILURE_BACKOFF);
+        match end {
+            End::Failed => {
+                warn!(state.log(), "control.lost"; "control" => %vm, "nth" => slot);
+                sources.fail(slot, Instant::now());
+            }
+            End::Unneeded | End::Moved => {
+                info!(state.log(), "control.left"; "control" => %vm, "nth" => slot);
+                sources.leave(slot);
+            }
+        }
         state.unfollow(&vm);
     }
 }
 
-/// Follows one control VM until a call fails.
+/// Follows one control VM until a call fails or another one is to be followed.
 async fn follow_source(
     state: &State,
     vm: &id::Vm,
     slot: usize,
     sources: &Mutex<Sources>,
     draining: &mut watch::Receiver<bool>,
-) {
+) -> End {
+    let jitter = MAX_MOVE_JITTER.mul_f64((state.random() % 1024) as f64 / 1024.0);
     let peer = Peer::new(vm.clone(), Role::Control);
     let mut is_behind = false;
     loop {
@@ -145,13 +124,20 @@
             // Draining must be reported before the pending call returns.
             Ok(()) = draining.changed() => continue,
         };
-        let Some(followed) = followed else { return };
+        let Some(followed) = followed else { return End::Failed };
         let is_fresh = followed.in_touch;
         let newest = followed.routing_revision;
         let has_more = followed.piece.as_ref().is_some_and(|piece| piece.has_more);
         apply(state, vm, followed, sent);
-        if !sources.lock().expect("no panic while locked").record_freshness(slot, is_fresh) {
-            return;
+        let candidates = candidates(state);
+        {
+            let mut sources = sources.lock().expect("no panic while locked");
+            if !sources.record_freshness(slot, is_fresh) {
+                return End::Unneeded;
+            }
+            if !has_more && sources.should_move(slot, &candidates, jitter, Instant::now()) {
+                return End::Moved;
+            }
         }
         is_behind = newest.is_some_and(|newest| newest > state.routing().revision);
         if !has_more && !is_behind {
@@ -219,35 +205,19 @@
     }
 }
 
-/// Prefers a control VM of this region for the first subscription, so that an isolated region keeps
-/// working, and one of another region for the others, so that lagging control VMs of this region
-/// delay nothing.
-fn choose_source(state: &State, slot: usize, sources: &mut Sources) -> Option<id::Vm> {
-    let now = Instant::now();
-    sources.backoff.retain(|_, until| now < *until);
-    let current: Vec<id::Vm> = sources.current.iter().flatten().cloned().collect();
-    let mut candidates: Vec<(u8, u64, id::Vm)> = Vec::new();
-    let own_vm = state.node().vm();
-    let mut add_candidate = |vm: &id::Vm, is_local: bool| {
-        let is_listed = candidates.iter().any(|(_, _, listed)| listed == vm);
-        if current.contains(vm) || sources.backoff.contains_key(vm) || is_listed {
-            return;
-        }
-        let prefers_local = slot == 0;
-        let weight = rendezvous::weight(slot as u64, &format!("{own_vm}/{vm}"));
-        candidates.push((u8::from(is_local != prefers_local), u64::MAX - weight, vm.clone()));
-    };
+/// The known control VMs: those that are reported as live, and the seeds.
+fn candidates(state: &State) -> Vec<Candidate> {
     let merged = state.merged();
-    for vm in merged.vms(Role::Control) {
-        add_candidate(&vm.vm, vm.region == state.node().region);
-    }
+    let live = merged.vms(Role::Control).map(|vm| Candidate {
+        vm: vm.vm.clone(),
+        is_local: vm.region == state.node().region,
+        is_live: true,
+    });
+    let mut candidates: Vec<Candidate> = live.collect();
     for (vm, _) in state.seeds().links() {
-        add_candidate(&vm, false);
+        if !candidates.iter().any(|known| known.vm == vm) {
+            candidates.push(Candidate { vm, is_local: false, is_live: false });
+        }
     }
-    let (_, _, vm) = candidates.into_iter().min()?;
-    sources.current[slot] = Some(vm.clone());
-    Some(vm)
+    candidates
 }
-
-#[cfg(test)]
-mod tests;
