--- a/src/directory/daemon.rs
+++ b/src/directory/daemon.rs
@@ -163,6 +163,7 @@
     spawn_task(supervisor, "proofs", service, prove::run);
     spawn_task(supervisor, "routing", service, tasks::mirror_routing);
     spawn_task(supervisor, "roster", service, tasks::save_roster);
+    spawn_task(supervisor, "traffic", service, tasks::log_traffic);
 }
 
 fn spawn_task<F, R>(supervisor: &mut Supervisor, name: &'static str, service: &Arc<Service>, run: F)
--- a/src/directory/tasks.rs
+++ b/src/directory/tasks.rs
@@ -25,6 +25,22 @@
 /// The pause between two saves of the roster, in multiples of the time that the last one took.
 const ROSTER_SAVE_PAUSE: u32 = 40;
 
+/// Interval of the log lines on the bytes sent on links.
+const TRAFFIC_LOG_INTERVAL: Duration = Duration::from_secs(10);
+
+/// Logs the bytes sent on links, by kind of frame, until shutdown.
+pub async fn log_traffic(service: Arc<Service>, mut stop: watch::Receiver<bool>) {
+    loop {
+        tokio::select! {
+            () = time::sleep(TRAFFIC_LOG_INTERVAL) => (),
+            _ = stop.wait_for(|stop| *stop) => return,
+        }
+        if let Some(mesh) = service.mesh() {
+            info!(service.log(), "links.sent"; "bytes" => %mesh.traffic());
+        }
+    }
+}
+
 /// Expires silent VMs and upstreams, and renews this VM's presence, until shutdown.
 pub async fn tick(service: Arc<Service>, mut stop: watch::Receiver<bool>) {
     let mut ticks = time::interval(TICK_INTERVAL);
--- a/src/wire/link.rs
+++ b/src/wire/link.rs
@@ -28,6 +28,8 @@
 use crate::wire::Peer;
 use crate::wire::Reply;
 use crate::wire::Request;
+use crate::wire::Traffic;
+use crate::wire::traffic::Kind;
 
 /// Interval without another frame after which a heartbeat is sent.
 pub const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(700);
@@ -61,7 +63,7 @@
 enum Outgoing {
     Frame(Frame),
     /// An encoded frame, shared by several links.
-    Encoded(Bytes),
+    Encoded(Kind, Bytes),
 }
 
 impl Link {
@@ -71,6 +73,7 @@
         me: Peer,
         secret: &str,
         handler: Arc<dyn Handler>,
+        traffic: Arc<Traffic>,
     ) -> Result<(Self, BoxFuture<'static, ()>), Error>
     where
         S: AsyncRead + AsyncWrite + Unpin + Send + 'static,
@@ -95,7 +98,7 @@
         };
         let task = async move {
             tokio::select! {
-                () = write(sink, frames) => (),
+                () = write(sink, frames, &traffic) => (),
                 () = read(stream, peer, out, calls.clone(), handler) => (),
             }
             // Fails pending calls at once instead of at their timeouts.
@@ -137,8 +140,8 @@
     }
 
     /// Sends an encoded frame without a reply. Returns false if the link is closed or its send queue is full.
-    pub fn cast_encoded(&self, frame: Bytes) -> bool {
-        self.out.try_send(Outgoing::Encoded(frame)).is_ok()
+    pub fn cast_encoded(&self, kind: Kind, frame: Bytes) -> bool {
+        self.out.try_send(Outgoing::Encoded(kind, frame)).is_ok()
     }
 }
 
@@ -169,18 +172,19 @@
     }
 }
 
-async fn write<S>(mut sink: S, mut frames: mpsc::Receiver<Outgoing>)
+async fn write<S>(mut sink: S, mut frames: mpsc::Receiver<Outgoing>, traffic: &Traffic)
 where
     S: Sink<Message, Error = tungstenite::Error> + Unpin,
 {
     loop {
-        let encoded = match time::timeout(HEARTBEAT_INTERVAL, frames.recv()).await {
-            Ok(Some(Outgoing::Frame(frame))) => frame.encode(),
-            Ok(Some(Outgoing::Encoded(bytes))) => Ok(bytes),
+        let (kind, encoded) = match time::timeout(HEARTBEAT_INTERVAL, frames.recv()).await {
+            Ok(Some(Outgoing::Frame(frame))) => (Kind::from(&frame), frame.encode()),
+            Ok(Some(Outgoing::Encoded(kind, bytes))) => (kind, Ok(bytes)),
             Ok(None) => return,
-            Err(_) => Frame::Ping.encode(),
+            Err(_) => (Kind::Link, Frame::Ping.encode()),
         };
         let Ok(bytes) = encoded else { return };
+        traffic.record(kind, bytes.len());
         if send(&mut sink, bytes).await.is_none() {
             return;
         }
--- a/src/wire/mesh.rs
+++ b/src/wire/mesh.rs
@@ -22,8 +22,10 @@
 use crate::wire::Peer;
 use crate::wire::Reply;
 use crate::wire::Request;
+use crate::wire::Traffic;
 use crate::wire::frame::MAX_FRAME_BYTES;
 use crate::wire::link::Handler;
+use crate::wire::traffic::Kind;
 
 /// Timeout for opening a link, over ten round trips between regions.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(1500);
@@ -48,6 +50,7 @@
     book: Mutex<HashMap<Peer, SocketAddr>>,
     links: Mutex<HashMap<Peer, Slot>>,
     handler: Arc<dyn Handler>,
+    traffic: Arc<Traffic>,
 }
 
 /// The state of the link to one peer.
@@ -67,8 +70,17 @@
         book: HashMap<Peer, SocketAddr>,
         handler: Arc<dyn Handler>,
     ) -> Self {
-        let links = Mutex::default();
-        Self { shared: Arc::new(Shared { me, secret, book: Mutex::new(book), links, handler }) }
+        let (links, traffic) = (Mutex::default(), Arc::default());
+        Self {
+            shared: Arc::new(Shared {
+                me,
+                secret,
+                book: Mutex::new(book),
+                links,
+                handler,
+                traffic,
+            }),
+        }
     }
 
     /// Sets a peer's address.
@@ -76,6 +88,11 @@
         self.shared.book.lock().expect("no panic while locked").insert(peer, address);
     }
 
+    /// The bytes sent on all links.
+    pub fn traffic(&self) -> &Traffic {
+        &self.shared.traffic
+    }
+
     /// The peers with an open link.
     pub fn linked(&self) -> Vec<Peer> {
         let links = self.shared.links.lock().expect("no panic while locked");
@@ -112,16 +129,17 @@
 
     /// Sends the same message to several peers, encoded once.
     pub fn cast_all(&self, peers: impl Iterator<Item = Peer>, cast: Cast) -> Result<(), Error> {
-        let frame = Frame::Cast(cast).encode()?;
+        let frame = Frame::Cast(cast);
+        let (kind, frame) = (Kind::from(&frame), frame.encode()?);
         for peer in peers {
             if let Some(link) = self.present(&peer) {
-                link.cast_encoded(frame.clone());
+                link.cast_encoded(kind, frame.clone());
                 continue;
             }
             let (mesh, frame) = (self.clone(), frame.clone());
             tokio::spawn(async move {
                 if let Ok(link) = mesh.link(&peer).await {
-                    link.cast_encoded(frame);
+                    link.cast_encoded(kind, frame);
                 }
             });
         }
@@ -177,7 +195,9 @@
             .map_err(|error| broken(&error))?;
         let shared = &self.shared;
         let handler = shared.handler.clone();
-        let opened = Link::open(socket, shared.me.clone(), &shared.secret, handler).await;
+        let opened =
+            Link::open(socket, shared.me.clone(), &shared.secret, handler, shared.traffic.clone())
+                .await;
         let (link, task) = opened?;
         if link.peer() != peer {
             return Err(Error::Unauthenticated);
@@ -228,7 +248,9 @@
             .map_err(|error| broken(&error))?;
         let shared = &self.shared;
         let handler = shared.handler.clone();
-        let opened = Link::open(socket, shared.me.clone(), &shared.secret, handler).await;
+        let opened =
+            Link::open(socket, shared.me.clone(), &shared.secret, handler, shared.traffic.clone())
+                .await;
         let (link, task) = opened?;
         let peer = link.peer().clone();
         // The newest link wins: a peer that connects anew has given up the one before.
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -8,6 +8,7 @@
 pub mod link;
 pub mod mesh;
 pub mod message;
+pub mod traffic;
 
 pub use errors::Error;
 pub use frame::Frame;
@@ -18,3 +19,4 @@
 pub use message::Reply;
 pub use message::Request;
 pub use message::Role;
+pub use traffic::Traffic;
--- a/tests/fleet/world.rs
+++ b/tests/fleet/world.rs
@@ -210,7 +210,7 @@
 
 /// The region and service of an upstream.
 fn announcement(nth: usize) -> Announcement {
-    let service = if nth % PLAIN_SHARE == 0 { "plain" } else { "engine" };
+    let service = if nth.is_multiple_of(PLAIN_SHARE) { "plain" } else { "engine" };
     let host = [10, 1 + (nth >> 16) as u8, (nth >> 8) as u8, nth as u8];
     Announcement {
         id: format!("upstream-{nth:08}").parse().unwrap(),
