--- a/src/roster/piece/tests.rs
+++ b/src/roster/piece/tests.rs
@@ -2,7 +2,6 @@
 
 use super::Error;
 use super::Piece;
-
 use crate::roster::Scope;
 use crate::roster::slice::Level;
 
