--- a/src/gateway/follow/sources.rs
+++ b/src/gateway/follow/sources.rs
@@ -26,6 +26,9 @@
 const MIN_RELIABLE_TIME: Duration = Duration::from_secs(15);
 /// How long a better control VM must be known before it replaces a source.
 const MOVE_DELAY: Duration = Duration::from_secs(2);
+/// The same for a source that was chosen as a seed, when no control VM was known yet. It is short, so that little of the
+/// roster has been received.
+const FIRST_MOVE_DELAY: Duration = Duration::from_millis(200);
 
 /// A control VM that can be followed.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -43,6 +46,8 @@
 pub struct Sources {
     own_vm: id::Vm,
     current: [Option<id::Vm>; SLOTS],
+    /// Whether the source was reported as live when it was chosen.
+    was_live: [bool; SLOTS],
     failed: HashMap<id::Vm, Instant>,
     is_fresh: [bool; SLOTS],
     /// Since when a better control VM has been known.
@@ -55,6 +60,7 @@
         Self {
             own_vm,
             current: Default::default(),
+            was_live: [false; SLOTS],
             failed: HashMap::new(),
             is_fresh: [false; SLOTS],
             better_since: [None; SLOTS],
@@ -92,7 +98,9 @@
         let free = candidates.iter().filter(|one| {
             !self.current.contains(&Some(one.vm.clone())) && !is_backing_off(&one.vm)
         });
-        let vm = free.min_by_key(|one| self.rank(slot, one))?.vm.clone();
+        let chosen = free.min_by_key(|one| self.rank(slot, one))?;
+        let vm = chosen.vm.clone();
+        self.was_live[slot] = chosen.is_live;
         self.current[slot] = Some(vm.clone());
         self.better_since[slot] = None;
         Some(vm)
@@ -111,7 +119,7 @@
         }
     }
 
-    /// Whether to replace a source by a better one that has been known for some time, `jitter` included.
+    /// Whether to replace a source by a better one that has been known for some time. `jitter` spreads the moves of a fleet.
     ///
     /// All VMs start with the seeds as their only candidates. If they stayed there, three control VMs
     /// would serve the whole fleet, most of it over the links between regions.
@@ -136,7 +144,8 @@
             return false;
         }
         let since = *self.better_since[slot].get_or_insert(now);
-        now >= since + MOVE_DELAY + jitter
+        let delay = if self.was_live[slot] { MOVE_DELAY + jitter } else { FIRST_MOVE_DELAY };
+        now >= since + delay
     }
 
     /// The preference of a subscription, lowest first: a control VM of this region for the first one,
