--- a/src/directory/service/follow.rs
+++ b/src/directory/service/follow.rs
@@ -14,6 +14,7 @@
 use crate::roster::Delta;
 use crate::roster::Interest;
 use crate::roster::News;
+use crate::roster::Piece;
 use crate::roster::slice::Position;
 use crate::routing::state::Replicated;
 use crate::unit::Version;
@@ -38,8 +39,7 @@
         let received_at = clock::now();
         let is_current = follow.epoch == self.epoch;
         let follower = follow.presence.vm.clone();
-        let position = Position::of_vm(&follow.presence.vm);
-        let interest = Interest { position, region: follow.only_of };
+        let interest = Interest { position: Position::of_vm(&follower), region: follow.only_of };
         let known_as = self.apply_presence(follow.presence);
         let revision = if is_current { follow.roster } else { 0 };
         let base = follow.base.map(|base| if is_current { base } else { 0 });
@@ -50,32 +50,26 @@
             }
         };
         self.wait_for_update(roster, follow.routing, follow.defers_routing).await;
-        let (roster, piece) = match base {
-            Some(base) => (None, self.table().piece(&interest, revision, base, Instant::now())),
-            None => (self.whole_delta(interest.region.as_ref(), revision), None),
-        };
-        if let Some(piece) = &piece {
-            self.metrics.record_piece(piece);
-            if piece.is_first {
-                info!(self.log, "slice.begun"; "follower" => %follower, "base" => piece.base,
-                    "held" => revision, "known_epoch" => is_current);
-            }
-        }
-        // Read before the routing state, which is then at least as new as the proof.
-        let proof = self.freshness().proof().map(|proof| proof.to_message(received_at));
-        let newer = self.routing.borrow().clone();
-        let newer = (newer.revision > follow.routing).then_some(newer);
         let mut followed = Followed {
             epoch: self.epoch,
-            roster,
+            roster: None,
             routing: None,
             in_touch: *self.up_to_date.borrow(),
-            proof,
+            // Read before the routing state, which is then at least as new as the proof.
+            proof: self.freshness().proof().map(|proof| proof.to_message(received_at)),
             known_as,
-            piece,
+            piece: None,
             encoded_routing: None,
             routing_revision: None,
         };
+        match base {
+            Some(base) => {
+                followed.piece = self.next_piece(&follower, &interest, Held { revision, base });
+            }
+            None => followed.roster = self.whole_delta(interest.region.as_ref(), revision),
+        }
+        let newer = self.routing.borrow().clone();
+        let newer = (newer.revision > follow.routing).then_some(newer);
         if follow.defers_routing {
             followed.routing_revision = newer.map(|newer| newer.revision);
         } else if base.is_some() {
@@ -86,6 +80,18 @@
         Reply::Followed(Box::new(followed))
     }
 
+    /// The next piece of a follower's slice.
+    fn next_piece(&self, follower: &id::Vm, interest: &Interest, held: Held) -> Option<Piece> {
+        let Held { revision, base } = held;
+        let piece = self.table().piece(interest, revision, base, Instant::now())?;
+        self.metrics.record_piece(&piece);
+        if piece.is_first {
+            info!(self.log, "slice.begun"; "follower" => %follower, "base" => piece.base,
+                "held" => revision);
+        }
+        Some(piece)
+    }
+
     /// Encodes a routing state, once for all followers.
     fn encode_routing(&self, routing: &Replicated) -> Bytes {
         let mut encoded = self.encoded_routing.lock().expect("no panic while locked");
