Answers of control VMs follow VMs that go silent

Cause: answers are kept until a VM changes, and a VM that goes silent was not counted as a change. Each logged change of a VM counts now. The test fails on the code before.

--- a/src/directory/lookup/tests.rs
+++ b/src/directory/lookup/tests.rs
@@ -1,9 +1,19 @@
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
+use std::time::Duration;
 
+use tokio::time::Instant;
+
+use super::Index;
+use super::MAX_ADDRESSES;
 use super::addresses;
+use super::select;
+use crate::roster::Heartbeat;
 use crate::roster::Presence;
 use crate::roster::Stamp;
 use crate::roster::Standing;
+use crate::roster::Table;
+use crate::roster::table::Timeouts;
 use crate::wire::Role;
 
 fn vm(name: &str, region: &str, port: u16) -> Presence {
@@ -63,3 +73,44 @@
     );
     assert_eq!(ports_for("q", &["u"], &vms, &vms), [1, 2, 3], "an answer is better than none");
 }
+
+// Guards against naming a VM that is off because an earlier answer is given again.
+#[tokio::test(start_paused = true)]
+async fn index_follows_each_change_of_a_vm() {
+    let timeouts = Timeouts { upstream: Duration::from_secs(5), vm: Duration::from_secs(3) };
+    let mut table = Table::new(timeouts);
+    let now = Instant::now();
+    let (mut index, region) = (Index::default(), "r".parse().unwrap());
+    let mut ports = |table: &Table| -> Vec<u16> {
+        let addresses = index.addresses(&region, BTreeSet::new(), table);
+        addresses.iter().map(SocketAddr::port).collect()
+    };
+    table.apply_presence(vm("a", "r", 1), now);
+    table.apply_presence(vm("b", "r", 2), now);
+    assert_eq!(ports(&table), [1, 2]);
+    let later = now + Duration::from_secs(2);
+    let renewed = Presence { stamp: Stamp::new(1, 2), ..vm("a", "r", 1) };
+    table.apply_presence(renewed.clone(), later);
+    table.expire(now + Duration::from_secs(4));
+    assert_eq!(ports(&table), [1], "a silent VM is not named");
+    table.apply_heartbeats(&[Heartbeat { digest: vm("b", "r", 2).digest(), sequence: 9 }], later);
+    assert_eq!(ports(&table), [1, 2], "one that is back is");
+    let draining = Presence { standing: Standing::Draining, stamp: Stamp::new(1, 3), ..renewed };
+    table.apply_presence(draining, later);
+    assert_eq!(ports(&table), [2]);
+}
+
+// Guards against callers that all use the same 64 VMs of a larger region.
+#[test]
+fn callers_spread_over_more_vms_than_fit_into_an_answer() {
+    let all: Vec<SocketAddr> = (1..=200).map(|port| ([127, 0, 0, 1], port).into()).collect();
+    let mut named = BTreeSet::new();
+    for random in (0..1000).step_by(37) {
+        let answer = select(&all, random);
+        assert_eq!(answer.iter().collect::<BTreeSet<_>>().len(), MAX_ADDRESSES);
+        named.extend(answer);
+    }
+    assert_eq!(named.len(), all.len());
+    assert_eq!(select(&all[..3], 2), all[..3]);
+    assert!(select(&[], 2).is_empty());
+}
--- a/src/roster/table/changes.rs
+++ b/src/roster/table/changes.rs
@@ -111,16 +111,18 @@
     /// Logs a change, or defers a new subject.
     pub(super) fn record_change(&mut self, subject: &Subject) {
         let Some((group, is_new)) = self.group(subject) else { return };
-        if matches!(subject, Subject::Vm(..)) {
-            self.vm_revision += 1;
-        }
         if is_new && self.log.defer(subject, &group) {
+            self.count_vm_change(subject);
             self.schedule_expiry(subject);
         } else {
             self.log_change(subject);
         }
     }
 
+    fn count_vm_change(&mut self, subject: &Subject) {
+        self.vm_revision += u64::from(matches!(subject, Subject::Vm(..)));
+    }
+
     /// The group of a subject, and whether it has not been logged yet.
     pub(super) fn group(&self, subject: &Subject) -> Option<(Group, bool)> {
         match subject {
@@ -160,6 +162,7 @@
     /// Assigns the next revision to a subject and logs the change.
     pub(super) fn log_change(&mut self, subject: &Subject) {
         let Some((group, _)) = self.group(subject) else { return };
+        self.count_vm_change(subject);
         self.revision += 1;
         let revision = self.revision;
         let (entry, previous) = match subject {
