--- a/src/roster/mod.rs
+++ b/src/roster/mod.rs
@@ -2,7 +2,8 @@
 //!
 //! Membership does not go through consensus. Each record has a single writer, the upstream or VM that it describes, and
 //! a [`Stamp`] that orders its versions, so records may be reordered, duplicated or relayed. A control VM keeps a
-//! [`Table`]; an entry VM follows two control VMs and combines their tables in a [`MergedTable`].
+//! [`Table`] of all of them; an entry VM follows two control VMs, receives its [`slice`] of their tables in [`Piece`]s, and
+//! combines both in a [`MergedTable`].
 
 pub mod announcement;
 pub mod change_log;
