Rate limits that upstreams state are decoded, held and logged

It is decoded once in platform/ into gateway::adapter::ResponseMeta, held in decide::feedback::Restrictions of the incarnation, and logged when a limit begins, changes or ends (at most one line a second for an upstream) with its source and age. A header that cannot be decoded is logged and changes nothing; the response passes. Gauge mastic_upstreams_limited. Requests are placed as before.

--- /dev/null
+++ b/src/decide/feedback.rs
@@ -0,0 +1,60 @@
+//! Restrictions that upstreams state in their responses.
+//!
+//! **Load pattern.** An engine runs short of something that its load does not show. It still answers, and states with
+//! each answer how many requests a second it takes from all VMs together.
+//!
+//! **Without it.** The engine answers as fast as before, so placement sends it as much as before, and more if its
+//! neighbours are busier.
+//!
+//! **Decision.** The head of each response is decoded once into a [`Feedback`]. The [`Restrictions`] of an upstream
+//! hold what it stated, until it restarts.
+
+mod change;
+mod limit;
+mod restrictions;
+
+use crate::unit::Rate;
+
+pub use change::Change;
+pub use change::Event;
+pub use limit::Limit;
+pub use restrictions::Restrictions;
+
+/// A value that a response may state.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub enum Statement<T> {
+    /// The response does not state it.
+    #[default]
+    Absent,
+    /// The response states something that is not a valid value: its text, possibly shortened.
+    Invalid(String),
+    /// The value.
+    Value(T),
+}
+
+/// What an upstream states about itself in the head of a response.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct Feedback {
+    /// The requests that it takes from all VMs together, for as long as it states this.
+    pub rate_limit: Statement<Rate>,
+}
+
+/// How this VM knows of a restriction.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum Source {
+    /// A response that this VM received.
+    #[default]
+    Response,
+}
+
+impl Source {
+    /// The name for the log.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Response => "response",
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/decide/feedback/change.rs
@@ -0,0 +1,38 @@
+//! Changes of restrictions, for the log.
+
+use std::time::Duration;
+
+use super::Source;
+use crate::id;
+use crate::unit::Rate;
+
+/// What changed.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Event {
+    /// A rate limit over all VMs began.
+    LimitBegan(Rate),
+    /// A rate limit changed.
+    LimitChanged(Rate),
+    /// A rate limit ended.
+    LimitEnded,
+    /// A header of a response could not be decoded and was ignored.
+    HeaderIgnored {
+        /// What the header would state.
+        name: &'static str,
+        /// The text, possibly shortened.
+        value: String,
+    },
+}
+
+/// A restriction of an upstream that began, changed or ended.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Change {
+    /// The upstream.
+    pub upstream: id::Upstream,
+    /// What changed.
+    pub event: Event,
+    /// How this VM knows of it.
+    pub source: Source,
+    /// The time since the upstream stated it.
+    pub age: Duration,
+}
--- /dev/null
+++ b/src/decide/feedback/restrictions.rs
@@ -0,0 +1,83 @@
+//! All restrictions of one upstream.
+
+use std::time::Duration;
+
+use tokio::time::Instant;
+
+use super::Change;
+use super::Event;
+use super::Feedback;
+use super::Limit;
+use super::Source;
+use super::Statement;
+use crate::id;
+use crate::unit::Rate;
+
+/// Minimum interval between log entries about one upstream, which bounds the log if a statement changes with each
+/// response.
+const LOG_INTERVAL: Duration = Duration::from_secs(1);
+
+/// The state that was last reported to the log.
+#[derive(Debug, Default)]
+struct Reported {
+    at: Option<Instant>,
+    rate: Option<Rate>,
+}
+
+/// What one incarnation of an upstream has stated.
+#[derive(Debug, Default)]
+pub struct Restrictions {
+    /// The rate limit.
+    pub limit: Limit,
+    /// The last header that could not be decoded, until it is reported.
+    ignored: Option<(&'static str, String)>,
+    reported: Reported,
+}
+
+impl Restrictions {
+    /// Creates the state of a new incarnation, which has not stated anything. The log is told what ended.
+    #[must_use]
+    pub fn restarted(self) -> Self {
+        Self { reported: self.reported, ..Self::default() }
+    }
+
+    /// Records the feedback of a response to a request that was sent at `sent_at`.
+    pub fn record(&mut self, feedback: &Feedback, sent_at: Instant, now: Instant) {
+        self.limit.record(&feedback.rate_limit, sent_at, now);
+        if let Statement::Invalid(text) = &feedback.rate_limit {
+            self.ignored = Some(("rate limit", text.clone()));
+        }
+    }
+
+    /// Returns the changes since the last call, for the log.
+    pub fn take_changes(&mut self, upstream: &id::Upstream, now: Instant) -> Vec<Change> {
+        let is_unchanged = self.reported.rate == self.limit.rate() && self.ignored.is_none();
+        let is_early =
+            self.reported.at.is_some_and(|at| now.saturating_duration_since(at) < LOG_INTERVAL);
+        if is_unchanged || is_early {
+            return Vec::new();
+        }
+        self.reported.at = Some(now);
+        let mut changes = Vec::new();
+        let mut add = |event, known: Option<(Instant, Source)>| {
+            let (at, source) = known.unwrap_or((now, Source::Response));
+            let age = now.saturating_duration_since(at);
+            changes.push(Change { upstream: upstream.clone(), event, source, age });
+        };
+        if let Some((name, value)) = self.ignored.take() {
+            add(Event::HeaderIgnored { name, value }, None);
+        }
+        let rate = self.limit.rate();
+        let event = match (self.reported.rate, rate) {
+            (None, Some(rate)) => Some(Event::LimitBegan(rate)),
+            (Some(before), Some(rate)) if before != rate => Some(Event::LimitChanged(rate)),
+            (Some(_), None) => Some(Event::LimitEnded),
+            _ => None,
+        };
+        if let Some(event) = event {
+            add(event, self.limit.known());
+        }
+        self.reported.rate = rate;
+        changes
+    }
+}
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod admission;
 pub mod engine;
+pub mod feedback;
 pub mod freshness;
 mod history;
 pub mod limit;
--- a/src/decide/place.rs
+++ b/src/decide/place.rs
@@ -40,6 +40,8 @@
 use self::service::ServiceStats;
 use self::upstream::UpstreamState;
 use crate::decide::engine::Output;
+use crate::decide::feedback::Change;
+use crate::decide::feedback::Feedback;
 use crate::decide::route::rendezvous;
 use crate::decide::sharing::Key;
 use crate::decide::sharing::Load;
@@ -402,6 +404,26 @@
         }
     }
 
+    /// Records what an upstream states in its response to a request.
+    pub fn record_feedback(&mut self, in_flight: &InFlight, feedback: &Feedback, now: Instant) {
+        if let Some((upstream, _)) = state_of(&mut self.upstreams, &mut self.services, in_flight) {
+            upstream.restrictions.record(feedback, in_flight.sent_at, now);
+        }
+    }
+
+    /// Returns the restrictions that began, changed or ended since the last call, for the log.
+    pub fn take_changes(&mut self, now: Instant) -> Vec<Change> {
+        let upstreams = self.upstreams.iter_mut();
+        upstreams.flat_map(|(id, upstream)| upstream.restrictions.take_changes(id, now)).collect()
+    }
+
+    /// Returns the number of upstreams that state a rate limit.
+    pub fn limited_count(&self) -> usize {
+        let limits =
+            self.upstreams.values().filter_map(|upstream| upstream.restrictions.limit.rate());
+        limits.count()
+    }
+
     fn sender(&self, service: &str) -> Sender {
         self.senders.get(service).copied().unwrap_or_default()
     }
--- a/src/decide/place/upstream.rs
+++ b/src/decide/place/upstream.rs
@@ -22,6 +22,7 @@
 use super::service::Work;
 use crate::decide::engine::Quantile;
 use crate::decide::engine::Speed;
+use crate::decide::feedback::Restrictions;
 use crate::decide::sharing::Key;
 use crate::decide::sharing::Load;
 use crate::unit::Tokens;
@@ -93,6 +94,8 @@
     health: Health,
     cache: Cache,
     pacer: Pacer,
+    /// What the upstream has stated in its responses.
+    pub restrictions: Restrictions,
 }
 
 impl UpstreamState {
@@ -113,6 +116,7 @@
             health: Health::default(),
             cache: Cache::default(),
             pacer: Pacer::default(),
+            restrictions: Restrictions::default(),
         }
     }
 
@@ -123,7 +127,8 @@
         {
             self.endpoint = endpoint;
         } else {
-            *self = Self::new(endpoint);
+            let restrictions = std::mem::take(&mut self.restrictions).restarted();
+            *self = Self { restrictions, ..Self::new(endpoint) };
         }
     }
 
--- a/src/gateway/adapter.rs
+++ b/src/gateway/adapter.rs
@@ -14,6 +14,7 @@
 
 use super::Call;
 use super::State;
+use crate::decide::feedback::Feedback;
 use crate::decide::place::Report;
 use crate::http::Body;
 use crate::http::Refusal;
@@ -60,7 +61,7 @@
 }
 
 /// Metadata in the head of a response.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
+#[derive(Debug, Clone, Default, PartialEq)]
 pub struct ResponseMeta {
     /// The id of the request that is answered, if present.
     pub request_id: Option<String>,
@@ -72,6 +73,8 @@
     pub is_misdirected: bool,
     /// The load that the upstream reports.
     pub load: Option<Report>,
+    /// The restrictions that the upstream states.
+    pub feedback: Feedback,
     /// How long the connection may stay idle in the pool; none if not stated.
     pub idle_timeout: Option<Duration>,
     /// Whether the connection closes after this response.
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -218,6 +218,10 @@
         reservation.complete(Outcome::Failed);
         return AttemptResult::Indeterminate { reason: "the answer belongs to another request" };
     }
+    // A different upstream that has taken over the address speaks for itself, not for this one.
+    if !meta.is_misdirected && (meta.has_receipt || meta.is_not_executed) {
+        reservation.record_feedback(&meta.feedback);
+    }
     if meta.is_not_executed || is_vm_refusal(&reservation, &meta, response.status()) {
         let is_misdirected = meta.is_misdirected;
         let stage = match reservation.target() {
--- a/src/gateway/daemon.rs
+++ b/src/gateway/daemon.rs
@@ -96,6 +96,16 @@
             // reserved for the VMs.
             info!(log, "sharing.off"; "why" => "the network is not closed");
         }
+        let (reporting, stop) = (state.clone(), supervisor.stop());
+        supervisor.child("restrictions", move || {
+            let (state, mut stop) = (reporting.clone(), stop.clone());
+            async move {
+                tokio::select! {
+                    () = state.report_restrictions() => (),
+                    _ = stop.wait_for(|stop| *stop) => (),
+                }
+            }
+        });
         info!(log, "process.started"; "version" => env!("CARGO_PKG_VERSION"),
             "region" => %node.region, "data_centre" => %node.data_centre, "born" => start_time_ms);
         Ok(Self { state, supervisor })
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -26,6 +26,7 @@
     first_event: Histogram,
     sharing_dropped: Counter,
     upstreams: Gauge,
+    limited: Gauge,
     vms: Gauge,
     in_progress: Gauge,
     version: Gauge,
@@ -51,6 +52,9 @@
         registry.register("sharing_dropped", text, sharing_dropped.clone());
         let upstreams = Gauge::default();
         registry.register("upstreams", "Upstreams that take requests", upstreams.clone());
+        let limited = Gauge::default();
+        let text = "Upstreams that state a rate limit";
+        registry.register("upstreams_limited", text, limited.clone());
         let vms = Gauge::default();
         registry.register("vms", "Entry VMs that take requests", vms.clone());
         let in_progress = Gauge::default();
@@ -64,6 +68,7 @@
             first_event,
             sharing_dropped,
             upstreams,
+            limited,
             vms,
             in_progress,
             version,
@@ -92,6 +97,11 @@
         self.sharing_dropped.inc();
     }
 
+    /// Sets the number of upstreams that state a rate limit.
+    pub fn set_limited(&self, limited: usize) {
+        self.limited.set(limited as i64);
+    }
+
     /// Encodes all metrics in the text format, after updating the gauges.
     pub fn encode(&self, upstreams: usize, vms: usize, in_progress: usize, version: u64) -> String {
         self.upstreams.set(upstreams as i64);
--- a/src/gateway/reservation.rs
+++ b/src/gateway/reservation.rs
@@ -5,6 +5,7 @@
 use tokio::time::Instant;
 
 use super::State;
+use crate::decide::feedback::Feedback;
 use crate::decide::place::InFlight;
 use crate::decide::place::Outcome;
 use crate::id;
@@ -47,6 +48,13 @@
         }
     }
 
+    /// Records what the upstream states in its response.
+    pub fn record_feedback(&self, feedback: &Feedback) {
+        if let Some(held) = &self.held {
+            self.state.place().record_feedback(held, feedback, Instant::now());
+        }
+    }
+
     /// Releases the capacity with the given outcome.
     pub fn complete(mut self, outcome: Outcome) {
         self.outcome = outcome;
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -46,6 +46,7 @@
 use crate::wire::Mesh;
 use crate::wire::Role;
 
+mod restrictions;
 mod retries;
 mod roster;
 mod upstreams;
@@ -202,6 +203,7 @@
             let merged = self.merged();
             (merged.upstreams().count(), merged.vms(Role::Entry).filter(|vm| vm.ready).count())
         };
+        self.metrics.set_limited(self.place().limited_count());
         let version = self.routing().table.map_or(0, |table| table.version().get());
         self.metrics.encode(upstreams, vms, self.in_progress(), version)
     }
--- /dev/null
+++ b/src/gateway/state/restrictions.rs
@@ -0,0 +1,51 @@
+//! Logs the restrictions that upstreams state.
+
+use std::time::Duration;
+
+use slog::info;
+use slog::warn;
+use tokio::time;
+use tokio::time::Instant;
+
+use super::State;
+use crate::decide::feedback::Change;
+use crate::decide::feedback::Event;
+
+/// Interval at which changes are logged.
+const REPORT_INTERVAL: Duration = Duration::from_millis(200);
+
+impl State {
+    /// Logs restrictions that begin, change or end, until the task is cancelled.
+    pub async fn report_restrictions(&self) {
+        loop {
+            time::sleep(REPORT_INTERVAL).await;
+            let changes = self.place().take_changes(Instant::now());
+            for change in changes {
+                self.log_change(&change);
+            }
+        }
+    }
+
+    fn log_change(&self, change: &Change) {
+        let (upstream, source) = (&change.upstream, change.source.as_str());
+        let age = change.age.as_millis() as u64;
+        match &change.event {
+            Event::LimitBegan(rate) => {
+                info!(self.log, "upstream.limit_began"; "upstream" => %upstream,
+                    "per_second" => rate.get(), "source" => source, "age_ms" => age);
+            }
+            Event::LimitChanged(rate) => {
+                info!(self.log, "upstream.limit_changed"; "upstream" => %upstream,
+                    "per_second" => rate.get(), "source" => source, "age_ms" => age);
+            }
+            Event::LimitEnded => {
+                info!(self.log, "upstream.limit_ended"; "upstream" => %upstream,
+                    "source" => source, "age_ms" => age);
+            }
+            Event::HeaderIgnored { name, value } => {
+                warn!(self.log, "upstream.header_ignored"; "upstream" => %upstream,
+                    "header" => name, "value" => value);
+            }
+        }
+    }
+}
