LIMIT: a rate limit that an upstream states holds for the sum over all VMs

What callers and upstreams saw: a drafter that had stated 4 requests a second got 205 in 4 s (allowed 29), one with 6.5 got 224 (allowed 44), for as long as it stated it; callers were answered, the engine was not relieved. Cause: the response's statement was decoded nowhere and held nowhere. Placement knows load, failures and check-ins; an engine that still answers fast looks like the best choice. Class: what an upstream says in a response is not treated as state of the upstream. Change: decide::feedback::Limit holds the latest statement of the incarnation. Each VM keeps to its equal part by a bucket, and below about one request a second also to its turn (decide::turns, taken out of decide::place::cold and used by both), so that 985 buckets are not full at once. There is no lender of shares, so no VM's loss, freeze or partition changes the sum. VMs of a region pass on what they received through decide::sharing (new optional list in Update and Summary; older releases ignore it). The gate stands in UpstreamState::accepts, through which first attempts, retries, resumed streams and forwarded requests go. Where only limited upstreams are left a request goes to another region, or is refused at once with the time to the VM's next turn. Ruled out: each VM obeying alone (the arrivals did not change when the limit was named), one path that evades it (all did).

--- a/src/decide/feedback.rs
+++ b/src/decide/feedback.rs
@@ -7,10 +7,13 @@
 //! neighbours are busier.
 //!
 //! **Decision.** The head of each response is decoded once into a [`Feedback`]. The [`Restrictions`] of an upstream
-//! hold what it stated, until it restarts.
+//! hold what it stated, until it restarts, and placement obeys them before it compares costs. VMs pass a limit on to
+//! the others of their region by [`sharing`](super::sharing), and each VM keeps to its part of it.
 
 mod change;
 mod limit;
+mod notice;
+mod pacer;
 mod restrictions;
 
 use crate::unit::Rate;
@@ -18,6 +21,7 @@
 pub use change::Change;
 pub use change::Event;
 pub use limit::Limit;
+pub use notice::RateNotice;
 pub use restrictions::Restrictions;
 
 /// A value that a response may state.
@@ -45,6 +49,8 @@
     /// A response that this VM received.
     #[default]
     Response,
+    /// Another VM of the region.
+    Vm,
 }
 
 impl Source {
@@ -52,6 +58,7 @@
     pub const fn as_str(self) -> &'static str {
         match self {
             Self::Response => "response",
+            Self::Vm => "vm",
         }
     }
 }
--- a/src/decide/feedback/limit.rs
+++ b/src/decide/feedback/limit.rs
@@ -1,11 +1,20 @@
 //! The rate limit of one upstream.
 
+use std::time::Duration;
+
 use tokio::time::Instant;
 
+use super::RateNotice;
 use super::Source;
 use super::Statement;
+use super::pacer::Pace;
+use super::pacer::Pacer;
+use crate::decide::turns::Sender;
 use crate::unit::Rate;
 
+/// How long VMs are told that a limit has ended. The others then have received the news, or a response of their own.
+const END_NOTICE_TTL: Duration = Duration::from_secs(10);
+
 /// What a response showed: a limit or that there is none.
 #[derive(Debug, Clone, Copy, PartialEq)]
 struct Evidence {
@@ -18,6 +27,11 @@
 pub struct Limit {
     latest: Option<Evidence>,
     source: Source,
+    /// When the limit began, which is the reference of the VMs' turns.
+    since: Option<Instant>,
+    /// When the last limit ended, and its rate.
+    ended: Option<(Instant, Rate)>,
+    pacer: Pacer,
 }
 
 impl Limit {
@@ -28,15 +42,40 @@
     pub fn record(&mut self, stated: &Statement<Rate>, sent_at: Instant, now: Instant) {
         match stated {
             Statement::Value(rate) => {
-                self.update(Evidence { rate: Some(*rate), at: now }, Source::Response);
+                let evidence = Evidence { rate: Some(*rate), at: now };
+                self.update(evidence, Source::Response, now, now);
             }
             Statement::Absent if self.rate().is_some() => {
-                self.update(Evidence { rate: None, at: sent_at }, Source::Response);
+                let evidence = Evidence { rate: None, at: sent_at };
+                self.update(evidence, Source::Response, now, now);
             }
             Statement::Absent | Statement::Invalid(_) => (),
         }
     }
 
+    /// Applies what another VM received.
+    pub fn apply_notice(&mut self, notice: &RateNotice, now: Instant) {
+        let before = |age: Duration| now.checked_sub(age).unwrap_or(now);
+        let evidence = Evidence { rate: notice.rate, at: before(notice.age) };
+        let since = before(notice.since);
+        self.update(evidence, Source::Vm, since, now);
+        // All VMs use the earliest reference that one of them knows, so that their turns do not overlap.
+        if notice.rate.is_some()
+            && let Some(known) = self.since.as_mut()
+        {
+            *known = since.min(*known);
+        }
+    }
+
+    /// Returns what this VM received, for the other VMs; `None` if another VM has later news.
+    pub fn notice(&self, now: Instant) -> Option<RateNotice> {
+        let latest = self.latest.filter(|_| self.source == Source::Response)?;
+        let age = now.saturating_duration_since(latest.at);
+        let since = self.since.map_or(age, |since| now.saturating_duration_since(since));
+        let is_needed = latest.rate.is_some() || age < END_NOTICE_TTL;
+        is_needed.then_some(RateNotice { rate: latest.rate, age, since })
+    }
+
     /// Returns the limit in force.
     pub fn rate(&self) -> Option<Rate> {
         self.latest.and_then(|latest| latest.rate)
@@ -47,10 +86,39 @@
         Some((self.latest?.at, self.source))
     }
 
-    fn update(&mut self, evidence: Evidence, source: Source) {
+    /// Returns how long requests of this VM have to wait; zero if one may be sent now.
+    pub fn wait(&self, sender: Sender, now: Instant) -> Duration {
+        self.pace(now).map_or(Duration::ZERO, |pace| self.pacer.wait(&pace, sender, now))
+    }
+
+    /// Records that a request was sent.
+    pub fn record_sent(&mut self, sender: Sender, now: Instant) {
+        if let Some(pace) = self.pace(now) {
+            self.pacer.record_sent(&pace, sender, now);
+        }
+    }
+
+    /// Returns the rate to keep to. After a limit has ended, it rises in steps.
+    fn pace(&self, now: Instant) -> Option<Pace> {
+        let since = self.since?;
+        match (self.rate(), self.ended) {
+            (Some(rate), _) => Some(Pace::limited(rate, since)),
+            (None, Some((at, rate))) => {
+                Pace::released(rate, since, now.saturating_duration_since(at))
+            }
+            (None, None) => None,
+        }
+    }
+
+    fn update(&mut self, evidence: Evidence, source: Source, since: Instant, now: Instant) {
         if self.latest.is_some_and(|latest| latest.at >= evidence.at) {
             return;
         }
+        match (self.rate(), evidence.rate) {
+            (None, Some(_)) => self.since = Some(since),
+            (Some(rate), None) => self.ended = Some((now, rate)),
+            _ => (),
+        }
         self.latest = Some(evidence);
         self.source = source;
     }
--- a/src/decide/feedback/tests.rs
+++ b/src/decide/feedback/tests.rs
@@ -4,8 +4,11 @@
 
 use super::Event;
 use super::Feedback;
+use super::RateNotice;
 use super::Restrictions;
+use super::Source;
 use super::Statement;
+use crate::decide::turns::Sender;
 use crate::id;
 use crate::unit::Rate;
 
@@ -76,3 +79,66 @@
     let changes = one.take_changes(&name(), after(start, 2000));
     assert_eq!(changes[0].event, Event::LimitEnded);
 }
+
+fn notice(rate: Option<f64>, age: u64, since: u64) -> RateNotice {
+    let (age, since) = (Duration::from_millis(age), Duration::from_millis(since));
+    RateNotice { rate: rate.map(Rate::per_second), age, since }
+}
+
+// Guards against an old notice that brings back a limit, or lifts one, after later news.
+#[tokio::test(start_paused = true)]
+async fn the_latest_news_of_a_limit_counts_whoever_received_it() {
+    let start = Instant::now() + Duration::from_secs(60);
+    let mut one = Restrictions::default();
+    one.limit.apply_notice(&notice(Some(4.0), 100, 100), start);
+    assert_eq!(one.limit.known().unwrap().1, Source::Vm);
+    one.limit.apply_notice(&notice(None, 5000, 0), start);
+    assert_eq!(one.limit.rate(), Some(Rate::per_second(4.0)));
+    one.limit.apply_notice(&notice(None, 50, 0), start);
+    assert_eq!(one.limit.rate(), None);
+    one.limit.apply_notice(&notice(Some(4.0), 80, 80), start);
+    assert_eq!(one.limit.rate(), None);
+}
+
+// Guards against VMs that pass on each other's news as their own, which would never grow old.
+#[tokio::test(start_paused = true)]
+async fn only_what_a_vm_received_itself_is_passed_on() {
+    let start = Instant::now() + Duration::from_secs(60);
+    let mut one = Restrictions::default();
+    one.limit.apply_notice(&notice(Some(4.0), 100, 100), start);
+    assert_eq!(one.limit.notice(start), None);
+    one.record(&limited(4.0), start, start);
+    assert_eq!(one.limit.notice(start).unwrap().age, Duration::ZERO);
+    one.limit.apply_notice(&notice(Some(4.0), 10, 900), after(start, 100));
+    assert_eq!(one.limit.notice(after(start, 100)), None);
+}
+
+// Guards against hosts that disagree on the order in which updates arrive.
+#[test]
+fn notices_merge_in_any_order() {
+    let all = [
+        notice(Some(4.0), 100, 500),
+        notice(None, 100, 700),
+        notice(Some(3.0), 100, 200),
+        notice(Some(9.0), 300, 900),
+    ];
+    let merged = all.into_iter().reduce(RateNotice::merge).unwrap();
+    let reversed = all.into_iter().rev().reduce(RateNotice::merge).unwrap();
+    assert_eq!(merged, reversed);
+    assert_eq!(merged, notice(Some(3.0), 100, 900));
+}
+
+// Guards against a panic or an endless wait by absurd limits.
+#[tokio::test(start_paused = true)]
+async fn absurd_limits_leave_a_finite_wait() {
+    let start = Instant::now();
+    for rate in [0.0, 1e-300, 1e9, 1e300, f64::MAX] {
+        let mut one = Restrictions::default();
+        one.record(&limited(rate), start, start);
+        for (rank, count) in [(0, 1), (984, 985), (7, u32::MAX)] {
+            let sender = Sender::new(rank, count);
+            one.limit.record_sent(sender, start);
+            assert!(one.limit.wait(sender, after(start, 10)) <= Duration::from_secs(7200));
+        }
+    }
+}
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -15,3 +15,4 @@
 pub mod route;
 pub mod sharing;
 pub mod spill;
+pub mod turns;
--- a/src/decide/place.rs
+++ b/src/decide/place.rs
@@ -42,6 +42,7 @@
 use crate::decide::engine::Output;
 use crate::decide::feedback::Change;
 use crate::decide::feedback::Feedback;
+use crate::decide::feedback::RateNotice;
 use crate::decide::route::rendezvous;
 use crate::decide::sharing::Key;
 use crate::decide::sharing::Load;
@@ -52,7 +53,6 @@
 use crate::unit::Tokens;
 
 pub use cold::Cold;
-pub use cold::Sender;
 pub use health::Outcome;
 pub use regions::Holder;
 pub use regions::OpenUpstreams;
@@ -64,12 +64,17 @@
 pub use service::Work;
 pub use upstream::Report;
 
+pub use super::turns::Sender;
+
 /// Number of event gaps averaged into one slowdown sample; a single gap may consist of the prefill of one prompt.
 const GAP_SAMPLES: u32 = 8;
 
 /// Number of engines per prefix found by rendezvous hashing, so that all VMs fall back to the same second engine.
 const PREFIX_CANDIDATES: usize = 2;
 
+/// Maximum number of rate limits in a message to other VMs.
+const MAX_NOTICES: usize = 256;
+
 /// Maximum number of prefix uses queued for other VMs.
 const MAX_PENDING_USES: usize = 64;
 
@@ -230,6 +235,15 @@
         loads.filter(|(_, load)| !load.is_empty()).collect()
     }
 
+    /// Returns the rate limits that this VM found in responses of a shard's upstreams.
+    pub fn rate_notices(&self, shard: u8, now: Instant) -> Vec<(Key, RateNotice)> {
+        let upstreams = self.upstreams.values().filter(|upstream| upstream.key().shard() == shard);
+        let notices = upstreams.filter_map(|upstream| {
+            Some((upstream.key(), upstream.restrictions.limit.notice(now)?))
+        });
+        notices.take(MAX_NOTICES).collect()
+    }
+
     /// Removes and returns the prefix uses on the upstreams of a shard.
     pub fn take_uses(&mut self, shard: u8) -> Vec<PrefixUse> {
         let (taken, left) =
@@ -241,12 +255,16 @@
     /// Applies a summary of other VMs' load from a shard's host. Upstreams missing from it have no load.
     pub fn apply_summary(&mut self, summary: &Summary, now: Instant) {
         let loads: HashMap<Key, Load> = summary.loads.iter().copied().collect();
+        let limits: HashMap<Key, RateNotice> = summary.limits.iter().copied().collect();
         for upstream in self.upstreams.values_mut() {
             let key = upstream.key();
             if key.shard() != summary.shard {
                 continue;
             }
             upstream.set_peer_load(loads.get(&key).copied().unwrap_or_default(), now);
+            if let Some(notice) = limits.get(&key) {
+                upstream.restrictions.limit.apply_notice(notice, now);
+            }
             let uses = summary.uses.iter().filter(|used| used.engine == key);
             for used in uses {
                 let prefix = Prefix { key: used.part, tokens: Tokens::new(used.tokens) };
@@ -276,12 +294,29 @@
     pub fn outlook(&mut self, service: &str, urgent: bool, now: Instant) -> Option<Outlook> {
         let (work, max_wait) = (Work::default(), Duration::MAX);
         let query = Query { service, work, tried: &[], holds_prefix: false, urgent, max_wait };
-        let placement = self.choose(&query, now)?;
+        let Some(placement) = self.choose(&query, now) else {
+            let wait = self.next_opening(service, &[], now)?;
+            return Some(Outlook { wait, running: 0 });
+        };
         let failures = self.upstreams.get(&placement.id).map(|upstream| upstream.penalty(now));
         let wait = placement.first_event + failures.unwrap_or_default();
         Some(Outlook { wait, running: placement.running })
     }
 
+    /// Returns the time until an upstream accepts a request that its restrictions exclude now; `None` if no upstream is
+    /// excluded by restrictions alone.
+    pub fn next_opening(
+        &self,
+        service: &str,
+        tried: &[id::Upstream],
+        now: Instant,
+    ) -> Option<Duration> {
+        let sender = self.sender(service);
+        let others = self.available(service).filter(|(id, _)| !tried.contains(id));
+        let waits = others.map(|(_, upstream)| upstream.restricted_for(sender, now));
+        waits.filter(|wait| !wait.is_zero()).min()
+    }
+
     /// Records that a request was sent to the selected upstream.
     pub fn record_sent(&mut self, placement: &Placement, work: &Work, now: Instant) -> InFlight {
         let service = self.upstreams.get(&placement.id).map(|known| &known.endpoint.service);
--- a/src/decide/place/decision.rs
+++ b/src/decide/place/decision.rs
@@ -8,7 +8,6 @@
 
 use super::Placement;
 use super::Query;
-use super::cold::Sender;
 use super::sample;
 use super::sample::Candidate;
 use super::seconds;
@@ -16,6 +15,7 @@
 use super::service::ServiceStats;
 use super::upstream::CacheState;
 use super::upstream::UpstreamState;
+use crate::decide::turns::Sender;
 use crate::id;
 
 /// The range of the random addend that breaks ties; otherwise all VMs choose the same upstream between two load
--- a/src/decide/place/sample.rs
+++ b/src/decide/place/sample.rs
@@ -9,10 +9,10 @@
 use rand::Rng;
 use tokio::time::Instant;
 
-use super::cold::Sender;
 use super::service::ServiceStats;
 use super::upstream::UpstreamState;
 use crate::decide::sharing::UPDATE_INTERVAL;
+use crate::decide::turns::Sender;
 use crate::id;
 
 /// The minimum sample size; two choices are far better than one, however old the load data.
--- a/src/decide/place/upstream.rs
+++ b/src/decide/place/upstream.rs
@@ -11,7 +11,6 @@
 use super::cache::Cache;
 use super::cold::Cold;
 use super::cold::Pacer;
-use super::cold::Sender;
 use super::cost::Conditions;
 use super::health::Health;
 use super::health::Outcome;
@@ -25,6 +24,7 @@
 use crate::decide::feedback::Restrictions;
 use crate::decide::sharing::Key;
 use crate::decide::sharing::Load;
+use crate::decide::turns::Sender;
 use crate::unit::Tokens;
 
 /// The minimum time constant with which load reports lose their weight; otherwise it is the service time. Reports
@@ -146,9 +146,15 @@
         self.endpoint.open
             && self.running < self.endpoint.connections
             && (is_healthy || is_fallback)
+            && self.restricted_for(sender, now).is_zero()
             && self.cold(now).is_none_or(|cold| self.pacer.allows(&cold, sender, now))
     }
 
+    /// Returns how long the restrictions that the upstream states exclude this VM's requests; zero if they don't.
+    pub fn restricted_for(&self, sender: Sender, now: Instant) -> Duration {
+        self.restrictions.limit.wait(sender.rotated(self.key.get()), now)
+    }
+
     /// Returns the number of prefix tokens to prefill.
     pub fn uncached_prefix(&self, work: &Work, state: CacheState) -> Tokens {
         let Some(prefix) = &work.prefix else { return Tokens::ZERO };
@@ -302,6 +308,7 @@
         if let Some(cold) = self.cold(now) {
             self.pacer.record(&cold, sender, now);
         }
+        self.restrictions.limit.record_sent(sender.rotated(self.key.get()), now);
         if let (Some(prefix), Some(memory)) = (work.prefix, self.endpoint.memory) {
             self.cache.record_use(prefix, memory, now);
         }
--- a/src/decide/sharing/aggregator.rs
+++ b/src/decide/sharing/aggregator.rs
@@ -16,6 +16,7 @@
 use super::UPDATE_TTL;
 use super::Update;
 use super::remotes::Remotes;
+use crate::decide::feedback::RateNotice;
 use crate::id;
 
 /// Prefix uses retained for VMs that have not received them; covers some seconds at peak load.
@@ -79,9 +80,10 @@
         shard.add_uses(&update.uses);
         shard.received.insert(from.clone(), Received { update, at: now });
         let loads = shard.sum_excluding(from, now).into_iter().collect();
+        let limits = shard.limits_excluding(from, now).into_iter().collect();
         let remotes = if index == REMOTES_SHARD { self.remotes.recent(now) } else { Vec::new() };
         let quotas = None;
-        Some(Summary { shard: index, number, loads, quotas, uses, known, remotes })
+        Some(Summary { shard: index, number, loads, quotas, uses, known, remotes, limits })
     }
 }
 
@@ -106,6 +108,22 @@
         sums
     }
 
+    /// Returns the latest rate limits of all VMs except one.
+    fn limits_excluding(&self, excluded: &id::Vm, now: Instant) -> BTreeMap<Key, RateNotice> {
+        let mut latest: BTreeMap<Key, RateNotice> = BTreeMap::new();
+        for (_, received) in self.received.iter().filter(|(vm, _)| *vm != excluded) {
+            let age = now.saturating_duration_since(received.at);
+            for (key, notice) in &received.update.limits {
+                let notice = notice.aged(age);
+                latest
+                    .entry(*key)
+                    .and_modify(|known| *known = known.merge(notice))
+                    .or_insert(notice);
+            }
+        }
+        latest
+    }
+
     fn add_uses(&mut self, uses: &[PrefixUse]) {
         self.uses.extend(uses);
         let over = self.uses.len().saturating_sub(MAX_RETAINED_USES);
--- a/src/decide/sharing/key.rs
+++ b/src/decide/sharing/key.rs
@@ -20,6 +20,11 @@
         Self(xxh3_64_with_seed(upstream.as_str().as_bytes(), start) as u32)
     }
 
+    /// The hash.
+    pub const fn get(self) -> u32 {
+        self.0
+    }
+
     /// The shard of the upstream.
     pub const fn shard(self) -> u8 {
         (self.0 % SHARDS as u32) as u8
--- a/src/decide/sharing/message.rs
+++ b/src/decide/sharing/message.rs
@@ -10,6 +10,7 @@
 use super::Key;
 use super::Load;
 use super::SHARDS;
+use crate::decide::feedback::RateNotice;
 use crate::decide::quota;
 use crate::id;
 
@@ -17,7 +18,7 @@
 const MAX_ENTRIES: usize = 1000;
 
 /// A datagram.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum Message {
     /// From a VM to a host.
     #[serde(rename = "u")]
@@ -82,7 +83,7 @@
 }
 
 /// A VM's load on the upstreams of a shard.
-#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 pub struct Update {
     /// The shard.
     #[serde(rename = "s")]
@@ -109,10 +110,13 @@
     /// [`REMOTES_SHARD`](super::REMOTES_SHARD).
     #[serde(rename = "r", default, skip_serializing_if = "Vec::is_empty")]
     pub remotes: Vec<RegionEstimate>,
+    /// Rate limits that the VM found in responses of upstreams.
+    #[serde(rename = "m", default, skip_serializing_if = "Vec::is_empty")]
+    pub limits: Vec<(Key, RateNotice)>,
 }
 
 /// A host's answer to an update.
-#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 pub struct Summary {
     /// The shard.
     #[serde(rename = "s")]
@@ -136,6 +140,9 @@
     /// Recent estimates of other regions.
     #[serde(rename = "r", default, skip_serializing_if = "Vec::is_empty")]
     pub remotes: Vec<RegionEstimate>,
+    /// The latest rate limits that other VMs found.
+    #[serde(rename = "m", default, skip_serializing_if = "Vec::is_empty")]
+    pub limits: Vec<(Key, RateNotice)>,
 }
 
 impl Message {
@@ -149,20 +156,24 @@
     /// Decodes a datagram; `None` if it is malformed or has invalid contents.
     pub fn decode(bytes: &[u8]) -> Option<Self> {
         let message: Self = ciborium::from_reader(bytes).ok()?;
-        let (shard, loads, uses, remotes) = match &message {
+        let (shard, loads, uses, remotes, limits) = match &message {
             Self::Totals(totals) if totals.shard < SHARDS && totals.is_valid() => {
                 return Some(message);
             }
             Self::Totals(_) => return None,
-            Self::Update(update) => (update.shard, &update.loads, &update.uses, &update.remotes),
+            Self::Update(update) => {
+                (update.shard, &update.loads, &update.uses, &update.remotes, &update.limits)
+            }
             Self::Summary(summary) => {
-                (summary.shard, &summary.loads, &summary.uses, &summary.remotes)
+                (summary.shard, &summary.loads, &summary.uses, &summary.remotes, &summary.limits)
             }
         };
         let is_valid = shard < SHARDS
             && loads.len() <= MAX_ENTRIES
             && uses.len() <= MAX_ENTRIES
             && remotes.len() <= MAX_ENTRIES
+            && limits.len() <= MAX_ENTRIES
+            && limits.iter().all(|(key, notice)| key.shard() == shard && notice.is_valid())
             && loads.iter().all(|(key, load)| key.shard() == shard && load.is_valid())
             && uses.iter().all(|used| used.engine.shard() == shard);
         is_valid.then_some(message)
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -104,6 +104,8 @@
     /// Attempts that were not executed.
     not_executed: u32,
     retry_after: Option<Duration>,
+    /// When an upstream of this region accepts requests again, if its restrictions exclude them now.
+    opening: Option<Duration>,
     /// An upstream's error response, returned if no other upstream succeeds.
     upstream_error: Option<OpenResponse>,
 }
@@ -123,6 +125,7 @@
             executed: 0,
             not_executed: 0,
             retry_after: None,
+            opening: None,
             upstream_error: None,
         }
     }
@@ -162,6 +165,9 @@
                 if self.can_wait() && self.state.wait_for_update(self.wait_deadline()).await {
                     continue;
                 }
+                let service = &self.job.service;
+                self.opening =
+                    self.state.place().next_opening(service, &self.tried, Instant::now());
                 return Err(self.refusal(Reason::NoUpstream, "no upstream can take it now"));
             };
             let max_wait = remaining.min(self.max_wait());
@@ -353,8 +359,8 @@
             return Refusal::new(reason, detail).with_ran(Ran::Unknown);
         }
         let reason = if reason == Reason::UpstreamFailed { Reason::Overload } else { reason };
-        let after =
-            self.retry_after.unwrap_or(MIN_RETRY_AFTER).clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER);
+        let after = self.opening.or(self.retry_after).unwrap_or(MIN_RETRY_AFTER);
+        let after = after.clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER);
         let spread = 1.0 + (self.state.random() % 256) as f64 / 1024.0;
         Refusal::new(reason, detail).with_retry_after(after.mul_f64(spread))
     }
--- a/src/gateway/sharing.rs
+++ b/src/gateway/sharing.rs
@@ -186,11 +186,12 @@
         if let Some(lost) = &turn.failed {
             warn!(state.log(), "sharing.host_lost"; "shard" => shard, "host" => %lost, "next" => %turn.host);
         }
-        let (loads, used) = {
+        let (loads, used, limits) = {
             let mut place = state.place();
-            (place.loads(shard, now), place.take_uses(shard))
+            (place.loads(shard, now), place.take_uses(shard), place.rate_notices(shard, now))
         };
         let mut update = self.update(shard, turn.number, loads, used);
+        update.limits = limits;
         update.quotas = state.meter().counts(shard, now);
         if shard == REMOTES_SHARD {
             update.remotes = state.regions().take_outlooks(now);
--- a/src/golden/tests.rs
+++ b/src/golden/tests.rs
@@ -62,6 +62,12 @@
     check_decoding::<wire::Reply>("wire-reply-whole-deltas");
 }
 
+// Guards against a release that can't read the datagrams of one that does not share rate limits.
+#[test]
+fn messages_of_a_release_without_shared_limits_are_read() {
+    check_decoding::<sharing::Message>("sharing-message-without-limits");
+}
+
 #[test]
 fn records_of_the_membership() {
     check_cbor::<membership::Key>("membership-key");
--- a/tests/load/main.rs
+++ b/tests/load/main.rs
@@ -19,6 +19,7 @@
 mod pool;
 mod quotas;
 mod regions;
+mod restrictions;
 mod returning;
 mod rounds;
 mod routing;
--- a/tests/load/streams/world.rs
+++ b/tests/load/streams/world.rs
@@ -162,7 +162,9 @@
         let remotes =
             if shard == REMOTES_SHARD { vm.regions.take_outlooks(now) } else { Vec::new() };
         let quotas = Vec::new();
-        let update = Update { shard, start: 1, number, loads, quotas, uses, known, remotes };
+        let limits = vm.place.rate_notices(shard, now);
+        let update =
+            Update { shard, start: 1, number, loads, quotas, uses, known, remotes, limits };
         let summary = host.apply_update(&name, update, now).unwrap();
         vm.known[usize::from(shard)] = summary.known;
         vm.place.apply_summary(&summary, now);
