--- a/src/decide/feedback.rs
+++ b/src/decide/feedback.rs
@@ -41,6 +41,8 @@
 pub struct Feedback {
     /// The requests that it takes from all VMs together, for as long as it states this.
     pub rate_limit: Statement<Rate>,
+    /// Whether it is about to stop and wants no new requests.
+    pub draining: Statement<bool>,
 }
 
 /// How this VM knows of a restriction.
--- a/src/decide/feedback/change.rs
+++ b/src/decide/feedback/change.rs
@@ -15,6 +15,10 @@
     LimitChanged(Rate),
     /// A rate limit ended.
     LimitEnded,
+    /// The upstream is draining.
+    DrainBegan,
+    /// The upstream that was draining has restarted or is gone.
+    DrainEnded,
     /// A header of a response could not be decoded and was ignored.
     HeaderIgnored {
         /// What the header would state.
--- a/src/decide/feedback/restrictions.rs
+++ b/src/decide/feedback/restrictions.rs
@@ -22,6 +22,7 @@
 struct Reported {
     at: Option<Instant>,
     rate: Option<Rate>,
+    is_draining: bool,
 }
 
 /// What one incarnation of an upstream has stated.
@@ -29,6 +30,9 @@
 pub struct Restrictions {
     /// The rate limit.
     pub limit: Limit,
+    /// When the upstream first stated that it is draining, and how this VM knows. It does not return until it has
+    /// restarted.
+    draining: Option<(Instant, Source)>,
     /// The last header that could not be decoded, until it is reported.
     ignored: Option<(&'static str, String)>,
     reported: Reported,
@@ -44,14 +48,27 @@
     /// Records the feedback of a response to a request that was sent at `sent_at`.
     pub fn record(&mut self, feedback: &Feedback, sent_at: Instant, now: Instant) {
         self.limit.record(&feedback.rate_limit, sent_at, now);
+        if feedback.draining == Statement::Value(true) {
+            self.draining.get_or_insert((now, Source::Response));
+        }
         if let Statement::Invalid(text) = &feedback.rate_limit {
             self.ignored = Some(("rate limit", text.clone()));
         }
+        if let Statement::Invalid(text) = &feedback.draining {
+            self.ignored = Some(("draining", text.clone()));
+        }
+    }
+
+    /// Returns whether the upstream is draining.
+    pub const fn is_draining(&self) -> bool {
+        self.draining.is_some()
     }
 
     /// Returns the changes since the last call, for the log.
     pub fn take_changes(&mut self, upstream: &id::Upstream, now: Instant) -> Vec<Change> {
-        let is_unchanged = self.reported.rate == self.limit.rate() && self.ignored.is_none();
+        let is_unchanged = self.reported.rate == self.limit.rate()
+            && self.reported.is_draining == self.is_draining()
+            && self.ignored.is_none();
         let is_early =
             self.reported.at.is_some_and(|at| now.saturating_duration_since(at) < LOG_INTERVAL);
         if is_unchanged || is_early {
@@ -78,6 +95,13 @@
             add(event, self.limit.known());
         }
         self.reported.rate = rate;
+        let is_draining = self.is_draining();
+        match (self.reported.is_draining, is_draining) {
+            (false, true) => add(Event::DrainBegan, self.draining),
+            (true, false) => add(Event::DrainEnded, None),
+            _ => (),
+        }
+        self.reported.is_draining = is_draining;
         changes
     }
 }
--- a/src/decide/feedback/tests.rs
+++ b/src/decide/feedback/tests.rs
@@ -13,7 +13,7 @@
 use crate::unit::Rate;
 
 fn limited(rate: f64) -> Feedback {
-    Feedback { rate_limit: Statement::Value(Rate::per_second(rate)) }
+    Feedback { rate_limit: Statement::Value(Rate::per_second(rate)), ..Feedback::default() }
 }
 
 fn after(start: Instant, millis: u64) -> Instant {
@@ -42,7 +42,8 @@
     let start = Instant::now();
     let mut one = Restrictions::default();
     one.record(&limited(4.0), start, start);
-    let invalid = Feedback { rate_limit: Statement::Invalid("many".to_owned()) };
+    let invalid =
+        Feedback { rate_limit: Statement::Invalid("many".to_owned()), ..Feedback::default() };
     one.record(&invalid, after(start, 10), after(start, 20));
     assert_eq!(one.limit.rate(), Some(Rate::per_second(4.0)));
     let events: Vec<Event> = one
--- a/src/decide/place.rs
+++ b/src/decide/place.rs
@@ -452,6 +452,11 @@
         upstreams.flat_map(|(id, upstream)| upstream.restrictions.take_changes(id, now)).collect()
     }
 
+    /// Returns the number of upstreams that state that they are draining.
+    pub fn draining_count(&self) -> usize {
+        self.upstreams.values().filter(|upstream| upstream.restrictions.is_draining()).count()
+    }
+
     /// Returns the number of upstreams that state a rate limit.
     pub fn limited_count(&self) -> usize {
         let limits =
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -27,6 +27,7 @@
     sharing_dropped: Counter,
     upstreams: Gauge,
     limited: Gauge,
+    draining: Gauge,
     vms: Gauge,
     in_progress: Gauge,
     version: Gauge,
@@ -55,6 +56,9 @@
         let limited = Gauge::default();
         let text = "Upstreams that state a rate limit";
         registry.register("upstreams_limited", text, limited.clone());
+        let draining = Gauge::default();
+        let text = "Upstreams that state that they are draining";
+        registry.register("upstreams_draining", text, draining.clone());
         let vms = Gauge::default();
         registry.register("vms", "Entry VMs that take requests", vms.clone());
         let in_progress = Gauge::default();
@@ -69,6 +73,7 @@
             sharing_dropped,
             upstreams,
             limited,
+            draining,
             vms,
             in_progress,
             version,
@@ -102,6 +107,11 @@
         self.limited.set(limited as i64);
     }
 
+    /// Sets the number of upstreams that state that they are draining.
+    pub fn set_draining(&self, draining: usize) {
+        self.draining.set(draining as i64);
+    }
+
     /// Encodes all metrics in the text format, after updating the gauges.
     pub fn encode(&self, upstreams: usize, vms: usize, in_progress: usize, version: u64) -> String {
         self.upstreams.set(upstreams as i64);
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -203,7 +203,11 @@
             let merged = self.merged();
             (merged.upstreams().count(), merged.vms(Role::Entry).filter(|vm| vm.ready).count())
         };
-        self.metrics.set_limited(self.place().limited_count());
+        {
+            let place = self.place();
+            self.metrics.set_limited(place.limited_count());
+            self.metrics.set_draining(place.draining_count());
+        }
         let version = self.routing().table.map_or(0, |table| table.version().get());
         self.metrics.encode(upstreams, vms, self.in_progress(), version)
     }
--- a/src/gateway/state/restrictions.rs
+++ b/src/gateway/state/restrictions.rs
@@ -42,6 +42,13 @@
                 info!(self.log, "upstream.limit_ended"; "upstream" => %upstream,
                     "source" => source, "age_ms" => age);
             }
+            Event::DrainBegan => {
+                info!(self.log, "upstream.drain_began"; "upstream" => %upstream,
+                    "source" => source, "age_ms" => age);
+            }
+            Event::DrainEnded => {
+                info!(self.log, "upstream.drain_ended"; "upstream" => %upstream);
+            }
             Event::HeaderIgnored { name, value } => {
                 warn!(self.log, "upstream.header_ignored"; "upstream" => %upstream,
                     "header" => name, "value" => value);
--- a/tests/load/restrictions.rs
+++ b/tests/load/restrictions.rs
@@ -180,7 +180,8 @@
                 if limit.is_some() && in_flight.id.as_str() == "a" {
                     vm.told.get_or_insert(at);
                 }
-                let feedback = Feedback { rate_limit: stated.unwrap_or_default() };
+                let feedback =
+                    Feedback { rate_limit: stated.unwrap_or_default(), ..Feedback::default() };
                 vm.balancer.record_feedback(&in_flight, &feedback, now);
                 vm.balancer.record_end(in_flight, Outcome::Answered, now);
                 tally.answered += 1;
@@ -341,7 +342,8 @@
     };
     let placement = vm.balancer.choose(&query, now).unwrap();
     let in_flight = vm.balancer.record_sent(&placement, &work, now);
-    let feedback = Feedback { rate_limit: Statement::Value(Rate::per_second(0.0)) };
+    let feedback =
+        Feedback { rate_limit: Statement::Value(Rate::per_second(0.0)), ..Feedback::default() };
     vm.balancer.record_feedback(&in_flight, &feedback, now);
     let sent = vm
         .balancer
