DRAIN: an upstream that states in a response that it is draining gets no more requests

What upstreams saw: edge-lj-a-3 sent requests 3,046 and 3,131 ms after it had passed on such a response, and 8 to 18 a second until the upstream's end. Class: what an upstream says in a response is not treated as state of the upstream, and what one VM of a region knows does not reach the others. Change: Restrictions hold the statement until a newer incarnation (records of the roster and a return to the roster don't undo it, 60 s after it has left the roster it is dropped). UpstreamState::accepts and the upstreams that prefixes are hashed over leave it out. VMs tell the others of their region of what they know by a response or by the roster (new optional list in Update and Summary); news of another VM is not passed on again. So one VM that follows the control VM of the minority side is enough. Ruled out: a later ready record that overwrote it (no gap in the arrivals), requests that waited or connections that were kept (first attempts arrived as well).

--- a/src/decide/feedback.rs
+++ b/src/decide/feedback.rs
@@ -1,14 +1,16 @@
 //! Restrictions that upstreams state in their responses.
 //!
 //! **Load pattern.** An engine runs short of something that its load does not show. It still answers, and states with
-//! each answer how many requests a second it takes from all VMs together.
+//! each answer how many requests a second it takes from all VMs together. Another upstream is about to stop; its
+//! check-in reaches a control VM on the minority side of a partition, and none of the VMs that follow the others.
 //!
 //! **Without it.** The engine answers as fast as before, so placement sends it as much as before, and more if its
-//! neighbours are busier.
+//! neighbours are busier. VMs that receive from each answer of the other upstream that it is draining send it requests
+//! until it is gone.
 //!
 //! **Decision.** The head of each response is decoded once into a [`Feedback`]. The [`Restrictions`] of an upstream
-//! hold what it stated, until it restarts, and placement obeys them before it compares costs. VMs pass a limit on to
-//! the others of their region by [`sharing`](super::sharing), and each VM keeps to its part of it.
+//! hold what it stated, until it restarts, and placement obeys them before it compares costs. VMs pass it on to the
+//! others of their region by [`sharing`](super::sharing), and each VM keeps to its part of a limit.
 
 mod change;
 mod limit;
@@ -51,6 +53,8 @@
     /// A response that this VM received.
     #[default]
     Response,
+    /// The roster of the control VMs.
+    Roster,
     /// Another VM of the region.
     Vm,
 }
@@ -60,6 +64,7 @@
     pub const fn as_str(self) -> &'static str {
         match self {
             Self::Response => "response",
+            Self::Roster => "roster",
             Self::Vm => "vm",
         }
     }
--- a/src/decide/feedback/restrictions.rs
+++ b/src/decide/feedback/restrictions.rs
@@ -17,6 +17,10 @@
 /// response.
 const LOG_INTERVAL: Duration = Duration::from_secs(1);
 
+/// How long statements of an upstream are held that is not in the roster. It may return there from a control VM that
+/// has not heard of its end.
+const RETENTION: Duration = Duration::from_secs(60);
+
 /// The state that was last reported to the log.
 #[derive(Debug, Default)]
 struct Reported {
@@ -49,7 +53,7 @@
     pub fn record(&mut self, feedback: &Feedback, sent_at: Instant, now: Instant) {
         self.limit.record(&feedback.rate_limit, sent_at, now);
         if feedback.draining == Statement::Value(true) {
-            self.draining.get_or_insert((now, Source::Response));
+            self.record_draining(Source::Response, now);
         }
         if let Statement::Invalid(text) = &feedback.rate_limit {
             self.ignored = Some(("rate limit", text.clone()));
@@ -59,11 +63,39 @@
         }
     }
 
+    /// Records that the upstream is draining.
+    ///
+    /// What a VM received itself replaces another VM's news: it may be passed on.
+    pub fn record_draining(&mut self, source: Source, now: Instant) {
+        let known = self.draining.get_or_insert((now, source));
+        if known.1 == Source::Vm {
+            known.1 = source;
+        }
+    }
+
+    /// Returns whether this VM knows by itself that the upstream is draining, so that it tells the others.
+    pub fn announces_draining(&self) -> bool {
+        self.draining.is_some_and(|(_, source)| source != Source::Vm)
+    }
+
+    /// Returns whether anything is held that would be missing if the upstream returned to the roster.
+    pub fn is_needed(&self, now: Instant) -> bool {
+        let last =
+            [self.draining, self.limit.known()].into_iter().flatten().map(|(at, _)| at).max();
+        last.is_some_and(|at| now.saturating_duration_since(at) < RETENTION)
+    }
+
     /// Returns whether the upstream is draining.
     pub const fn is_draining(&self) -> bool {
         self.draining.is_some()
     }
 
+    /// Returns the last changes of an upstream that is gone.
+    pub fn into_changes(mut self, upstream: &id::Upstream, now: Instant) -> Vec<Change> {
+        self.reported.at = None;
+        self.take_changes(upstream, now)
+    }
+
     /// Returns the changes since the last call, for the log.
     pub fn take_changes(&mut self, upstream: &id::Upstream, now: Instant) -> Vec<Change> {
         let is_unchanged = self.reported.rate == self.limit.rate()
--- a/src/decide/place.rs
+++ b/src/decide/place.rs
@@ -43,6 +43,7 @@
 use crate::decide::feedback::Change;
 use crate::decide::feedback::Feedback;
 use crate::decide::feedback::RateNotice;
+use crate::decide::feedback::Source;
 use crate::decide::route::rendezvous;
 use crate::decide::sharing::Key;
 use crate::decide::sharing::Load;
@@ -72,7 +73,7 @@
 /// Number of engines per prefix found by rendezvous hashing, so that all VMs fall back to the same second engine.
 const PREFIX_CANDIDATES: usize = 2;
 
-/// Maximum number of rate limits in a message to other VMs.
+/// Maximum number of rate limits, and of draining upstreams, in a message to other VMs.
 const MAX_NOTICES: usize = 256;
 
 /// Maximum number of prefix uses queued for other VMs.
@@ -99,6 +100,8 @@
     pub cold: Option<Cold>,
     /// Whether the upstream accepts new requests.
     pub open: bool,
+    /// Whether the roster says that it is draining.
+    pub draining: bool,
     /// Whether its heartbeats are missing; such an upstream is used only if there is no other.
     pub silent: bool,
 }
@@ -177,6 +180,8 @@
     senders: HashMap<String, Sender>,
     /// Prefix uses not yet sent to other VMs.
     uses: Vec<PrefixUse>,
+    /// Restrictions of upstreams that are gone, not yet reported to the log.
+    ended: Vec<Change>,
 }
 
 impl Balancer {
@@ -188,15 +193,30 @@
             services: HashMap::new(),
             senders: HashMap::new(),
             uses: Vec::new(),
+            ended: Vec::new(),
         }
     }
 
     /// Updates the list of upstreams and this VM's rank among the VMs that send to those of each service.
-    pub fn sync(&mut self, endpoints: Vec<Endpoint>, senders: HashMap<String, Sender>) {
+    pub fn sync(
+        &mut self,
+        endpoints: Vec<Endpoint>,
+        senders: HashMap<String, Sender>,
+        now: Instant,
+    ) {
         self.senders = senders;
         let names: std::collections::HashSet<id::Upstream> =
             endpoints.iter().map(|endpoint| endpoint.id.clone()).collect();
-        self.upstreams.retain(|id, upstream| names.contains(id) || upstream.running() > 0);
+        self.upstreams.retain(|id, upstream| {
+            let is_kept = names.contains(id)
+                || upstream.running() > 0
+                || upstream.restrictions.is_needed(now);
+            if !is_kept {
+                let ended = std::mem::take(&mut upstream.restrictions).restarted();
+                self.ended.extend(ended.into_changes(id, now));
+            }
+            is_kept
+        });
         for (id, upstream) in &mut self.upstreams {
             if !names.contains(id) {
                 upstream.endpoint.open = false;
@@ -204,9 +224,10 @@
         }
         for endpoint in endpoints {
             match self.upstreams.get_mut(&endpoint.id) {
-                Some(upstream) => upstream.update(endpoint),
+                Some(upstream) => upstream.update(endpoint, now),
                 None => {
-                    self.upstreams.insert(endpoint.id.clone(), UpstreamState::new(endpoint));
+                    let id = endpoint.id.clone();
+                    self.upstreams.insert(id, UpstreamState::new(endpoint, now));
                 }
             }
         }
@@ -244,6 +265,13 @@
         notices.take(MAX_NOTICES).collect()
     }
 
+    /// Returns the upstreams of a shard of which this VM knows by itself that they are draining.
+    pub fn draining(&self, shard: u8) -> Vec<Key> {
+        let upstreams = self.upstreams.values().filter(|upstream| upstream.key().shard() == shard);
+        let draining = upstreams.filter(|upstream| upstream.restrictions.announces_draining());
+        draining.map(UpstreamState::key).take(MAX_NOTICES).collect()
+    }
+
     /// Removes and returns the prefix uses on the upstreams of a shard.
     pub fn take_uses(&mut self, shard: u8) -> Vec<PrefixUse> {
         let (taken, left) =
@@ -265,6 +293,9 @@
             if let Some(notice) = limits.get(&key) {
                 upstream.restrictions.limit.apply_notice(notice, now);
             }
+            if summary.draining.contains(&key) {
+                upstream.restrictions.record_draining(Source::Vm, now);
+            }
             let uses = summary.uses.iter().filter(|used| used.engine == key);
             for used in uses {
                 let prefix = Prefix { key: used.part, tokens: Tokens::new(used.tokens) };
@@ -448,8 +479,11 @@
 
     /// Returns the restrictions that began, changed or ended since the last call, for the log.
     pub fn take_changes(&mut self, now: Instant) -> Vec<Change> {
-        let upstreams = self.upstreams.iter_mut();
-        upstreams.flat_map(|(id, upstream)| upstream.restrictions.take_changes(id, now)).collect()
+        let mut changes = std::mem::take(&mut self.ended);
+        for (id, upstream) in &mut self.upstreams {
+            changes.extend(upstream.restrictions.take_changes(id, now));
+        }
+        changes
     }
 
     /// Returns the number of upstreams that state that they are draining.
@@ -484,6 +518,7 @@
             upstream.endpoint.service == service
                 && upstream.endpoint.open
                 && !upstream.endpoint.silent
+                && !upstream.restrictions.is_draining()
         })
     }
 }
--- a/src/decide/place/tests.rs
+++ b/src/decide/place/tests.rs
@@ -16,6 +16,10 @@
 use super::service::Prefix;
 use super::wait;
 use crate::decide::engine::Output;
+use crate::decide::feedback::Feedback;
+use crate::decide::feedback::Statement;
+use crate::decide::sharing::Key;
+use crate::decide::sharing::Summary;
 use crate::id;
 use crate::unit::Rate;
 use crate::unit::Slots;
@@ -40,6 +44,7 @@
         connections: 100,
         cold: None,
         open: true,
+        draining: false,
         silent: false,
     }
 }
@@ -64,7 +69,7 @@
     let now = Instant::now();
     let (mut one, mut other) = (balancer(), balancer());
     for vm in [&mut one, &mut other] {
-        vm.sync(["a", "b", "c", "d"].map(engine).to_vec(), senders(0, 2));
+        vm.sync(["a", "b", "c", "d"].map(engine).to_vec(), senders(0, 2), now);
     }
     for key in 0..50 {
         let first = one.choose(&query(long_prompt(key)), now).unwrap();
@@ -80,7 +85,7 @@
 async fn a_hot_prefix_is_replicated() {
     let now = Instant::now();
     let mut balancer = balancer();
-    balancer.sync(["a", "b", "c", "d"].map(engine).to_vec(), senders(0, 1));
+    balancer.sync(["a", "b", "c", "d"].map(engine).to_vec(), senders(0, 1), now);
     let mut waits = Vec::new();
     let mut used = std::collections::BTreeSet::new();
     for _ in 0..40 {
@@ -99,7 +104,7 @@
     let now = Instant::now();
     let mut balancer = balancer();
     let cold = Cold { until: now + Duration::from_secs(3), rate: Rate::per_second(6.0) };
-    balancer.sync(vec![Endpoint { cold: Some(cold), ..engine("a") }], senders(0, 3));
+    balancer.sync(vec![Endpoint { cold: Some(cold), ..engine("a") }], senders(0, 3), now);
     let mut sent = 0;
     for millis in (0..3000).step_by(10) {
         let now = now + Duration::from_millis(millis);
@@ -121,7 +126,7 @@
     let cold = Cold { until: now + Duration::from_secs(3), rate: Rate::per_second(6.7) };
     let mut vms: Vec<Balancer> = (0..VMS).map(|_| balancer()).collect();
     for (rank, vm) in (0..).zip(&mut vms) {
-        vm.sync(vec![Endpoint { cold: Some(cold), ..engine("a") }], senders(rank, VMS));
+        vm.sync(vec![Endpoint { cold: Some(cold), ..engine("a") }], senders(rank, VMS), now);
     }
     let mut sent: Vec<Duration> = Vec::new();
     for at in (0..3000).step_by(5).map(Duration::from_millis) {
@@ -144,7 +149,7 @@
 async fn an_unreachable_upstream_is_avoided_during_its_backoff() {
     let now = Instant::now();
     let mut balancer = balancer();
-    balancer.sync(vec![engine("a"), engine("b")], senders(0, 1));
+    balancer.sync(vec![engine("a"), engine("b")], senders(0, 1), now);
     for _ in 0..20 {
         let placement = balancer.choose(&query(Work::default()), now).unwrap();
         let in_flight = balancer.record_sent(&placement, &Work::default(), now);
@@ -157,7 +162,7 @@
         placement.id.as_str() == "a"
     });
     assert_eq!(tries.count(), 0);
-    balancer.sync(vec![engine("a")], senders(0, 1));
+    balancer.sync(vec![engine("a")], senders(0, 1), now);
     assert!(
         balancer.choose(&query(Work::default()), now).is_some(),
         "the only upstream is used despite the backoff"
@@ -169,7 +174,7 @@
 async fn a_failing_upstream_loses_its_traffic() {
     let mut now = Instant::now();
     let mut balancer = balancer();
-    balancer.sync(["a", "b", "c"].map(engine).to_vec(), senders(0, 1));
+    balancer.sync(["a", "b", "c"].map(engine).to_vec(), senders(0, 1), now);
     let mut to_a = 0;
     for nth in 0..300 {
         now += Duration::from_millis(10);
@@ -189,7 +194,7 @@
 async fn an_idle_failing_engine_attracts_no_streams() {
     let mut now = Instant::now();
     let mut balancer = balancer();
-    balancer.sync(["a", "b", "c"].map(engine).to_vec(), senders(0, 3));
+    balancer.sync(["a", "b", "c"].map(engine).to_vec(), senders(0, 3), now);
     let stream = Work {
         suffix: Tokens::new(800),
         output: Output { limit: Tokens::new(400), hint: Some(Tokens::new(300)) },
@@ -216,7 +221,7 @@
 async fn load_reports_count_the_requests_of_other_vms() {
     let now = Instant::now();
     let mut balancer = balancer();
-    balancer.sync(vec![engine("a"), engine("b")], senders(0, 3));
+    balancer.sync(vec![engine("a"), engine("b")], senders(0, 3), now);
     balancer.record_report(&"a".parse().unwrap(), Report { running: 40, waiting: 20 }, now);
     balancer.record_report(&"b".parse().unwrap(), Report { running: 2, waiting: 0 }, now);
     for _ in 0..10 {
@@ -229,10 +234,10 @@
 async fn a_restart_clears_the_failure_history() {
     let now = Instant::now();
     let mut balancer = balancer();
-    balancer.sync(vec![engine("a")], senders(0, 1));
+    balancer.sync(vec![engine("a")], senders(0, 1), now);
     let placement = balancer.choose(&query(long_prompt(1)), now).unwrap();
     let in_flight = balancer.record_sent(&placement, &long_prompt(1), now);
-    balancer.sync(vec![Endpoint { incarnation: 2, ..engine("a") }], senders(0, 1));
+    balancer.sync(vec![Endpoint { incarnation: 2, ..engine("a") }], senders(0, 1), now);
     balancer.record_end(in_flight, Outcome::Failed, now);
     let placement = balancer.choose(&query(Work::default()), now).unwrap();
     assert!(placement.first_event < Duration::from_millis(60));
@@ -245,7 +250,7 @@
     const READS: Duration = Duration::from_millis(100);
     let start = Instant::now();
     let mut balancer = balancer();
-    balancer.sync(["a", "b"].map(engine).to_vec(), senders(0, 1));
+    balancer.sync(["a", "b"].map(engine).to_vec(), senders(0, 1), start);
     let work = Work { suffix: Tokens::new(5_000), ..Work::default() };
     let mut free = std::collections::HashMap::new();
     let mut running = Vec::new();
@@ -295,6 +300,7 @@
         balancer.sync(
             vec![Endpoint { slots: Slots::new(6), memory: None, ..engine("a") }],
             senders(0, 1),
+            now,
         );
         Self { balancer, free: [now; 6], running: Vec::new() }
     }
@@ -334,7 +340,7 @@
 async fn requests_that_are_not_urgent_avoid_a_full_engine() {
     let now = Instant::now();
     let mut balancer = balancer();
-    balancer.sync(["a", "b"].map(engine).to_vec(), senders(0, 2));
+    balancer.sync(["a", "b"].map(engine).to_vec(), senders(0, 2), now);
     let first = balancer.choose(&query(long_prompt(1)), now).unwrap().id;
     balancer.record_report(&first, Report { running: 48, waiting: 2 }, now);
     let query = Query { urgent: false, ..query(long_prompt(1)) };
@@ -356,7 +362,7 @@
     for key in 0..30 {
         for vm in [&mut one, &mut other] {
             *vm = balancer();
-            vm.sync(["a", "b", "c", "d", "e", "f"].map(engine).to_vec(), senders(0, 2));
+            vm.sync(["a", "b", "c", "d", "e", "f"].map(engine).to_vec(), senders(0, 2), now);
         }
         let first = one.choose(&query(long_prompt(key)), now).unwrap().id;
         let seconds = [&mut one, &mut other].map(|vm| {
@@ -367,3 +373,44 @@
         assert_eq!(seconds[0], seconds[1], "prefix {key}");
     }
 }
+
+fn states_draining() -> Feedback {
+    Feedback { draining: Statement::Value(true), ..Feedback::default() }
+}
+
+// Guards against a slower record, or a return to the roster, that undoes what an upstream stated in a response.
+#[tokio::test(start_paused = true)]
+async fn a_draining_upstream_is_not_used_until_it_has_restarted() {
+    let now = Instant::now();
+    let mut balancer = balancer();
+    balancer.sync(vec![engine("a")], senders(0, 1), now);
+    let placement = balancer.choose(&query(Work::default()), now).unwrap();
+    let in_flight = balancer.record_sent(&placement, &Work::default(), now);
+    balancer.record_feedback(&in_flight, &states_draining(), now);
+    balancer.record_end(in_flight, Outcome::Answered, now);
+    assert_eq!(balancer.choose(&query(Work::default()), now), None);
+    balancer.sync(vec![engine("a")], senders(0, 1), now);
+    assert_eq!(balancer.choose(&query(Work::default()), now), None, "ready in the roster");
+    balancer.sync(Vec::new(), senders(0, 1), now);
+    balancer.sync(vec![engine("a")], senders(0, 1), now);
+    assert_eq!(balancer.choose(&query(Work::default()), now), None, "back in the roster");
+    let restarted = Endpoint { incarnation: 2, ..engine("a") };
+    balancer.sync(vec![restarted], senders(0, 1), now);
+    assert!(balancer.choose(&query(Work::default()), now).is_some());
+}
+
+// Guards against a check-in that only one VM hears of, because the control VM that received it is cut off from the others.
+#[tokio::test(start_paused = true)]
+async fn one_vm_that_knows_of_a_draining_upstream_tells_the_others() {
+    let now = Instant::now();
+    let (mut one, mut other) = (balancer(), balancer());
+    one.sync(vec![Endpoint { draining: true, open: false, ..engine("a") }], senders(0, 2), now);
+    other.sync(vec![engine("a")], senders(1, 2), now);
+    let shard = Key::new(&"a".parse().unwrap(), 1).shard();
+    let draining = one.draining(shard);
+    assert_eq!(draining.len(), 1);
+    let summary = Summary { shard, draining, ..Summary::default() };
+    other.apply_summary(&summary, now);
+    assert_eq!(other.choose(&query(Work::default()), now), None);
+    assert_eq!(other.draining(shard), [], "news of another VM is not passed on");
+}
--- a/src/decide/place/upstream.rs
+++ b/src/decide/place/upstream.rs
@@ -22,6 +22,7 @@
 use crate::decide::engine::Quantile;
 use crate::decide::engine::Speed;
 use crate::decide::feedback::Restrictions;
+use crate::decide::feedback::Source;
 use crate::decide::sharing::Key;
 use crate::decide::sharing::Load;
 use crate::decide::turns::Sender;
@@ -100,7 +101,14 @@
 
 impl UpstreamState {
     /// Creates the state of a new upstream.
-    pub fn new(endpoint: Endpoint) -> Self {
+    pub fn new(endpoint: Endpoint, now: Instant) -> Self {
+        Self::with_restrictions(endpoint, Restrictions::default(), now)
+    }
+
+    fn with_restrictions(endpoint: Endpoint, mut restrictions: Restrictions, now: Instant) -> Self {
+        if endpoint.draining {
+            restrictions.record_draining(Source::Roster, now);
+        }
         Self {
             key: Key::new(&endpoint.id, endpoint.incarnation),
             endpoint,
@@ -116,19 +124,22 @@
             health: Health::default(),
             cache: Cache::default(),
             pacer: Pacer::default(),
-            restrictions: Restrictions::default(),
+            restrictions,
         }
     }
 
     /// Updates the announced properties. A new incarnation resets the state.
-    pub fn update(&mut self, endpoint: Endpoint) {
+    pub fn update(&mut self, endpoint: Endpoint, now: Instant) {
         if endpoint.incarnation == self.endpoint.incarnation
             && endpoint.address == self.endpoint.address
         {
+            if endpoint.draining {
+                self.restrictions.record_draining(Source::Roster, now);
+            }
             self.endpoint = endpoint;
         } else {
             let restrictions = std::mem::take(&mut self.restrictions).restarted();
-            *self = Self { restrictions, ..Self::new(endpoint) };
+            *self = Self::with_restrictions(endpoint, restrictions, now);
         }
     }
 
@@ -144,6 +155,7 @@
             && !self.is_unreachable(now)
             && !self.is_unresponsive(speed, now);
         self.endpoint.open
+            && !self.restrictions.is_draining()
             && self.running < self.endpoint.connections
             && (is_healthy || is_fallback)
             && self.restricted_for(sender, now).is_zero()
--- a/src/decide/sharing/aggregator.rs
+++ b/src/decide/sharing/aggregator.rs
@@ -1,6 +1,7 @@
 //! Host side: aggregates the updates of the region's VMs.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::collections::HashMap;
 use std::collections::VecDeque;
 
@@ -81,9 +82,20 @@
         shard.received.insert(from.clone(), Received { update, at: now });
         let loads = shard.sum_excluding(from, now).into_iter().collect();
         let limits = shard.limits_excluding(from, now).into_iter().collect();
+        let draining = shard.draining_excluding(from).into_iter().collect();
         let remotes = if index == REMOTES_SHARD { self.remotes.recent(now) } else { Vec::new() };
         let quotas = None;
-        Some(Summary { shard: index, number, loads, quotas, uses, known, remotes, limits })
+        Some(Summary {
+            shard: index,
+            number,
+            loads,
+            quotas,
+            uses,
+            known,
+            remotes,
+            limits,
+            draining,
+        })
     }
 }
 
@@ -124,6 +136,12 @@
         latest
     }
 
+    /// Returns the draining upstreams of all VMs except one.
+    fn draining_excluding(&self, excluded: &id::Vm) -> BTreeSet<Key> {
+        let others = self.received.iter().filter(|(vm, _)| *vm != excluded);
+        others.flat_map(|(_, received)| received.update.draining.iter().copied()).collect()
+    }
+
     fn add_uses(&mut self, uses: &[PrefixUse]) {
         self.uses.extend(uses);
         let over = self.uses.len().saturating_sub(MAX_RETAINED_USES);
--- a/src/decide/sharing/message.rs
+++ b/src/decide/sharing/message.rs
@@ -113,6 +113,9 @@
     /// Rate limits that the VM found in responses of upstreams.
     #[serde(rename = "m", default, skip_serializing_if = "Vec::is_empty")]
     pub limits: Vec<(Key, RateNotice)>,
+    /// Upstreams of which the VM knows by itself that they are draining.
+    #[serde(rename = "d", default, skip_serializing_if = "Vec::is_empty")]
+    pub draining: Vec<Key>,
 }
 
 /// A host's answer to an update.
@@ -143,6 +146,9 @@
     /// The latest rate limits that other VMs found.
     #[serde(rename = "m", default, skip_serializing_if = "Vec::is_empty")]
     pub limits: Vec<(Key, RateNotice)>,
+    /// Upstreams of which other VMs know that they are draining.
+    #[serde(rename = "d", default, skip_serializing_if = "Vec::is_empty")]
+    pub draining: Vec<Key>,
 }
 
 impl Message {
@@ -156,26 +162,53 @@
     /// Decodes a datagram; `None` if it is malformed or has invalid contents.
     pub fn decode(bytes: &[u8]) -> Option<Self> {
         let message: Self = ciborium::from_reader(bytes).ok()?;
-        let (shard, loads, uses, remotes, limits) = match &message {
-            Self::Totals(totals) if totals.shard < SHARDS && totals.is_valid() => {
-                return Some(message);
+        let is_valid = match &message {
+            Self::Totals(totals) => totals.shard < SHARDS && totals.is_valid(),
+            Self::Update(update) => Contents {
+                shard: update.shard,
+                loads: &update.loads,
+                uses: &update.uses,
+                remotes: &update.remotes,
+                limits: &update.limits,
+                draining: &update.draining,
             }
-            Self::Totals(_) => return None,
-            Self::Update(update) => {
-                (update.shard, &update.loads, &update.uses, &update.remotes, &update.limits)
-            }
-            Self::Summary(summary) => {
-                (summary.shard, &summary.loads, &summary.uses, &summary.remotes, &summary.limits)
+            .is_valid(),
+            Self::Summary(summary) => Contents {
+                shard: summary.shard,
+                loads: &summary.loads,
+                uses: &summary.uses,
+                remotes: &summary.remotes,
+                limits: &summary.limits,
+                draining: &summary.draining,
             }
+            .is_valid(),
         };
-        let is_valid = shard < SHARDS
-            && loads.len() <= MAX_ENTRIES
-            && uses.len() <= MAX_ENTRIES
-            && remotes.len() <= MAX_ENTRIES
-            && limits.len() <= MAX_ENTRIES
-            && limits.iter().all(|(key, notice)| key.shard() == shard && notice.is_valid())
-            && loads.iter().all(|(key, load)| key.shard() == shard && load.is_valid())
-            && uses.iter().all(|used| used.engine.shard() == shard);
         is_valid.then_some(message)
     }
 }
+
+/// What updates and summaries have in common.
+struct Contents<'a> {
+    shard: u8,
+    loads: &'a [(Key, Load)],
+    uses: &'a [PrefixUse],
+    remotes: &'a [RegionEstimate],
+    limits: &'a [(Key, RateNotice)],
+    draining: &'a [Key],
+}
+
+impl Contents<'_> {
+    fn is_valid(&self) -> bool {
+        let is_here = |key: &Key| key.shard() == self.shard;
+        self.shard < SHARDS
+            && self.loads.len() <= MAX_ENTRIES
+            && self.uses.len() <= MAX_ENTRIES
+            && self.remotes.len() <= MAX_ENTRIES
+            && self.limits.len() <= MAX_ENTRIES
+            && self.draining.len() <= MAX_ENTRIES
+            && self.loads.iter().all(|(key, load)| is_here(key) && load.is_valid())
+            && self.uses.iter().all(|used| is_here(&used.engine))
+            && self.limits.iter().all(|(key, notice)| is_here(key) && notice.is_valid())
+            && self.draining.iter().all(is_here)
+    }
+}
--- a/src/gateway/sharing.rs
+++ b/src/gateway/sharing.rs
@@ -186,12 +186,13 @@
         if let Some(lost) = &turn.failed {
             warn!(state.log(), "sharing.host_lost"; "shard" => shard, "host" => %lost, "next" => %turn.host);
         }
-        let (loads, used, limits) = {
+        let (loads, used, limits, draining) = {
             let mut place = state.place();
-            (place.loads(shard, now), place.take_uses(shard), place.rate_notices(shard, now))
+            let (loads, used) = (place.loads(shard, now), place.take_uses(shard));
+            (loads, used, place.rate_notices(shard, now), place.draining(shard))
         };
         let mut update = self.update(shard, turn.number, loads, used);
-        update.limits = limits;
+        (update.limits, update.draining) = (limits, draining);
         update.quotas = state.meter().counts(shard, now);
         if shard == REMOTES_SHARD {
             update.remotes = state.regions().take_outlooks(now);
--- a/src/gateway/state/upstreams.rs
+++ b/src/gateway/state/upstreams.rs
@@ -4,6 +4,8 @@
 use std::collections::HashMap;
 use std::sync::Arc;
 
+use tokio::time::Instant;
+
 use super::State;
 use crate::decide::place::Cold;
 use crate::decide::place::Endpoint;
@@ -53,7 +55,7 @@
         let vms = merged.entry_vm_count();
         drop(merged);
         self.meter().set_vm_count(vms);
-        self.place().sync(seen, senders);
+        self.place().sync(seen, senders, Instant::now());
         self.regions().sync(remote);
         self.updates.send_replace(());
     }
@@ -129,6 +131,7 @@
         connections,
         cold,
         open: record.standing == Standing::Ready && !is_evacuated,
+        draining: record.standing == Standing::Draining,
         silent: upstream.silent,
     }
 }
--- a/tests/load/restrictions.rs
+++ b/tests/load/restrictions.rs
@@ -113,14 +113,15 @@
         connections: 1000,
         cold: None,
         open: true,
+        draining: false,
         silent: false,
     }
 }
 
-fn vm(rank: u32, count: u32) -> Vm {
+fn vm(rank: u32, count: u32, now: Instant) -> Vm {
     let mut balancer = Balancer::new(SmallRng::seed_from_u64(u64::from(rank)));
     let senders = HashMap::from([(SERVICE.to_owned(), Sender::new(rank, count))]);
-    balancer.sync(NAMES.map(endpoint).to_vec(), senders);
+    balancer.sync(NAMES.map(endpoint).to_vec(), senders, now);
     Vm { balancer, running: Vec::new(), start: 1, number: 0, told: None }
 }
 
@@ -133,6 +134,7 @@
         number: vm.number,
         loads: vm.balancer.loads(shard, now),
         limits: vm.balancer.rate_notices(shard, now),
+        draining: vm.balancer.draining(shard),
         ..Update::default()
     };
     let summary = host.apply_update(name, update, now).unwrap();
@@ -143,7 +145,7 @@
     let start = Instant::now();
     let mut rng = SmallRng::seed_from_u64(seed);
     let shard = Key::new(&"a".parse().unwrap(), 1).shard();
-    let mut vms: Vec<Vm> = (0..setting.vms).map(|rank| vm(rank, setting.vms)).collect();
+    let mut vms: Vec<Vm> = (0..setting.vms).map(|rank| vm(rank, setting.vms, start)).collect();
     let names: Vec<id::Vm> =
         (0..setting.vms).map(|nth| format!("vm{nth}").parse().unwrap()).collect();
     let mut hosts = [Aggregator::new(1), Aggregator::new(2)];
@@ -164,7 +166,7 @@
         }
         if at == Duration::from_secs(6) && setting.fault == Fault::Restarts {
             for rank in 0..affected {
-                vms[rank as usize] = Vm { start: 2, ..vm(rank, setting.vms) };
+                vms[rank as usize] = Vm { start: 2, ..vm(rank, setting.vms, now) };
             }
         }
         let is_host_lost = setting.fault == Fault::HostLost
@@ -329,7 +331,7 @@
 #[tokio::test(start_paused = true)]
 async fn a_restarted_upstream_has_no_limit() {
     let now = Instant::now();
-    let mut vm = vm(0, 1);
+    let mut vm = vm(0, 1, now);
     let (work, max_wait) = (Work::default(), Duration::MAX);
     let tried: Vec<id::Upstream> = NAMES[1..].iter().map(|name| name.parse().unwrap()).collect();
     let query = Query {
@@ -351,7 +353,7 @@
         .map(|placement| vm.balancer.record_sent(&placement, &work, now));
     assert!(vm.balancer.choose(&query, now).is_none());
     let endpoints = NAMES.map(|name| Endpoint { incarnation: 2, ..endpoint(name) });
-    vm.balancer.sync(endpoints.to_vec(), HashMap::new());
+    vm.balancer.sync(endpoints.to_vec(), HashMap::new(), now);
     // A late response of the process before says nothing about this one.
     for in_flight in [Some(in_flight), sent].into_iter().flatten() {
         vm.balancer.record_feedback(&in_flight, &feedback, now);
--- a/tests/load/streams/world.rs
+++ b/tests/load/streams/world.rs
@@ -162,9 +162,19 @@
         let remotes =
             if shard == REMOTES_SHARD { vm.regions.take_outlooks(now) } else { Vec::new() };
         let quotas = Vec::new();
-        let limits = vm.place.rate_notices(shard, now);
-        let update =
-            Update { shard, start: 1, number, loads, quotas, uses, known, remotes, limits };
+        let (limits, draining) = (vm.place.rate_notices(shard, now), vm.place.draining(shard));
+        let update = Update {
+            shard,
+            start: 1,
+            number,
+            loads,
+            quotas,
+            uses,
+            known,
+            remotes,
+            limits,
+            draining,
+        };
         let summary = host.apply_update(&name, update, now).unwrap();
         vm.known[usize::from(shard)] = summary.known;
         vm.place.apply_summary(&summary, now);
@@ -197,6 +207,7 @@
 impl World {
     fn new(site: &Site, policy: Policy, seed: u64) -> Self {
         let mut rng = SmallRng::seed_from_u64(seed);
+        let start = Instant::now();
         let seen = |region: usize| -> Vec<Endpoint> {
             let engines = site.regions[region].iter().enumerate();
             let seen = engines.map(|(nth, settings)| Endpoint {
@@ -209,6 +220,7 @@
                 connections: 10_000,
                 cold: None,
                 open: true,
+                draining: false,
                 silent: false,
             });
             seen.collect()
@@ -217,7 +229,8 @@
             let vms = (0..site.vms).map(|nth| {
                 let mut place = Balancer::new(SmallRng::from_rng(&mut rng));
                 let sender = Sender::new(nth as u32, site.vms as u32);
-                place.sync(seen(region), HashMap::from([(SERVICE.to_owned(), sender)]));
+                let senders = HashMap::from([(SERVICE.to_owned(), sender)]);
+                place.sync(seen(region), senders, start);
                 let open: OpenUpstreams = (0..site.regions.len())
                     .filter(|other| *other != region)
                     .map(|other| {
@@ -238,17 +251,7 @@
         let engines = engines.collect();
         let hosts = site.regions.iter().map(|_| Aggregator::new(1)).collect();
         let (updates, turns) = (0, 0);
-        Self {
-            hosts,
-            updates,
-            turns,
-            start: Instant::now(),
-            policy,
-            engines,
-            vms,
-            requests: Vec::new(),
-            rng,
-        }
+        Self { hosts, updates, turns, start, policy, engines, vms, requests: Vec::new(), rng }
     }
 
     fn at(&self, seconds: f64) -> Instant {
