--- a/src/decide/feedback.rs
+++ b/src/decide/feedback.rs
@@ -12,14 +12,18 @@
 //! hold what it stated, until it restarts, and placement obeys them before it compares costs. VMs pass it on to the
 //! others of their region by [`sharing`](super::sharing), and each VM keeps to its part of a limit.
 
+mod backoff;
 mod change;
 mod limit;
 mod notice;
 mod pacer;
 mod restrictions;
 
+use std::time::Duration;
+
 use crate::unit::Rate;
 
+pub use backoff::Backoff;
 pub use change::Change;
 pub use change::Event;
 pub use limit::Limit;
@@ -45,6 +49,8 @@
     pub rate_limit: Statement<Rate>,
     /// Whether it is about to stop and wants no new requests.
     pub draining: Statement<bool>,
+    /// For how long it wants no requests from this VM.
+    pub backoff: Statement<Duration>,
 }
 
 /// How this VM knows of a restriction.
--- a/src/decide/feedback/change.rs
+++ b/src/decide/feedback/change.rs
@@ -19,6 +19,12 @@
     DrainBegan,
     /// The upstream that was draining has restarted or is gone.
     DrainEnded,
+    /// The upstream wants no requests from this VM for that time.
+    BackoffBegan(Duration),
+    /// The upstream wants no requests for longer; the time left.
+    BackoffExtended(Duration),
+    /// That time is over, or the upstream has restarted.
+    BackoffEnded,
     /// A header of a response could not be decoded and was ignored.
     HeaderIgnored {
         /// What the header would state.
--- a/src/decide/feedback/restrictions.rs
+++ b/src/decide/feedback/restrictions.rs
@@ -4,6 +4,7 @@
 
 use tokio::time::Instant;
 
+use super::Backoff;
 use super::Change;
 use super::Event;
 use super::Feedback;
@@ -27,6 +28,7 @@
     at: Option<Instant>,
     rate: Option<Rate>,
     is_draining: bool,
+    backoff_until: Option<Instant>,
 }
 
 /// What one incarnation of an upstream has stated.
@@ -37,6 +39,8 @@
     /// When the upstream first stated that it is draining, and how this VM knows. It does not return until it has
     /// restarted.
     draining: Option<(Instant, Source)>,
+    /// The time without requests from this VM.
+    pub backoff: Backoff,
     /// The last header that could not be decoded, until it is reported.
     ignored: Option<(&'static str, String)>,
     reported: Reported,
@@ -55,6 +59,12 @@
         if feedback.draining == Statement::Value(true) {
             self.record_draining(Source::Response, now);
         }
+        if let Statement::Value(span) = feedback.backoff {
+            self.backoff.record(span, now);
+        }
+        if let Statement::Invalid(text) = &feedback.backoff {
+            self.ignored = Some(("backoff", text.clone()));
+        }
         if let Statement::Invalid(text) = &feedback.rate_limit {
             self.ignored = Some(("rate limit", text.clone()));
         }
@@ -80,8 +90,11 @@
 
     /// Returns whether anything is held that would be missing if the upstream returned to the roster.
     pub fn is_needed(&self, now: Instant) -> bool {
-        let last =
-            [self.draining, self.limit.known()].into_iter().flatten().map(|(at, _)| at).max();
+        let last = [self.draining, self.limit.known(), self.backoff.known()]
+            .into_iter()
+            .flatten()
+            .map(|(at, _)| at)
+            .max();
         last.is_some_and(|at| now.saturating_duration_since(at) < RETENTION)
     }
 
@@ -100,6 +113,7 @@
     pub fn take_changes(&mut self, upstream: &id::Upstream, now: Instant) -> Vec<Change> {
         let is_unchanged = self.reported.rate == self.limit.rate()
             && self.reported.is_draining == self.is_draining()
+            && self.reported.backoff_until == self.backoff.until(now)
             && self.ignored.is_none();
         let is_early =
             self.reported.at.is_some_and(|at| now.saturating_duration_since(at) < LOG_INTERVAL);
@@ -134,6 +148,17 @@
             _ => (),
         }
         self.reported.is_draining = is_draining;
+        let until = self.backoff.until(now);
+        let left = until.map(|until| until.saturating_duration_since(now));
+        match (self.reported.backoff_until, left) {
+            (None, Some(left)) => add(Event::BackoffBegan(left), self.backoff.known()),
+            (Some(before), Some(left)) if Some(before) != until => {
+                add(Event::BackoffExtended(left), self.backoff.known());
+            }
+            (Some(_), None) => add(Event::BackoffEnded, None),
+            _ => (),
+        }
+        self.reported.backoff_until = until;
         changes
     }
 }
--- a/src/decide/place.rs
+++ b/src/decide/place.rs
@@ -491,6 +491,12 @@
         self.upstreams.values().filter(|upstream| upstream.restrictions.is_draining()).count()
     }
 
+    /// Returns the number of upstreams that want no requests from this VM at present.
+    pub fn backoff_count(&self, now: Instant) -> usize {
+        let upstreams = self.upstreams.values();
+        upstreams.filter(|upstream| upstream.restrictions.backoff.until(now).is_some()).count()
+    }
+
     /// Returns the number of upstreams that state a rate limit.
     pub fn limited_count(&self) -> usize {
         let limits =
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -28,6 +28,7 @@
     upstreams: Gauge,
     limited: Gauge,
     draining: Gauge,
+    backing_off: Gauge,
     vms: Gauge,
     in_progress: Gauge,
     version: Gauge,
@@ -59,6 +60,9 @@
         let draining = Gauge::default();
         let text = "Upstreams that state that they are draining";
         registry.register("upstreams_draining", text, draining.clone());
+        let backing_off = Gauge::default();
+        let text = "Upstreams that want no requests from this VM at present";
+        registry.register("upstreams_backing_off", text, backing_off.clone());
         let vms = Gauge::default();
         registry.register("vms", "Entry VMs that take requests", vms.clone());
         let in_progress = Gauge::default();
@@ -74,6 +78,7 @@
             upstreams,
             limited,
             draining,
+            backing_off,
             vms,
             in_progress,
             version,
@@ -112,6 +117,11 @@
         self.draining.set(draining as i64);
     }
 
+    /// Sets the number of upstreams that want no requests from this VM at present.
+    pub fn set_backing_off(&self, backing_off: usize) {
+        self.backing_off.set(backing_off as i64);
+    }
+
     /// Encodes all metrics in the text format, after updating the gauges.
     pub fn encode(&self, upstreams: usize, vms: usize, in_progress: usize, version: u64) -> String {
         self.upstreams.set(upstreams as i64);
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -207,6 +207,7 @@
             let place = self.place();
             self.metrics.set_limited(place.limited_count());
             self.metrics.set_draining(place.draining_count());
+            self.metrics.set_backing_off(place.backoff_count(Instant::now()));
         }
         let version = self.routing().table.map_or(0, |table| table.version().get());
         self.metrics.encode(upstreams, vms, self.in_progress(), version)
--- a/src/gateway/state/restrictions.rs
+++ b/src/gateway/state/restrictions.rs
@@ -49,6 +49,17 @@
             Event::DrainEnded => {
                 info!(self.log, "upstream.drain_ended"; "upstream" => %upstream);
             }
+            Event::BackoffBegan(left) => {
+                info!(self.log, "upstream.backoff_began"; "upstream" => %upstream,
+                    "left_ms" => left.as_millis() as u64, "source" => source, "age_ms" => age);
+            }
+            Event::BackoffExtended(left) => {
+                info!(self.log, "upstream.backoff_extended"; "upstream" => %upstream,
+                    "left_ms" => left.as_millis() as u64, "source" => source, "age_ms" => age);
+            }
+            Event::BackoffEnded => {
+                info!(self.log, "upstream.backoff_ended"; "upstream" => %upstream);
+            }
             Event::HeaderIgnored { name, value } => {
                 warn!(self.log, "upstream.header_ignored"; "upstream" => %upstream,
                     "header" => name, "value" => value);
