LIMIT: a refusal does not end a limit, and a region's outlook includes limits

A 503 that does not repeat the limit lifted it until the next answer, and the ramp let requests go meanwhile. A region whose upstreams are all limited reported the latency of an idle engine whenever its VM had a turn, and other regions forwarded requests that were refused there. Tests: feedback a_refusal_does_not_end_a_limit, place the_outlook_includes_rate_limits_and_pauses.

--- a/src/decide/feedback.rs
+++ b/src/decide/feedback.rs
@@ -46,6 +46,8 @@
 /// What an upstream states about itself in the head of a response.
 #[derive(Debug, Clone, Default, PartialEq)]
 pub struct Feedback {
+    /// Whether the response refuses the request. It may then lack what answers state.
+    pub is_refusal: bool,
     /// The requests that it takes from all VMs together, for as long as it states this.
     pub rate_limit: Statement<Rate>,
     /// Whether it is about to stop and wants no new requests.
--- a/src/decide/feedback/limit.rs
+++ b/src/decide/feedback/limit.rs
@@ -91,6 +91,11 @@
         self.pace(now).map_or(Duration::ZERO, |pace| self.pacer.wait(&pace, sender, now))
     }
 
+    /// Returns the interval between two requests of this VM; zero without a limit.
+    pub fn interval(&self, sender: Sender, now: Instant) -> Duration {
+        self.pace(now).map_or(Duration::ZERO, |pace| pace.interval(sender))
+    }
+
     /// Records that a request was sent.
     pub fn record_sent(&mut self, sender: Sender, now: Instant) {
         if let Some(pace) = self.pace(now) {
--- a/src/decide/feedback/pacer.rs
+++ b/src/decide/feedback/pacer.rs
@@ -49,6 +49,11 @@
         let rate = Rate::per_second(limited.turns.rate.get() * f64::from(1 << steps));
         Some(Self { turns: Turns { rate, ..limited.turns } })
     }
+
+    /// The interval between two requests of a VM.
+    pub fn interval(&self, sender: Sender) -> Duration {
+        seconds(self.turns.round(sender))
+    }
 }
 
 /// What this VM has sent under a limit.
--- a/src/decide/feedback/restrictions.rs
+++ b/src/decide/feedback/restrictions.rs
@@ -59,7 +59,9 @@
 
     /// Records the feedback of a response to a request that was sent at `sent_at`.
     pub fn record(&mut self, feedback: &Feedback, sent_at: Instant, now: Instant) {
-        self.limit.record(&feedback.rate_limit, sent_at, now);
+        if !feedback.is_refusal || feedback.rate_limit != Statement::Absent {
+            self.limit.record(&feedback.rate_limit, sent_at, now);
+        }
         if feedback.draining == Statement::Value(true) {
             self.record_draining(Source::Response, now);
         }
--- a/src/decide/feedback/tests.rs
+++ b/src/decide/feedback/tests.rs
@@ -205,3 +205,14 @@
     );
     assert_eq!(one.wait(Sender::default(), start), Duration::from_secs(3600));
 }
+
+// Guards against a refusal that lifts a limit because it does not repeat it.
+#[tokio::test(start_paused = true)]
+async fn a_refusal_does_not_end_a_limit() {
+    let start = Instant::now();
+    let mut one = Restrictions::default();
+    one.record(&limited(4.0), start, after(start, 100));
+    let refusal = Feedback { is_refusal: true, ..Feedback::default() };
+    one.record(&refusal, after(start, 200), after(start, 300));
+    assert_eq!(one.limit.rate(), Some(Rate::per_second(4.0)));
+}
--- a/src/decide/place.rs
+++ b/src/decide/place.rs
@@ -329,8 +329,12 @@
             let wait = self.next_opening(service, now)?;
             return Some(Outlook { wait, running: 0 });
         };
-        let failures = self.upstreams.get(&placement.id).map(|upstream| upstream.penalty(now));
-        let wait = placement.first_event + failures.unwrap_or_default();
+        let sender = self.sender(service);
+        let upstream = self.upstreams.get(&placement.id);
+        let failures = upstream.map(|upstream| upstream.penalty(now)).unwrap_or_default();
+        // The next request under a rate limit waits for the VM's next turn.
+        let interval = upstream.map(|upstream| upstream.restrictions.limit.interval(sender, now));
+        let wait = placement.first_event + failures + interval.unwrap_or_default();
         Some(Outlook { wait, running: placement.running })
     }
 
@@ -480,7 +484,7 @@
         changes
     }
 
-    /// Returns the number of upstreams that state that they are draining.
+    /// Returns the number of upstreams known to be draining.
     pub fn draining_count(&self) -> usize {
         self.upstreams.values().filter(|upstream| upstream.restrictions.is_draining()).count()
     }
--- a/src/decide/place/tests.rs
+++ b/src/decide/place/tests.rs
@@ -414,3 +414,23 @@
     assert_eq!(other.choose(&query(Work::default()), now), None);
     assert_eq!(other.draining(shard), [], "news of another VM is not passed on");
 }
+
+// Guards against forwarding to a region whose upstreams take hardly anything: its outlook must include the limit.
+#[tokio::test(start_paused = true)]
+async fn the_outlook_includes_rate_limits_and_pauses() {
+    let now = Instant::now();
+    let mut balancer = balancer();
+    balancer.sync(vec![engine("a")], senders(0, 4), now);
+    let free = balancer.outlook("s", true, now).unwrap().wait;
+    let placement = balancer.choose(&query(Work::default()), now).unwrap();
+    let in_flight = balancer.record_sent(&placement, &Work::default(), now);
+    let rate_limit = Statement::Value(Rate::per_second(2.0));
+    let limited = Feedback { rate_limit, ..Feedback::default() };
+    balancer.record_feedback(&in_flight, &limited, now);
+    let wait = balancer.outlook("s", true, now).unwrap().wait;
+    assert!(wait >= free + Duration::from_secs(1), "{wait:?} after {free:?}");
+    let backoff = Statement::Value(Duration::from_secs(3));
+    let pausing = Feedback { is_refusal: true, backoff, ..Feedback::default() };
+    balancer.record_feedback(&in_flight, &pausing, now);
+    assert_eq!(balancer.outlook("s", true, now).unwrap().wait, Duration::from_secs(3));
+}
