Log of restrictions: each ends with its source and age; an ignored header is logged once a minute

What the log has been told moves out of Restrictions into a file of its own, with one match on the state before and after. A header that cannot be decoded in each response was logged once a second for each upstream.

--- a/src/decide/feedback.rs
+++ b/src/decide/feedback.rs
@@ -18,6 +18,7 @@
 mod limit;
 mod notice;
 mod pacer;
+mod reported;
 mod restrictions;
 
 use std::time::Duration;
@@ -43,6 +44,16 @@
     Value(T),
 }
 
+impl<T> Statement<T> {
+    /// The text of an invalid value.
+    pub fn invalid(&self) -> Option<&str> {
+        match self {
+            Self::Invalid(text) => Some(text),
+            Self::Absent | Self::Value(_) => None,
+        }
+    }
+}
+
 /// What an upstream states about itself in the head of a response.
 #[derive(Debug, Clone, Default, PartialEq)]
 pub struct Feedback {
--- a/src/decide/feedback/restrictions.rs
+++ b/src/decide/feedback/restrictions.rs
@@ -11,13 +11,10 @@
 use super::Limit;
 use super::Source;
 use super::Statement;
+use super::reported::Reported;
+use super::reported::State;
 use crate::decide::turns::Sender;
 use crate::id;
-use crate::unit::Rate;
-
-/// Minimum interval between log entries about one upstream, which bounds the log if a statement changes with each
-/// response.
-const LOG_INTERVAL: Duration = Duration::from_secs(1);
 
 /// Upper bound on the wait for a VM's turn at a rate limit that callers are told.
 const MAX_TURN_WAIT: Duration = Duration::from_secs(2);
@@ -26,15 +23,6 @@
 /// has not heard of its end.
 const RETENTION: Duration = Duration::from_secs(60);
 
-/// The state that was last reported to the log.
-#[derive(Debug, Default)]
-struct Reported {
-    at: Option<Instant>,
-    rate: Option<Rate>,
-    is_draining: bool,
-    backoff_until: Option<Instant>,
-}
-
 /// What one incarnation of an upstream has stated.
 #[derive(Debug, Default)]
 pub struct Restrictions {
@@ -69,14 +57,14 @@
             Statement::Value(span) => self.backoff.record(span, now),
             Statement::Absent | Statement::Invalid(_) => self.backoff.record_response(sent_at),
         }
-        if let Statement::Invalid(text) = &feedback.backoff {
-            self.ignored = Some(("backoff", text.clone()));
-        }
-        if let Statement::Invalid(text) = &feedback.rate_limit {
-            self.ignored = Some(("rate limit", text.clone()));
-        }
-        if let Statement::Invalid(text) = &feedback.draining {
-            self.ignored = Some(("draining", text.clone()));
+        let invalid = [
+            ("rate limit", feedback.rate_limit.invalid()),
+            ("draining", feedback.draining.invalid()),
+            ("backoff", feedback.backoff.invalid()),
+        ];
+        let mut ignored = invalid.into_iter().filter_map(|(name, text)| Some((name, text?)));
+        if let Some((name, text)) = ignored.next() {
+            self.ignored = Some((name, text.to_owned()));
         }
     }
 
@@ -126,62 +114,28 @@
         self.draining.is_some()
     }
 
-    /// Returns the last changes of an upstream that is gone.
-    pub fn into_changes(mut self, upstream: &id::Upstream, now: Instant) -> Vec<Change> {
-        self.reported.at = None;
-        self.take_changes(upstream, now)
-    }
-
     /// Returns the changes since the last call, for the log.
     pub fn take_changes(&mut self, upstream: &id::Upstream, now: Instant) -> Vec<Change> {
-        let is_unchanged = self.reported.rate == self.limit.rate()
-            && self.reported.is_draining == self.is_draining()
-            && self.reported.backoff_until == self.backoff.until(now)
-            && self.ignored.is_none();
-        let is_early =
-            self.reported.at.is_some_and(|at| now.saturating_duration_since(at) < LOG_INTERVAL);
-        if is_unchanged || is_early {
-            return Vec::new();
-        }
-        self.reported.at = Some(now);
-        let mut changes = Vec::new();
-        let mut add = |event, known: Option<(Instant, Source)>| {
-            let (at, source) = known.unwrap_or((now, Source::Response));
+        let until = self.backoff.until(now);
+        let states = [
+            (State::Limit(self.limit.rate()), self.limit.known()),
+            (State::Draining(self.is_draining()), self.draining),
+            (State::Backoff(until), self.backoff.known()),
+        ];
+        let ignored = self.ignored.take();
+        let events = self.reported.take_events(states, ignored, now);
+        let change = |(event, known): (Event, Option<(Instant, Source)>)| {
+            // Without a statement of this incarnation, the roster says that the upstream has restarted or is gone.
+            let (at, source) = known.unwrap_or((now, Source::Roster));
             let age = now.saturating_duration_since(at);
-            changes.push(Change { upstream: upstream.clone(), event, source, age });
-        };
-        if let Some((name, value)) = self.ignored.take() {
-            add(Event::HeaderIgnored { name, value }, None);
-        }
-        let rate = self.limit.rate();
-        let event = match (self.reported.rate, rate) {
-            (None, Some(rate)) => Some(Event::LimitBegan(rate)),
-            (Some(before), Some(rate)) if before != rate => Some(Event::LimitChanged(rate)),
-            (Some(_), None) => Some(Event::LimitEnded),
-            _ => None,
+            Change { upstream: upstream.clone(), event, source, age }
         };
-        if let Some(event) = event {
-            add(event, self.limit.known());
-        }
-        self.reported.rate = rate;
-        let is_draining = self.is_draining();
-        match (self.reported.is_draining, is_draining) {
-            (false, true) => add(Event::DrainBegan, self.draining),
-            (true, false) => add(Event::DrainEnded, None),
-            _ => (),
-        }
-        self.reported.is_draining = is_draining;
-        let until = self.backoff.until(now);
-        let left = until.map(|until| until.saturating_duration_since(now));
-        match (self.reported.backoff_until, left) {
-            (None, Some(left)) => add(Event::BackoffBegan(left), self.backoff.known()),
-            (Some(before), Some(left)) if Some(before) != until => {
-                add(Event::BackoffExtended(left), self.backoff.known());
-            }
-            (Some(_), None) => add(Event::BackoffEnded, None),
-            _ => (),
-        }
-        self.reported.backoff_until = until;
-        changes
+        events.into_iter().map(change).collect()
+    }
+
+    /// Returns the last changes of an upstream that is gone.
+    pub fn into_changes(mut self, upstream: &id::Upstream, now: Instant) -> Vec<Change> {
+        self.reported.expire();
+        self.take_changes(upstream, now)
     }
 }
--- a/src/decide/feedback/tests.rs
+++ b/src/decide/feedback/tests.rs
@@ -216,3 +216,19 @@
     one.record(&refusal, after(start, 200), after(start, 300));
     assert_eq!(one.limit.rate(), Some(Rate::per_second(4.0)));
 }
+
+// Guards against a log line for each response of an upstream whose header cannot be decoded.
+#[tokio::test(start_paused = true)]
+async fn an_ignored_header_is_logged_once_a_minute() {
+    let start = Instant::now();
+    let mut one = Restrictions::default();
+    let invalid =
+        Feedback { draining: Statement::Invalid("soon".to_owned()), ..Feedback::default() };
+    let mut lines = 0;
+    for second in 0..130 {
+        let now = after(start, second * 1000);
+        one.record(&invalid, now, now);
+        lines += one.take_changes(&name(), now).len();
+    }
+    assert_eq!(lines, 3);
+}
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -58,7 +58,7 @@
         let text = "Upstreams that state a rate limit";
         registry.register("upstreams_limited", text, limited.clone());
         let draining = Gauge::default();
-        let text = "Upstreams that state that they are draining";
+        let text = "Upstreams known to be draining";
         registry.register("upstreams_draining", text, draining.clone());
         let backing_off = Gauge::default();
         let text = "Upstreams that want no requests from this VM at present";
@@ -112,7 +112,7 @@
         self.limited.set(limited as i64);
     }
 
-    /// Sets the number of upstreams that state that they are draining.
+    /// Sets the number of upstreams known to be draining.
     pub fn set_draining(&self, draining: usize) {
         self.draining.set(draining as i64);
     }
--- a/src/gateway/state/restrictions.rs
+++ b/src/gateway/state/restrictions.rs
@@ -47,7 +47,8 @@
                     "source" => source, "age_ms" => age);
             }
             Event::DrainEnded => {
-                info!(self.log, "upstream.drain_ended"; "upstream" => %upstream);
+                info!(self.log, "upstream.drain_ended"; "upstream" => %upstream,
+                    "source" => source, "age_ms" => age);
             }
             Event::BackoffBegan(left) => {
                 info!(self.log, "upstream.backoff_began"; "upstream" => %upstream,
@@ -58,7 +59,8 @@
                     "left_ms" => left.as_millis() as u64, "source" => source, "age_ms" => age);
             }
             Event::BackoffEnded => {
-                info!(self.log, "upstream.backoff_ended"; "upstream" => %upstream);
+                info!(self.log, "upstream.backoff_ended"; "upstream" => %upstream,
+                    "source" => source, "age_ms" => age);
             }
             Event::HeaderIgnored { name, value } => {
                 warn!(self.log, "upstream.header_ignored"; "upstream" => %upstream,
