--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -40,7 +40,8 @@
 const TIMEOUT_FACTOR: u32 = 3;
 /// Minimum `Retry-After`.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(150);
-/// Maximum `Retry-After` that is estimated from latencies. Callers do not retry after delays of more than a third of their timeout.
+/// Maximum `Retry-After` that is estimated from latencies. Callers do not retry after delays of more
+/// than a third of their timeout.
 const MAX_RETRY_AFTER: Duration = Duration::from_secs(2);
 
 /// The position of this VM on the path of a request.
@@ -356,13 +357,19 @@
             return Refusal::new(reason, detail).with_ran(Ran::Unknown);
         }
         let reason = if reason == Reason::UpstreamFailed { Reason::Overload } else { reason };
-        let opening = self.state.place().next_opening(&self.job.service, Instant::now());
-        let after = self.retry_after.into_iter().chain(opening).min();
+        let after = self.retry_after.into_iter().chain(self.opening()).min();
         let after = after.unwrap_or_default().max(MIN_RETRY_AFTER);
         let spread = 1.0 + (self.state.random() % 256) as f64 / 1024.0;
         Refusal::new(reason, detail).with_retry_after(after.mul_f64(spread))
     }
 
+    /// When an upstream of this region accepts requests again, if restrictions exclude them on all.
+    fn opening(&self) -> Option<Duration> {
+        let is_home = self.job.caller.allows(&self.job.route, &self.state.node().region);
+        let opening = || self.state.place().next_opening(&self.job.service, Instant::now());
+        is_home.then(opening).flatten()
+    }
+
     /// Logs the estimate that led to a refusal.
     fn log_too_late(&self, placement: &Placement, max_wait: Duration) {
         let route = &self.job.route;
--- a/src/gateway/state/restrictions.rs
+++ b/src/gateway/state/restrictions.rs
@@ -12,7 +12,7 @@
 use crate::decide::feedback::Event;
 
 /// Interval at which changes are logged.
-const REPORT_INTERVAL: Duration = Duration::from_millis(200);
+const REPORT_INTERVAL: Duration = Duration::from_millis(500);
 
 impl State {
     /// Logs restrictions that begin, change or end, until the task is cancelled.
