--- a/tests/promises/whole.rs
+++ b/tests/promises/whole.rs
@@ -162,6 +162,8 @@
         let (first, at) = (request.clone(), site.callers("a"));
         let running = tokio::spawn(async move { first.send(at).await });
         while engine.ran().len() <= round {
+            // Without a run of its own the wait would never end.
+            assert!(!running.is_finished(), "no run: {:?}", running.await);
             time::sleep(Duration::from_millis(5)).await;
         }
         site.forget_connections();
