--- a/src/decide/place.rs
+++ b/src/decide/place.rs
@@ -54,6 +54,7 @@
 use crate::unit::Tokens;
 
 pub use cold::Cold;
+pub use cold::ColdSend;
 pub use health::Outcome;
 pub use regions::Holder;
 pub use regions::OpenUpstreams;
@@ -319,6 +320,12 @@
         Some(Outlook { wait, running: placement.running })
     }
 
+    /// Describes a request sent now to the upstream if that is cold, for the log.
+    pub fn cold_send(&self, id: &id::Upstream, now: Instant) -> Option<ColdSend> {
+        let upstream = self.upstreams.get(id)?;
+        upstream.cold_send(self.sender(&upstream.endpoint.service), now)
+    }
+
     /// Records that a request was sent to the selected upstream.
     pub fn record_sent(&mut self, placement: &Placement, work: &Work, now: Instant) -> InFlight {
         let service = self.upstreams.get(&placement.id).map(|known| &known.endpoint.service);
@@ -441,7 +448,8 @@
         }
     }
 
-    fn sender(&self, service: &str) -> Sender {
+    /// Returns this VM's rank among the VMs that send to the upstreams of a service.
+    pub fn sender(&self, service: &str) -> Sender {
         self.senders.get(service).copied().unwrap_or_default()
     }
 
--- a/src/decide/place/cold.rs
+++ b/src/decide/place/cold.rs
@@ -28,6 +28,17 @@
     pub rate: Rate,
 }
 
+/// A request to a cold upstream, as logged: which turn it takes, in whose view.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct ColdSend {
+    /// This VM's rank among the VMs that it knows.
+    pub sender: Sender,
+    /// The VM's turn.
+    pub turn: Turn,
+    /// The remaining cold period.
+    pub left: Duration,
+}
+
 /// Tracks the turns that this VM has used.
 #[derive(Debug, Default)]
 pub struct Pacer {
@@ -47,6 +58,14 @@
     }
 }
 
+impl ColdSend {
+    /// Describes a request sent now.
+    pub fn new(cold: &Cold, sender: Sender, now: Instant) -> Self {
+        let left = cold.until.saturating_duration_since(now);
+        Self { sender, turn: turn(cold, sender, now), left }
+    }
+}
+
 fn turn(cold: &Cold, sender: Sender, now: Instant) -> Turn {
     Turns { reference: cold.until, rate: cold.rate }.current(sender, now)
 }
--- a/src/decide/place/upstream.rs
+++ b/src/decide/place/upstream.rs
@@ -10,6 +10,7 @@
 use super::Query;
 use super::cache::Cache;
 use super::cold::Cold;
+use super::cold::ColdSend;
 use super::cold::Pacer;
 use super::cost::Conditions;
 use super::health::Health;
@@ -382,6 +383,11 @@
         (blended(report.others_running, mean.0), blended(report.others_waiting, mean.1))
     }
 
+    /// Describes a request sent now if the upstream is cold.
+    pub fn cold_send(&self, sender: Sender, now: Instant) -> Option<ColdSend> {
+        self.cold(now).map(|cold| ColdSend::new(&cold, sender, now))
+    }
+
     fn cold(&self, now: Instant) -> Option<Cold> {
         self.endpoint.cold.filter(|cold| now < cold.until)
     }
--- a/src/decide/turns.rs
+++ b/src/decide/turns.rs
@@ -30,6 +30,11 @@
         Self { count: count.max(1), rank }
     }
 
+    /// Returns this VM's rank, counted from 0.
+    pub const fn rank(self) -> u32 {
+        self.rank
+    }
+
     /// Returns the number of VMs that send.
     pub const fn count(self) -> u32 {
         self.count
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -317,6 +317,7 @@
         let (target, held, address) = match placement {
             Placement::Local(fit) => {
                 self.tried.push(fit.id.clone());
+                self.log_cold_send(&fit.id);
                 let held = self.state.place().record_sent(fit, &self.work, Instant::now());
                 (Target::Upstream(fit.id.clone()), Some(held), fit.address)
             }
@@ -336,6 +337,18 @@
         (Reservation::new(self.state.clone(), target, service, held), address)
     }
 
+    /// Logs a request to a cold upstream: how it came here, and which turn it takes.
+    fn log_cold_send(&self, upstream: &id::Upstream) {
+        let send = self.state.place().cold_send(upstream, Instant::now());
+        let Some(send) = send else { return };
+        info!(self.state.log(), "upstream.cold_send"; "request" => &self.job.call.id,
+            "upstream" => %upstream, "hop" => ?self.job.hop, "attempt" => self.attempts() + 1,
+            "waited_ms" => self.job.received_at.elapsed().as_millis() as u64,
+            "rank" => send.sender.rank(), "count" => send.sender.count(),
+            "turn" => send.turn.round, "turn_ms" => send.turn.elapsed.as_millis() as u64,
+            "cold_left_ms" => send.left.as_millis() as u64);
+    }
+
     /// The timeout for the head of the response. It is limited only if another attempt is possible,
     /// so that a hanging upstream does not use up the caller's time.
     fn attempt_timeout(&self, expected: Duration, remaining: Duration) -> Duration {
--- a/src/gateway/state/upstreams.rs
+++ b/src/gateway/state/upstreams.rs
@@ -4,6 +4,7 @@
 use std::collections::HashMap;
 use std::sync::Arc;
 
+use slog::info;
 use tokio::time::Instant;
 
 use super::State;
@@ -53,13 +54,25 @@
         let seen = seen.collect();
         let remote = self.remote_upstreams(&merged, &routing.evacuated);
         let vms = merged.entry_vm_count();
+        let known_vms = peers.names.len();
         drop(merged);
         self.meter().set_vm_count(vms);
+        self.log_senders(&senders, known_vms);
         self.place().sync(seen, senders, Instant::now());
         self.regions().sync(remote);
         self.updates.send_replace(());
     }
 
+    /// Logs this VM's rank where it changes, which moves its turns.
+    fn log_senders(&self, senders: &HashMap<String, Sender>, known_vms: usize) {
+        let place = self.place();
+        let changed = senders.iter().filter(|(service, new)| place.sender(service) != **new);
+        for (service, sender) in changed {
+            info!(self.log, "sender.changed"; "service" => service, "rank" => sender.rank(),
+                "count" => sender.count(), "known_vms" => known_vms);
+        }
+    }
+
     /// The available upstreams of other regions, by service.
     fn remote_upstreams(
         &self,
