--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -393,3 +393,6 @@
         self.sync_placement();
     }
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/gateway/state/tests.rs
@@ -0,0 +1,296 @@
+use std::sync::Arc;
+use std::time::Duration;
+
+use futures::future::BoxFuture;
+use http::HeaderMap;
+use http::Request;
+use http::Response;
+use http::StatusCode;
+use http::request;
+use hyper::body::Incoming;
+use rand::Rng;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use tokio::time;
+use tokio::time::Instant;
+use yare::parameterized;
+
+use super::State;
+use crate::decide::place::Query;
+use crate::decide::place::Work;
+use crate::gateway::Adapter;
+use crate::gateway::Call;
+use crate::gateway::Codec;
+use crate::gateway::adapter::AttemptMeta;
+use crate::gateway::adapter::ResponseMeta;
+use crate::http::Body;
+use crate::http::Refusal;
+use crate::id;
+use crate::log;
+use crate::roster::Announcement;
+use crate::roster::Delta;
+use crate::roster::Observed;
+use crate::roster::Presence;
+use crate::roster::Stamp;
+use crate::roster::Standing;
+use crate::routing::Document;
+use crate::routing::Service;
+use crate::routing::state::Replicated;
+use crate::settings::Node;
+use crate::unit::Rate;
+use crate::unit::Slots;
+use crate::unit::Version;
+use crate::wire::Role;
+
+const SERVICE: &str = "s";
+const RATE: f64 = 6.6;
+const COLD: Duration = Duration::from_secs(5);
+const SECOND: Duration = Duration::from_secs(1);
+/// The time until a VM's presence reaches the others, and the most that a record is late.
+const PROPAGATION: Duration = Duration::from_millis(250);
+const MAX_DELAY: Duration = Duration::from_millis(350);
+
+/// The most that arrives at a cold upstream in a second.
+const fn bound(rate: f64) -> f64 {
+    rate * 1.5 + 3.0
+}
+
+struct NoAdapter;
+
+impl Codec for NoAdapter {
+    fn decode_request(&self, _: request::Parts) -> Result<Call, Refusal> {
+        unimplemented!("these tests send no request over HTTP")
+    }
+
+    fn encode_attempt(&self, _: &AttemptMeta<'_>, _: &mut HeaderMap) {}
+
+    fn decode_response(&self, _: StatusCode, _: &HeaderMap) -> ResponseMeta {
+        ResponseMeta::default()
+    }
+
+    fn encode_refusal(&self, _: &Refusal) -> Response<Body> {
+        unimplemented!("these tests send no request over HTTP")
+    }
+}
+
+impl Adapter for NoAdapter {
+    fn handle_operator(
+        &self,
+        _: Arc<State>,
+        _: Request<Incoming>,
+    ) -> BoxFuture<'static, Response<Body>> {
+        unimplemented!("these tests ask no operator endpoint")
+    }
+
+    fn handle_directory(&self, _: &State, _: &Request<Incoming>) -> Response<Body> {
+        unimplemented!("these tests ask no directory")
+    }
+}
+
+fn ip(nth: usize) -> String {
+    format!("10.0.{}.{}", nth / 250, nth % 250)
+}
+
+/// A VM of the region whose process has just started.
+fn start(nth: usize) -> State {
+    let ip = ip(nth);
+    let text = format!(
+        "ip: {ip}\nregion: r\ndata_centre: a\ndata_centres: [a=r]\nseeds: [\"10.9.0.1:90\"]\nlink_port: 70\n\
+         network: closed\ncheck_in: 1200ms\nentry:\n  callers: {ip}:80\n  operators: {ip}:81\n  \
+         forwards: {ip}:82\n  grace: 8s\n"
+    );
+    let node = Node::parse("node.yaml", &text, std::path::Path::new(".")).unwrap();
+    let state = State::new(Arc::new(node), Arc::new(NoAdapter), 1, nth as u64, log::silent());
+    state.apply_routing(Replicated {
+        revision: Version::new(1),
+        document: Some(Arc::new(Document { services: vec![service()], ..Document::default() })),
+        ..Replicated::default()
+    });
+    state
+}
+
+fn service() -> Service {
+    Service {
+        name: SERVICE.to_owned(),
+        connections: 1000,
+        cold_time: COLD,
+        cold_rate: Some(Rate::per_second(RATE)),
+        engine: None,
+    }
+}
+
+fn presence(nth: usize) -> Presence {
+    Presence {
+        vm: ip(nth).parse().unwrap(),
+        role: Role::Entry,
+        stamp: Stamp::new(1, 1),
+        nonce: 1,
+        region: "r".parse().unwrap(),
+        data_centre: "a".parse().unwrap(),
+        standing: Standing::Ready,
+        ready: true,
+        callers: None,
+        forwards: None,
+        links: None,
+    }
+}
+
+fn announcement(sequence: u64, cold_left: Duration) -> Announcement {
+    Announcement {
+        id: "upstream".parse().unwrap(),
+        stamp: Stamp::new(1, sequence),
+        service: SERVICE.to_owned(),
+        address: ([10, 1, 0, 1], 80).into(),
+        data_centre: "a".parse().unwrap(),
+        slots: Slots::new(48),
+        standing: Standing::Ready,
+        cold_left,
+        ends_in: None,
+        models: Vec::new(),
+    }
+}
+
+/// Entry VMs of a region before one cold upstream. The VMs hear of the upstream and of each other through two control
+/// VMs, each of them with a delay of its own.
+struct Region {
+    start: Instant,
+    vms: Vec<Vm>,
+    rng: SmallRng,
+    sent: Vec<Duration>,
+}
+
+struct Vm {
+    state: State,
+    /// When it starts.
+    starts: Duration,
+    is_started: bool,
+    known: usize,
+    revision: u64,
+}
+
+impl Region {
+    /// VMs that start at the given times; the upstream is cold from now on.
+    fn new(mut starts: Vec<Duration>, seed: u64) -> Self {
+        starts.sort();
+        let vm = |(nth, starts)| Vm {
+            state: start(nth),
+            starts,
+            is_started: false,
+            known: 0,
+            revision: 0,
+        };
+        Self {
+            start: Instant::now(),
+            vms: starts.into_iter().enumerate().map(vm).collect(),
+            rng: SmallRng::seed_from_u64(seed),
+            sent: Vec::new(),
+        }
+    }
+
+    /// Plays the cold period. All VMs have a request for the upstream at each step.
+    async fn play(&mut self, step: Duration) {
+        while self.start.elapsed() < COLD {
+            let now = self.start.elapsed();
+            for nth in 0..self.vms.len() {
+                if self.vms[nth].starts <= now {
+                    self.hear(nth, now);
+                    self.request(nth, now);
+                }
+            }
+            time::advance(step).await;
+        }
+    }
+
+    /// A VM receives what one of its control VMs knows.
+    fn hear(&mut self, nth: usize, now: Duration) {
+        let known = self.vms.partition_point(|vm| vm.starts + PROPAGATION <= now);
+        let vm = &mut self.vms[nth];
+        let has_peers = known > vm.known;
+        // Now and then a record comes again, by another way.
+        if vm.is_started && !has_peers && !self.rng.random_bool(0.02) {
+            return;
+        }
+        let delay = MAX_DELAY.mul_f64(self.rng.random());
+        let cold_left = COLD.saturating_sub(now.saturating_sub(delay));
+        let sequence = 1 + now.saturating_sub(delay).as_millis() as u64 / 1200;
+        let observed = |record| Observed { record, silent: false };
+        let peers = vm.known..known.max(vm.known);
+        vm.revision += 1;
+        let delta = Delta {
+            revision: vm.revision,
+            is_full: !vm.is_started,
+            upstreams: vec![Observed { record: announcement(sequence, cold_left), silent: false }],
+            vms: peers.map(presence).map(observed).collect(),
+        };
+        let control: id::Vm = format!("control-{}", vm.revision % 2).parse().unwrap();
+        vm.state.apply_roster(&control, 1, delta);
+        (vm.is_started, vm.known) = (true, known.max(vm.known));
+    }
+
+    fn request(&mut self, nth: usize, now: Duration) {
+        let (work, max_wait) = (Work::default(), Duration::MAX);
+        let tried = &[];
+        let query =
+            Query { service: SERVICE, work, tried, holds_prefix: false, urgent: true, max_wait };
+        let mut place = self.vms[nth].state.place();
+        if let Some(placement) = place.choose(&query, Instant::now()) {
+            place.record_sent(&placement, &work, Instant::now());
+            self.sent.push(now);
+        }
+    }
+
+    /// The most that was sent in a second.
+    fn most(&self) -> usize {
+        let count = |from: &Duration| self.count(*from, *from + SECOND);
+        self.sent.iter().map(count).max().unwrap_or(0)
+    }
+
+    fn count(&self, from: Duration, until: Duration) -> usize {
+        self.sent.iter().filter(|at| (from..until).contains(*at)).count()
+    }
+}
+
+/// Spreads the starts of VMs over a time.
+fn within(spread: Duration, vms: usize, seed: u64) -> Vec<Duration> {
+    let mut rng = SmallRng::seed_from_u64(seed);
+    (0..vms).map(|_| spread.mul_f64(rng.random())).collect()
+}
+
+// Guards against a flood when a region returns: VMs that have just started count themselves alone and take the turns
+// of all, and take a turn again whenever the end of the cold period or the number of VMs changes in their view.
+#[parameterized(
+    one = { 1, 0, 5, 10 },
+    two = { 2, 30, 5, 10 },
+    two_in_turn = { 2, 1000, 5, 10 },
+    three = { 3, 1000, 5, 10 },
+    fourteen = { 14, 1000, 10, 5 },
+    a_hundred = { 100, 1000, 20, 2 },
+    a_fleet = { 985, 1000, 50, 1 },
+)]
+fn vms_that_start_with_a_cold_upstream_do_not_flood_it(
+    vms: usize,
+    spread_ms: u64,
+    step_ms: u64,
+    seeds: u64,
+) {
+    let (spread, step) = (Duration::from_millis(spread_ms), Duration::from_millis(step_ms));
+    for seed in 1..=seeds {
+        paused(async {
+            let mut region = Region::new(within(spread, vms, seed), seed);
+            region.play(step).await;
+            let most = region.most();
+            assert!(most as f64 <= bound(RATE), "{most} requests in a second, seed {seed}");
+            let later = region.count(SECOND * 3, SECOND * 4);
+            assert!(later as f64 >= RATE / 2.0, "{later} in a later second, seed {seed}");
+        });
+    }
+}
+
+fn paused(test: impl Future<Output = ()>) {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_time()
+        .start_paused(true)
+        .build()
+        .unwrap();
+    runtime.block_on(test);
+}
