FAILBACK: turns at a cold upstream do not depend on a VM's view of it

Cause: a VM counted its turns back from the end of the cold period as it had computed it last, in rounds of the VMs that it knew then. Both change in the seconds after a start: the same record comes by two control VMs up to 0.5 s apart, and a VM knows itself alone for 40 to 200 ms. With each change the number of the round changes, and the record of the last one used says nothing any more. Class: a limit over VMs that is kept by the index of a schedule which each VM derives from a view of its own.

Change: time is divided into turns from an epoch that all VMs know (Unix time at their start), independent of the upstream's state and of the number of VMs, and rendezvous hashing gives each turn to one VM. Views that differ in one VM disagree on that VM's turns only. What a VM has used is kept as a time. A VM that has just received its first roster has no turns for a second, by when the others know it and it knows them. The same record by another way does not extend the cold period any more.

Callers: what a cold upstream can't take goes to another region or is refused at once with the time to the VM's next turn; it does not wait at a starting VM beyond the turns there are, and is not sent to a dead upstream because the cold one is busy.

The rotation by rank that rate limits use is moved to decide::feedback unchanged.

--- a/src/decide/feedback.rs
+++ b/src/decide/feedback.rs
@@ -20,6 +20,7 @@
 mod pacer;
 mod reported;
 mod restrictions;
+mod rotation;
 
 use std::time::Duration;
 
@@ -31,6 +32,7 @@
 pub use limit::Limit;
 pub use notice::RateNotice;
 pub use restrictions::Restrictions;
+pub use rotation::Position;
 
 /// A value that a response may state.
 #[derive(Debug, Clone, Default, PartialEq)]
--- a/src/decide/feedback/limit.rs
+++ b/src/decide/feedback/limit.rs
@@ -9,7 +9,7 @@
 use super::Statement;
 use super::pacer::Pace;
 use super::pacer::Pacer;
-use crate::decide::turns::Sender;
+use super::rotation::Position;
 use crate::unit::Rate;
 
 /// How long VMs are told that a limit has ended. The others then have received the news, or a response of their own.
@@ -87,19 +87,19 @@
     }
 
     /// Returns how long requests of this VM have to wait; zero if one may be sent now.
-    pub fn wait(&self, sender: Sender, now: Instant) -> Duration {
-        self.pace(now).map_or(Duration::ZERO, |pace| self.pacer.wait(&pace, sender, now))
+    pub fn wait(&self, position: Position, now: Instant) -> Duration {
+        self.pace(now).map_or(Duration::ZERO, |pace| self.pacer.wait(&pace, position, now))
     }
 
     /// Returns the interval between two requests of this VM; zero without a limit.
-    pub fn interval(&self, sender: Sender, now: Instant) -> Duration {
-        self.pace(now).map_or(Duration::ZERO, |pace| pace.interval(sender))
+    pub fn interval(&self, position: Position, now: Instant) -> Duration {
+        self.pace(now).map_or(Duration::ZERO, |pace| pace.interval(position))
     }
 
     /// Records that a request was sent.
-    pub fn record_sent(&mut self, sender: Sender, now: Instant) {
+    pub fn record_sent(&mut self, position: Position, now: Instant) {
         if let Some(pace) = self.pace(now) {
-            self.pacer.record_sent(&pace, sender, now);
+            self.pacer.record_sent(&pace, position, now);
         }
     }
 
--- a/src/decide/feedback/pacer.rs
+++ b/src/decide/feedback/pacer.rs
@@ -1,7 +1,7 @@
 //! A VM's part of a rate limit over all VMs.
 //!
 //! The part is a bucket that drains at the VM's equal share of the limit. A full set of buckets would let all VMs send
-//! at once, so if a share is less than about one request a second, the VM also waits for its [turn](Turns). There is
+//! at once, so if a share is less than about one request a second, the VM also waits for its [turn](super::rotation). There is
 //! no lender of shares whose loss or replacement could exceed the limit.
 //!
 //! Over 4 s, all VMs together send at most five times the limit per second, plus one request.
@@ -10,8 +10,8 @@
 
 use tokio::time::Instant;
 
-use crate::decide::turns::Sender;
-use crate::decide::turns::Turns;
+use super::rotation::Position;
+use super::rotation::Turns;
 use crate::unit::Rate;
 
 /// Lower bound of the rate over all VMs. An upstream that is sent nothing can't show that its limit has ended.
@@ -51,8 +51,8 @@
     }
 
     /// The interval between two requests of a VM.
-    pub fn interval(&self, sender: Sender) -> Duration {
-        seconds(self.turns.round(sender))
+    pub fn interval(&self, position: Position) -> Duration {
+        seconds(self.turns.round(position))
     }
 }
 
@@ -66,21 +66,21 @@
 
 impl Pacer {
     /// Returns how long requests have to wait; zero if one may be sent now.
-    pub fn wait(&self, pace: &Pace, sender: Sender, now: Instant) -> Duration {
-        let round = pace.turns.round(sender);
+    pub fn wait(&self, pace: &Pace, position: Position, now: Instant) -> Duration {
+        let round = pace.turns.round(position);
         let tolerance = (round / 2.0).clamp(MIN_TOLERANCE, MAX_TOLERANCE);
         let drained = seconds((self.ahead(round, now) * round - tolerance).max(0.0));
         if round <= tolerance {
             return drained;
         }
-        let elapsed = pace.turns.current(sender, now + drained).elapsed.as_secs_f64();
+        let elapsed = pace.turns.current(position, now + drained).elapsed.as_secs_f64();
         let next_turn = if elapsed <= tolerance { 0.0 } else { round - elapsed };
         drained.saturating_add(seconds(next_turn.max(0.0)))
     }
 
     /// Records that a request was sent.
-    pub fn record_sent(&mut self, pace: &Pace, sender: Sender, now: Instant) {
-        self.ahead = self.ahead(pace.turns.round(sender), now) + 1.0;
+    pub fn record_sent(&mut self, pace: &Pace, position: Position, now: Instant) {
+        self.ahead = self.ahead(pace.turns.round(position), now) + 1.0;
         self.at = Some(now);
     }
 
--- a/src/decide/feedback/restrictions.rs
+++ b/src/decide/feedback/restrictions.rs
@@ -13,7 +13,7 @@
 use super::Statement;
 use super::reported::Reported;
 use super::reported::State;
-use crate::decide::turns::Sender;
+use super::rotation::Position;
 use crate::id;
 
 /// Upper bound on the wait for a VM's turn at a rate limit that callers are told.
@@ -69,19 +69,19 @@
     }
 
     /// Records that a request was sent.
-    pub fn record_sent(&mut self, sender: Sender, now: Instant) {
-        self.limit.record_sent(sender, now);
+    pub fn record_sent(&mut self, position: Position, now: Instant) {
+        self.limit.record_sent(position, now);
         self.backoff.record_sent(now);
     }
 
     /// Returns how long requests of this VM have to wait; zero if one may be sent now.
-    pub fn wait(&self, sender: Sender, now: Instant) -> Duration {
-        self.limit.wait(sender, now).max(self.backoff.wait(now))
+    pub fn wait(&self, position: Position, now: Instant) -> Duration {
+        self.limit.wait(position, now).max(self.backoff.wait(now))
     }
 
     /// Returns how long callers have to wait who may come to another VM, which may have its turn at a rate limit sooner.
-    pub fn caller_wait(&self, sender: Sender, now: Instant) -> Duration {
-        self.limit.wait(sender, now).min(MAX_TURN_WAIT).max(self.backoff.wait(now))
+    pub fn caller_wait(&self, position: Position, now: Instant) -> Duration {
+        self.limit.wait(position, now).min(MAX_TURN_WAIT).max(self.backoff.wait(now))
     }
 
     /// Records that the upstream is draining.
--- a/src/decide/place.rs
+++ b/src/decide/place.rs
@@ -174,8 +174,10 @@
     /// Ordered, so that decisions are reproducible for a given seed.
     upstreams: BTreeMap<id::Upstream, UpstreamState>,
     services: HashMap<String, ServiceStats>,
-    /// This VM's rank among the VMs that send to the upstreams of a service.
+    /// The VMs that send to the upstreams of each service.
     senders: HashMap<String, Sender>,
+    /// For services without upstreams.
+    alone: Sender,
     /// Prefix uses not yet sent to other VMs.
     uses: Vec<PrefixUse>,
     /// Restrictions of upstreams that are gone, not yet reported to the log.
@@ -185,17 +187,19 @@
 impl Balancer {
     /// Creates a balancer without upstreams.
     pub fn new(rng: SmallRng) -> Self {
+        let alone = Sender::alone(Instant::now());
         Self {
             rng,
             upstreams: BTreeMap::new(),
             services: HashMap::new(),
             senders: HashMap::new(),
+            alone,
             uses: Vec::new(),
             ended: Vec::new(),
         }
     }
 
-    /// Updates the list of upstreams and this VM's rank among the VMs that send to those of each service.
+    /// Updates the list of upstreams and the VMs that send to those of each service.
     pub fn sync(
         &mut self,
         endpoints: Vec<Endpoint>,
@@ -237,7 +241,8 @@
         let no_stats = ServiceStats::default();
         let stats = self.services.get(query.service).unwrap_or(&no_stats);
         let profile = self.profile(query.service);
-        let mut decision = Decision::new(query, (stats, profile), self.sender(query.service), now);
+        let sender = self.sender(query.service).clone();
+        let mut decision = Decision::new(query, (stats, profile), &sender, now);
         let mut candidates = decision.candidates(&self.upstreams);
         let decision = decision.with_prefix_candidates(prefix_candidates, &candidates);
         let count = decision.sample(&mut candidates, &mut self.rng);
@@ -315,7 +320,7 @@
         let upstream = self.upstreams.get(&placement.id);
         let failures = upstream.map(|upstream| upstream.penalty(now)).unwrap_or_default();
         // The next request under a rate limit waits for the VM's next turn.
-        let interval = upstream.map(|upstream| upstream.restrictions.limit.interval(sender, now));
+        let interval = upstream.map(|upstream| upstream.limit_interval(sender, now));
         let wait = placement.first_event + failures + interval.unwrap_or_default();
         Some(Outlook { wait, running: placement.running })
     }
@@ -329,16 +334,16 @@
     /// Records that a request was sent to the selected upstream.
     pub fn record_sent(&mut self, placement: &Placement, work: &Work, now: Instant) -> InFlight {
         let service = self.upstreams.get(&placement.id).map(|known| &known.endpoint.service);
-        let sender = service.map_or_else(Sender::default, |service| self.sender(service));
+        let sender = service.map_or(&self.alone, |service| self.sender(service)).clone();
         let upstream = self.upstreams.get_mut(&placement.id);
         let incarnation = upstream.as_ref().map_or(0, |upstream| upstream.endpoint.incarnation);
         let memory = work.suffix + work.output.likely();
         let mut rounds = 1.0;
         if let Some(upstream) = upstream {
             let stats = self.services.entry(upstream.endpoint.service.clone()).or_default();
-            rounds = upstream.rounds(upstream.total_requests(stats, sender, now));
+            rounds = upstream.rounds(upstream.total_requests(stats, &sender, now));
             stats.record_sent(placement.prefill, now);
-            upstream.record_sent(work, placement.prefill, memory, sender, now);
+            upstream.record_sent(work, placement.prefill, memory, &sender, now);
             let prefix = work.prefix.filter(|_| self.uses.len() < MAX_PENDING_USES);
             self.uses.extend(prefix.map(|prefix| PrefixUse {
                 engine: upstream.key(),
@@ -403,7 +408,7 @@
         else {
             return;
         };
-        let sender = self.senders.get(&upstream.endpoint.service).copied().unwrap_or_default();
+        let sender = self.senders.get(&upstream.endpoint.service).unwrap_or(&self.alone);
         let running = upstream.total_requests(stats, sender, now);
         stats.engine.record_gap(running, now.saturating_duration_since(in_flight.last_event));
         if in_flight.events - first >= GAP_SAMPLES {
@@ -448,9 +453,9 @@
         }
     }
 
-    /// Returns this VM's rank among the VMs that send to the upstreams of a service.
-    pub fn sender(&self, service: &str) -> Sender {
-        self.senders.get(service).copied().unwrap_or_default()
+    /// Returns the VMs that send to the upstreams of a service.
+    pub fn sender(&self, service: &str) -> &Sender {
+        self.senders.get(service).unwrap_or(&self.alone)
     }
 
     /// Returns the engines for the query's prefix by rendezvous hashing, in order of preference.
--- a/src/decide/place/decision.rs
+++ b/src/decide/place/decision.rs
@@ -30,7 +30,7 @@
     query: &'a Query<'a>,
     stats: &'a ServiceStats,
     profile: Profile,
-    sender: Sender,
+    sender: &'a Sender,
     now: Instant,
     /// The expected number of unreported requests from other VMs per upstream.
     unreported: f64,
@@ -45,7 +45,7 @@
     pub fn new(
         query: &'a Query<'a>,
         (stats, profile): (&'a ServiceStats, Profile),
-        sender: Sender,
+        sender: &'a Sender,
         now: Instant,
     ) -> Self {
         let (unreported, prefix_candidates, is_cached) = (0.0, Vec::new(), false);
@@ -53,6 +53,9 @@
     }
 
     /// Returns the upstreams that accept the request: the healthy ones or, if there are none, the unhealthy ones.
+    ///
+    /// An unhealthy one does not replace a cold one at which this VM has no turn now: the caller would wait for a
+    /// connection that is not established instead of being sent elsewhere.
     pub fn candidates<'t>(
         &mut self,
         upstreams: &'t BTreeMap<id::Upstream, UpstreamState>,
@@ -61,16 +64,18 @@
             upstreams.iter().filter(|(_, upstream)| upstream.endpoint.service == self.query.service)
         };
         self.unreported = sample::unreported(replicas().count(), self.stats, self.sender, self.now);
-        let mut candidates = Vec::new();
+        let mut candidates: Vec<Candidate<'t>> = Vec::new();
         for is_fallback in [false, true] {
             candidates.extend(replicas().filter(|(id, upstream)| {
+                let speed = &self.profile.speed;
                 !self.query.tried.contains(id)
-                    && upstream.accepts(&self.profile.speed, is_fallback, self.sender, self.now)
+                    && upstream.is_eligible(speed, is_fallback, self.sender, self.now)
             }));
             if !candidates.is_empty() {
                 break;
             }
         }
+        candidates.retain(|(_, upstream)| upstream.has_turn(self.sender, self.now));
         candidates
     }
 
--- a/src/decide/place/restrictions.rs
+++ b/src/decide/place/restrictions.rs
@@ -33,14 +33,21 @@
         draining.map(UpstreamState::key).take(MAX_NOTICES).collect()
     }
 
-    /// Returns the time until the first upstream accepts a request of a caller, if the restrictions of all of them exclude
-    /// it now; otherwise `None`.
+    /// Returns the time until the first upstream accepts a request of a caller, if restrictions or turns exclude it on all
+    /// of them now; otherwise `None`.
     pub fn next_opening(&self, service: &str, now: Instant) -> Option<Duration> {
         let sender = self.sender(service);
         let waits = self.available(service).map(|(_, upstream)| upstream.caller_wait(sender, now));
         waits.min().filter(|wait| !wait.is_zero())
     }
 
+    /// Returns how many requests the cold upstreams of a service take from this VM within a time; `None` if others take
+    /// more.
+    pub fn turns_within(&self, service: &str, span: Duration, now: Instant) -> Option<f64> {
+        let sender = self.sender(service);
+        self.available(service).map(|(_, upstream)| upstream.turns_within(span, sender, now)).sum()
+    }
+
     /// Records what an upstream states in its response to a request.
     pub fn record_feedback(&mut self, in_flight: &InFlight, feedback: &Feedback, now: Instant) {
         if let Some((upstream, _)) = state_of(&mut self.upstreams, &mut self.services, in_flight) {
--- a/src/decide/place/sample.rs
+++ b/src/decide/place/sample.rs
@@ -29,7 +29,7 @@
 pub type Candidate<'a> = (&'a id::Upstream, &'a UpstreamState);
 
 /// Estimates the number of requests that other VMs send to each of `count` upstreams before this VM is informed.
-pub fn unreported(count: usize, stats: &ServiceStats, sender: Sender, now: Instant) -> f64 {
+pub fn unreported(count: usize, stats: &ServiceStats, sender: &Sender, now: Instant) -> f64 {
     let others = f64::from(sender.count() - 1);
     stats.rate(now) * others * LOAD_AGE.as_secs_f64() / count.max(1) as f64
 }
--- a/src/decide/place/upstream.rs
+++ b/src/decide/place/upstream.rs
@@ -11,7 +11,6 @@
 use super::cache::Cache;
 use super::cold::Cold;
 use super::cold::ColdSend;
-use super::cold::Pacer;
 use super::cost::Conditions;
 use super::health::Health;
 use super::health::Outcome;
@@ -22,10 +21,12 @@
 use super::service::Work;
 use crate::decide::engine::Quantile;
 use crate::decide::engine::Speed;
+use crate::decide::feedback::Position;
 use crate::decide::feedback::Restrictions;
 use crate::decide::feedback::Source;
 use crate::decide::sharing::Key;
 use crate::decide::sharing::Load;
+use crate::decide::turns::Pacer;
 use crate::decide::turns::Sender;
 use crate::unit::Tokens;
 
@@ -129,7 +130,7 @@
         }
     }
 
-    /// Updates the announced properties. A new incarnation resets the state.
+    /// Updates the announced properties. A new incarnation resets the state, except for the turns that were used.
     pub fn update(&mut self, endpoint: Endpoint, now: Instant) {
         if endpoint.incarnation == self.endpoint.incarnation
             && endpoint.address == self.endpoint.address
@@ -140,7 +141,8 @@
             self.endpoint = endpoint;
         } else {
             let restrictions = std::mem::take(&mut self.restrictions).restarted();
-            *self = Self::with_restrictions(endpoint, restrictions, now);
+            let pacer = std::mem::take(&mut self.pacer);
+            *self = Self { pacer, ..Self::with_restrictions(endpoint, restrictions, now) };
         }
     }
 
@@ -149,8 +151,14 @@
         self.running
     }
 
-    /// Returns whether the upstream accepts a request now.
-    pub fn accepts(&self, speed: &Speed, is_fallback: bool, sender: Sender, now: Instant) -> bool {
+    /// Returns whether the upstream accepts requests of this VM now, apart from its turns at a cold one.
+    pub fn is_eligible(
+        &self,
+        speed: &Speed,
+        is_fallback: bool,
+        sender: &Sender,
+        now: Instant,
+    ) -> bool {
         let is_healthy = !self.endpoint.silent
             && !self.health.is_backing_off(now)
             && !self.is_unreachable(now)
@@ -160,17 +168,42 @@
             && self.running < self.endpoint.connections
             && (is_healthy || is_fallback)
             && self.restricted_for(sender, now).is_zero()
-            && self.cold(now).is_none_or(|cold| self.pacer.allows(&cold, sender, now))
+    }
+
+    /// Returns whether the upstream is not cold, or this VM has a turn at it.
+    pub fn has_turn(&self, sender: &Sender, now: Instant) -> bool {
+        self.cold(now).is_none_or(|cold| self.pacer.allows(&cold.turns(self.key), sender, now))
     }
 
     /// Returns how long the restrictions that the upstream states exclude this VM's requests; zero if they don't.
-    pub fn restricted_for(&self, sender: Sender, now: Instant) -> Duration {
-        self.restrictions.wait(sender.rotated(self.key.get()), now)
+    pub fn restricted_for(&self, sender: &Sender, now: Instant) -> Duration {
+        self.restrictions.wait(self.position(sender), now)
+    }
+
+    /// Returns the interval between two requests of this VM under the rate limit; zero without one.
+    pub fn limit_interval(&self, sender: &Sender, now: Instant) -> Duration {
+        self.restrictions.limit.interval(self.position(sender), now)
+    }
+
+    fn position(&self, sender: &Sender) -> Position {
+        Position::new(sender.rank(), sender.count()).rotated(self.key.get())
+    }
+
+    /// Returns how long restrictions and turns exclude requests of callers who may come to another VM.
+    pub fn caller_wait(&self, sender: &Sender, now: Instant) -> Duration {
+        let restricted = self.restrictions.caller_wait(self.position(sender), now);
+        let turn = self.cold(now).map(|cold| {
+            let wait = self.pacer.wait(&cold.turns(self.key), sender, now);
+            wait.min(cold.until.saturating_duration_since(now))
+        });
+        restricted.max(turn.unwrap_or_default())
     }
 
-    /// Returns how long they exclude requests of callers who may come to another VM.
-    pub fn caller_wait(&self, sender: Sender, now: Instant) -> Duration {
-        self.restrictions.caller_wait(sender.rotated(self.key.get()), now)
+    /// Returns how many requests of this VM the upstream takes within a time; `None` if it is not limited to turns.
+    pub fn turns_within(&self, span: Duration, sender: &Sender, now: Instant) -> Option<f64> {
+        let cold = self.cold(now)?;
+        let left = span.saturating_sub(self.caller_wait(sender, now));
+        Some(cold.rate.over(left) / f64::from(sender.count()))
     }
 
     /// Returns the number of prefix tokens to prefill.
@@ -191,7 +224,7 @@
         profile: &Profile,
         query: &Query<'_>,
         uncached: Tokens,
-        sender: Sender,
+        sender: &Sender,
         now: Instant,
     ) -> Conditions {
         let total = self.total_requests(stats, sender, now);
@@ -227,7 +260,7 @@
     }
 
     /// Returns the number of tokens queued for prefill.
-    pub fn backlog(&self, stats: &ServiceStats, sender: Sender, now: Instant) -> Tokens {
+    pub fn backlog(&self, stats: &ServiceStats, sender: &Sender, now: Instant) -> Tokens {
         if let Some(load) = self.peer_load(now) {
             return self.unread_tokens + Tokens::new(load.unread_tokens);
         }
@@ -237,7 +270,7 @@
 
     /// Returns the tokens that all running requests and this one will have in memory. Unknown requests of other VMs
     /// are assumed to be like this VM's.
-    fn reserved_memory(&self, work: &Work, sender: Sender, total: f64, now: Instant) -> f64 {
+    fn reserved_memory(&self, work: &Work, sender: &Sender, total: f64, now: Instant) -> f64 {
         let own = (self.memory + work.suffix + work.output.likely()).get() as f64;
         match self.peer_load(now) {
             Some(load) => own + load.memory as f64,
@@ -264,7 +297,7 @@
     }
 
     /// Returns the number of requests of all VMs.
-    pub fn total_requests(&self, stats: &ServiceStats, sender: Sender, now: Instant) -> f64 {
+    pub fn total_requests(&self, stats: &ServiceStats, sender: &Sender, now: Instant) -> f64 {
         let (others_running, others_waiting) = self.peer_requests(stats, sender, now);
         f64::from(self.running) + others_running + others_waiting
     }
@@ -315,7 +348,7 @@
         work: &Work,
         prefill: Tokens,
         memory: Tokens,
-        sender: Sender,
+        sender: &Sender,
         now: Instant,
     ) {
         self.running += 1;
@@ -324,9 +357,9 @@
         self.unread_tokens += prefill;
         self.memory += memory;
         if let Some(cold) = self.cold(now) {
-            self.pacer.record(&cold, sender, now);
+            self.pacer.record_sent(&cold.turns(self.key), sender, now);
         }
-        self.restrictions.record_sent(sender.rotated(self.key.get()), now);
+        self.restrictions.record_sent(self.position(sender), now);
         if let (Some(prefix), Some(memory)) = (work.prefix, self.endpoint.memory) {
             self.cache.record_use(prefix, memory, now);
         }
@@ -365,7 +398,7 @@
     ///
     /// Without shared load data, the last report is blended with the mean of the service as it ages: counted requests
     /// end and new ones arrive. A VM that rarely sends to an upstream would otherwise decide by outdated counts.
-    fn peer_requests(&self, stats: &ServiceStats, sender: Sender, now: Instant) -> (f64, f64) {
+    fn peer_requests(&self, stats: &ServiceStats, sender: &Sender, now: Instant) -> (f64, f64) {
         if let Some(load) = self.peer_load(now) {
             return (f64::from(load.running - load.unread), f64::from(load.unread));
         }
@@ -384,8 +417,12 @@
     }
 
     /// Describes a request sent now if the upstream is cold.
-    pub fn cold_send(&self, sender: Sender, now: Instant) -> Option<ColdSend> {
-        self.cold(now).map(|cold| ColdSend::new(&cold, sender, now))
+    pub fn cold_send(&self, sender: &Sender, now: Instant) -> Option<ColdSend> {
+        self.cold(now).map(|cold| ColdSend {
+            vms: sender.count(),
+            turn: self.pacer.next_turn(&cold.turns(self.key), sender, now),
+            left: cold.until.saturating_duration_since(now),
+        })
     }
 
     fn cold(&self, now: Instant) -> Option<Cold> {
--- a/src/decide/turns.rs
+++ b/src/decide/turns.rs
@@ -1,85 +1,93 @@
-//! Turns that VMs take at an upstream with a rate limit, computed by each VM without messages.
+//! Turns of VMs at an upstream with a rate limit over all VMs, computed by each VM without messages.
 //!
-//! Load pattern: many VMs find the same upstream idle at once. A limit per VM is not enough: if 26 VMs may send 6.7
-//! requests a second in total, they still send 26 at once. Each VM therefore has one turn per round. The turns of a
-//! round begin one after the other, in the order of the VMs' ranks, at intervals of the limit.
+//! **Load pattern.** Many VMs find the same upstream idle at once, often as all of them have just started with it. A
+//! limit for each VM is not enough: if 26 VMs may send 6.7 requests a second in total, they still send 26 at once.
+//!
+//! **Without it.** The upstream receives a burst from all VMs and crashes again.
+//!
+//! **Decision.** Time is divided into turns of one request each, or of a few if the rate is high, counted from an epoch
+//! that all VMs know. Rendezvous hashing assigns each turn to one VM. A turn does not depend on the state of the upstream
+//! or on the number of VMs, so that a VM never uses one twice when its view of them changes, and views that differ in one
+//! VM disagree on the turns of that VM only. A VM that has just started knows too few others, and would take their turns:
+//! it has none until the others are known to it, see [`Sender`].
+//!
+//! In any span of time, all VMs together send at most the requests of that span and of the [validity](Turns::validity)
+//! of a turn, plus those of one turn.
+
+mod pacer;
+mod sender;
 
 use std::time::Duration;
 
 use tokio::time::Instant;
 
+use crate::decide::sharing::Key;
 use crate::unit::Rate;
 
-/// This VM's rank among the VMs that send to the upstreams of its region.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Sender {
-    count: u32,
-    rank: u32,
-}
-
-/// The only VM.
-impl Default for Sender {
-    fn default() -> Self {
-        Self::new(0, 1)
-    }
-}
-
-impl Sender {
-    /// Creates a sender of the given rank, counted from 0, among `count` VMs.
-    pub fn new(rank: u32, count: u32) -> Self {
-        Self { count: count.max(1), rank }
-    }
+pub use pacer::Pacer;
+pub use sender::SETTLING_TIME;
+pub use sender::Sender;
 
-    /// Returns this VM's rank, counted from 0.
-    pub const fn rank(self) -> u32 {
-        self.rank
-    }
-
-    /// Returns the number of VMs that send.
-    pub const fn count(self) -> u32 {
-        self.count
-    }
-
-    /// Returns the sender with its rank moved by that many places, so that a VM's turns at several upstreams do not
-    /// coincide.
-    #[must_use]
-    pub const fn rotated(self, by: u32) -> Self {
-        Self { rank: (self.rank + by % self.count) % self.count, ..self }
-    }
-}
+/// Maximum number of valid turns. Turns are longer at high rates, so that few have to be checked.
+const MAX_VALID_TURNS: f64 = 32.0;
 
 /// The turns at one upstream.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Turns {
-    /// An instant that all VMs know; the first VM has a turn then.
-    pub reference: Instant,
-    /// The rate of turns over all VMs.
+    /// The upstream, so that a VM's turns at several upstreams do not coincide.
+    pub key: Key,
+    /// The requests over all VMs.
     pub rate: Rate,
+    /// How long a turn can be used after it has begun.
+    pub validity: Duration,
 }
 
 /// A turn of one VM.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Turn {
-    /// The index of the round, negative before the reference.
-    pub round: i64,
-    /// The time since the turn began.
-    pub elapsed: Duration,
+    /// The number of turns since the epoch.
+    pub index: i64,
+    /// When it begins.
+    pub begins: Instant,
+    /// The requests that may be sent in it.
+    pub requests: u32,
 }
 
 impl Turns {
-    /// Returns the length of a round in seconds: the interval between two turns of a VM.
-    pub fn round(&self, sender: Sender) -> f64 {
-        f64::from(sender.count) / self.rate.get()
+    /// Returns the interval between two requests of a VM at its equal share of the rate, in seconds.
+    fn share_interval(&self, sender: &Sender) -> f64 {
+        f64::from(sender.count()) / self.rate.get()
+    }
+
+    /// Returns the length of a turn in seconds.
+    fn turn_length(&self) -> f64 {
+        (1.0 / self.rate.get()).max(self.validity.as_secs_f64() / MAX_VALID_TURNS)
     }
 
-    /// Returns the VM's turn that began last.
-    pub fn current(&self, sender: Sender, now: Instant) -> Turn {
-        let round = self.round(sender);
-        let since = now.saturating_duration_since(self.reference).as_secs_f64()
-            - self.reference.saturating_duration_since(now).as_secs_f64();
-        let position = since - f64::from(sender.rank) / self.rate.get();
-        let index = (position / round).floor();
-        let elapsed = Duration::try_from_secs_f64(position - index * round);
-        Turn { round: index as i64, elapsed: elapsed.unwrap_or(Duration::MAX) }
+    fn index_at(&self, sender: &Sender, at: Instant) -> i64 {
+        (sender.since_epoch(at) / self.turn_length()).floor() as i64
+    }
+
+    /// Returns the first turn that can be used at the given time.
+    fn first_valid(&self, sender: &Sender, at: Instant) -> i64 {
+        let oldest = at.checked_sub(self.validity).unwrap_or(at);
+        self.index_at(sender, oldest).saturating_add(1)
+    }
+
+    /// Returns the turn if it is assigned to this VM and may carry requests.
+    fn own_turn(&self, sender: &Sender, index: i64) -> Option<Turn> {
+        let length = self.turn_length();
+        // Where turns carry more than one request, fractions are carried over to the next turn.
+        let per_turn = (length * self.rate.get()).max(1.0);
+        let before = |index: i64| (index as f64 * per_turn).floor();
+        let requests = (before(index + 1) - before(index)) as u32;
+        (requests > 0 && sender.owns(self.key, index)).then(|| Turn {
+            index,
+            begins: sender.instant(index as f64 * length),
+            requests,
+        })
     }
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/decide/turns/sender.rs
@@ -0,0 +1,105 @@
+//! The VMs that take turns, as one of them knows them.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::time::Instant;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use crate::decide::route::rendezvous;
+use crate::decide::sharing::Key;
+use crate::id;
+
+/// How long after its first roster a VM has no turns. Until then, all VMs that started before it have received its
+/// presence, and it has received theirs: a poll of a control VM, a message between control VMs, and the next poll.
+pub const SETTLING_TIME: Duration = Duration::from_secs(1);
+
+/// This VM among the VMs that send to the upstreams of a service.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Sender {
+    own: id::Vm,
+    /// The other known VMs.
+    others: Arc<[id::Vm]>,
+    /// The turns are divided among shards of VMs, of which only this VM's own is known.
+    shard: u64,
+    shard_bits: u8,
+    /// The instant from which all VMs count turns.
+    epoch: Instant,
+    /// From when on this VM has turns.
+    settled_at: Option<Instant>,
+}
+
+impl Sender {
+    /// Creates a sender that knows the given VMs, with or without itself. `epoch` is the same instant for all VMs, such as
+    /// the Unix epoch; a difference makes turns overlap.
+    pub fn new<'a>(
+        own: id::Vm,
+        known: impl IntoIterator<Item = &'a id::Vm>,
+        epoch: Instant,
+    ) -> Self {
+        let others = known.into_iter().filter(|vm| **vm != own).cloned().collect();
+        Self { own, others, shard: 0, shard_bits: 0, epoch, settled_at: None }
+    }
+
+    /// Creates the only sender.
+    pub fn alone(epoch: Instant) -> Self {
+        let own = "alone".parse().expect("it is a valid name");
+        Self::new(own, [], epoch)
+    }
+
+    /// Divides the turns among `2^bits` shards of VMs. The known VMs are those of the given one.
+    #[must_use]
+    pub fn with_shard(self, shard: u64, bits: u8) -> Self {
+        Self { shard, shard_bits: bits, ..self }
+    }
+
+    /// Withholds turns until the VM knows the others.
+    #[must_use]
+    pub fn with_settled_at(self, settled_at: Instant) -> Self {
+        Self { settled_at: Some(settled_at), ..self }
+    }
+
+    /// Returns the estimated number of VMs.
+    pub fn count(&self) -> u32 {
+        u32::try_from(self.others.len() + 1)
+            .ok()
+            .and_then(|count| count.checked_shl(u32::from(self.shard_bits)))
+            .unwrap_or(u32::MAX)
+    }
+
+    /// Returns this VM's rank, counted from 0, among the estimated number of VMs.
+    pub fn rank(&self) -> u32 {
+        let lower = self.others.iter().filter(|vm| **vm < self.own).count();
+        ((lower as u32) << self.shard_bits) + self.shard as u32
+    }
+
+    /// Returns how long the VM has no turns.
+    pub fn settles_in(&self, now: Instant) -> Duration {
+        self.settled_at.map_or(Duration::ZERO, |at| at.saturating_duration_since(now))
+    }
+
+    /// Returns whether a turn is assigned to this VM.
+    pub(super) fn owns(&self, key: Key, index: i64) -> bool {
+        let seed = xxh3_64_with_seed(&index.to_le_bytes(), u64::from(key.get()));
+        if seed & ((1 << self.shard_bits) - 1) != self.shard {
+            return false;
+        }
+        let weight = |vm: &id::Vm| (rendezvous::weight(seed, vm.as_str()), vm.clone());
+        let own = weight(&self.own);
+        self.others.iter().all(|vm| weight(vm) < own)
+    }
+
+    /// Returns the seconds from the epoch, negative before it.
+    pub(super) fn since_epoch(&self, at: Instant) -> f64 {
+        at.saturating_duration_since(self.epoch).as_secs_f64()
+            - self.epoch.saturating_duration_since(at).as_secs_f64()
+    }
+
+    /// Returns the instant that many seconds after the epoch.
+    pub(super) fn instant(&self, seconds: f64) -> Instant {
+        let span = Duration::try_from_secs_f64(seconds.abs()).unwrap_or_default();
+        let instant =
+            if seconds < 0.0 { self.epoch.checked_sub(span) } else { self.epoch.checked_add(span) };
+        instant.unwrap_or(self.epoch)
+    }
+}
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -19,6 +19,7 @@
 use super::receive::STARTUP_WAIT_FRACTION;
 use super::reservation::Reservation;
 use super::reservation::Target;
+use super::state::WaitingGuard;
 use crate::decide::place::Work;
 use crate::decide::place::wait;
 use crate::decide::quota;
@@ -108,6 +109,8 @@
     retry_after: Option<Duration>,
     /// An upstream's error response, returned if no other upstream succeeds.
     upstream_error: Option<OpenResponse>,
+    /// Counts the request among those that wait for a turn at an upstream.
+    waiting: Option<WaitingGuard>,
 }
 
 impl Relay {
@@ -126,6 +129,7 @@
             not_executed: 0,
             retry_after: None,
             upstream_error: None,
+            waiting: None,
         }
     }
 
@@ -166,6 +170,7 @@
                 }
                 return Err(self.refusal(Reason::NoUpstream, "no upstream can take it now"));
             };
+            self.waiting = None;
             let max_wait = remaining.min(self.max_wait());
             if placement.expected() > max_wait {
                 let excess = placement.expected() - max_wait;
@@ -231,9 +236,29 @@
     }
 
     /// Whether the request may wait for an upstream to appear. Forwarded requests are refused at
-    /// once, since another region may have capacity.
-    fn can_wait(&self) -> bool {
-        self.job.hop == Hop::Ingress && self.attempts() == 0
+    /// once, since another region may have capacity, and so are those that upstreams will not take
+    /// in time.
+    fn can_wait(&mut self) -> bool {
+        self.job.hop == Hop::Ingress && self.attempts() == 0 && self.is_taken_in_time()
+    }
+
+    /// Whether upstreams that are cold or limited will take the request while it may wait, after
+    /// those that already wait. It is true if there are no upstreams yet.
+    fn is_taken_in_time(&mut self) -> bool {
+        let now = Instant::now();
+        let Some(opening) = self.opening() else { return true };
+        let span = self.wait_deadline().saturating_duration_since(now);
+        if opening > span {
+            return false;
+        }
+        if self.waiting.is_none() {
+            let turns = self.state.place().turns_within(&self.job.service, span, now);
+            if turns.is_some_and(|turns| turns < self.state.waiting_requests() as f64 + 1.0) {
+                return false;
+            }
+            self.waiting = Some(self.state.track_waiting());
+        }
+        true
     }
 
     /// Until when a request may wait at a VM that is starting.
@@ -344,8 +369,8 @@
         info!(self.state.log(), "upstream.cold_send"; "request" => &self.job.call.id,
             "upstream" => %upstream, "hop" => ?self.job.hop, "attempt" => self.attempts() + 1,
             "waited_ms" => self.job.received_at.elapsed().as_millis() as u64,
-            "rank" => send.sender.rank(), "count" => send.sender.count(),
-            "turn" => send.turn.round, "turn_ms" => send.turn.elapsed.as_millis() as u64,
+            "vms" => send.vms, "turn" => send.turn.map(|turn| turn.index),
+            "turn_age_ms" => send.turn.map(|turn| turn.begins.elapsed().as_millis() as u64),
             "cold_left_ms" => send.left.as_millis() as u64);
     }
 
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -93,8 +93,14 @@
     /// Notifies of changes to the routing state and the roster.
     updates: watch::Sender<()>,
     started: Instant,
+    /// The Unix epoch by this VM's clock at its start, from which all VMs count turns.
+    epoch: Instant,
+    /// When the first roster was received.
+    joined: OnceLock<Instant>,
     closed: AtomicBool,
     in_progress: AtomicUsize,
+    /// Requests that wait for a turn at an upstream.
+    waiting: AtomicUsize,
     /// When the last request arrived, in milliseconds since the start.
     last_request: AtomicU64,
     metrics: Metrics,
@@ -109,6 +115,15 @@
     }
 }
 
+/// Counts a request as waiting for a turn until dropped.
+pub struct WaitingGuard(Arc<State>);
+
+impl Drop for WaitingGuard {
+    fn drop(&mut self) {
+        self.0.waiting.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
 impl State {
     /// Creates an empty state. `start_time_ms` is the Unix time in milliseconds.
     pub fn new(
@@ -118,6 +133,7 @@
         seed: u64,
         log: Logger,
     ) -> Self {
+        let now = Instant::now();
         let mut rng = SmallRng::seed_from_u64(seed);
         let entry = node.entry.as_ref();
         let excess = node.bounds.excess;
@@ -154,9 +170,12 @@
             mesh: OnceLock::new(),
             draining: watch::Sender::new(false),
             updates: watch::Sender::new(()),
-            started: Instant::now(),
+            started: now,
+            epoch: now.checked_sub(Duration::from_millis(start_time_ms)).unwrap_or(now),
+            joined: OnceLock::new(),
             closed: AtomicBool::new(false),
             in_progress: AtomicUsize::new(0),
+            waiting: AtomicUsize::new(0),
             last_request: AtomicU64::new(0),
             metrics: Metrics::default(),
         }
@@ -337,6 +356,17 @@
         RequestGuard(self.clone())
     }
 
+    /// Counts a request as waiting for a turn at an upstream until the guard is dropped.
+    pub fn track_waiting(self: &Arc<Self>) -> WaitingGuard {
+        self.waiting.fetch_add(1, Ordering::Relaxed);
+        WaitingGuard(self.clone())
+    }
+
+    /// The number of requests that wait for a turn at an upstream.
+    pub fn waiting_requests(&self) -> usize {
+        self.waiting.load(Ordering::Relaxed)
+    }
+
     /// The number of requests in progress.
     pub fn in_progress(&self) -> usize {
         self.in_progress.load(Ordering::Relaxed)
--- a/src/gateway/state/roster.rs
+++ b/src/gateway/state/roster.rs
@@ -17,7 +17,9 @@
 impl State {
     /// Applies roster changes from a control VM.
     pub fn apply_roster(&self, from: &id::Vm, epoch: u64, delta: Delta) {
-        self.merged().apply_delta(from, epoch, delta, Instant::now());
+        let now = Instant::now();
+        self.joined.get_or_init(|| now);
+        self.merged().apply_delta(from, epoch, delta, now);
         self.sync_placement();
     }
 
@@ -34,7 +36,9 @@
             || scope.is_some()
             || !delta.upstreams.is_empty()
             || !delta.vms.is_empty();
-        self.merged().apply_piece(from, epoch, base, changes, Instant::now());
+        let now = Instant::now();
+        self.joined.get_or_init(|| now);
+        self.merged().apply_piece(from, epoch, base, changes, now);
         if has_changes {
             self.sync_placement();
         }
--- a/src/gateway/state/upstreams.rs
+++ b/src/gateway/state/upstreams.rs
@@ -12,6 +12,7 @@
 use crate::decide::place::Endpoint;
 use crate::decide::place::OpenUpstreams;
 use crate::decide::place::Sender;
+use crate::decide::turns::SETTLING_TIME;
 use crate::id;
 use crate::roster::MergedTable;
 use crate::roster::Standing;
@@ -31,7 +32,10 @@
         let local_vms = merged.all_vms(Role::Entry).filter(|vm| vm.region == self.node.region);
         let own_vm = self.node.vm();
         let names: BTreeSet<&id::Vm> = local_vms.map(|vm| &vm.vm).chain([&own_vm]).collect();
-        let peers = Peers { own_vm: &own_vm, names, level: merged.vm_level(&self.node.region) };
+        let level = merged.vm_level(&self.node.region);
+        let now = Instant::now();
+        let settled_at = *self.joined.get().unwrap_or(&now) + SETTLING_TIME;
+        let peers = Peers { own_vm: &own_vm, names, level, epoch: self.epoch, settled_at };
         let local: Vec<&Upstream> = merged
             .upstreams()
             .filter(|upstream| {
@@ -57,19 +61,20 @@
         let known_vms = peers.names.len();
         drop(merged);
         self.meter().set_vm_count(vms);
-        self.log_senders(&senders, known_vms);
-        self.place().sync(seen, senders, Instant::now());
+        self.log_senders(&senders, known_vms, now);
+        self.place().sync(seen, senders, now);
         self.regions().sync(remote);
         self.updates.send_replace(());
     }
 
-    /// Logs this VM's rank where it changes, which moves its turns.
-    fn log_senders(&self, senders: &HashMap<String, Sender>, known_vms: usize) {
+    /// Logs changes of the VMs that this VM shares turns with.
+    fn log_senders(&self, senders: &HashMap<String, Sender>, known_vms: usize, now: Instant) {
         let place = self.place();
-        let changed = senders.iter().filter(|(service, new)| place.sender(service) != **new);
+        let changed = senders.iter().filter(|(service, new)| place.sender(service) != *new);
         for (service, sender) in changed {
-            info!(self.log, "sender.changed"; "service" => service, "rank" => sender.rank(),
-                "count" => sender.count(), "known_vms" => known_vms);
+            info!(self.log, "senders.changed"; "service" => service, "vms" => sender.count(),
+                "known_vms" => known_vms,
+                "settles_in_ms" => sender.settles_in(now).as_millis() as u64);
         }
     }
 
@@ -102,22 +107,22 @@
     own_vm: &'a id::Vm,
     names: BTreeSet<&'a id::Vm>,
     level: Level,
+    epoch: Instant,
+    settled_at: Instant,
 }
 
 impl Peers<'_> {
-    /// This VM's rank among the VMs that send to the same shard of a service's upstreams.
+    /// The VMs that send to the same shard of a service's upstreams.
     fn sender(&self, level: Level) -> Sender {
         let own = Position::of_vm(self.own_vm);
-        let senders = self.names.iter().filter(|name| level.joins(own, Position::of_vm(name)));
-        let (mut rank, mut count) = (0, 0);
-        for name in senders {
-            rank += u32::from(**name < *self.own_vm);
-            count += 1;
-        }
+        let joins = |name: &&id::Vm| level.joins(own, Position::of_vm(name));
+        let names = self.names.iter().copied().filter(joins);
         // VMs of several shards send to these upstreams, but only those of one are known.
         let unknown = self.level.bits().saturating_sub(level.bits());
         let nth = own.shard(self.level) >> level.bits();
-        Sender::new((rank << unknown) + nth as u32, count << unknown)
+        Sender::new(self.own_vm.clone(), names, self.epoch)
+            .with_shard(nth as u64, unknown)
+            .with_settled_at(self.settled_at)
     }
 }
 
--- a/src/roster/merged.rs
+++ b/src/roster/merged.rs
@@ -207,13 +207,19 @@
     }
 
     fn update_upstream(&mut self, record: Announcement, now: Instant) {
-        let known = self.upstreams.get(&record.id);
-        if known.is_some_and(|known| known.record.stamp > record.stamp) {
-            return;
+        let mut cold_until = now + record.cold_left;
+        if let Some(known) = self.upstreams.get(&record.id) {
+            if known.record.stamp > record.stamp {
+                return;
+            }
+            // The same record by another way: the first copy was delayed least.
+            if known.record.stamp == record.stamp {
+                cold_until = cold_until.min(known.cold_until);
+            }
         }
         let upstream = Upstream {
             silent: false,
-            cold_until: now + record.cold_left,
+            cold_until,
             ends_at: record.ends_in.map(|ends| now + ends),
             record,
         };
--- a/src/roster/merged/tests.rs
+++ b/src/roster/merged/tests.rs
@@ -118,3 +118,25 @@
     merged.apply_delta(&b, 1, full_delta(3, vec![entry("far", "there", true)]), now);
     assert_eq!(merged.vms(Role::Entry).count(), 0, "a full delta replaces the source's VMs");
 }
+
+// Guards against a cold period that moves forward each time the same record comes by another way, and against a new
+// cold period of a running upstream that is missed.
+#[tokio::test(start_paused = true)]
+async fn a_repeated_record_does_not_extend_the_cold_period() {
+    let now = Instant::now();
+    let cold = |sequence, millis| {
+        let mut observed = observed(sequence, Standing::Ready, false);
+        observed.record.cold_left = Duration::from_millis(millis);
+        vec![observed]
+    };
+    let mut merged = MergedTable::default();
+    let until = |merged: &MergedTable| merged.upstreams().next().unwrap().cold_until;
+    merged.apply_delta(&vm("a"), 1, delta(1, cold(5, 3000)), now);
+    let later = now + Duration::from_millis(400);
+    merged.apply_delta(&vm("b"), 1, delta(1, cold(5, 3000)), later);
+    assert_eq!(until(&merged), now + Duration::from_secs(3));
+    merged.apply_delta(&vm("b"), 1, delta(2, cold(4, 3000)), later);
+    assert_eq!(until(&merged), now + Duration::from_secs(3));
+    merged.apply_delta(&vm("b"), 1, delta(3, cold(6, 3000)), later);
+    assert_eq!(until(&merged), later + Duration::from_secs(3));
+}
