LIMIT: a limit that an upstream states uses the same turns as a cold upstream

What callers see: nothing; the upstream in need is sent more than it takes, and crashes.

Change: decide::turns assigns the turns under limits as well, and its pacer is the only one; the rotation by rank and the second pacer go. The time since a limit began stays on the wire for VMs of earlier releases.

--- a/src/decide/feedback.rs
+++ b/src/decide/feedback.rs
@@ -11,16 +11,15 @@
 //!
 //! **Decision.** The head of each response is decoded once into a [`Feedback`]. The [`Restrictions`] of an upstream
 //! hold what it stated, until it restarts, and placement obeys them before it compares costs. VMs pass it on to the
-//! others of their region by [`sharing`](super::sharing), and each VM keeps to its part of a limit.
+//! others of their region by [`sharing`](super::sharing), and take [turns](super::turns) under a limit.
 
 mod backoff;
 mod change;
 mod limit;
 mod notice;
-mod pacer;
+mod pace;
 mod reported;
 mod restrictions;
-mod rotation;
 
 use std::time::Duration;
 
@@ -32,7 +31,6 @@
 pub use limit::Limit;
 pub use notice::RateNotice;
 pub use restrictions::Restrictions;
-pub use rotation::Position;
 
 /// A value that a response may state.
 #[derive(Debug, Clone, Default, PartialEq)]
--- a/src/decide/feedback/limit.rs
+++ b/src/decide/feedback/limit.rs
@@ -7,9 +7,11 @@
 use super::RateNotice;
 use super::Source;
 use super::Statement;
-use super::pacer::Pace;
-use super::pacer::Pacer;
-use super::rotation::Position;
+use super::pace::Pace;
+use crate::decide::sharing::Key;
+use crate::decide::turns::Pacer;
+use crate::decide::turns::Sender;
+use crate::decide::turns::Turns;
 use crate::unit::Rate;
 
 /// How long VMs are told that a limit has ended. The others then have received the news, or a response of their own.
@@ -27,7 +29,7 @@
 pub struct Limit {
     latest: Option<Evidence>,
     source: Source,
-    /// When the limit began, which is the reference of the VMs' turns.
+    /// When the limit began. VMs of earlier releases count their turns from it.
     since: Option<Instant>,
     /// When the last limit ended, and its rate.
     ended: Option<(Instant, Rate)>,
@@ -59,7 +61,6 @@
         let evidence = Evidence { rate: notice.rate, at: before(notice.age) };
         let since = before(notice.since);
         self.update(evidence, Source::Vm, since, now);
-        // All VMs use the earliest reference that one of them knows, so that their turns do not overlap.
         if notice.rate.is_some()
             && let Some(known) = self.since.as_mut()
         {
@@ -86,31 +87,40 @@
         Some((self.latest?.at, self.source))
     }
 
-    /// Returns how long requests of this VM have to wait; zero if one may be sent now.
-    pub fn wait(&self, position: Position, now: Instant) -> Duration {
-        self.pace(now).map_or(Duration::ZERO, |pace| self.pacer.wait(&pace, position, now))
+    /// Returns how long requests of this VM to the upstream with the given key have to wait; zero if one may be sent now.
+    pub fn wait(&self, key: Key, sender: &Sender, now: Instant) -> Duration {
+        let turns = self.turns(key, sender, now);
+        turns.map_or(Duration::ZERO, |turns| self.pacer.wait(&turns, sender, now))
+    }
+
+    /// Returns whether a request may be sent now.
+    pub fn allows(&self, key: Key, sender: &Sender, now: Instant) -> bool {
+        let turns = self.turns(key, sender, now);
+        turns.is_none_or(|turns| self.pacer.allows(&turns, sender, now))
     }
 
     /// Returns the interval between two requests of this VM; zero without a limit.
-    pub fn interval(&self, position: Position, now: Instant) -> Duration {
-        self.pace(now).map_or(Duration::ZERO, |pace| pace.interval(position))
+    pub fn interval(&self, key: Key, sender: &Sender, now: Instant) -> Duration {
+        let turns = self.turns(key, sender, now);
+        turns.map_or(Duration::ZERO, |turns| turns.share_interval(sender))
     }
 
     /// Records that a request was sent.
-    pub fn record_sent(&mut self, position: Position, now: Instant) {
-        if let Some(pace) = self.pace(now) {
-            self.pacer.record_sent(&pace, position, now);
+    pub fn record_sent(&mut self, key: Key, sender: &Sender, now: Instant) {
+        if let Some(turns) = self.turns(key, sender, now) {
+            self.pacer.record_sent(&turns, sender, now);
         }
     }
 
+    fn turns(&self, key: Key, sender: &Sender, now: Instant) -> Option<Turns> {
+        Some(self.pace(now)?.turns(key, sender))
+    }
+
     /// Returns the rate to keep to. After a limit has ended, it rises in steps.
     fn pace(&self, now: Instant) -> Option<Pace> {
-        let since = self.since?;
         match (self.rate(), self.ended) {
-            (Some(rate), _) => Some(Pace::limited(rate, since)),
-            (None, Some((at, rate))) => {
-                Pace::released(rate, since, now.saturating_duration_since(at))
-            }
+            (Some(rate), _) => Some(Pace::limited(rate)),
+            (None, Some((at, rate))) => Pace::released(rate, now.saturating_duration_since(at)),
             (None, None) => None,
         }
     }
--- a/src/decide/feedback/restrictions.rs
+++ b/src/decide/feedback/restrictions.rs
@@ -13,7 +13,8 @@
 use super::Statement;
 use super::reported::Reported;
 use super::reported::State;
-use super::rotation::Position;
+use crate::decide::sharing::Key;
+use crate::decide::turns::Sender;
 use crate::id;
 
 /// Upper bound on the wait for a VM's turn at a rate limit that callers are told.
@@ -68,20 +69,25 @@
         }
     }
 
-    /// Records that a request was sent.
-    pub fn record_sent(&mut self, position: Position, now: Instant) {
-        self.limit.record_sent(position, now);
+    /// Records that a request was sent to the upstream with the given key.
+    pub fn record_sent(&mut self, key: Key, sender: &Sender, now: Instant) {
+        self.limit.record_sent(key, sender, now);
         self.backoff.record_sent(now);
     }
 
+    /// Returns whether a request of this VM may be sent now.
+    pub fn allows(&self, key: Key, sender: &Sender, now: Instant) -> bool {
+        self.backoff.wait(now).is_zero() && self.limit.allows(key, sender, now)
+    }
+
     /// Returns how long requests of this VM have to wait; zero if one may be sent now.
-    pub fn wait(&self, position: Position, now: Instant) -> Duration {
-        self.limit.wait(position, now).max(self.backoff.wait(now))
+    pub fn wait(&self, key: Key, sender: &Sender, now: Instant) -> Duration {
+        self.limit.wait(key, sender, now).max(self.backoff.wait(now))
     }
 
     /// Returns how long callers have to wait who may come to another VM, which may have its turn at a rate limit sooner.
-    pub fn caller_wait(&self, position: Position, now: Instant) -> Duration {
-        self.limit.wait(position, now).min(MAX_TURN_WAIT).max(self.backoff.wait(now))
+    pub fn caller_wait(&self, key: Key, sender: &Sender, now: Instant) -> Duration {
+        self.limit.wait(key, sender, now).min(MAX_TURN_WAIT).max(self.backoff.wait(now))
     }
 
     /// Records that the upstream is draining.
--- a/src/decide/feedback/tests.rs
+++ b/src/decide/feedback/tests.rs
@@ -4,11 +4,12 @@
 
 use super::Event;
 use super::Feedback;
-use super::Position;
 use super::RateNotice;
 use super::Restrictions;
 use super::Source;
 use super::Statement;
+use crate::decide::sharing::Key;
+use crate::decide::turns::Sender;
 use crate::id;
 use crate::unit::Rate;
 
@@ -20,6 +21,15 @@
     start + Duration::from_millis(millis)
 }
 
+fn key() -> Key {
+    Key::new(&name(), 1)
+}
+
+/// The only VM, or one of many.
+fn sender(shard_bits: u8) -> Sender {
+    Sender::alone(Instant::now()).with_shard(0, shard_bits)
+}
+
 fn name() -> id::Upstream {
     "a".parse().unwrap()
 }
@@ -136,10 +146,10 @@
     for rate in [0.0, 1e-300, 1e9, 1e300, f64::MAX] {
         let mut one = Restrictions::default();
         one.record(&limited(rate), start, start);
-        for (rank, count) in [(0, 1), (984, 985), (7, u32::MAX)] {
-            let sender = Position::new(rank, count);
-            one.limit.record_sent(sender, start);
-            assert!(one.limit.wait(sender, after(start, 10)) <= Duration::from_secs(7200));
+        for shard_bits in [0, 10, 31] {
+            let sender = sender(shard_bits);
+            one.limit.record_sent(key(), &sender, start);
+            assert!(one.limit.wait(key(), &sender, after(start, 10)) <= Duration::from_secs(7200));
         }
     }
 }
@@ -154,7 +164,7 @@
     let start = Instant::now();
     let mut one = Restrictions::default();
     let wait =
-        |one: &Restrictions, at: u64| one.wait(Position::default(), after(start, at)).as_millis();
+        |one: &Restrictions, at: u64| one.wait(key(), &sender(0), after(start, at)).as_millis();
     one.record(&pause(3000), start, after(start, 10));
     one.record(&pause(500), start, after(start, 20));
     assert_eq!(wait(&one, 20), 2990);
@@ -169,28 +179,28 @@
 #[tokio::test(start_paused = true)]
 async fn one_request_probes_an_upstream_after_a_pause() {
     let start = Instant::now();
-    let sender = Position::default();
+    let sender = sender(0);
     let mut one = Restrictions::default();
     one.record(&pause(1000), start, start);
     let probe = after(start, 1000);
-    assert!(one.wait(sender, probe).is_zero());
-    one.record_sent(sender, probe);
-    assert!(!one.wait(sender, after(start, 1500)).is_zero(), "the probe is not answered");
-    assert!(one.wait(sender, after(start, 2000)).is_zero(), "the probe is lost");
-    one.record_sent(sender, after(start, 2000));
+    assert!(one.wait(key(), &sender, probe).is_zero());
+    one.record_sent(key(), &sender, probe);
+    assert!(!one.wait(key(), &sender, after(start, 1500)).is_zero(), "the probe is not answered");
+    assert!(one.wait(key(), &sender, after(start, 2000)).is_zero(), "the probe is lost");
+    one.record_sent(key(), &sender, after(start, 2000));
     one.record(&Feedback::default(), probe, after(start, 2100));
-    assert!(one.wait(sender, after(start, 2100)).is_zero(), "the first probe is answered");
+    assert!(one.wait(key(), &sender, after(start, 2100)).is_zero(), "the first probe is answered");
 }
 
 #[tokio::test(start_paused = true)]
 async fn a_refused_probe_begins_another_pause() {
     let start = Instant::now();
-    let sender = Position::default();
+    let sender = sender(0);
     let mut one = Restrictions::default();
     one.record(&pause(1000), start, start);
-    one.record_sent(sender, after(start, 1000));
+    one.record_sent(key(), &sender, after(start, 1000));
     one.record(&pause(1000), after(start, 1000), after(start, 1010));
-    assert_eq!(one.wait(sender, after(start, 1010)), Duration::from_secs(1));
+    assert_eq!(one.wait(key(), &sender, after(start, 1010)), Duration::from_secs(1));
 }
 
 // Guards against an overflow by a pause without end.
@@ -203,7 +213,7 @@
         start,
         start,
     );
-    assert_eq!(one.wait(Position::default(), start), Duration::from_secs(3600));
+    assert_eq!(one.wait(key(), &sender(0), start), Duration::from_secs(3600));
 }
 
 // Guards against a refusal that lifts a limit because it does not repeat it.
--- a/src/decide/place/upstream.rs
+++ b/src/decide/place/upstream.rs
@@ -21,7 +21,6 @@
 use super::service::Work;
 use crate::decide::engine::Quantile;
 use crate::decide::engine::Speed;
-use crate::decide::feedback::Position;
 use crate::decide::feedback::Restrictions;
 use crate::decide::feedback::Source;
 use crate::decide::sharing::Key;
@@ -167,7 +166,7 @@
             && !self.restrictions.is_draining()
             && self.running < self.endpoint.connections
             && (is_healthy || is_fallback)
-            && self.restricted_for(sender, now).is_zero()
+            && self.restrictions.allows(self.key, sender, now)
     }
 
     /// Returns whether the upstream is not cold, or this VM has a turn at it.
@@ -175,23 +174,14 @@
         self.cold(now).is_none_or(|cold| self.pacer.allows(&cold.turns(self.key), sender, now))
     }
 
-    /// Returns how long the restrictions that the upstream states exclude this VM's requests; zero if they don't.
-    pub fn restricted_for(&self, sender: &Sender, now: Instant) -> Duration {
-        self.restrictions.wait(self.position(sender), now)
-    }
-
     /// Returns the interval between two requests of this VM under the rate limit; zero without one.
     pub fn limit_interval(&self, sender: &Sender, now: Instant) -> Duration {
-        self.restrictions.limit.interval(self.position(sender), now)
-    }
-
-    fn position(&self, sender: &Sender) -> Position {
-        Position::new(sender.rank(), sender.count()).rotated(self.key.get())
+        self.restrictions.limit.interval(self.key, sender, now)
     }
 
     /// Returns how long restrictions and turns exclude requests of callers who may come to another VM.
     pub fn caller_wait(&self, sender: &Sender, now: Instant) -> Duration {
-        let restricted = self.restrictions.caller_wait(self.position(sender), now);
+        let restricted = self.restrictions.caller_wait(self.key, sender, now);
         let turn = self.cold(now).map(|cold| {
             let wait = self.pacer.wait(&cold.turns(self.key), sender, now);
             wait.min(cold.until.saturating_duration_since(now))
@@ -359,7 +349,7 @@
         if let Some(cold) = self.cold(now) {
             self.pacer.record_sent(&cold.turns(self.key), sender, now);
         }
-        self.restrictions.record_sent(self.position(sender), now);
+        self.restrictions.record_sent(self.key, sender, now);
         if let (Some(prefix), Some(memory)) = (work.prefix, self.endpoint.memory) {
             self.cache.record_use(prefix, memory, now);
         }
--- a/src/decide/turns.rs
+++ b/src/decide/turns.rs
@@ -31,6 +31,9 @@
 /// Maximum number of valid turns. Turns are longer at high rates, so that few have to be checked.
 const MAX_VALID_TURNS: f64 = 32.0;
 
+/// Upper bound on waits, so that they can be added to an instant.
+const MAX_WAIT: Duration = Duration::from_secs(3600);
+
 /// The turns at one upstream.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Turns {
@@ -54,8 +57,13 @@
 }
 
 impl Turns {
-    /// Returns the interval between two requests of a VM at its equal share of the rate, in seconds.
-    fn share_interval(&self, sender: &Sender) -> f64 {
+    /// Returns the interval between two requests of a VM at its equal share of the rate; an hour at most.
+    pub fn share_interval(&self, sender: &Sender) -> Duration {
+        let seconds = self.share_interval_seconds(sender);
+        Duration::try_from_secs_f64(seconds).unwrap_or(MAX_WAIT).min(MAX_WAIT)
+    }
+
+    fn share_interval_seconds(&self, sender: &Sender) -> f64 {
         f64::from(sender.count()) / self.rate.get()
     }
 
--- a/src/decide/turns/pacer.rs
+++ b/src/decide/turns/pacer.rs
@@ -4,6 +4,7 @@
 
 use tokio::time::Instant;
 
+use super::MAX_WAIT;
 use super::Sender;
 use super::Turn;
 use super::Turns;
@@ -11,9 +12,6 @@
 /// How far ahead the next turn is searched for.
 const MAX_SEARCH: Duration = Duration::from_secs(2);
 
-/// Upper bound on a wait, so that it can be added to an instant.
-const MAX_WAIT: Duration = Duration::from_secs(3600);
-
 /// How many requests a VM may be ahead of its equal share, for each VM. Turns are random, so that several of one VM may
 /// follow each other. If its clock is wrong, they overlap those of the others; the fewer VMs, the more that adds.
 const MAX_AHEAD_PER_VM: f64 = 0.5;
@@ -74,7 +72,7 @@
 
     /// Returns how long the VM may not send, whoever the turns are assigned to.
     fn earliest(&self, turns: &Turns, sender: &Sender, now: Instant) -> Duration {
-        let interval = turns.share_interval(sender);
+        let interval = turns.share_interval_seconds(sender);
         let max_ahead = (turns.validity.as_secs_f64() / interval)
             .max(f64::from(sender.count()) * MAX_AHEAD_PER_VM);
         let excess = (self.ahead(turns, sender, now) - max_ahead).max(0.0);
@@ -95,6 +93,6 @@
     fn ahead(&self, turns: &Turns, sender: &Sender, now: Instant) -> f64 {
         let elapsed =
             self.counted_at.map_or(Duration::ZERO, |at| now.saturating_duration_since(at));
-        (self.ahead - elapsed.as_secs_f64() / turns.share_interval(sender)).max(0.0)
+        (self.ahead - elapsed.as_secs_f64() / turns.share_interval_seconds(sender)).max(0.0)
     }
 }
--- a/src/gateway/state/tests.rs
+++ b/src/gateway/state/tests.rs
@@ -16,6 +16,10 @@
 use yare::parameterized;
 
 use super::State;
+use crate::decide::feedback::Feedback;
+use crate::decide::feedback::Statement;
+use crate::decide::place::InFlight;
+use crate::decide::place::Outcome;
 use crate::decide::place::Query;
 use crate::decide::place::Work;
 use crate::gateway::Adapter;
@@ -50,6 +54,12 @@
 const PROPAGATION: Duration = Duration::from_millis(250);
 const MAX_DELAY: Duration = Duration::from_millis(350);
 
+/// The time until the upstream responds, and until a VM obeys what it received.
+const RESPONSE_TIME: Duration = Duration::from_millis(50);
+const OBEYED: Duration = Duration::from_millis(500);
+/// The time in which arrivals under a stated limit are counted.
+const WINDOW: Duration = Duration::from_secs(4);
+
 /// The most that arrives at a cold upstream in a second.
 const fn bound(rate: f64) -> f64 {
     rate * 1.5 + 3.0
@@ -150,12 +160,24 @@
     }
 }
 
-/// Entry VMs of a region before one cold upstream. The VMs hear of the upstream and of each other through two control
-/// VMs, each of them with a delay of its own.
+/// What limits the rate of the upstream.
+#[derive(Debug, Clone, Copy, PartialEq)]
+enum Limit {
+    /// It is cold.
+    Cold,
+    /// It states the rate in each response.
+    Stated(f64),
+}
+
+/// Entry VMs of a region before one upstream. The VMs hear of the upstream and of each other through two control VMs,
+/// each of them with a delay of its own.
 struct Region {
     start: Instant,
     vms: Vec<Vm>,
+    limit: Limit,
+    propagation: Duration,
     rng: SmallRng,
+    /// The requests of VMs that know the limit.
     sent: Vec<Duration>,
 }
 
@@ -166,6 +188,10 @@
     is_started: bool,
     known: usize,
     revision: u64,
+    /// Requests without a response, and when that comes.
+    running: Vec<(Duration, InFlight)>,
+    /// When it received the first response.
+    told: Option<Duration>,
 }
 
 impl Region {
@@ -178,22 +204,32 @@
             is_started: false,
             known: 0,
             revision: 0,
+            running: Vec::new(),
+            told: None,
         };
         Self {
             start: Instant::now(),
             vms: starts.into_iter().enumerate().map(vm).collect(),
+            limit: Limit::Cold,
+            propagation: PROPAGATION,
             rng: SmallRng::seed_from_u64(seed),
             sent: Vec::new(),
         }
     }
 
-    /// Plays the cold period. All VMs have a request for the upstream at each step.
-    async fn play(&mut self, step: Duration) {
-        while self.start.elapsed() < COLD {
+    /// The upstream is not cold, but states a limit. VMs know each other after that time.
+    fn with_stated_limit(self, limit: f64, propagation: Duration) -> Self {
+        Self { limit: Limit::Stated(limit), propagation, ..self }
+    }
+
+    /// Plays some time. All VMs have a request for the upstream at each step.
+    async fn play(&mut self, span: Duration, step: Duration) {
+        while self.start.elapsed() < span {
             let now = self.start.elapsed();
             for nth in 0..self.vms.len() {
                 if self.vms[nth].starts <= now {
                     self.hear(nth, now);
+                    self.respond(nth, now);
                     self.request(nth, now);
                 }
             }
@@ -203,7 +239,7 @@
 
     /// A VM receives what one of its control VMs knows.
     fn hear(&mut self, nth: usize, now: Duration) {
-        let known = self.vms.partition_point(|vm| vm.starts + PROPAGATION <= now);
+        let known = self.vms.partition_point(|vm| vm.starts + self.propagation <= now);
         let vm = &mut self.vms[nth];
         let has_peers = known > vm.known;
         // Now and then a record comes again, by another way.
@@ -211,7 +247,8 @@
             return;
         }
         let delay = MAX_DELAY.mul_f64(self.rng.random());
-        let cold_left = COLD.saturating_sub(now.saturating_sub(delay));
+        let cold = if self.limit == Limit::Cold { COLD } else { Duration::ZERO };
+        let cold_left = cold.saturating_sub(now.saturating_sub(delay));
         let sequence = 1 + now.saturating_sub(delay).as_millis() as u64 / 1200;
         let observed = |record| Observed { record, silent: false };
         let peers = vm.known..known.max(vm.known);
@@ -232,16 +269,35 @@
         let tried = &[];
         let query =
             Query { service: SERVICE, work, tried, holds_prefix: false, urgent: true, max_wait };
-        let mut place = self.vms[nth].state.place();
-        if let Some(placement) = place.choose(&query, Instant::now()) {
-            place.record_sent(&placement, &work, Instant::now());
+        let vm = &mut self.vms[nth];
+        let mut place = vm.state.place();
+        let Some(placement) = place.choose(&query, Instant::now()) else { return };
+        let in_flight = place.record_sent(&placement, &work, Instant::now());
+        drop(place);
+        vm.running.push((now + RESPONSE_TIME, in_flight));
+        let is_told = vm.told.is_some_and(|told| now >= told + OBEYED);
+        if self.limit == Limit::Cold || is_told {
             self.sent.push(now);
         }
     }
 
-    /// The most that was sent in a second.
-    fn most(&self) -> usize {
-        let count = |from: &Duration| self.count(*from, *from + SECOND);
+    /// A VM receives the responses that are due.
+    fn respond(&mut self, nth: usize, now: Duration) {
+        let Limit::Stated(limit) = self.limit else { return };
+        let rate_limit = Statement::Value(Rate::per_second(limit));
+        let feedback = Feedback { rate_limit, ..Feedback::default() };
+        let vm = &mut self.vms[nth];
+        let mut place = vm.state.place();
+        for (_, in_flight) in vm.running.extract_if(.., |(due, _)| *due <= now) {
+            place.record_feedback(&in_flight, &feedback, Instant::now());
+            place.record_end(in_flight, Outcome::Answered, Instant::now());
+            vm.told.get_or_insert(now);
+        }
+    }
+
+    /// The most that was sent in a time of that length.
+    fn most(&self, span: Duration) -> usize {
+        let count = |from: &Duration| self.count(*from, *from + span);
         self.sent.iter().map(count).max().unwrap_or(0)
     }
 
@@ -277,8 +333,8 @@
     for seed in 1..=seeds {
         paused(async {
             let mut region = Region::new(within(spread, vms, seed), seed);
-            region.play(step).await;
-            let most = region.most();
+            region.play(COLD, step).await;
+            let most = region.most(SECOND);
             assert!(most as f64 <= bound(RATE), "{most} requests in a second, seed {seed}");
             let later = region.count(SECOND * 3, SECOND * 4);
             assert!(later as f64 >= RATE / 2.0, "{later} in a later second, seed {seed}");
@@ -286,6 +342,41 @@
     }
 }
 
+// Guards against a limit that a whole region exceeds after a restart: each VM learns of it from its own responses, and
+// of the other VMs up to a second later.
+#[parameterized(
+    two = { 2, 3.4, 250, 5, 10 },
+    two_known_late = { 2, 50.0, 900, 5, 10 },
+    three_known_late = { 3, 6.6, 900, 5, 10 },
+    fourteen_known_late = { 14, 3.4, 900, 10, 5 },
+    fourteen_slow = { 14, 0.1, 900, 10, 5 },
+    a_hundred_known_late = { 100, 3.4, 900, 20, 2 },
+    a_fleet = { 985, 3.4, 250, 50, 1 },
+    a_fleet_known_late = { 985, 3.4, 900, 50, 1 },
+)]
+fn vms_that_restart_together_keep_to_a_stated_limit(
+    vms: usize,
+    limit: f64,
+    propagation_ms: u64,
+    step_ms: u64,
+    seeds: u64,
+) {
+    let step = Duration::from_millis(step_ms);
+    let propagation = Duration::from_millis(propagation_ms);
+    let allowed = 1.5 * limit * WINDOW.as_secs_f64() + 5.0;
+    for seed in 1..=seeds {
+        paused(async {
+            let region = Region::new(within(SECOND / 2, vms, seed), seed);
+            let mut region = region.with_stated_limit(limit, propagation);
+            region.play(SECOND * 10, step).await;
+            let most = region.most(WINDOW);
+            assert!(most as f64 <= allowed, "{most} requests, allowed {allowed}, seed {seed}");
+            let later = region.count(SECOND * 5, SECOND * 10) as f64;
+            assert!(later >= (limit * 2.5).floor(), "{later} in the last 5 s, seed {seed}");
+        });
+    }
+}
+
 fn paused(test: impl Future<Output = ()>) {
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_time()
