--- a/src/decide/place/tests.rs
+++ b/src/decide/place/tests.rs
@@ -151,6 +151,47 @@
     }
 }
 
+// Guards against callers who wait, or return in vain, while the VM has no turn at the only upstream.
+#[tokio::test(start_paused = true)]
+async fn callers_are_told_the_next_turn_at_a_cold_upstream() {
+    let mut now = Instant::now();
+    let mut balancer = balancer();
+    let cold = Cold { until: now + Duration::from_secs(3), rate: Rate::per_second(6.0) };
+    balancer.sync(vec![Endpoint { cold: Some(cold), ..engine("a") }], senders(0, 2), now);
+    let mut refused = 0;
+    while now < cold.until {
+        match balancer.choose(&query(Work::default()), now) {
+            Some(placement) => {
+                balancer.record_sent(&placement, &Work::default(), now);
+            }
+            None => {
+                refused += 1;
+                let wait = balancer.next_opening("s", now).unwrap();
+                assert!(wait <= Duration::from_secs(2));
+                now += wait + Duration::from_millis(1);
+                assert!(balancer.choose(&query(Work::default()), now).is_some(), "after {wait:?}");
+            }
+        }
+    }
+    assert!(refused >= 3, "{refused} refused");
+}
+
+// Guards against a request that waits for a connection to a dead upstream because the cold one has no turn for it.
+#[tokio::test(start_paused = true)]
+async fn an_unreachable_upstream_does_not_replace_a_cold_one() {
+    let now = Instant::now();
+    let mut balancer = balancer();
+    let cold = Cold { until: now + Duration::from_secs(3), rate: Rate::per_second(0.5) };
+    let cold = Endpoint { cold: Some(cold), ..engine("a") };
+    balancer.sync(vec![cold, Endpoint { silent: true, ..engine("b") }], senders(0, 1), now);
+    for _ in 0..5 {
+        let Some(placement) = balancer.choose(&query(Work::default()), now) else { return };
+        assert_eq!(placement.id.as_str(), "a");
+        balancer.record_sent(&placement, &Work::default(), now);
+    }
+    panic!("the cold upstream takes more than its rate");
+}
+
 // An upstream refuses connections. It must be avoided during the backoff, unless it is the only one.
 #[tokio::test(start_paused = true)]
 async fn an_unreachable_upstream_is_avoided_during_its_backoff() {
--- a/src/decide/turns/sender.rs
+++ b/src/decide/turns/sender.rs
@@ -67,12 +67,6 @@
             .unwrap_or(u32::MAX)
     }
 
-    /// Returns this VM's rank, counted from 0, among the estimated number of VMs.
-    pub fn rank(&self) -> u32 {
-        let lower = self.others.iter().filter(|vm| **vm < self.own).count();
-        ((lower as u32) << self.shard_bits) + self.shard as u32
-    }
-
     /// Returns how long the VM has no turns.
     pub fn settles_in(&self, now: Instant) -> Duration {
         self.settled_at.map_or(Duration::ZERO, |at| at.saturating_duration_since(now))
--- a/src/gateway/state/tests.rs
+++ b/src/gateway/state/tests.rs
@@ -1,3 +1,4 @@
+use std::ops::Range;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -175,7 +176,11 @@
     start: Instant,
     vms: Vec<Vm>,
     limit: Limit,
+    /// When the upstream starts.
+    upstream_starts: Duration,
     propagation: Duration,
+    /// When the first VM stands still.
+    frozen: Range<Duration>,
     rng: SmallRng,
     /// The requests of VMs that know the limit.
     sent: Vec<Duration>,
@@ -186,6 +191,7 @@
     /// When it starts.
     starts: Duration,
     is_started: bool,
+    has_upstream: bool,
     known: usize,
     revision: u64,
     /// Requests without a response, and when that comes.
@@ -195,13 +201,14 @@
 }
 
 impl Region {
-    /// VMs that start at the given times; the upstream is cold from now on.
+    /// VMs that start at the given times; the upstream starts now.
     fn new(mut starts: Vec<Duration>, seed: u64) -> Self {
         starts.sort();
         let vm = |(nth, starts)| Vm {
             state: start(nth),
             starts,
             is_started: false,
+            has_upstream: false,
             known: 0,
             revision: 0,
             running: Vec::new(),
@@ -211,7 +218,9 @@
             start: Instant::now(),
             vms: starts.into_iter().enumerate().map(vm).collect(),
             limit: Limit::Cold,
+            upstream_starts: Duration::ZERO,
             propagation: PROPAGATION,
+            frozen: Duration::ZERO..Duration::ZERO,
             rng: SmallRng::seed_from_u64(seed),
             sent: Vec::new(),
         }
@@ -227,7 +236,8 @@
         while self.start.elapsed() < span {
             let now = self.start.elapsed();
             for nth in 0..self.vms.len() {
-                if self.vms[nth].starts <= now {
+                let is_frozen = nth == 0 && self.frozen.contains(&now);
+                if self.vms[nth].starts <= now && !is_frozen {
                     self.hear(nth, now);
                     self.respond(nth, now);
                     self.request(nth, now);
@@ -243,25 +253,30 @@
         let vm = &mut self.vms[nth];
         let has_peers = known > vm.known;
         // Now and then a record comes again, by another way.
-        if vm.is_started && !has_peers && !self.rng.random_bool(0.02) {
+        let is_first = !vm.is_started || (!vm.has_upstream && now >= self.upstream_starts);
+        if !is_first && !has_peers && !self.rng.random_bool(0.02) {
             return;
         }
         let delay = MAX_DELAY.mul_f64(self.rng.random());
         let cold = if self.limit == Limit::Cold { COLD } else { Duration::ZERO };
-        let cold_left = cold.saturating_sub(now.saturating_sub(delay));
+        let since = now.saturating_sub(delay).saturating_sub(self.upstream_starts);
+        let cold_left = cold.saturating_sub(since);
+        let is_known = now >= self.upstream_starts;
         let sequence = 1 + now.saturating_sub(delay).as_millis() as u64 / 1200;
         let observed = |record| Observed { record, silent: false };
         let peers = vm.known..known.max(vm.known);
+        let upstream = Observed { record: announcement(sequence, cold_left), silent: false };
         vm.revision += 1;
         let delta = Delta {
             revision: vm.revision,
             is_full: !vm.is_started,
-            upstreams: vec![Observed { record: announcement(sequence, cold_left), silent: false }],
+            upstreams: is_known.then_some(upstream).into_iter().collect(),
             vms: peers.map(presence).map(observed).collect(),
         };
         let control: id::Vm = format!("control-{}", vm.revision % 2).parse().unwrap();
         vm.state.apply_roster(&control, 1, delta);
         (vm.is_started, vm.known) = (true, known.max(vm.known));
+        vm.has_upstream |= is_known;
     }
 
     fn request(&mut self, nth: usize, now: Duration) {
@@ -342,6 +357,36 @@
     }
 }
 
+// Guards against VMs that start in a region whose other VMs have run for long: neither know the others at first.
+#[parameterized(two = { 2, 5 }, fourteen = { 14, 10 }, a_hundred = { 100, 20 })]
+fn vms_that_join_others_do_not_flood_a_cold_upstream(vms: usize, step_ms: u64) {
+    paused(async {
+        let mut starts = within(SECOND, vms, 3);
+        starts.iter_mut().skip(vms / 2).for_each(|starts| *starts += SECOND * 3);
+        let upstream_starts = SECOND * 7 / 2;
+        let mut region = Region { upstream_starts, ..Region::new(starts, 3) };
+        region.play(upstream_starts + COLD, Duration::from_millis(step_ms)).await;
+        let most = region.most(SECOND);
+        assert!(most as f64 <= bound(RATE), "{most} requests in a second");
+        let first = region.count(upstream_starts, upstream_starts + SECOND);
+        assert!(first >= 1, "the VMs that run need not stop");
+    });
+}
+
+// Guards against a VM that uses the turns it has missed, all at once, after it has stood still.
+#[parameterized(two = { 2, 5 }, fourteen = { 14, 10 })]
+fn a_frozen_vm_does_not_flood_a_cold_upstream(vms: usize, step_ms: u64) {
+    for thaws in (3000..4000).step_by(100).map(Duration::from_millis) {
+        paused(async {
+            let frozen = SECOND * 2..thaws;
+            let mut region = Region { frozen, ..Region::new(within(SECOND, vms, 4), 4) };
+            region.play(COLD, Duration::from_millis(step_ms)).await;
+            let most = region.most(SECOND);
+            assert!(most as f64 <= bound(RATE), "{most} requests in a second");
+        });
+    }
+}
+
 // Guards against a limit that a whole region exceeds after a restart: each VM learns of it from its own responses, and
 // of the other VMs up to a second later.
 #[parameterized(
