--- a/src/decide/feedback/restrictions.rs
+++ b/src/decide/feedback/restrictions.rs
@@ -80,11 +80,6 @@
         self.backoff.wait(now).is_zero() && self.limit.allows(key, sender, now)
     }
 
-    /// Returns how long requests of this VM have to wait; zero if one may be sent now.
-    pub fn wait(&self, key: Key, sender: &Sender, now: Instant) -> Duration {
-        self.limit.wait(key, sender, now).max(self.backoff.wait(now))
-    }
-
     /// Returns how long callers have to wait who may come to another VM, which may have its turn at a rate limit sooner.
     pub fn caller_wait(&self, key: Key, sender: &Sender, now: Instant) -> Duration {
         self.limit.wait(key, sender, now).min(MAX_TURN_WAIT).max(self.backoff.wait(now))
--- a/src/decide/feedback/tests.rs
+++ b/src/decide/feedback/tests.rs
@@ -163,8 +163,9 @@
 async fn the_latest_end_of_a_pause_holds() {
     let start = Instant::now();
     let mut one = Restrictions::default();
-    let wait =
-        |one: &Restrictions, at: u64| one.wait(key(), &sender(0), after(start, at)).as_millis();
+    let wait = |one: &Restrictions, at: u64| {
+        one.caller_wait(key(), &sender(0), after(start, at)).as_millis()
+    };
     one.record(&pause(3000), start, after(start, 10));
     one.record(&pause(500), start, after(start, 20));
     assert_eq!(wait(&one, 20), 2990);
@@ -183,13 +184,19 @@
     let mut one = Restrictions::default();
     one.record(&pause(1000), start, start);
     let probe = after(start, 1000);
-    assert!(one.wait(key(), &sender, probe).is_zero());
+    assert!(one.caller_wait(key(), &sender, probe).is_zero());
     one.record_sent(key(), &sender, probe);
-    assert!(!one.wait(key(), &sender, after(start, 1500)).is_zero(), "the probe is not answered");
-    assert!(one.wait(key(), &sender, after(start, 2000)).is_zero(), "the probe is lost");
+    assert!(
+        !one.caller_wait(key(), &sender, after(start, 1500)).is_zero(),
+        "the probe is not answered"
+    );
+    assert!(one.caller_wait(key(), &sender, after(start, 2000)).is_zero(), "the probe is lost");
     one.record_sent(key(), &sender, after(start, 2000));
     one.record(&Feedback::default(), probe, after(start, 2100));
-    assert!(one.wait(key(), &sender, after(start, 2100)).is_zero(), "the first probe is answered");
+    assert!(
+        one.caller_wait(key(), &sender, after(start, 2100)).is_zero(),
+        "the first probe is answered"
+    );
 }
 
 #[tokio::test(start_paused = true)]
@@ -200,7 +207,7 @@
     one.record(&pause(1000), start, start);
     one.record_sent(key(), &sender, after(start, 1000));
     one.record(&pause(1000), after(start, 1000), after(start, 1010));
-    assert_eq!(one.wait(key(), &sender, after(start, 1010)), Duration::from_secs(1));
+    assert_eq!(one.caller_wait(key(), &sender, after(start, 1010)), Duration::from_secs(1));
 }
 
 // Guards against an overflow by a pause without end.
@@ -213,7 +220,7 @@
         start,
         start,
     );
-    assert_eq!(one.wait(key(), &sender(0), start), Duration::from_secs(3600));
+    assert_eq!(one.caller_wait(key(), &sender(0), start), Duration::from_secs(3600));
 }
 
 // Guards against a refusal that lifts a limit because it does not repeat it.
--- a/src/decide/turns/pacer.rs
+++ b/src/decide/turns/pacer.rs
@@ -12,8 +12,9 @@
 /// How far ahead the next turn is searched for.
 const MAX_SEARCH: Duration = Duration::from_secs(2);
 
-/// How many requests a VM may be ahead of its equal share, for each VM. Turns are random, so that several of one VM may
-/// follow each other. If its clock is wrong, they overlap those of the others; the fewer VMs, the more that adds.
+/// How many requests a VM may be ahead of its equal share, times the number of VMs. Turns are random, so that several of
+/// one VM may follow each other. If its clock is wrong, they overlap those of the others; the fewer VMs, the more that
+/// adds.
 const MAX_AHEAD_PER_VM: f64 = 0.5;
 
 /// Tracks the turns that this VM has used at one upstream.
