A clock that goes on during suspensions: the reads of two clocks are no suspension

Cause: a suspension is found as the difference of two clocks that are read one after the other, and the time between the reads varies, by milliseconds if the thread is preempted there. Change: the smaller of two reads counts, and less than a millisecond is none.

--- a/src/clock.rs
+++ b/src/clock.rs
@@ -11,20 +11,30 @@
 use rustix::time::clock_gettime;
 use tokio::time::Instant;
 
+/// A shorter suspension is not told apart from the time that passes between the reads of two clocks.
+const RESOLUTION: Duration = Duration::from_millis(1);
+
+/// Number of times that the clocks are read. The thread may be preempted between them once, which looks like a suspension.
+const READS: usize = 2;
+
 /// The runtime's time, moved on by all that this process was suspended for.
 pub fn now() -> Instant {
     static AT_START: OnceLock<Duration> = OnceLock::new();
     // A suspension between the two reads makes the result later, so what is measured by it is never too young.
     let running = Instant::now();
     let suspended = suspended();
-    running + suspended.saturating_sub(*AT_START.get_or_init(|| suspended))
+    let since_start = suspended.saturating_sub(*AT_START.get_or_init(|| suspended));
+    if since_start < RESOLUTION { running } else { running + since_start }
 }
 
 /// How long the VM was suspended since it was started.
 fn suspended() -> Duration {
-    let running = clock_gettime(ClockId::Monotonic);
-    let all = clock_gettime(ClockId::Boottime);
-    since_boot(all).saturating_sub(since_boot(running))
+    let reads = (0..READS).map(|_| {
+        let running = clock_gettime(ClockId::Monotonic);
+        let all = clock_gettime(ClockId::Boottime);
+        since_boot(all).saturating_sub(since_boot(running))
+    });
+    reads.min().unwrap_or_default()
 }
 
 fn since_boot(time: Timespec) -> Duration {
