Failing test: a VM that stands still while an upstream becomes cold floods it

By the logs VM 23 was stopped from before 13:07.5, when the cold period was announced, until 13:09.173, sent 6 requests to each worker at 13:09.173, and knew of it at 13:09.184. The test plays it in paused time: 20 of 20 requests are sent.

--- a/src/gateway/state/tests.rs
+++ b/src/gateway/state/tests.rs
@@ -387,6 +387,35 @@
     }
 }
 
+// Guards against a VM that stands still while an upstream becomes cold, and sends all that has queued up before it has
+// heard of it.
+#[test]
+fn a_vm_that_misses_a_cold_start_does_not_flood_the_upstream() {
+    paused(async {
+        let upstream_starts = SECOND * 4;
+        let mut region = Region { upstream_starts, ..Region::new(vec![Duration::ZERO; 2], 5) };
+        region.play(SECOND * 2, Duration::from_millis(5)).await;
+        for vm in &region.vms {
+            let delta = Delta {
+                revision: 1000,
+                is_full: false,
+                upstreams: vec![Observed {
+                    record: announcement(1, Duration::ZERO),
+                    silent: false,
+                }],
+                vms: Vec::new(),
+            };
+            vm.state.apply_roster(&"control-0".parse().unwrap(), 1, delta);
+        }
+        // The upstream becomes cold now, and the VM stands still until then.
+        time::advance(upstream_starts + SECOND / 2).await;
+        let now = region.start.elapsed();
+        (0..20).for_each(|_| region.request(0, now));
+        let most = region.most(SECOND);
+        assert!(most as f64 <= bound(RATE), "{most} requests in a second");
+    });
+}
+
 // Guards against a limit that a whole region exceeds after a restart: each VM learns of it from its own responses, and
 // of the other VMs up to a second later.
 #[parameterized(
