--- a/src/gateway/receive.rs
+++ b/src/gateway/receive.rs
@@ -27,7 +27,7 @@
 use super::relay::Hop;
 use super::relay::Job;
 use super::relay::Relay;
-use super::state::RequestGuard;
+use super::state::CountGuard;
 use super::stream::Stream;
 use crate::decide::quota;
 use crate::http::Body;
@@ -229,7 +229,7 @@
     }
 }
 
-async fn respond(state: &Arc<State>, job: Job, guard: RequestGuard) -> Response<Body> {
+async fn respond(state: &Arc<State>, job: Job, guard: CountGuard) -> Response<Body> {
     let (hop, service, urgent) = (job.hop, job.service.clone(), job.urgent);
     let received_at = job.received_at;
     let mut relay = Relay::new(state.clone(), job);
@@ -268,7 +268,7 @@
     state: &Arc<State>,
     relay: Relay,
     opened: OpenResponse,
-    guard: RequestGuard,
+    guard: CountGuard,
 ) -> Response<Body> {
     let body = match opened.body {
         ResponseBody::Streaming(source) => {
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -19,7 +19,7 @@
 use super::receive::STARTUP_WAIT_FRACTION;
 use super::reservation::Reservation;
 use super::reservation::Target;
-use super::state::WaitingGuard;
+use super::state::CountGuard;
 use crate::decide::place::Work;
 use crate::decide::place::wait;
 use crate::decide::quota;
@@ -110,7 +110,7 @@
     /// An upstream's error response, returned if no other upstream succeeds.
     upstream_error: Option<OpenResponse>,
     /// Counts the request among those that wait for a turn at an upstream.
-    waiting: Option<WaitingGuard>,
+    waiting: Option<CountGuard>,
 }
 
 impl Relay {
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -98,29 +98,27 @@
     /// When the first roster was received.
     joined: OnceLock<Instant>,
     closed: AtomicBool,
-    in_progress: AtomicUsize,
+    in_progress: Arc<AtomicUsize>,
     /// Requests that wait for a turn at an upstream.
-    waiting: AtomicUsize,
+    waiting: Arc<AtomicUsize>,
     /// When the last request arrived, in milliseconds since the start.
     last_request: AtomicU64,
     metrics: Metrics,
 }
 
-/// Counts a request as in progress until dropped.
-pub struct RequestGuard(Arc<State>);
+/// Counts a request until dropped.
+pub struct CountGuard(Arc<AtomicUsize>);
 
-impl Drop for RequestGuard {
-    fn drop(&mut self) {
-        self.0.in_progress.fetch_sub(1, Ordering::Relaxed);
+impl CountGuard {
+    fn new(count: &Arc<AtomicUsize>) -> Self {
+        count.fetch_add(1, Ordering::Relaxed);
+        Self(count.clone())
     }
 }
 
-/// Counts a request as waiting for a turn until dropped.
-pub struct WaitingGuard(Arc<State>);
-
-impl Drop for WaitingGuard {
+impl Drop for CountGuard {
     fn drop(&mut self) {
-        self.0.waiting.fetch_sub(1, Ordering::Relaxed);
+        self.0.fetch_sub(1, Ordering::Relaxed);
     }
 }
 
@@ -174,8 +172,8 @@
             epoch: now.checked_sub(Duration::from_millis(start_time_ms)).unwrap_or(now),
             joined: OnceLock::new(),
             closed: AtomicBool::new(false),
-            in_progress: AtomicUsize::new(0),
-            waiting: AtomicUsize::new(0),
+            in_progress: Arc::default(),
+            waiting: Arc::default(),
             last_request: AtomicU64::new(0),
             metrics: Metrics::default(),
         }
@@ -349,17 +347,16 @@
     }
 
     /// Counts a request as in progress until the guard is dropped.
-    pub fn track_request(self: &Arc<Self>) -> RequestGuard {
-        self.in_progress.fetch_add(1, Ordering::Relaxed);
+    pub fn track_request(&self) -> CountGuard {
+        let guard = CountGuard::new(&self.in_progress);
         let since = self.started.elapsed().as_millis() as u64;
         self.last_request.store(since, Ordering::Relaxed);
-        RequestGuard(self.clone())
+        guard
     }
 
     /// Counts a request as waiting for a turn at an upstream until the guard is dropped.
-    pub fn track_waiting(self: &Arc<Self>) -> WaitingGuard {
-        self.waiting.fetch_add(1, Ordering::Relaxed);
-        WaitingGuard(self.clone())
+    pub fn track_waiting(&self) -> CountGuard {
+        CountGuard::new(&self.waiting)
     }
 
     /// The number of requests that wait for a turn at an upstream.
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -18,7 +18,7 @@
 use super::events;
 use super::events::EventBuffer;
 use super::relay::Relay;
-use super::state::RequestGuard;
+use super::state::CountGuard;
 use crate::http::Body;
 use crate::http::body::Broken;
 
@@ -32,7 +32,7 @@
     resumed_after: Option<String>,
     event_count: u64,
     outcome: &'static str,
-    _progress: RequestGuard,
+    _progress: CountGuard,
 }
 
 /// The result of a read.
@@ -48,7 +48,7 @@
         state: Arc<State>,
         relay: Relay,
         source: UpstreamStream,
-        progress: RequestGuard,
+        progress: CountGuard,
     ) -> Self {
         Self {
             state,
