A request to a cold upstream is described where it is recorded

The turn was searched for twice per request, once for the log and once to use it, and the placement was locked twice for each request, also to upstreams that are not cold. record_sent now returns what the log needs. The owner of a turn is found without a copy of each VM's name.

--- a/src/decide/place.rs
+++ b/src/decide/place.rs
@@ -149,6 +149,8 @@
 pub struct InFlight {
     /// The upstream.
     pub id: id::Upstream,
+    /// How it was sent, if the upstream is cold.
+    pub cold_send: Option<ColdSend>,
     incarnation: u64,
     prefill: Tokens,
     queued_prefill: Tokens,
@@ -325,12 +327,6 @@
         Some(Outlook { wait, running: placement.running })
     }
 
-    /// Describes a request sent now to the upstream if that is cold, for the log.
-    pub fn cold_send(&self, id: &id::Upstream, now: Instant) -> Option<ColdSend> {
-        let upstream = self.upstreams.get(id)?;
-        upstream.cold_send(self.sender(&upstream.endpoint.service), now)
-    }
-
     /// Records that a request was sent to the selected upstream.
     pub fn record_sent(&mut self, placement: &Placement, work: &Work, now: Instant) -> InFlight {
         let service = self.upstreams.get(&placement.id).map(|known| &known.endpoint.service);
@@ -338,12 +334,12 @@
         let upstream = self.upstreams.get_mut(&placement.id);
         let incarnation = upstream.as_ref().map_or(0, |upstream| upstream.endpoint.incarnation);
         let memory = work.suffix + work.output.likely();
-        let mut rounds = 1.0;
+        let (mut rounds, mut cold_send) = (1.0, None);
         if let Some(upstream) = upstream {
             let stats = self.services.entry(upstream.endpoint.service.clone()).or_default();
             rounds = upstream.rounds(upstream.total_requests(stats, &sender, now));
             stats.record_sent(placement.prefill, now);
-            upstream.record_sent(work, placement.prefill, memory, &sender, now);
+            cold_send = upstream.record_sent(work, placement.prefill, memory, &sender, now);
             let prefix = work.prefix.filter(|_| self.uses.len() < MAX_PENDING_USES);
             self.uses.extend(prefix.map(|prefix| PrefixUse {
                 engine: upstream.key(),
@@ -353,6 +349,7 @@
         }
         InFlight {
             id: placement.id.clone(),
+            cold_send,
             incarnation,
             prefill: placement.prefill,
             queued_prefill: placement.queued_prefill,
--- a/src/decide/place/upstream.rs
+++ b/src/decide/place/upstream.rs
@@ -332,7 +332,7 @@
         self.heard = Some(now);
     }
 
-    /// Records that a request was sent.
+    /// Records that a request was sent, and returns how, if the upstream is cold.
     pub fn record_sent(
         &mut self,
         work: &Work,
@@ -340,19 +340,22 @@
         memory: Tokens,
         sender: &Sender,
         now: Instant,
-    ) {
+    ) -> Option<ColdSend> {
         self.running += 1;
         self.busy_since.get_or_insert(now);
         self.unread += 1;
         self.unread_tokens += prefill;
         self.memory += memory;
-        if let Some(cold) = self.cold(now) {
-            self.pacer.record_sent(&cold.turns(self.key), sender, now);
-        }
+        let cold_send = self.cold(now).map(|cold| ColdSend {
+            vms: sender.count(),
+            turn: self.pacer.record_sent(&cold.turns(self.key), sender, now),
+            left: cold.until.saturating_duration_since(now),
+        });
         self.restrictions.record_sent(self.key, sender, now);
         if let (Some(prefix), Some(memory)) = (work.prefix, self.endpoint.memory) {
             self.cache.record_use(prefix, memory, now);
         }
+        cold_send
     }
 
     /// Records the end of the prefill of a request.
@@ -406,15 +409,6 @@
         (blended(report.others_running, mean.0), blended(report.others_waiting, mean.1))
     }
 
-    /// Describes a request sent now if the upstream is cold.
-    pub fn cold_send(&self, sender: &Sender, now: Instant) -> Option<ColdSend> {
-        self.cold(now).map(|cold| ColdSend {
-            vms: sender.count(),
-            turn: self.pacer.next_turn(&cold.turns(self.key), sender, now),
-            left: cold.until.saturating_duration_since(now),
-        })
-    }
-
     fn cold(&self, now: Instant) -> Option<Cold> {
         self.endpoint.cold.filter(|cold| now < cold.until)
     }
--- a/src/decide/turns/pacer.rs
+++ b/src/decide/turns/pacer.rs
@@ -51,18 +51,20 @@
         self.next_turn(turns, sender, now).is_some()
     }
 
-    /// Records that a request was sent.
-    pub fn record_sent(&mut self, turns: &Turns, sender: &Sender, now: Instant) {
-        if let Some(turn) = self.next_turn(turns, sender, now) {
-            let sent = self.sent_in(&turn) + 1;
+    /// Records that a request was sent, and returns the turn that it uses; `None` if the VM has none.
+    pub fn record_sent(&mut self, turns: &Turns, sender: &Sender, now: Instant) -> Option<Turn> {
+        let turn = self.next_turn(turns, sender, now);
+        if let Some(turn) = &turn {
+            let sent = self.sent_in(turn) + 1;
             self.last_turn = Some((turn.begins, sent));
         }
         self.ahead = self.ahead(turns, sender, now) + 1.0;
         self.counted_at = Some(now);
+        turn
     }
 
     /// Returns the first turn that a request sent now may use.
-    pub fn next_turn(&self, turns: &Turns, sender: &Sender, now: Instant) -> Option<Turn> {
+    fn next_turn(&self, turns: &Turns, sender: &Sender, now: Instant) -> Option<Turn> {
         if !self.earliest(turns, sender, now).is_zero() {
             return None;
         }
--- a/src/decide/turns/sender.rs
+++ b/src/decide/turns/sender.rs
@@ -78,9 +78,9 @@
         if seed & ((1 << self.shard_bits) - 1) != self.shard {
             return false;
         }
-        let weight = |vm: &id::Vm| (rendezvous::weight(seed, vm.as_str()), vm.clone());
-        let own = weight(&self.own);
-        self.others.iter().all(|vm| weight(vm) < own)
+        let weight = |vm: &id::Vm| rendezvous::weight(seed, vm.as_str());
+        let own = (weight(&self.own), &self.own);
+        self.others.iter().all(|vm| (weight(vm), vm) < own)
     }
 
     /// Returns the seconds from the epoch, negative before it.
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -20,6 +20,7 @@
 use super::reservation::Reservation;
 use super::reservation::Target;
 use super::state::CountGuard;
+use crate::decide::place::InFlight;
 use crate::decide::place::Work;
 use crate::decide::place::wait;
 use crate::decide::quota;
@@ -342,8 +343,8 @@
         let (target, held, address) = match placement {
             Placement::Local(fit) => {
                 self.tried.push(fit.id.clone());
-                self.log_cold_send(&fit.id);
                 let held = self.state.place().record_sent(fit, &self.work, Instant::now());
+                self.log_cold_send(&held);
                 (Target::Upstream(fit.id.clone()), Some(held), fit.address)
             }
             Placement::Remote { vm, address, .. } => {
@@ -363,11 +364,10 @@
     }
 
     /// Logs a request to a cold upstream: how it came here, and which turn it takes.
-    fn log_cold_send(&self, upstream: &id::Upstream) {
-        let send = self.state.place().cold_send(upstream, Instant::now());
-        let Some(send) = send else { return };
+    fn log_cold_send(&self, held: &InFlight) {
+        let Some(send) = &held.cold_send else { return };
         info!(self.state.log(), "upstream.cold_send"; "request" => &self.job.call.id,
-            "upstream" => %upstream, "hop" => ?self.job.hop, "attempt" => self.attempts() + 1,
+            "upstream" => %held.id, "hop" => ?self.job.hop, "attempt" => self.attempts() + 1,
             "waited_ms" => self.job.received_at.elapsed().as_millis() as u64,
             "vms" => send.vms, "turn" => send.turn.map(|turn| turn.index),
             "turn_age_ms" => send.turn.map(|turn| turn.begins.elapsed().as_millis() as u64),
