Log and metric of the retry budget: each decision, with what it was based on

Nothing told whether an attempt was charged, against which credit and with how many VMs known, and refusals of the budget had no metric. retry.charged and retry.refused name the request, the counts of the window, the VMs known and the age of the roster; mastic_repeats_total counts the decisions.

--- a/src/decide/retry/repeats.rs
+++ b/src/decide/retry/repeats.rs
@@ -34,6 +34,15 @@
     repeats: u32,
 }
 
+/// What this VM has sent to a service within the window.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Sent {
+    /// Requests that were sent for the first time.
+    pub firsts: u32,
+    /// Repeats.
+    pub repeats: u32,
+}
+
 /// This VM's requests and repeats to one service.
 #[derive(Debug)]
 pub struct Repeats {
@@ -54,10 +63,7 @@
 
     /// Whether a request may be repeated, if this many VMs share the limit; records the repeat if so.
     pub fn try_acquire(&mut self, vms: u32, now: Instant) -> bool {
-        self.bucket(now);
-        let (firsts, repeats) = self.buckets.iter().fold((0, 0), |(firsts, repeats), bucket| {
-            (firsts + bucket.firsts, repeats + bucket.repeats)
-        });
+        let Sent { firsts, repeats } = self.sent(now);
         let earned = self.limit.ratio * f64::from(firsts);
         let allowed = SAFETY_FACTOR * (earned + self.limit.minimum / f64::from(vms.max(1)));
         let may = f64::from(repeats + 1) <= allowed;
@@ -67,6 +73,13 @@
         may
     }
 
+    /// What was sent within the window.
+    pub fn sent(&mut self, now: Instant) -> Sent {
+        self.bucket(now);
+        let count = |of: fn(&Bucket) -> u32| self.buckets.iter().map(of).sum();
+        Sent { firsts: count(|bucket| bucket.firsts), repeats: count(|bucket| bucket.repeats) }
+    }
+
     /// The current bucket; removes buckets that have left the window.
     fn bucket(&mut self, now: Instant) -> &mut Bucket {
         let length = self.limit.window / BUCKETS;
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -23,6 +23,7 @@
     registry: Registry,
     requests: Family<Labels, Counter>,
     attempts: Family<Labels, Counter>,
+    repeats: Family<Labels, Counter>,
     first_event: Histogram,
     sharing_dropped: Counter,
     upstreams: Gauge,
@@ -46,6 +47,9 @@
         registry.register("requests", "Requests that ended, by outcome", requests.clone());
         let attempts = Family::<Labels, Counter>::default();
         registry.register("attempts", "Attempts that ended, by outcome", attempts.clone());
+        let repeats = Family::<Labels, Counter>::default();
+        let text = "Repeats of requests at upstreams that were asked of the budget, by its decision";
+        registry.register("repeats", text, repeats.clone());
         let first_event = seconds_histogram();
         let text = "Seconds from arrival to the head of the answer";
         registry.register("first_event_seconds", text, first_event.clone());
@@ -73,6 +77,7 @@
             registry,
             requests,
             attempts,
+            repeats,
             first_event,
             sharing_dropped,
             upstreams,
@@ -97,6 +102,11 @@
         self.attempts.get_or_create(&Labels { outcome }).inc();
     }
 
+    /// Counts a decision of the retry budget.
+    pub fn record_repeat(&self, decision: &'static str) {
+        self.repeats.get_or_create(&Labels { outcome: decision }).inc();
+    }
+
     /// Records the time from arrival to the head of the response.
     pub fn observe_first_event(&self, took: Duration) {
         self.first_event.observe(took.as_secs_f64());
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -298,7 +298,7 @@
         match placement {
             Placement::Remote { .. } => true,
             Placement::Local(_) if self.reached_upstream => {
-                self.state.allow_retry(&self.job.service)
+                self.state.allow_retry(&self.job.service, Some(&self.job.call.id))
             }
             Placement::Local(_) => {
                 self.state.record_first_attempt(&self.job.service);
--- a/src/gateway/state/retries.rs
+++ b/src/gateway/state/retries.rs
@@ -1,5 +1,6 @@
 //! The retry budgets of services.
 
+use slog::info;
 use tokio::time::Instant;
 
 use super::State;
@@ -7,10 +8,20 @@
 use crate::decide::retry::repeats::Repeats;
 
 impl State {
-    /// Whether the retry budget of the service allows a retry.
-    pub fn allow_retry(&self, service: &str) -> bool {
+    /// Whether the retry budget of the service allows a retry of the request.
+    pub fn allow_retry(&self, service: &str, request: Option<&str>) -> bool {
         let vms = self.merged().entry_vm_count();
-        self.with_retry_budget(service, |budget| budget.try_acquire(vms, Instant::now()))
+        let now = Instant::now();
+        let (sent, is_allowed) = self.with_retry_budget(service, |budget| {
+            (budget.sent(now), budget.try_acquire(vms, now))
+        });
+        let decision = if is_allowed { "charged" } else { "refused" };
+        self.metrics.record_repeat(decision);
+        info!(self.log, "retry.{}", decision; "request" => request, "service" => service,
+            "firsts" => sent.firsts, "repeats" => sent.repeats, "vms" => vms,
+            "roster_age_ms" => self.joined.get().map(|at| at.elapsed().as_millis() as u64),
+            "up_ms" => self.started.elapsed().as_millis() as u64);
+        is_allowed
     }
 
     /// Records a first attempt, which adds to the retry budget of the service.
