--- a/src/gateway/state/tests.rs
+++ b/src/gateway/state/tests.rs
@@ -1,4 +1,5 @@
 mod region;
+mod retries;
 
 use std::time::Duration;
 
--- a/src/gateway/state/tests/region.rs
+++ b/src/gateway/state/tests/region.rs
@@ -98,11 +98,17 @@
 
 /// A VM of the region whose process has just started.
 fn start(nth: usize) -> State {
+    start_with(nth, 50.0)
+}
+
+/// The same, with that many repeats allowed in a window besides those that requests earn.
+pub fn start_with(nth: usize, repeats: f64) -> State {
     let ip = ip(nth);
     let text = format!(
         "ip: {ip}\nregion: r\ndata_centre: a\ndata_centres: [a=r]\nseeds: [\"10.9.0.1:90\"]\nlink_port: 70\n\
          network: closed\ncheck_in: 1200ms\nentry:\n  callers: {ip}:80\n  operators: {ip}:81\n  \
-         forwards: {ip}:82\n  grace: 8s\n"
+         forwards: {ip}:82\n  grace: 8s\n\
+         bounds:\n  repeat_least: {repeats}\n"
     );
     let node = Node::parse("node.yaml", &text, std::path::Path::new(".")).unwrap();
     let state = State::new(Arc::new(node), Arc::new(NoAdapter), 1, nth as u64, log::silent());
@@ -124,7 +130,7 @@
     }
 }
 
-fn presence(nth: usize) -> Presence {
+pub fn presence(nth: usize) -> Presence {
     Presence {
         vm: ip(nth).parse().unwrap(),
         role: Role::Entry,
--- /dev/null
+++ b/src/gateway/state/tests/retries.rs
@@ -0,0 +1,179 @@
+//! Entry VMs that repeat what a failing service refuses, without a network.
+
+use std::time::Duration;
+
+use rand::Rng;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use tokio::time;
+use tokio::time::Instant;
+use yare::parameterized;
+
+use super::paused;
+use super::region;
+use crate::gateway::State;
+use crate::roster::Delta;
+use crate::roster::Observed;
+
+const SERVICE: &str = "s";
+const WINDOW: Duration = Duration::from_secs(10);
+const RATIO: f64 = 0.2;
+const STEP: Duration = Duration::from_millis(100);
+/// What a VM that has just started knows of the others, and for how long that is itself alone.
+const JOINS: Duration = Duration::from_millis(300);
+const MAX_KNOWN: usize = 40;
+/// The most upstreams that one request is sent to.
+const MAX_ATTEMPTS: usize = 3;
+
+/// How often VMs restart, and whether all do at once.
+#[derive(Debug, Clone, Copy)]
+enum Restarts {
+    Never,
+    Together(Duration),
+    InTurn(Duration),
+}
+
+/// What VMs learn of each other.
+#[derive(Debug, Clone, Copy, PartialEq)]
+enum View {
+    /// All others, a moment after the start.
+    Whole,
+    /// Never anybody.
+    Alone,
+    /// All others and nobody in turn, with each restart.
+    Flapping,
+}
+
+/// Requests to a service that refuses each of them.
+struct Trouble {
+    vms: Vec<(State, Instant, bool)>,
+    minimum: f64,
+    view: View,
+    rng: SmallRng,
+    start: Instant,
+    restarted: u32,
+    /// Requests and repeats in each step.
+    steps: Vec<(u32, u32)>,
+}
+
+impl Trouble {
+    fn new(vms: usize, minimum: f64, view: View, seed: u64) -> Self {
+        let start = Instant::now();
+        let vms = (0..vms).map(|nth| (region::start_with(nth, minimum), start, false)).collect();
+        let rng = SmallRng::seed_from_u64(seed);
+        Self { vms, minimum, view, rng, start, restarted: 0, steps: Vec::new() }
+    }
+
+    /// Plays some time at a number of requests a second.
+    async fn play(&mut self, span: Duration, per_second: f64, restarts: Restarts) {
+        let until = Instant::now() + span;
+        let mut due = 0.0;
+        while Instant::now() < until {
+            self.restart(restarts);
+            self.learn();
+            due += per_second * STEP.as_secs_f64();
+            let requests = due as u32;
+            due -= f64::from(requests);
+            let repeats = (0..requests).map(|_| self.request()).sum();
+            self.steps.push((requests, repeats));
+            time::advance(STEP).await;
+        }
+    }
+
+    fn restart(&mut self, restarts: Restarts) {
+        let (interval, all) = match restarts {
+            Restarts::Never => return,
+            Restarts::Together(interval) => (interval, true),
+            Restarts::InTurn(interval) => (interval / self.vms.len() as u32, false),
+        };
+        let due = (self.start.elapsed().as_millis() / interval.as_millis().max(1)) as u32;
+        while self.restarted < due {
+            self.restarted += 1;
+            let nth = self.restarted as usize % self.vms.len();
+            let chosen = if all { 0..self.vms.len() } else { nth..nth + 1 };
+            for nth in chosen {
+                self.vms[nth] = (region::start_with(nth, self.minimum), Instant::now(), false);
+            }
+        }
+    }
+
+    /// VMs that have run for a moment learn of the others.
+    fn learn(&mut self) {
+        let knows = match self.view {
+            View::Whole => true,
+            View::Alone => false,
+            View::Flapping => self.restarted.is_multiple_of(2),
+        };
+        let known = self.vms.len().min(MAX_KNOWN);
+        for (state, started, has_joined) in &mut self.vms {
+            if !knows || *has_joined || started.elapsed() < JOINS {
+                continue;
+            }
+            let vms = (0..known)
+                .map(|nth| Observed { record: region::presence(nth), silent: false })
+                .collect();
+            let delta = Delta { revision: 1, is_full: true, upstreams: Vec::new(), vms };
+            state.apply_roster(&"control-0".parse().unwrap(), 1, delta);
+            *has_joined = true;
+        }
+    }
+
+    /// Sends one request to a VM; returns how often it is repeated.
+    fn request(&mut self) -> u32 {
+        let nth = self.rng.random_range(0..self.vms.len());
+        let state = &self.vms[nth].0;
+        state.record_first_attempt(SERVICE);
+        (1..MAX_ATTEMPTS).take_while(|_| state.allow_retry(SERVICE, None)).count() as u32
+    }
+
+    /// By how much the repeats of a window exceed the bound at most; negative if they never do.
+    fn excess(&self) -> f64 {
+        let length = (WINDOW.as_millis() / STEP.as_millis()) as usize;
+        let sum = |from: isize, of: fn(&(u32, u32)) -> u32| -> u32 {
+            let from_step = usize::try_from(from.max(0)).unwrap_or(0);
+            let until = usize::try_from(from + length as isize).unwrap_or(0).min(self.steps.len());
+            self.steps[from_step.min(until)..until].iter().map(of).sum()
+        };
+        let starts = 0..self.steps.len() as isize;
+        let excess = starts.map(|from| {
+            let windows = [from, from - length as isize / 2, from - length as isize];
+            let requests = windows.iter().map(|from| sum(*from, |step| step.0)).max().unwrap_or(0);
+            f64::from(sum(from, |step| step.1)) - RATIO * f64::from(requests) - self.minimum
+        });
+        excess.fold(f64::NEG_INFINITY, f64::max)
+    }
+}
+
+const MINUTE: Duration = Duration::from_secs(60);
+
+const fn millis(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
+// Guards against a sum over VMs that each process keeps in its memory: after each restart of all VMs in series, they
+// repeat as much again, and each takes the fixed part of all others until it knows them.
+#[parameterized(
+    two_without = { 2, 50.0, 100.0, Restarts::Never, View::Whole },
+    two = { 2, 50.0, 100.0, Restarts::Together(millis(2500)), View::Whole },
+    two_alone = { 2, 50.0, 100.0, Restarts::Never, View::Alone },
+    six = { 6, 52.0, 600.0, Restarts::Together(millis(4000)), View::Whole },
+    six_often = { 6, 52.0, 600.0, Restarts::Together(millis(1000)), View::Whole },
+    six_in_turn = { 6, 52.0, 600.0, Restarts::InTurn(millis(2500)), View::Flapping },
+    six_alone = { 6, 52.0, 600.0, Restarts::Together(millis(9000)), View::Alone },
+    a_fleet = { 985, 1040.0, 1500.0, Restarts::Together(millis(4000)), View::Whole },
+    a_fleet_in_turn = { 985, 1040.0, 1500.0, Restarts::InTurn(millis(9000)), View::Flapping },
+)]
+fn vms_that_restart_in_series_keep_to_the_budget(
+    vms: usize,
+    minimum: f64,
+    per_second: f64,
+    restarts: Restarts,
+    view: View,
+) {
+    paused(async {
+        let mut trouble = Trouble::new(vms, minimum, view, 46);
+        trouble.play(MINUTE / 3, per_second, restarts).await;
+        let excess = trouble.excess();
+        assert!(excess <= 0.0, "{excess:.0} repeats more than allowed in a window");
+    });
+}
