BUDGET: repeats are earned where requests are sent, or issued by the control group; no sum depends on the VMs known

What callers and upstreams saw: with upstreams that refuse and entry VMs that restart in series, a service received more repeats than ratio x requests + minimum in 10 s (1322 of 1286, 1485 of 1428).

Cause: each process kept its part of a sum over VMs in its memory, in a window, and divided the fixed minimum by the VMs that it knew. A restart forgot what had been repeated; a VM that knew few others took their parts. The class: a sum over VMs kept by processes that each derive their part from a view of their own.

Change: one budget type, which starts empty. Requests earn half the ratio, usable for less than half a window; the rule counts the requests of the window, the one before or the one half a window before, so that the sum holds without any count of VMs. The minimum is no longer divided among senders: the voters of the control group issue it one by one, each its part of an agreed list, and a voter without a leader issues nothing. A request counts once, on whichever VM sends it first, also when it meets dead addresses. The product's own interface (entry) uses the same type and starts empty too.

Evidence: vms_that_restart_in_series_keep_to_the_budget failed before (17 to 25796 repeats more than allowed) and passes; a property test over restarts, moved load, frozen VMs and odd limits. A window or a settling time as before would only have made the excess smaller.

--- a/benches/decide/route.rs
+++ b/benches/decide/route.rs
@@ -132,7 +132,7 @@
     let (now, model, mut rng) = (Instant::now(), model(), SmallRng::seed_from_u64(1));
     let owners: Vec<id::Owner> =
         (0..OWNERS).map(|n| format!("owner-{n}").parse().expect("a name")).collect();
-    let mut retry = Retry::new();
+    let mut retry = Retry::new(Instant::now());
     let (mut turn, mut time) = (0, now);
     c.bench_function("retry: decide on a failure", |b| {
         b.iter(|| {
--- a/src/control/service.rs
+++ b/src/control/service.rs
@@ -205,7 +205,8 @@
                 | Request::Follow(_)
                 | Request::Routing(_)
                 | Request::ReadRouting
-                | Request::NewestRevision => Reply::Unsupported,
+                | Request::NewestRevision
+                | Request::IssueRepeat { .. } => Reply::Unsupported,
             }
         }
         .boxed()
--- a/src/decide/retry.rs
+++ b/src/decide/retry.rs
@@ -3,7 +3,8 @@
 //! Unlimited retries at several layers would multiply the load on upstreams that are failing, and keep them
 //! overloaded after the cause has gone. Therefore:
 //!
-//! - Retries draw on two budgets, the owner's and that of the set of upstreams, each a tenth of first attempts.
+//! - Retries draw on two budgets, the owner's and that of the set of upstreams, each a tenth of first attempts. They
+//!   start empty, so that a restart adds no retries.
 //! - They wait with exponential backoff and full jitter.
 //! - Only the VM that the caller asked retries; a VM that a request was forwarded to reports the failure.
 //! - Only a request that surely did not run, or may be repeated, is tried again ([`Evidence`]).
@@ -15,9 +16,9 @@
 mod budget;
 mod evidence;
 mod hedge;
+pub mod limit;
 mod quantile;
 mod race;
-pub mod repeats;
 mod retry_after;
 
 use std::collections::HashMap;
@@ -26,7 +27,6 @@
 use rand::Rng;
 use tokio::time::Instant;
 
-use self::budget::Budgets;
 use self::retry_after::RetryAfter;
 use crate::catalogue::Repeat;
 use crate::id;
@@ -34,6 +34,7 @@
 pub use backoff::delay;
 pub use budget::Budget;
 pub use budget::BudgetConfig;
+pub use budget::Budgets;
 pub use evidence::Evidence;
 pub use evidence::Ran;
 pub use hedge::Hedge;
@@ -46,13 +47,24 @@
 /// share.
 pub const MAX_ATTEMPTS: u32 = 3;
 
+/// How long the retries that requests have earned can be used, so that those of a peak are not used in a lull.
+pub const EARNED_LIFETIME: Duration = Duration::from_secs(10);
+
 /// Each owner's retry budget: a tenth of its requests, and one retry every ten seconds for owners with few requests.
-pub const OWNER_BUDGET: BudgetConfig =
-    BudgetConfig { ratio: 0.1, capacity: 10.0, refill_interval: Duration::from_secs(10) };
+pub const OWNER_BUDGET: BudgetConfig = BudgetConfig {
+    ratio: 0.1,
+    lifetime: EARNED_LIFETIME,
+    capacity: 10.0,
+    refill_interval: Duration::from_secs(10),
+};
 
 /// The retry budget of all upstreams of a model: a tenth of the requests, and at least one retry a second.
-pub const UPSTREAM_BUDGET: BudgetConfig =
-    BudgetConfig { ratio: 0.1, capacity: 20.0, refill_interval: Duration::from_secs(1) };
+pub const UPSTREAM_BUDGET: BudgetConfig = BudgetConfig {
+    ratio: 0.1,
+    lifetime: EARNED_LIFETIME,
+    capacity: 20.0,
+    refill_interval: Duration::from_secs(1),
+};
 
 /// The position of a VM on a request's way.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -126,16 +138,11 @@
     retry_after: HashMap<id::Model, RetryAfter>,
 }
 
-impl Default for Retry {
-    fn default() -> Self {
-        Self::new()
-    }
-}
-
 impl Retry {
-    /// Creates full budgets.
-    pub fn new() -> Self {
-        let (owners, upstreams) = (Budgets::new(OWNER_BUDGET), Budgets::new(UPSTREAM_BUDGET));
+    /// Creates empty budgets.
+    pub fn new(now: Instant) -> Self {
+        let owners = Budgets::new(OWNER_BUDGET, now);
+        let upstreams = Budgets::new(UPSTREAM_BUDGET, now);
         Self { owners, upstreams, retry_after: HashMap::new() }
     }
 
--- a/src/decide/retry/hedge.rs
+++ b/src/decide/retry/hedge.rs
@@ -19,8 +19,12 @@
 pub const LATENCY_QUANTILE: f64 = 0.95;
 
 /// The budget for second attempts: the fraction of requests that is slower than [`LATENCY_QUANTILE`] in normal operation.
-pub const HEDGE_BUDGET: BudgetConfig =
-    BudgetConfig { ratio: 0.05, capacity: 5.0, refill_interval: Duration::from_secs(60) };
+pub const HEDGE_BUDGET: BudgetConfig = BudgetConfig {
+    ratio: 0.05,
+    lifetime: super::EARNED_LIFETIME,
+    capacity: 5.0,
+    refill_interval: Duration::from_secs(60),
+};
 
 /// Decides when to make a second attempt.
 #[derive(Debug)]
@@ -29,16 +33,10 @@
     budgets: Budgets<id::Model>,
 }
 
-impl Default for Hedge {
-    fn default() -> Self {
-        Self::new()
-    }
-}
-
 impl Hedge {
     /// Creates a hedge without latencies.
-    pub fn new() -> Self {
-        Self { latencies: HashMap::new(), budgets: Budgets::new(HEDGE_BUDGET) }
+    pub fn new(now: Instant) -> Self {
+        Self { latencies: HashMap::new(), budgets: Budgets::new(HEDGE_BUDGET, now) }
     }
 
     /// Records a first attempt; returns the time after which to call [`Self::try_start`], if the request may be hedged.
--- a/src/decide/retry/tests.rs
+++ b/src/decide/retry/tests.rs
@@ -1,4 +1,4 @@
 mod budget;
 mod evidence;
 mod hedge;
-mod repeats;
+mod limit;
--- a/src/decide/retry/tests/budget.rs
+++ b/src/decide/retry/tests/budget.rs
@@ -120,7 +120,7 @@
 // Guards against retries that multiply the load during an outage and delay requests after it.
 #[test]
 fn a_retry_storm() {
-    let (ours, naive) = (outage(Some(&mut Retry::new())), outage(None));
+    let (ours, naive) = (outage(Some(&mut Retry::new(Instant::now()))), outage(None));
     for (policy, stats) in [("ours", &ours), ("naive", &naive)] {
         let Stats { attempts, in_time, backlog } = stats;
         println!("| retry storm | {policy} | {attempts} | {in_time} | {backlog} |");
@@ -133,8 +133,9 @@
 // Guards against one owner's failures using up the retries of the other owners.
 #[test]
 fn one_owner_uses_up_its_own_retries() {
-    let (now, mut rng) = (Instant::now(), SmallRng::seed_from_u64(1));
-    let mut retry = Retry::new();
+    let (start, mut rng) = (Instant::now(), SmallRng::seed_from_u64(1));
+    let mut retry = Retry::new(start);
+    let now = start + Duration::from_secs(100);
     let model: id::Model = "storm".parse().unwrap();
     let mut tries = |owner: &str, times: usize| -> usize {
         let owner = owner.parse().unwrap();
--- a/src/decide/retry/tests/hedge.rs
+++ b/src/decide/retry/tests/hedge.rs
@@ -20,7 +20,7 @@
     not_idempotent = { Class::Short, Repeat::Never },
 )]
 fn never_hedged(class: Class, repeat: Repeat) {
-    let mut hedge = Hedge::new();
+    let mut hedge = Hedge::new(Instant::now());
     (0..100).for_each(|_| hedge.answered(&model(), Duration::from_millis(10)));
     assert!(hedge.after(&model(), Class::Short, Repeat::Allowed, Instant::now()).is_some());
     assert_eq!(hedge.after(&model(), class, repeat, Instant::now()), None);
--- a/src/directory/links.rs
+++ b/src/directory/links.rs
@@ -26,6 +26,7 @@
                 Request::Routing(command) => service.handle_proposal(command).await,
                 Request::ReadRouting => service.handle_read().await,
                 Request::NewestRevision => service.handle_newest_revision().await,
+                Request::IssueRepeat { service: name } => service.handle_issue_repeat(&name),
                 Request::Identity(Name::Routing) => service.identity_reply(),
                 Request::Join { name: Name::Routing, replica, witness } => {
                     let group = service.group();
--- a/src/directory/metrics.rs
+++ b/src/directory/metrics.rs
@@ -17,6 +17,7 @@
     pieces: Counter,
     piece_bytes: Counter,
     slices: Counter,
+    repeats: Counter,
     upstreams: Gauge,
     followers: Gauge,
     vms: Gauge,
@@ -38,6 +39,8 @@
         registry.register("piece_bytes", "Bytes of changes in these pieces", piece_bytes.clone());
         let slices = Counter::default();
         registry.register("slices", "Followers that began to receive a slice", slices.clone());
+        let repeats = Counter::default();
+        registry.register("repeats", "Repeats issued to entry VMs", repeats.clone());
         let mut gauge = |name: &str, text: &str| {
             let gauge = Gauge::default();
             registry.register(name, text, gauge.clone());
@@ -57,6 +60,7 @@
             pieces,
             piece_bytes,
             slices,
+            repeats,
             upstreams,
             followers,
             vms,
@@ -75,6 +79,11 @@
         self.check_ins.inc();
     }
 
+    /// Counts a repeat issued to an entry VM.
+    pub fn record_repeat(&self) {
+        self.repeats.inc();
+    }
+
     /// Counts a piece sent to a follower.
     pub fn record_piece(&self, piece: &Piece) {
         self.pieces.inc();
--- a/src/directory/service.rs
+++ b/src/directory/service.rs
@@ -25,6 +25,7 @@
 use crate::control::Routes;
 use crate::control::Seat;
 use crate::decide::freshness::Freshness;
+use crate::decide::retry::limit::Reserve;
 use crate::group::Group;
 use crate::group::Status;
 use crate::id;
@@ -51,6 +52,7 @@
 
 mod follow;
 mod freshness;
+mod repeats;
 
 /// Timeout of a long poll by a follower. The empty response tells it that this VM is alive.
 pub const LONG_POLL_TIMEOUT: Duration = Duration::from_secs(1);
@@ -83,6 +85,7 @@
     /// proof.
     up_to_date: watch::Sender<bool>,
     freshness: Mutex<Freshness>,
+    reserve: Mutex<Reserve>,
     presence: Mutex<Presence>,
     broadcast: broadcast::Queue,
     routes: Arc<Routes>,
@@ -148,6 +151,7 @@
             roster_cache,
             up_to_date: watch::Sender::new(false),
             freshness: Mutex::default(),
+            reserve: Mutex::default(),
             presence: Mutex::new(presence),
             broadcast: broadcast::Queue::default(),
             routes,
--- a/src/directory/tasks.rs
+++ b/src/directory/tasks.rs
@@ -63,6 +63,7 @@
             service.announce_presence();
         }
         service.refresh_table(now);
+        service.refresh_reserve();
     }
 }
 
--- a/src/entry/dispatch.rs
+++ b/src/entry/dispatch.rs
@@ -94,6 +94,7 @@
     /// Nothing waits, and no upstream is known. The seed drives choices and jitter.
     pub fn new(me: &id::Vm, region: &id::Region, incarnation: Incarnation, seed: u64) -> Self {
         let mut rng = SmallRng::seed_from_u64(seed);
+        let now = Instant::now();
         Self {
             me: me.clone(),
             upstreams: BTreeMap::new(),
@@ -103,8 +104,8 @@
             spill: RegionSelector::new(region.clone(), 1),
             route: Router::new(me),
             admission: Admission::new(SmallRng::from_rng(&mut rng)),
-            retry: Retry::new(),
-            hedge: Hedge::new(),
+            retry: Retry::new(now),
+            hedge: Hedge::new(now),
             pools: HashMap::new(),
             rng,
         }
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -76,6 +76,8 @@
     pub resume_after: Option<&'a str>,
     /// Whether the request may have reached an upstream before.
     pub is_retry: bool,
+    /// Whether the VM that it is forwarded to counts it for the retry budget.
+    pub is_counted_by_receiver: bool,
 }
 
 /// A response whose head has been received.
@@ -189,6 +191,9 @@
     if options.is_retry {
         headers.insert(headers::RETRY, HeaderValue::from_static("1"));
     }
+    if options.is_counted_by_receiver {
+        headers.insert(headers::COUNTED_BY_RECEIVER, HeaderValue::from_static("1"));
+    }
     if let Some(name) = job.caller.name() {
         headers.insert(headers::ORGANISATION, HeaderValue::from_str(name.as_str())?);
     }
--- a/src/gateway/headers.rs
+++ b/src/gateway/headers.rs
@@ -19,6 +19,10 @@
 /// Between VMs: the request may have reached an upstream before, so that sending it is a retry.
 pub const RETRY: HeaderName = HeaderName::from_static("mastic-repeat");
 
+/// Between VMs: the receiver counts the request for the retry budget, which no VM has done before. Each request counts
+/// once, however many VMs and upstreams it is sent to.
+pub const COUNTED_BY_RECEIVER: HeaderName = HeaderName::from_static("mastic-counted-by-receiver");
+
 /// Between VMs, in a refusal: the request reached an upstream, so that sending it to another is a
 /// retry.
 ///
@@ -70,7 +74,7 @@
     for name in HOP_BY_HOP
         .iter()
         .chain([&KEEP_ALIVE, &PROXY_CONNECTION, &OUTLOOK, &OUTLOOK_RUNNING])
-        .chain([&RETRY, &REACHED_UPSTREAM, &ORGANISATION])
+        .chain([&RETRY, &COUNTED_BY_RECEIVER, &REACHED_UPSTREAM, &ORGANISATION])
         .chain(&named)
     {
         headers.remove(name);
--- a/src/gateway/receive.rs
+++ b/src/gateway/receive.rs
@@ -56,6 +56,8 @@
     hop: Hop,
     /// Whether it may have reached an upstream before.
     is_retry: bool,
+    /// Whether this VM counts it for the retry budget.
+    is_counted_here: bool,
     /// The caller's organisation, as stated by the forwarding VM.
     organisation: Option<id::Owner>,
 }
@@ -66,6 +68,7 @@
     Origin {
         hop,
         is_retry: is_vm && headers.contains_key(headers::RETRY),
+        is_counted_here: !is_vm || headers.contains_key(headers::COUNTED_BY_RECEIVER),
         organisation: if is_vm { caller::forwarded_organisation(headers) } else { None },
     }
 }
@@ -148,7 +151,7 @@
     let deadline = received_at + timeout;
     let rank = table.rank(&route, caller.organisation());
     let urgent = table.goes_first(&route, &service);
-    let Origin { hop, is_retry, .. } = origin;
+    let Origin { hop, is_retry, is_counted_here, .. } = origin;
     Ok(Job {
         call,
         body,
@@ -162,6 +165,7 @@
         received_at,
         hop,
         is_retry,
+        is_counted_here,
     })
 }
 
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -20,6 +20,7 @@
 use super::reservation::Reservation;
 use super::reservation::Target;
 use super::state::CountGuard;
+use super::state::Permit;
 use crate::decide::place::InFlight;
 use crate::decide::place::Work;
 use crate::decide::place::wait;
@@ -40,6 +41,8 @@
 /// The timeout of a repeatable attempt is this multiple of the expected time plus the route's
 /// objective.
 const TIMEOUT_FACTOR: u32 = 3;
+/// The age of a choice of an upstream beyond which it is made again.
+const MAX_PLACEMENT_AGE: Duration = Duration::from_millis(1);
 /// Minimum `Retry-After`.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(150);
 /// Maximum `Retry-After` that is estimated from latencies. Callers do not retry after delays of more
@@ -55,6 +58,16 @@
     Forwarded,
 }
 
+/// The result of charging an attempt to the retry budget.
+enum Charged {
+    /// The attempt may be sent.
+    Now,
+    /// It may be sent, but charging it took a while.
+    Later,
+    /// The budget is used up.
+    Refused,
+}
+
 /// An amount charged to an organisation's allowance.
 #[derive(Debug, Clone, Copy)]
 pub struct Charge {
@@ -90,6 +103,8 @@
     pub hop: Hop,
     /// Whether the request may have reached an upstream before it was forwarded here.
     pub is_retry: bool,
+    /// Whether this VM is to count the request for the retry budget, when it is sent.
+    pub is_counted_here: bool,
 }
 
 /// The state of a request in progress.
@@ -103,6 +118,10 @@
     refused_regions: Vec<id::Region>,
     /// Whether it may have reached an upstream, so that the next attempt counts as a retry.
     reached_upstream: bool,
+    /// Whether the retry budget has yet to count the request.
+    is_uncounted: bool,
+    /// Permission for the next retry.
+    permit: Option<Permit>,
     /// Attempts that may have been executed.
     executed: u32,
     /// Attempts that were not executed.
@@ -125,6 +144,8 @@
             tried_vms: Vec::new(),
             refused_regions: Vec::new(),
             reached_upstream: job.is_retry,
+            is_uncounted: job.is_counted_here,
+            permit: None,
             job,
             executed: 0,
             not_executed: 0,
@@ -182,9 +203,18 @@
             if self.attempts() > 0 && !self.is_caller_still_authorized() {
                 return Err(self.refusal(Reason::Outdated, "its key may have been taken away"));
             }
-            if !self.admit_attempt(&placement) {
+            if !self.has_attempts_left() {
                 return Err(self.refusal(Reason::UpstreamFailed, "no more attempts may be made"));
             }
+            match self.charge(&placement).await {
+                Charged::Now => (),
+                // The target is chosen again: the turn at a cold or limited upstream may be over.
+                Charged::Later => continue,
+                Charged::Refused => {
+                    let text = "the retry budget of the service is used up";
+                    return Err(self.refusal(Reason::UpstreamFailed, text));
+                }
+            }
             match self.attempt(placement, remaining, resume_after).await {
                 AttemptResult::Response(opened) if self.should_try_another(&opened) => {
                     self.executed += 1;
@@ -287,23 +317,34 @@
         }
     }
 
-    /// Whether the route and the shared retry budget allow another attempt.
+    /// Whether the route allows another attempt.
+    fn has_attempts_left(&self) -> bool {
+        self.executed < self.max_attempts() && self.not_executed < MAX_NOT_EXECUTED
+    }
+
+    /// Counts the request, or charges a retry to the shared budget.
     ///
-    /// The budget is charged by the VM that sends to the upstream, not by one that forwards the
-    /// request.
-    fn admit_attempt(&self, placement: &Placement) -> bool {
-        if self.executed >= self.max_attempts() || self.not_executed >= MAX_NOT_EXECUTED {
-            return false;
-        }
-        match placement {
-            Placement::Remote { .. } => true,
-            Placement::Local(_) if self.reached_upstream => {
-                self.state.allow_retry(&self.job.service, Some(&self.job.call.id))
-            }
-            Placement::Local(_) => {
+    /// The budget is charged by the VM that sends to the upstream, not by one that forwards the request.
+    async fn charge(&mut self, placement: &Placement) -> Charged {
+        let Placement::Local(_) = placement else { return Charged::Now };
+        if !self.reached_upstream {
+            if std::mem::take(&mut self.is_uncounted) {
                 self.state.record_first_attempt(&self.job.service);
-                true
             }
+            return Charged::Now;
+        }
+        if self.permit.take().is_some_and(|permit| permit.is_valid()) {
+            return Charged::Now;
+        }
+        let asked_at = Instant::now();
+        self.permit = self.state.permit_retry(&self.job.service, Some(&self.job.call.id)).await;
+        match self.permit {
+            None => Charged::Refused,
+            Some(_) if asked_at.elapsed() < MAX_PLACEMENT_AGE => {
+                self.permit = None;
+                Charged::Now
+            }
+            Some(_) => Charged::Later,
         }
     }
 
@@ -325,8 +366,13 @@
     ) -> AttemptResult {
         let response_timeout = self.attempt_timeout(placement.expected(), remaining);
         let reserved = self.reserve(&placement);
-        let options =
-            attempt::Options { response_timeout, resume_after, is_retry: self.reached_upstream };
+        let is_forwarded = matches!(placement, Placement::Remote { .. });
+        let options = attempt::Options {
+            response_timeout,
+            resume_after,
+            is_retry: self.reached_upstream,
+            is_counted_by_receiver: is_forwarded && std::mem::take(&mut self.is_uncounted),
+        };
         let result = attempt::run(&self.state, &self.job, reserved, &options).await;
         let outcome = match &result {
             AttemptResult::NotExecuted { .. } => "not_run",
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -1,7 +1,6 @@
 //! State shared by the tasks of an entry daemon.
 
 use std::collections::BTreeSet;
-use std::collections::HashMap;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
@@ -21,6 +20,7 @@
 use tokio::time;
 use tokio::time::Instant;
 
+use self::retries::Lenders;
 use super::Adapter;
 use super::metrics::Metrics;
 use crate::clock;
@@ -30,7 +30,7 @@
 use crate::decide::place::Balancer;
 use crate::decide::place::Regions;
 use crate::decide::quota::Meter;
-use crate::decide::retry::repeats::Repeats;
+use crate::decide::retry::Budgets;
 use crate::http::client::Client;
 use crate::id;
 use crate::roster::MergedTable;
@@ -51,6 +51,8 @@
 mod roster;
 mod upstreams;
 
+pub use retries::Permit;
+
 /// Covers a round trip between regions and one retransmitted SYN.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -84,7 +86,9 @@
     regions: Mutex<Regions>,
     freshness: Mutex<Freshness>,
     meter: Mutex<Meter>,
-    retry_budgets: Mutex<HashMap<String, Repeats>>,
+    /// The repeats that requests to services have earned.
+    earned_repeats: Mutex<Budgets<String>>,
+    lenders: Mutex<Lenders>,
     presence: Mutex<Presence>,
     rng: Mutex<SmallRng>,
     client: Client,
@@ -149,6 +153,7 @@
             links: None,
         };
         let position = Position::of_vm(&node.vm());
+        let earned_repeats = Budgets::new(node.bounds.repeats.earned(), clock::now());
         let merged = MergedTable::default().with_position(position, node.data_centres.clone());
         Self {
             seeds: Seeds::new(&node),
@@ -161,7 +166,8 @@
             regions: Mutex::default(),
             freshness: Mutex::default(),
             meter: Mutex::new(Meter::new(SmallRng::from_rng(&mut rng), excess)),
-            retry_budgets: Mutex::default(),
+            earned_repeats: Mutex::new(earned_repeats),
+            lenders: Mutex::default(),
             presence: Mutex::new(presence),
             rng: Mutex::new(rng),
             client: Client::new().with_connect(CONNECT_TIMEOUT),
@@ -256,6 +262,14 @@
         self.merged.lock().expect("no panic while locked")
     }
 
+    fn earned_repeats(&self) -> MutexGuard<'_, Budgets<String>> {
+        self.earned_repeats.lock().expect("no panic while locked")
+    }
+
+    fn lenders(&self) -> MutexGuard<'_, Lenders> {
+        self.lenders.lock().expect("no panic while locked")
+    }
+
     /// Returns a random number.
     pub fn random(&self) -> u64 {
         self.rng.lock().expect("no panic while locked").random()
--- a/src/gateway/state/retries.rs
+++ b/src/gateway/state/retries.rs
@@ -1,45 +1,138 @@
 //! The retry budgets of services.
 
+use std::collections::HashMap;
+use std::time::Duration;
+
 use slog::info;
+use tokio::time;
 use tokio::time::Instant;
 
 use super::State;
-use crate::decide::retry::repeats::RepeatLimit;
-use crate::decide::retry::repeats::Repeats;
+use crate::clock;
+use crate::decide::retry::limit::ISSUE_LIFETIME;
+use crate::id;
+use crate::wire::Peer;
+use crate::wire::Reply;
+use crate::wire::Request;
+use crate::wire::Role;
+
+/// When a control VM that did not answer is asked again.
+const UNANSWERED_PAUSE: Duration = Duration::from_secs(1);
+
+/// The shortest time until a control VM that has no repeats is asked again. In a long failure, all VMs of a fleet ask.
+const MIN_PAUSE: Duration = Duration::from_millis(500);
+
+/// The longest one, so that a VM that has become a voter is soon asked.
+const MAX_PAUSE: Duration = Duration::from_secs(3);
+
+/// Permission to send one request to an upstream once more.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Permit {
+    expires_at: Instant,
+}
+
+impl Permit {
+    /// Whether it can still be used.
+    pub fn is_valid(&self) -> bool {
+        clock::now() < self.expires_at
+    }
+}
+
+/// The control VMs that have no repeats at present, and until when.
+#[derive(Debug, Default)]
+pub(super) struct Lenders {
+    paused: HashMap<(String, id::Vm), Instant>,
+}
+
+impl Lenders {
+    fn pause(&mut self, service: &str, vm: &id::Vm, pause: Duration, now: Instant) {
+        self.paused.retain(|_, until| *until > now);
+        let pause = pause.clamp(MIN_PAUSE, MAX_PAUSE);
+        self.paused.insert((service.to_owned(), vm.clone()), now + pause);
+    }
+
+    fn is_paused(&self, service: &str, vm: &id::Vm, now: Instant) -> bool {
+        let until = self.paused.get(&(service.to_owned(), vm.clone()));
+        until.is_some_and(|until| *until > now)
+    }
+}
 
 impl State {
-    /// Whether the retry budget of the service allows a retry of the request.
-    pub fn allow_retry(&self, service: &str, request: Option<&str>) -> bool {
-        let vms = self.merged().entry_vm_count();
-        let now = Instant::now();
-        let (sent, is_allowed) = self.with_retry_budget(service, |budget| {
-            (budget.sent(now), budget.try_acquire(vms, now))
-        });
-        let decision = if is_allowed { "charged" } else { "refused" };
-        self.metrics.record_repeat(decision);
-        info!(self.log, "retry.{}", decision; "request" => request, "service" => service,
-            "firsts" => sent.firsts, "repeats" => sent.repeats, "vms" => vms,
-            "roster_age_ms" => self.joined.get().map(|at| at.elapsed().as_millis() as u64),
-            "up_ms" => self.started.elapsed().as_millis() as u64);
-        is_allowed
+    /// Permits the request to be repeated at an upstream of the service, if the retry budget allows it.
+    pub async fn permit_retry(&self, service: &str, request: Option<&str>) -> Option<Permit> {
+        if self.withdraw_earned(service, request) {
+            return Some(Permit { expires_at: clock::now() + ISSUE_LIFETIME });
+        }
+        let Some(lender) = self.choose_lender(service) else {
+            self.log_retry("refused", service, request, None);
+            return None;
+        };
+        let asked_at = clock::now();
+        let permit = Permit { expires_at: asked_at + ISSUE_LIFETIME };
+        let answer = self.ask_for_repeat(&lender, service).await;
+        let is_issued = answer == Some(Ok(())) && permit.is_valid();
+        if !is_issued {
+            let pause = match answer {
+                Some(Err(next)) => next,
+                Some(Ok(())) => Duration::ZERO,
+                None => UNANSWERED_PAUSE,
+            };
+            self.lenders().pause(service, &lender, pause, clock::now());
+        }
+        let decision = if is_issued { "issued" } else { "refused" };
+        self.log_retry(decision, service, request, Some((&lender, asked_at)));
+        is_issued.then_some(permit)
     }
 
-    /// Records a first attempt, which adds to the retry budget of the service.
+    /// Records a request, which adds to the retry budget of the service.
     pub fn record_first_attempt(&self, service: &str) {
-        self.with_retry_budget(service, |budget| budget.record_first(Instant::now()));
+        self.earned_repeats().deposit(&service.to_owned(), clock::now());
     }
 
-    fn with_retry_budget<T>(&self, service: &str, update: impl FnOnce(&mut Repeats) -> T) -> T {
-        let bounds = &self.node.bounds;
-        let limit = RepeatLimit {
-            ratio: bounds.repeat_ratio,
-            minimum: bounds.repeat_least,
-            window: bounds.repeat_window,
-        };
-        let mut budgets = self.retry_budgets.lock().expect("no panic while locked");
-        if !budgets.contains_key(service) {
-            budgets.insert(service.to_owned(), Repeats::new(limit));
+    /// Takes a repeat that the requests to the service have earned, if there is one.
+    pub(super) fn withdraw_earned(&self, service: &str, request: Option<&str>) -> bool {
+        let has_token =
+            self.earned_repeats().try_withdraw(&service.to_owned(), clock::now()).is_ok();
+        if has_token {
+            self.log_retry("earned", service, request, None);
+        }
+        has_token
+    }
+
+    /// The next control VM to be asked for a repeat, of this region if there is one.
+    fn choose_lender(&self, service: &str) -> Option<id::Vm> {
+        let merged = self.merged();
+        let lenders = self.lenders();
+        let now = clock::now();
+        let able = merged.vms(Role::Control).filter(|vm| !lenders.is_paused(service, &vm.vm, now));
+        let nearest = able.min_by_key(|vm| (vm.region != self.node.region, vm.vm.clone()));
+        nearest.map(|vm| vm.vm.clone())
+    }
+
+    /// Asks a control VM for a repeat; `None` without an answer.
+    async fn ask_for_repeat(&self, lender: &id::Vm, service: &str) -> Option<Result<(), Duration>> {
+        let peer = Peer::new(lender.clone(), Role::Control);
+        let request = Request::IssueRepeat { service: service.to_owned() };
+        let call = self.mesh()?.call(&peer, request, ISSUE_LIFETIME);
+        match time::timeout(ISSUE_LIFETIME, call).await {
+            Ok(Ok(Reply::RepeatIssued(issued))) => Some(issued),
+            _ => None,
         }
-        update(budgets.get_mut(service).expect("it was just inserted where it was missing"))
+    }
+
+    fn log_retry(
+        &self,
+        decision: &'static str,
+        service: &str,
+        request: Option<&str>,
+        asked: Option<(&id::Vm, Instant)>,
+    ) {
+        self.metrics.record_repeat(decision);
+        let now = clock::now();
+        let tokens = self.earned_repeats().tokens(&service.to_owned(), now);
+        info!(self.log, "retry.{}", decision; "request" => request, "service" => service,
+            "earned" => tokens, "control" => asked.map(|(vm, _)| vm.to_string()),
+            "asked_ms" => asked.map(|(_, at)| now.duration_since(at).as_millis() as u64),
+            "up_ms" => self.started.elapsed().as_millis() as u64);
     }
 }
--- a/src/gateway/state/tests/retries.rs
+++ b/src/gateway/state/tests/retries.rs
@@ -11,6 +11,9 @@
 
 use super::paused;
 use super::region;
+use crate::decide::retry::limit::Limit;
+use crate::decide::retry::limit::Rank;
+use crate::decide::retry::limit::Reserve;
 use crate::gateway::State;
 use crate::roster::Delta;
 use crate::roster::Observed;
@@ -22,6 +25,7 @@
 /// What a VM that has just started knows of the others, and for how long that is itself alone.
 const JOINS: Duration = Duration::from_millis(300);
 const MAX_KNOWN: usize = 40;
+const CONTROLS: u32 = 5;
 /// The most upstreams that one request is sent to.
 const MAX_ATTEMPTS: usize = 3;
 
@@ -47,6 +51,7 @@
 /// Requests to a service that refuses each of them.
 struct Trouble {
     vms: Vec<(State, Instant, bool)>,
+    controls: Vec<Reserve>,
     minimum: f64,
     view: View,
     rng: SmallRng,
@@ -60,8 +65,9 @@
     fn new(vms: usize, minimum: f64, view: View, seed: u64) -> Self {
         let start = Instant::now();
         let vms = (0..vms).map(|nth| (region::start_with(nth, minimum), start, false)).collect();
+        let controls = (0..CONTROLS).map(|_| Reserve::default()).collect();
         let rng = SmallRng::seed_from_u64(seed);
-        Self { vms, minimum, view, rng, start, restarted: 0, steps: Vec::new() }
+        Self { vms, controls, minimum, view, rng, start, restarted: 0, steps: Vec::new() }
     }
 
     /// Plays some time at a number of requests a second.
@@ -94,6 +100,8 @@
             for nth in chosen {
                 self.vms[nth] = (region::start_with(nth, self.minimum), Instant::now(), false);
             }
+            let nth = self.restarted as usize % self.controls.len();
+            self.controls[nth] = Reserve::default();
         }
     }
 
@@ -121,9 +129,19 @@
     /// Sends one request to a VM; returns how often it is repeated.
     fn request(&mut self) -> u32 {
         let nth = self.rng.random_range(0..self.vms.len());
-        let state = &self.vms[nth].0;
-        state.record_first_attempt(SERVICE);
-        (1..MAX_ATTEMPTS).take_while(|_| state.allow_retry(SERVICE, None)).count() as u32
+        self.vms[nth].0.record_first_attempt(SERVICE);
+        (1..MAX_ATTEMPTS).take_while(|_| self.is_repeated(nth)).count() as u32
+    }
+
+    /// A VM repeats what its requests have earned, or what any control VM issues.
+    fn is_repeated(&mut self, nth: usize) -> bool {
+        let limit = Limit { ratio: RATIO, minimum: self.minimum, window: WINDOW };
+        let mut controls = self.controls.iter_mut().enumerate();
+        self.vms[nth].0.withdraw_earned(SERVICE, None)
+            || controls.any(|(nth, control)| {
+                let rank = Rank { nth: nth as u32, voters: CONTROLS };
+                control.issue(&limit, Some(rank), SERVICE, Instant::now()).is_ok()
+            })
     }
 
     /// By how much the repeats of a window exceed the bound at most; negative if they never do.
--- a/src/settings/node.rs
+++ b/src/settings/node.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use crate::decide::quota::Excess;
+use crate::decide::retry::limit::Limit;
 use crate::id;
 use crate::settings::Findings;
 use crate::settings::Section;
@@ -81,12 +82,8 @@
 /// Budgets that all VMs share.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Bounds {
-    /// Repeated requests to a service, for each first one within the window.
-    pub repeat_ratio: f64,
-    /// Repeated requests to a service that are allowed in any window besides.
-    pub repeat_least: f64,
-    /// The window.
-    pub repeat_window: Duration,
+    /// Repeated requests to a service.
+    pub repeats: Limit,
     /// A key that was taken away is refused by all VMs after this, also by those that hear nothing: they refuse all keys.
     /// Where there is none, VMs that hear nothing go on with what they have.
     pub revocation: Option<Duration>,
@@ -99,9 +96,7 @@
 impl Default for Bounds {
     fn default() -> Self {
         Self {
-            repeat_ratio: 0.2,
-            repeat_least: 50.0,
-            repeat_window: Duration::from_secs(10),
+            repeats: Limit { ratio: 0.2, minimum: 50.0, window: Duration::from_secs(10) },
             revocation: None,
             excess: Excess::default(),
         }
@@ -257,9 +252,9 @@
 fn bounds(top: &Section<'_>) -> Option<Bounds> {
     let usual = Bounds::default();
     let Some(section) = top.optional_section("bounds") else { return Some(usual) };
-    let repeat_ratio = section.or("repeat_ratio", usual.repeat_ratio);
-    let repeat_least = section.or("repeat_least", usual.repeat_least);
-    let repeat_window = section.or("repeat_window", Span(usual.repeat_window));
+    let repeat_ratio = section.or("repeat_ratio", usual.repeats.ratio);
+    let repeat_least = section.or("repeat_least", usual.repeats.minimum);
+    let repeat_window = section.or("repeat_window", Span(usual.repeats.window));
     let revocation: Option<Span> = section.optional("revocation");
     let excess_share = section.or("allowance_excess", usual.excess.share);
     let excess_units = section.or("allowance_slack", usual.excess.units);
@@ -273,19 +268,19 @@
         section.note("revocation", text);
         return None;
     }
-    let (ratio, least) = (repeat_ratio?, repeat_least?);
+    let (ratio, minimum) = (repeat_ratio?, repeat_least?);
     let excess = Excess { share: excess_share?, units: excess_units? };
     if !(0.0..=1.0).contains(&excess.share) || !(0.0..f64::INFINITY).contains(&excess.units) {
         let text = "must be from 0 to 1, and allowance_slack a number that is not negative";
         section.note("allowance_excess", text);
         return None;
     }
-    if !(ratio >= 0.0 && least >= 0.0) {
+    if !(ratio >= 0.0 && minimum >= 0.0) {
         section.note("repeat_ratio", "it and repeat_least must not be negative");
         return None;
     }
-    let repeat_window = repeat_window?.0;
-    Some(Bounds { repeat_ratio: ratio, repeat_least: least, repeat_window, revocation, excess })
+    let repeats = Limit { ratio, minimum, window: repeat_window?.0 };
+    Some(Bounds { repeats, revocation, excess })
 }
 
 fn entry(section: &Section<'_>) -> Option<Entry> {
--- a/src/wire/message.rs
+++ b/src/wire/message.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::fmt;
 use std::sync::Arc;
+use std::time::Duration;
 
 use bytes::Bytes;
 use serde::Deserialize;
@@ -100,6 +101,11 @@
     ReadRouting,
     /// Reads the newest revision of the routing state, confirmed by a majority.
     NewestRevision,
+    /// Requests one repeat to a service from the peer's part of the fixed minimum.
+    IssueRepeat {
+        /// The service.
+        service: String,
+    },
 }
 
 /// The reply to a request.
@@ -132,6 +138,8 @@
     Source(Result<Option<Arc<str>>, Unavailable>),
     /// The newest revision of the routing state; none if the peer doesn't lead.
     NewestRevision(Option<Version>),
+    /// A repeat is issued, or there is none for so long.
+    RepeatIssued(Result<(), Duration>),
     /// The peer does not support the request.
     Unsupported,
 }
--- a/tests/load/hedging.rs
+++ b/tests/load/hedging.rs
@@ -45,13 +45,13 @@
 #[test]
 fn stalls_are_hedged_within_the_budget() {
     let (naive, _) = lookups(None, 0.01);
-    let (ours, extra) = lookups(Some(Hedge::new()), 0.01);
+    let (ours, extra) = lookups(Some(Hedge::new(Instant::now())), 0.01);
     println!(
         "| hedging | 99.5th percentile {ours:.2} s against {naive:.2} s | extra work {:.1}% |",
         extra * 100.0
     );
     assert!(naive > 2.9 && ours < 0.5);
     assert!(extra < 0.06);
-    let (_, in_trouble) = lookups(Some(Hedge::new()), 0.33);
+    let (_, in_trouble) = lookups(Some(Hedge::new(Instant::now())), 0.33);
     assert!(in_trouble < 0.06);
 }
