--- a/src/golden/tests.rs
+++ b/src/golden/tests.rs
@@ -62,6 +62,14 @@
     check_decoding::<wire::Reply>("wire-reply-whole-deltas");
 }
 
+// Guards against a release that can't read the messages of one that issues no repeats.
+#[test]
+fn messages_of_a_release_that_issues_no_repeats_are_read() {
+    check_decoding::<wire::Frame>("wire-frame-without-repeats");
+    check_decoding::<wire::Request>("wire-request-without-repeats");
+    check_decoding::<wire::Reply>("wire-reply-without-repeats");
+}
+
 // Guards against a release that can't read the datagrams of one that does not share rate limits.
 #[test]
 fn messages_of_a_release_without_shared_limits_are_read() {
