The control group that founds the system begins with its part of the minimum; entry VMs keep to their own settings

At the first start of the whole system nothing has been repeated, so the voters may begin with what they may hold: a lone failure right after it is repeated at once. A voter whose rank changes keeps what it holds, up to its new capacity. An entry VM whose own settings allow no fixed minimum asks no control VM.

--- a/src/decide/quota/meter.rs
+++ b/src/decide/quota/meter.rs
@@ -55,8 +55,8 @@
 #[derive(Debug)]
 pub struct Meter {
     rng: SmallRng,
-    /// Number of VMs that organisations may use, including this one.
-    vm_count: u32,
+    /// Number of VMs that organisations may use, including this one, and since when it is known.
+    vm_count: Option<(u32, Instant)>,
     excess: Excess,
     entries: HashMap<Key, Entry>,
     /// Admission rates of limited classes and when they were received, also of classes without
@@ -67,15 +67,16 @@
 }
 
 impl Meter {
-    /// Creates a meter that assumes no other VMs.
+    /// Creates a meter that doesn't know the other VMs yet, and admits nothing without a host.
     pub fn new(rng: SmallRng, excess: Excess) -> Self {
         let (entries, rates) = (HashMap::new(), HashMap::new());
-        Self { rng, vm_count: 1, excess, entries, rates, last_answer: [None; SHARDS as usize] }
+        Self { rng, vm_count: None, excess, entries, rates, last_answer: [None; SHARDS as usize] }
     }
 
     /// Sets the number of VMs, including this one.
-    pub fn set_vm_count(&mut self, vm_count: u32) {
-        self.vm_count = vm_count.max(1);
+    pub fn set_vm_count(&mut self, vm_count: u32, now: Instant) {
+        let since = self.vm_count.map_or(now, |(_, since)| since);
+        self.vm_count = Some((vm_count.max(1), since));
     }
 
     /// Admits a request of that cost, or returns the delay after which its caller should retry.
@@ -87,7 +88,7 @@
         now: Instant,
     ) -> Result<(), Duration> {
         let allowance = self.excess.grant_to(allowance);
-        let share = (FALLBACK_SHARES / f64::from(self.vm_count)).min(1.0);
+        let (share, known_for) = self.fallback_share(now);
         let max_fallback = allowance.burst.max(allowance.rate.get()) * share;
         let rate = self.rate(CostClass::new(key, cost), now);
         let last_answer = self.last_answer[usize::from(key.shard())];
@@ -95,7 +96,8 @@
         let entry = self.entries.entry(key).or_insert_with(|| Entry {
             classes: HashMap::new(),
             last: now,
-            fallback: max_fallback,
+            // Guards against VMs that restart in series and admit a burst each time.
+            fallback: (allowance.rate.over(known_for) * share).min(max_fallback),
             remaining: allowance.burst,
             refilled: now,
         });
@@ -150,6 +152,13 @@
         self.rates.extend(rates.iter().map(|(class, rate)| (*class, (*rate, now))));
     }
 
+    /// The part of an allowance that this VM admits without a host, and for how long it has had one.
+    fn fallback_share(&self, now: Instant) -> (f64, Duration) {
+        let Some((vms, since)) = self.vm_count else { return (0.0, Duration::ZERO) };
+        let share = (FALLBACK_SHARES / f64::from(vms)).min(1.0);
+        (share, now.saturating_duration_since(since))
+    }
+
     /// The admission rate in force for a class; `None` if it isn't known to be limited.
     fn rate(&self, class: CostClass, now: Instant) -> Option<AdmissionRate> {
         let (rate, at) = self.rates.get(&class)?;
--- a/src/decide/quota/tests.rs
+++ b/src/decide/quota/tests.rs
@@ -5,6 +5,7 @@
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 use tokio::time::Instant;
+use yare::parameterized;
 
 use super::AdmissionRate;
 use super::Balances;
@@ -50,8 +51,15 @@
     Count { requested: count, admitted: count }
 }
 
+/// The meter of a VM that has known of so many VMs for long.
+fn meter_among(vms: u32) -> Meter {
+    let mut meter = Meter::new(SmallRng::seed_from_u64(1), Excess::default());
+    meter.set_vm_count(vms, Instant::now() - Duration::from_secs(10));
+    meter
+}
+
 fn meter() -> Meter {
-    Meter::new(SmallRng::seed_from_u64(1), Excess::default())
+    meter_among(1)
 }
 
 /// The admission rate of the organisation, 1 if it isn't limited.
@@ -145,8 +153,7 @@
 // Guards against a VM that admits everything once its host has failed.
 #[test]
 fn a_vm_keeps_the_part_that_it_was_told_last() {
-    let mut meter = meter();
-    meter.set_vm_count(10);
+    let mut meter = meter_among(10);
     let start = Instant::now();
     meter.admit(key(), &allowance(), 1, start).unwrap();
     meter.apply_rates(key().shard(), &[(class(), AdmissionRate::new(0.25))], start);
@@ -157,8 +164,7 @@
 
 #[test]
 fn a_vm_that_never_heard_a_host_takes_a_few_even_shares() {
-    let mut meter = meter();
-    meter.set_vm_count(100);
+    let mut meter = meter_among(100);
     let start = Instant::now();
     let admitted = (0..5_000_u32)
         .filter(|nth| {
@@ -169,6 +175,42 @@
     assert!((200..=260).contains(&admitted), "{admitted}");
 }
 
+// Guards against VMs that restart in series without a host and admit a burst each time, or the whole allowance until
+// they know the others.
+#[parameterized(
+    two = { 2, 1000 },
+    six = { 6, 1000 },
+    six_rarely = { 6, 4000 },
+    a_hundred = { 100, 2500 },
+)]
+fn vms_that_restart_in_series_without_a_host_admit_a_few_shares(vms: u32, life_ms: u64) {
+    const WINDOW_MS: u64 = 8000;
+    const STEP_MS: u64 = 10;
+    const JOINS_MS: u64 = 300;
+    let start = Instant::now();
+    let mut meters = Vec::new();
+    let mut admitted = 0;
+    for at in (0..WINDOW_MS).step_by(STEP_MS as usize) {
+        let now = start + millis(at);
+        if at % life_ms == 0 {
+            let meter = |nth| Meter::new(SmallRng::seed_from_u64(nth), Excess::default());
+            meters = (0..u64::from(vms)).map(meter).collect();
+        }
+        for meter in &mut meters {
+            if at % life_ms == JOINS_MS {
+                meter.set_vm_count(vms, now);
+            }
+            admitted += (0..STEP_MS * 2)
+                .filter(|_| meter.admit(key(), &allowance(), 1, now).is_ok())
+                .count();
+        }
+    }
+    let allowance = allowance();
+    let whole = allowance.burst + allowance.rate.over(millis(WINDOW_MS));
+    assert!(admitted as f64 <= 4.0 * whole, "{admitted} admitted, the allowance is {whole}");
+    assert!(admitted > 0);
+}
+
 // Guards against short requests that wait for long ones of the same organisation.
 #[test]
 fn short_requests_are_let_through_before_long_ones_take_the_rest() {
--- a/src/decide/retry.rs
+++ b/src/decide/retry.rs
@@ -3,8 +3,7 @@
 //! Unlimited retries at several layers would multiply the load on upstreams that are failing, and keep them
 //! overloaded after the cause has gone. Therefore:
 //!
-//! - Retries draw on two budgets, the owner's and that of the set of upstreams, each a tenth of first attempts. They
-//!   start empty, so that a restart adds no retries.
+//! - Retries draw on two budgets, the owner's and that of the set of upstreams, each a tenth of first attempts.
 //! - They wait with exponential backoff and full jitter.
 //! - Only the VM that the caller asked retries; a VM that a request was forwarded to reports the failure.
 //! - Only a request that surely did not run, or may be repeated, is tried again ([`Evidence`]).
@@ -139,10 +138,10 @@
 }
 
 impl Retry {
-    /// Creates empty budgets.
+    /// Creates full budgets.
     pub fn new(now: Instant) -> Self {
-        let owners = Budgets::new(OWNER_BUDGET, now);
-        let upstreams = Budgets::new(UPSTREAM_BUDGET, now);
+        let owners = Budgets::full(OWNER_BUDGET, now);
+        let upstreams = Budgets::full(UPSTREAM_BUDGET, now);
         Self { owners, upstreams, retry_after: HashMap::new() }
     }
 
--- a/src/decide/retry/budget.rs
+++ b/src/decide/retry/budget.rs
@@ -26,11 +26,11 @@
     pub refill_interval: Duration,
 }
 
-/// A token bucket that starts empty: each request adds a fraction of a token, and time adds others.
+/// A token bucket: each request adds a fraction of a token, and time adds others.
 ///
-/// In any span of time, no more tokens are withdrawn than the requests of that span and of the lifetime before it have
-/// earned, than the capacity, and than are added in that span. As a budget starts empty, the same holds for the sum of
-/// budgets that replace each other when a process restarts.
+/// In any span of time, no more tokens are withdrawn than the sum of those that the requests of that span and of the
+/// lifetime before it have earned, of the capacity, and of those that are added in that span. If it starts empty, this
+/// also holds for the sum of the budgets of processes that replace each other.
 #[derive(Debug, Clone)]
 pub struct Budget {
     /// Earned tokens, and when the first fraction of each was earned.
@@ -45,6 +45,12 @@
         Self { earned: VecDeque::new(), added: 0.0, refilled_at: now }
     }
 
+    /// The same with that many tokens besides those that requests earn.
+    #[must_use]
+    pub fn with_tokens(self, tokens: f64) -> Self {
+        Self { added: tokens, ..self }
+    }
+
     /// Records a request.
     pub fn deposit(&mut self, config: &BudgetConfig, now: Instant) {
         let age = |at: Instant| now.saturating_duration_since(at);
@@ -107,9 +113,9 @@
     fn refill(&mut self, config: &BudgetConfig, now: Instant) {
         let elapsed = now.saturating_duration_since(self.refilled_at);
         if !config.refill_interval.is_zero() {
-            let added = elapsed.as_secs_f64() / config.refill_interval.as_secs_f64();
-            self.added = (self.added + added).min(config.capacity);
+            self.added += elapsed.as_secs_f64() / config.refill_interval.as_secs_f64();
         }
+        self.added = self.added.min(config.capacity);
         self.refilled_at = now;
         let is_old = |at: Instant| now.saturating_duration_since(at) >= config.lifetime;
         while self.earned.front().is_some_and(|(at, _)| is_old(*at)) {
@@ -122,8 +128,9 @@
 #[derive(Debug)]
 pub struct Budgets<K> {
     config: BudgetConfig,
-    /// When the budgets were empty.
     created_at: Instant,
+    /// The tokens of each budget at its start.
+    initial: f64,
     budgets: HashMap<K, Budget>,
     sweep_at: usize,
 }
@@ -134,7 +141,19 @@
 impl<K: Clone + Eq + Hash> Budgets<K> {
     /// Creates empty budgets with these parameters.
     pub fn new(config: BudgetConfig, now: Instant) -> Self {
-        Self { config, created_at: now, budgets: HashMap::new(), sweep_at: MIN_SWEEP_SIZE }
+        let budgets = HashMap::new();
+        Self { config, created_at: now, initial: 0.0, budgets, sweep_at: MIN_SWEEP_SIZE }
+    }
+
+    /// Creates full budgets with these parameters.
+    pub fn full(config: BudgetConfig, now: Instant) -> Self {
+        Self { initial: config.capacity, ..Self::new(config, now) }
+    }
+
+    /// Changes the parameters. Tokens beyond the new capacity are lost.
+    pub fn set_config(&mut self, config: BudgetConfig, now: Instant) {
+        let before = std::mem::replace(&mut self.config, config);
+        self.budgets.values_mut().for_each(|budget| budget.refill(&before, now));
     }
 
     /// Records a request.
@@ -174,7 +193,9 @@
         if !self.budgets.contains_key(key) {
             self.sweep(now);
         }
-        self.budgets.entry(key.clone()).or_insert_with(|| Budget::new(self.created_at))
+        self.budgets
+            .entry(key.clone())
+            .or_insert_with(|| Budget::new(self.created_at).with_tokens(self.initial))
     }
 
     fn sweep(&mut self, now: Instant) {
@@ -184,7 +205,7 @@
         let config = self.config;
         // An idle budget is as one created at the start, whose tokens have been added since.
         let is_full = {
-            let mut created = Budget::new(self.created_at);
+            let mut created = Budget::new(self.created_at).with_tokens(self.initial);
             created.is_idle(&config, now)
         };
         if is_full {
--- a/src/decide/retry/hedge.rs
+++ b/src/decide/retry/hedge.rs
@@ -36,7 +36,7 @@
 impl Hedge {
     /// Creates a hedge without latencies.
     pub fn new(now: Instant) -> Self {
-        Self { latencies: HashMap::new(), budgets: Budgets::new(HEDGE_BUDGET, now) }
+        Self { latencies: HashMap::new(), budgets: Budgets::full(HEDGE_BUDGET, now) }
     }
 
     /// Records a first attempt; returns the time after which to call [`Self::try_start`], if the request may be hedged.
--- a/src/decide/retry/limit.rs
+++ b/src/decide/retry/limit.rs
@@ -15,7 +15,8 @@
 //! - The fixed minimum is not divided among the VMs that send. The voters of the control group issue it one by one
 //!   ([`Reserve`]), each of them its [share](Limit::share).
 //!
-//! A process starts without either, so that no restart adds anything.
+//! A process starts without either, so that no restart adds anything. Only a control group that is founded begins with
+//! what it may hold, since nothing has been repeated before.
 
 use std::time::Duration;
 
@@ -87,12 +88,27 @@
 /// The repeats that one control VM issues, by service.
 #[derive(Debug, Default)]
 pub struct Reserve {
-    budgets: Option<(Rank, Option<Budgets<String>>)>,
+    /// Whether the system starts for the first time.
+    is_founded: bool,
+    share: Option<Share>,
+}
+
+/// What a voter may issue.
+#[derive(Debug)]
+struct Share {
+    rank: Rank,
+    /// None if the voter has no part of the minimum.
+    budgets: Option<Budgets<String>>,
 }
 
 impl Reserve {
+    /// Creates the reserve of a control VM that founds the system; other reserves start empty.
+    pub fn founded() -> Self {
+        Self { is_founded: true, share: None }
+    }
+
     /// Issues a repeat to a service, or returns how long there is none. Without a rank the VM does not vote, and issues
-    /// nothing. A change of rank begins without repeats.
+    /// nothing.
     pub fn issue(
         &mut self,
         limit: &Limit,
@@ -101,17 +117,29 @@
         now: Instant,
     ) -> Result<(), Duration> {
         self.set_rank(limit, rank, now);
-        let budgets = self.budgets.as_mut().and_then(|(_, budgets)| budgets.as_mut());
+        let budgets = self.share.as_mut().and_then(|share| share.budgets.as_mut());
         let Some(budgets) = budgets else { return Err(limit.window) };
         budgets.try_withdraw(&service.to_owned(), now)
     }
 
-    /// Begins to collect repeats for a new rank.
+    /// Collects repeats for a rank from now on. A voter keeps what it holds if its rank changes, up to its new capacity.
     pub fn set_rank(&mut self, limit: &Limit, rank: Option<Rank>, now: Instant) {
-        let is_same = self.budgets.as_ref().map(|(rank, _)| *rank) == rank;
-        if !is_same {
-            let budgets = |rank| (rank, limit.share(rank).map(|config| Budgets::new(config, now)));
-            self.budgets = rank.map(budgets);
+        let before = self.share.as_ref().map(|share| share.rank);
+        if before == rank {
+            return;
         }
+        let held = self.share.take().and_then(|share| share.budgets);
+        self.share = rank.map(|rank| {
+            let budgets = limit.share(rank).map(|config| match held {
+                Some(mut held) => {
+                    held.set_config(config, now);
+                    held
+                }
+                None if before.is_none() && self.is_founded => Budgets::full(config, now),
+                None => Budgets::new(config, now),
+            });
+            Share { rank, budgets }
+        });
+        self.is_founded = false;
     }
 }
--- a/src/directory/service.rs
+++ b/src/directory/service.rs
@@ -22,6 +22,7 @@
 use super::wakeups::Wakeups;
 use crate::consensus::Members;
 use crate::consensus::Role as ReplicaRole;
+use crate::control::Name;
 use crate::control::Routes;
 use crate::control::Seat;
 use crate::decide::freshness::Freshness;
@@ -123,6 +124,9 @@
         };
         let folder = node.control.as_ref().map(|control| control.folder.clone());
         let folder = folder.unwrap_or_default();
+        let is_first_start = node.control.as_ref().is_some_and(|control| control.found)
+            && !folder.join(Name::Routing.to_string()).exists();
+        let reserve = if is_first_start { Reserve::founded() } else { Reserve::default() };
         let routing_cache = Cache::<Replicated>::new(&folder, cache::ROUTING_FILE);
         let restored = routing_cache.load(&log);
         if let Some(restored) = &restored {
@@ -151,7 +155,7 @@
             roster_cache,
             up_to_date: watch::Sender::new(false),
             freshness: Mutex::default(),
-            reserve: Mutex::default(),
+            reserve: Mutex::new(reserve),
             presence: Mutex::new(presence),
             broadcast: broadcast::Queue::default(),
             routes,
--- a/src/gateway/state/retries.rs
+++ b/src/gateway/state/retries.rs
@@ -101,6 +101,9 @@
 
     /// The next control VM to be asked for a repeat, of this region if there is one.
     fn choose_lender(&self, service: &str) -> Option<id::Vm> {
+        if self.node.bounds.repeats.minimum < 1.0 {
+            return None;
+        }
         let merged = self.merged();
         let lenders = self.lenders();
         let now = clock::now();
--- a/src/gateway/state/tests/retries.rs
+++ b/src/gateway/state/tests/retries.rs
@@ -1,7 +1,12 @@
 //! Entry VMs that repeat what a failing service refuses, without a network.
 
+use std::sync::Arc;
 use std::time::Duration;
 
+use bytes::Bytes;
+use http::HeaderMap;
+use http::Method;
+use http::uri::PathAndQuery;
 use rand::Rng;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
@@ -14,9 +19,18 @@
 use crate::decide::retry::limit::Limit;
 use crate::decide::retry::limit::Rank;
 use crate::decide::retry::limit::Reserve;
+use crate::gateway::Call;
+use crate::gateway::Caller;
 use crate::gateway::State;
+use crate::gateway::call::Authorization;
+use crate::gateway::relay::Hop;
+use crate::gateway::relay::Job;
+use crate::gateway::relay::Relay;
+use crate::roster::Announcement;
 use crate::roster::Delta;
 use crate::roster::Observed;
+use crate::routing::Route;
+use crate::routing::route::Kind;
 
 const SERVICE: &str = "s";
 const WINDOW: Duration = Duration::from_secs(10);
@@ -195,3 +209,67 @@
         assert!(excess <= 0.0, "{excess:.0} repeats more than allowed in a window");
     });
 }
+
+fn job(is_counted_here: bool) -> Job {
+    let route = Route {
+        name: "r".to_owned(),
+        host: "h".to_owned(),
+        prefix: "/".to_owned(),
+        kind: Kind::Safe,
+        timeout: Duration::from_secs(5),
+        objective: Duration::from_secs(1),
+        rank: 0,
+        targets: Vec::new(),
+        attempts: 3,
+        homes: Default::default(),
+        public: true,
+    };
+    let now = Instant::now();
+    Job {
+        call: Call {
+            id: "id".to_owned(),
+            method: Method::GET,
+            host: "h".to_owned(),
+            target: PathAndQuery::from_static("/"),
+            timeout: None,
+            prompt: None,
+            authorization: Authorization::Missing,
+            headers: HeaderMap::new(),
+        },
+        body: Bytes::new(),
+        route: Arc::new(route),
+        caller: Caller::Anonymous,
+        charge: None,
+        service: SERVICE.to_owned(),
+        rank: 0,
+        urgent: true,
+        deadline: now + Duration::from_secs(5),
+        received_at: now,
+        hop: Hop::Ingress,
+        is_retry: false,
+        is_counted_here,
+    }
+}
+
+// Guards against a request that earns a repeat at each dead address that it meets, and at each VM that it is sent to.
+#[parameterized(from_a_caller = { true, 1.0 }, counted_by_another_vm = { false, 0.0 })]
+fn a_request_that_meets_dead_addresses_counts_once(is_counted_here: bool, requests: f64) {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+    runtime.block_on(async {
+        let state = Arc::new(region::start_with(0, 50.0));
+        let dead = |nth: u8| Announcement {
+            id: format!("dead-{nth}").parse().unwrap(),
+            address: ([127, 0, 0, nth], 1).into(),
+            ..region::announcement(1, Duration::ZERO)
+        };
+        let observed = |record| Observed { record, silent: false };
+        let upstreams = (1..=4).map(dead).map(observed).collect();
+        let delta = Delta { revision: 1, is_full: true, upstreams, vms: Vec::new() };
+        state.apply_roster(&"control-0".parse().unwrap(), 1, delta);
+        let mut relay = Relay::new(state.clone(), job(is_counted_here));
+        assert!(relay.open(None).await.is_err());
+        assert_eq!(relay.attempts(), 3);
+        let tokens = state.earned_repeats().tokens(&SERVICE.to_owned(), Instant::now());
+        assert!((tokens - requests * RATIO / 2.0).abs() < 1e-6, "{tokens} tokens");
+    });
+}
--- a/src/gateway/state/upstreams.rs
+++ b/src/gateway/state/upstreams.rs
@@ -60,7 +60,9 @@
         let vms = merged.entry_vm_count();
         let known_vms = peers.names.len();
         drop(merged);
-        self.meter().set_vm_count(vms);
+        if self.joined.get().is_some() {
+            self.meter().set_vm_count(vms, now);
+        }
         self.log_senders(&senders, known_vms, now);
         self.place().sync(seen, senders, now);
         self.regions().sync(remote);
