--- a/src/decide/retry/tests/limit.rs
+++ b/src/decide/retry/tests/limit.rs
@@ -164,6 +164,20 @@
     }
 }
 
+// Guards against exceeding the limit when several VMs repeat requests to a failing service without coordination, and
+// against a limit of which little can be used in some window.
+#[test]
+fn all_vms_together_stay_within_the_bound() {
+    let mut fleet = Fleet::new(LIMIT, 6, 5);
+    (0..STEPS * 2).for_each(|_| fleet.play(&failing(150)));
+    fleet.check();
+    for window in fleet.sent.windows(STEPS) {
+        let requests: u32 = window.iter().map(|sent| sent.0).sum();
+        let repeats: u32 = window.iter().map(|sent| sent.1).sum();
+        assert!(f64::from(repeats) >= 0.1 * f64::from(requests), "{repeats} of {requests}");
+    }
+}
+
 // Guards against a limit that is kept since little of it is used.
 #[parameterized(
     one = { 1, 300 },
--- a/src/gateway/state/retries.rs
+++ b/src/gateway/state/retries.rs
@@ -58,20 +58,24 @@
 }
 
 impl State {
-    /// Permits the request to be repeated at an upstream of the service, if the retry budget allows it.
+    /// Permits the request to be repeated at an upstream of the service, if the retry budget allows it. Takes twice the
+    /// lifetime of an issued repeat at most.
     pub async fn permit_retry(&self, service: &str, request: Option<&str>) -> Option<Permit> {
         if self.withdraw_earned(service, request) {
             return Some(Permit { expires_at: clock::now() + ISSUE_LIFETIME });
         }
-        let Some(lender) = self.choose_lender(service) else {
-            self.log_retry("refused", service, request, None);
-            return None;
-        };
-        let asked_at = clock::now();
-        let permit = Permit { expires_at: asked_at + ISSUE_LIFETIME };
-        let answer = self.ask_for_repeat(&lender, service).await;
-        let is_issued = answer == Some(Ok(())) && permit.is_valid();
-        if !is_issued {
+        let started_at = clock::now();
+        let has_time = || clock::now().saturating_duration_since(started_at) < ISSUE_LIFETIME;
+        while has_time()
+            && let Some(lender) = self.choose_lender(service)
+        {
+            let asked_at = clock::now();
+            let permit = Permit { expires_at: asked_at + ISSUE_LIFETIME };
+            let answer = self.ask_for_repeat(&lender, service).await;
+            if answer == Some(Ok(())) && permit.is_valid() {
+                self.log_retry("issued", service, request, Some((&lender, started_at)));
+                return Some(permit);
+            }
             let pause = match answer {
                 Some(Err(next)) => next,
                 Some(Ok(())) => Duration::ZERO,
@@ -79,9 +83,8 @@
             };
             self.lenders().pause(service, &lender, pause, clock::now());
         }
-        let decision = if is_issued { "issued" } else { "refused" };
-        self.log_retry(decision, service, request, Some((&lender, asked_at)));
-        is_issued.then_some(permit)
+        self.log_retry("refused", service, request, None);
+        None
     }
 
     /// Records a request, which adds to the retry budget of the service.
