Repeats: VMs that a control VM refuses return one by one

In a failure of a whole service each of 985 entry VMs would have asked each voter twice a second, about 2000 requests a second at each. A voter now tells each refused VM a later time, one repeat apart, and the entry VM waits 3 s at most: some 330 a second. Test: vms_that_are_refused_return_one_by_one.

--- a/src/decide/retry/budget.rs
+++ b/src/decide/retry/budget.rs
@@ -150,6 +150,11 @@
         Self { initial: config.capacity, ..Self::new(config, now) }
     }
 
+    /// The parameters.
+    pub const fn config(&self) -> &BudgetConfig {
+        &self.config
+    }
+
     /// Changes the parameters. Tokens beyond the new capacity are lost.
     pub fn set_config(&mut self, config: BudgetConfig, now: Instant) {
         let before = std::mem::replace(&mut self.config, config);
--- a/src/decide/retry/limit.rs
+++ b/src/decide/retry/limit.rs
@@ -18,6 +18,7 @@
 //! A process starts without either, so that no restart adds anything. Only a control group that is founded begins with
 //! what it may hold, since nothing has been repeated before.
 
+use std::collections::HashMap;
 use std::time::Duration;
 
 use tokio::time::Instant;
@@ -99,6 +100,8 @@
     rank: Rank,
     /// None if the voter has no part of the minimum.
     budgets: Option<Budgets<String>>,
+    /// When the next VM that is refused may ask again, by service.
+    returns: HashMap<String, Instant>,
 }
 
 impl Reserve {
@@ -107,8 +110,8 @@
         Self { is_founded: true, share: None }
     }
 
-    /// Issues a repeat to a service, or returns how long there is none. Without a rank the VM does not vote, and issues
-    /// nothing.
+    /// Issues a repeat to a service, or returns when to ask again: VMs return one by one as repeats are added, so that
+    /// those of a large fleet don't ask all the time. Without a rank the VM does not vote, and issues nothing.
     pub fn issue(
         &mut self,
         limit: &Limit,
@@ -117,9 +120,14 @@
         now: Instant,
     ) -> Result<(), Duration> {
         self.set_rank(limit, rank, now);
-        let budgets = self.share.as_mut().and_then(|share| share.budgets.as_mut());
-        let Some(budgets) = budgets else { return Err(limit.window) };
-        budgets.try_withdraw(&service.to_owned(), now)
+        let Some(share) = &mut self.share else { return Err(limit.window) };
+        let Some(budgets) = &mut share.budgets else { return Err(limit.window) };
+        let service = service.to_owned();
+        let Err(next_token_in) = budgets.try_withdraw(&service, now) else { return Ok(()) };
+        let soonest = now + next_token_in;
+        let returns_at = share.returns.get(&service).map_or(soonest, |next| soonest.max(*next));
+        share.returns.insert(service, returns_at + budgets.config().refill_interval);
+        Err(returns_at - now)
     }
 
     /// Collects repeats for a rank from now on. A voter keeps what it holds if its rank changes, up to its new capacity.
@@ -138,7 +146,7 @@
                 None if before.is_none() && self.is_founded => Budgets::full(config, now),
                 None => Budgets::new(config, now),
             });
-            Share { rank, budgets }
+            Share { rank, budgets, returns: HashMap::new() }
         });
         self.is_founded = false;
     }
--- a/src/decide/retry/tests/limit.rs
+++ b/src/decide/retry/tests/limit.rs
@@ -229,3 +229,19 @@
     (0..100).for_each(|_| budget.deposit(&limit.earned(), Instant::now()));
     assert!(!budget.try_withdraw(&limit.earned(), Instant::now()));
 }
+
+// Guards against a fleet whose VMs all ask again as soon as one repeat is added.
+#[test]
+fn vms_that_are_refused_return_one_by_one() {
+    const VMS: u32 = 985;
+    let (rank, mut now) = (Rank { nth: 0, voters: 5 }, Instant::now());
+    let mut reserve = Reserve::default();
+    let mut issue = |now| reserve.issue(&LIMIT, Some(rank), "s", now);
+    let interval = LIMIT.share(rank).unwrap().refill_interval;
+    let returns: Vec<Duration> = (0..VMS).map(|_| issue(now).unwrap_err()).collect();
+    for (nth, after) in returns.iter().enumerate() {
+        assert!(*after >= interval.mul_f64(nth as f64 + 0.9), "{after:?} for VM {nth}");
+    }
+    now += interval * (VMS + 1);
+    assert_eq!(issue(now), Ok(()));
+}
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -48,8 +48,7 @@
         let attempts = Family::<Labels, Counter>::default();
         registry.register("attempts", "Attempts that ended, by outcome", attempts.clone());
         let repeats = Family::<Labels, Counter>::default();
-        let text =
-            "Repeats of requests at upstreams that were asked of the budget, by its decision";
+        let text = "Decisions of the retry budget";
         registry.register("repeats", text, repeats.clone());
         let first_event = seconds_histogram();
         let text = "Seconds from arrival to the head of the answer";
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -20,7 +20,7 @@
 use tokio::time;
 use tokio::time::Instant;
 
-use self::retries::Lenders;
+use self::retries::Issuers;
 use super::Adapter;
 use super::metrics::Metrics;
 use crate::clock;
@@ -88,7 +88,7 @@
     meter: Mutex<Meter>,
     /// The repeats that requests to services have earned.
     earned_repeats: Mutex<Budgets<String>>,
-    lenders: Mutex<Lenders>,
+    issuers: Mutex<Issuers>,
     presence: Mutex<Presence>,
     rng: Mutex<SmallRng>,
     client: Client,
@@ -167,7 +167,7 @@
             freshness: Mutex::default(),
             meter: Mutex::new(Meter::new(SmallRng::from_rng(&mut rng), excess)),
             earned_repeats: Mutex::new(earned_repeats),
-            lenders: Mutex::default(),
+            issuers: Mutex::default(),
             presence: Mutex::new(presence),
             rng: Mutex::new(rng),
             client: Client::new().with_connect(CONNECT_TIMEOUT),
@@ -266,8 +266,8 @@
         self.earned_repeats.lock().expect("no panic while locked")
     }
 
-    fn lenders(&self) -> MutexGuard<'_, Lenders> {
-        self.lenders.lock().expect("no panic while locked")
+    fn issuers(&self) -> MutexGuard<'_, Issuers> {
+        self.issuers.lock().expect("no panic while locked")
     }
 
     /// Returns a random number.
--- a/src/gateway/state/retries.rs
+++ b/src/gateway/state/retries.rs
@@ -19,10 +19,10 @@
 /// When a control VM that did not answer is asked again.
 const UNANSWERED_PAUSE: Duration = Duration::from_secs(1);
 
-/// The shortest time until a control VM that has no repeats is asked again. In a long failure, all VMs of a fleet ask.
+/// The shortest time until a control VM that has no repeats is asked again.
 const MIN_PAUSE: Duration = Duration::from_millis(500);
 
-/// The longest one, so that a VM that has become a voter is soon asked.
+/// The longest one, so that repeats that are added after a failure are soon used.
 const MAX_PAUSE: Duration = Duration::from_secs(3);
 
 /// Permission to send one request to an upstream once more.
@@ -40,11 +40,11 @@
 
 /// The control VMs that have no repeats at present, and until when.
 #[derive(Debug, Default)]
-pub(super) struct Lenders {
+pub(super) struct Issuers {
     paused: HashMap<(String, id::Vm), Instant>,
 }
 
-impl Lenders {
+impl Issuers {
     fn pause(&mut self, service: &str, vm: &id::Vm, pause: Duration, now: Instant) {
         self.paused.retain(|_, until| *until > now);
         let pause = pause.clamp(MIN_PAUSE, MAX_PAUSE);
@@ -67,13 +67,13 @@
         let started_at = clock::now();
         let has_time = || clock::now().saturating_duration_since(started_at) < ISSUE_LIFETIME;
         while has_time()
-            && let Some(lender) = self.choose_lender(service)
+            && let Some(issuer) = self.choose_issuer(service)
         {
             let asked_at = clock::now();
             let permit = Permit { expires_at: asked_at + ISSUE_LIFETIME };
-            let answer = self.ask_for_repeat(&lender, service).await;
+            let answer = self.ask_for_repeat(&issuer, service).await;
             if answer == Some(Ok(())) && permit.is_valid() {
-                self.log_retry("issued", service, request, Some((&lender, started_at)));
+                self.log_retry("issued", service, request, Some((&issuer, started_at)));
                 return Some(permit);
             }
             let pause = match answer {
@@ -81,7 +81,7 @@
                 Some(Ok(())) => Duration::ZERO,
                 None => UNANSWERED_PAUSE,
             };
-            self.lenders().pause(service, &lender, pause, clock::now());
+            self.issuers().pause(service, &issuer, pause, clock::now());
         }
         self.log_retry("refused", service, request, None);
         None
@@ -103,21 +103,21 @@
     }
 
     /// The next control VM to be asked for a repeat, of this region if there is one.
-    fn choose_lender(&self, service: &str) -> Option<id::Vm> {
+    fn choose_issuer(&self, service: &str) -> Option<id::Vm> {
         if self.node.bounds.repeats.minimum < 1.0 {
             return None;
         }
         let merged = self.merged();
-        let lenders = self.lenders();
+        let issuers = self.issuers();
         let now = clock::now();
-        let able = merged.vms(Role::Control).filter(|vm| !lenders.is_paused(service, &vm.vm, now));
+        let able = merged.vms(Role::Control).filter(|vm| !issuers.is_paused(service, &vm.vm, now));
         let nearest = able.min_by_key(|vm| (vm.region != self.node.region, vm.vm.clone()));
         nearest.map(|vm| vm.vm.clone())
     }
 
     /// Asks a control VM for a repeat; `None` without an answer.
-    async fn ask_for_repeat(&self, lender: &id::Vm, service: &str) -> Option<Result<(), Duration>> {
-        let peer = Peer::new(lender.clone(), Role::Control);
+    async fn ask_for_repeat(&self, issuer: &id::Vm, service: &str) -> Option<Result<(), Duration>> {
+        let peer = Peer::new(issuer.clone(), Role::Control);
         let request = Request::IssueRepeat { service: service.to_owned() };
         let call = self.mesh()?.call(&peer, request, ISSUE_LIFETIME);
         match time::timeout(ISSUE_LIFETIME, call).await {
