--- a/src/decide/retry.rs
+++ b/src/decide/retry.rs
@@ -18,6 +18,7 @@
 pub mod limit;
 mod quantile;
 mod race;
+pub mod reserve;
 mod retry_after;
 
 use std::collections::HashMap;
--- a/src/decide/retry/tests/limit.rs
+++ b/src/decide/retry/tests/limit.rs
@@ -13,9 +13,10 @@
 use crate::decide::retry::Budget;
 use crate::decide::retry::limit::Limit;
 use crate::decide::retry::limit::Rank;
-use crate::decide::retry::limit::Reserve;
+use crate::decide::retry::reserve::Reserve;
 
 const LIMIT: Limit = Limit { ratio: 0.2, minimum: 50.0, window: Duration::from_secs(10) };
+/// The steps of a window.
 const STEPS: usize = 20;
 /// The most upstreams that one request is sent to.
 const MAX_ATTEMPTS: u32 = 3;
--- a/src/directory/service.rs
+++ b/src/directory/service.rs
@@ -26,7 +26,7 @@
 use crate::control::Routes;
 use crate::control::Seat;
 use crate::decide::freshness::Freshness;
-use crate::decide::retry::limit::Reserve;
+use crate::decide::retry::reserve::Reserve;
 use crate::group::Group;
 use crate::group::Status;
 use crate::id;
--- a/src/gateway/state/tests/retries.rs
+++ b/src/gateway/state/tests/retries.rs
@@ -18,7 +18,7 @@
 use super::region;
 use crate::decide::retry::limit::Limit;
 use crate::decide::retry::limit::Rank;
-use crate::decide::retry::limit::Reserve;
+use crate::decide::retry::reserve::Reserve;
 use crate::gateway::Call;
 use crate::gateway::Caller;
 use crate::gateway::State;
@@ -36,8 +36,9 @@
 const WINDOW: Duration = Duration::from_secs(10);
 const RATIO: f64 = 0.2;
 const STEP: Duration = Duration::from_millis(100);
-/// What a VM that has just started knows of the others, and for how long that is itself alone.
+/// The time until a VM that has just started knows others.
 const JOINS: Duration = Duration::from_millis(300);
+/// The most VMs that one knows.
 const MAX_KNOWN: usize = 40;
 const CONTROLS: u32 = 5;
 /// The most upstreams that one request is sent to.
@@ -62,9 +63,24 @@
     Flapping,
 }
 
+/// A life of an entry VM.
+struct Vm {
+    state: State,
+    started: Instant,
+    /// Whether it knows the others.
+    has_joined: bool,
+}
+
+impl Vm {
+    fn start(nth: usize, minimum: f64) -> Self {
+        let state = region::start_with(nth, minimum);
+        Self { state, started: Instant::now(), has_joined: false }
+    }
+}
+
 /// Requests to a service that refuses each of them.
 struct Trouble {
-    vms: Vec<(State, Instant, bool)>,
+    vms: Vec<Vm>,
     controls: Vec<Reserve>,
     minimum: f64,
     view: View,
@@ -78,7 +94,7 @@
 impl Trouble {
     fn new(vms: usize, minimum: f64, view: View, seed: u64) -> Self {
         let start = Instant::now();
-        let vms = (0..vms).map(|nth| (region::start_with(nth, minimum), start, false)).collect();
+        let vms = (0..vms).map(|nth| Vm::start(nth, minimum)).collect();
         let controls = (0..CONTROLS).map(|_| Reserve::default()).collect();
         let rng = SmallRng::seed_from_u64(seed);
         Self { vms, controls, minimum, view, rng, start, restarted: 0, steps: Vec::new() }
@@ -112,7 +128,7 @@
             let nth = self.restarted as usize % self.vms.len();
             let chosen = if all { 0..self.vms.len() } else { nth..nth + 1 };
             for nth in chosen {
-                self.vms[nth] = (region::start_with(nth, self.minimum), Instant::now(), false);
+                self.vms[nth] = Vm::start(nth, self.minimum);
             }
             let nth = self.restarted as usize % self.controls.len();
             self.controls[nth] = Reserve::default();
@@ -127,23 +143,23 @@
             View::Flapping => self.restarted.is_multiple_of(2),
         };
         let known = self.vms.len().min(MAX_KNOWN);
-        for (state, started, has_joined) in &mut self.vms {
-            if !knows || *has_joined || started.elapsed() < JOINS {
+        for vm in &mut self.vms {
+            if !knows || vm.has_joined || vm.started.elapsed() < JOINS {
                 continue;
             }
             let vms = (0..known)
                 .map(|nth| Observed { record: region::presence(nth), silent: false })
                 .collect();
             let delta = Delta { revision: 1, is_full: true, upstreams: Vec::new(), vms };
-            state.apply_roster(&"control-0".parse().unwrap(), 1, delta);
-            *has_joined = true;
+            vm.state.apply_roster(&"control-0".parse().unwrap(), 1, delta);
+            vm.has_joined = true;
         }
     }
 
     /// Sends one request to a VM; returns how often it is repeated.
     fn request(&mut self) -> u32 {
         let nth = self.rng.random_range(0..self.vms.len());
-        self.vms[nth].0.record_first_attempt(SERVICE);
+        self.vms[nth].state.record_first_attempt(SERVICE);
         (1..MAX_ATTEMPTS).take_while(|_| self.is_repeated(nth)).count() as u32
     }
 
@@ -151,7 +167,7 @@
     fn is_repeated(&mut self, nth: usize) -> bool {
         let limit = Limit { ratio: RATIO, minimum: self.minimum, window: WINDOW };
         let mut controls = self.controls.iter_mut().enumerate();
-        self.vms[nth].0.withdraw_earned(SERVICE, None)
+        self.vms[nth].state.withdraw_earned(SERVICE, None)
             || controls.any(|(nth, control)| {
                 let rank = Rank { nth: nth as u32, voters: CONTROLS };
                 control.issue(&limit, Some(rank), SERVICE, Instant::now()).is_ok()
