A voter's part of the minimum is computed exactly, without a term for rounding

minimum x nth / voters is exact for the last voter, so that the parts still sum to the whole minimum; the term of one epsilon was too small to help at such sizes. The tests of small minimums and the property test pass unchanged.

--- a/src/decide/retry/limit.rs
+++ b/src/decide/retry/limit.rs
@@ -69,8 +69,7 @@
     /// The budget of a voter, from which it issues repeats; none if it has no part of the minimum. All voters together
     /// issue no more than the minimum in any window.
     pub fn share(&self, rank: Rank) -> Option<BudgetConfig> {
-        let part = self.minimum / f64::from(rank.voters.max(1));
-        let before = |nth: u32| (f64::from(nth) * part + f64::EPSILON).floor();
+        let before = |nth: u32| (self.minimum * f64::from(nth) / f64::from(rank.voters)).floor();
         let share = before(rank.nth + 1) - before(rank.nth);
         if !(1.0..f64::INFINITY).contains(&share) {
             return None;
