A budget holds its parameters; budgets are looked up by a borrowed key

Budgets repeated five methods of Budget only to hand on key, time and parameters, and each request of the gateway copied the service's name twice to record that it was sent. Now Budgets has one method that returns the budget, and copies a key only for a new one. Hedge calls try_withdraw instead of its two halves. No change of behaviour; tests keep their assertions.

--- a/src/decide/retry.rs
+++ b/src/decide/retry.rs
@@ -141,15 +141,15 @@
 impl Retry {
     /// Creates full budgets.
     pub fn new(now: Instant) -> Self {
-        let owners = Budgets::full(OWNER_BUDGET, now);
-        let upstreams = Budgets::full(UPSTREAM_BUDGET, now);
+        let owners = Budgets::new(Budget::full(OWNER_BUDGET, now));
+        let upstreams = Budgets::new(Budget::full(UPSTREAM_BUDGET, now));
         Self { owners, upstreams, retry_after: HashMap::new() }
     }
 
     /// Records the first attempt of a request.
     pub fn first_attempt(&mut self, owner: &id::Owner, model: &id::Model, now: Instant) {
-        self.owners.deposit(owner, now);
-        self.upstreams.deposit(model, now);
+        self.owners.budget(owner, now).deposit(now);
+        self.upstreams.budget(model, now).deposit(now);
     }
 
     /// Records a complete answer.
@@ -166,8 +166,8 @@
         let after = backoff::delay(made, rng);
         match self.reason_to_give_up(failure, made, after, now) {
             None => {
-                self.owners.withdraw(failure.owner, now);
-                self.upstreams.withdraw(failure.model, now);
+                self.owners.budget(failure.owner, now).withdraw();
+                self.upstreams.budget(failure.model, now).withdraw();
                 Decision::Retry { after }
             }
             Some(reason) => {
@@ -199,10 +199,11 @@
         if after + failure.expected > failure.time_left {
             return Some(Reason::Deadline);
         }
-        if !self.owners.has_token(failure.owner, now) {
+        if !self.owners.budget(failure.owner, now).has_token(now) {
             return Some(Reason::OwnerBudget);
         }
-        (!self.upstreams.has_token(failure.model, now)).then_some(Reason::UpstreamBudget)
+        (!self.upstreams.budget(failure.model, now).has_token(now))
+            .then_some(Reason::UpstreamBudget)
     }
 }
 
--- a/src/decide/retry/budget.rs
+++ b/src/decide/retry/budget.rs
@@ -1,5 +1,6 @@
 //! Budgets for retries and other additional attempts.
 
+use std::borrow::Borrow;
 use std::collections::HashMap;
 use std::collections::VecDeque;
 use std::hash::Hash;
@@ -33,6 +34,7 @@
 /// also holds for the sum of the budgets of processes that replace each other.
 #[derive(Debug, Clone)]
 pub struct Budget {
+    config: BudgetConfig,
     /// Earned tokens, and when the first fraction of each was earned.
     earned: VecDeque<(Instant, f64)>,
     added: f64,
@@ -41,38 +43,49 @@
 
 impl Budget {
     /// Creates an empty budget.
-    pub const fn new(now: Instant) -> Self {
-        Self { earned: VecDeque::new(), added: 0.0, refilled_at: now }
+    pub const fn new(config: BudgetConfig, now: Instant) -> Self {
+        Self { config, earned: VecDeque::new(), added: 0.0, refilled_at: now }
+    }
+
+    /// Creates a budget with as many tokens as can be added regardless of requests.
+    pub fn full(config: BudgetConfig, now: Instant) -> Self {
+        Self { added: config.capacity, ..Self::new(config, now) }
+    }
+
+    /// The parameters.
+    pub const fn config(&self) -> &BudgetConfig {
+        &self.config
     }
 
-    /// The same with that many tokens besides those that requests earn.
-    #[must_use]
-    pub fn with_tokens(self, tokens: f64) -> Self {
-        Self { added: tokens, ..self }
+    /// Changes the parameters. Added tokens beyond the new capacity are lost.
+    pub fn set_config(&mut self, config: BudgetConfig, now: Instant) {
+        self.refill(now);
+        self.config = config;
     }
 
     /// Records a request.
-    pub fn deposit(&mut self, config: &BudgetConfig, now: Instant) {
+    pub fn deposit(&mut self, now: Instant) {
+        let BudgetConfig { ratio, lifetime, .. } = self.config;
         let age = |at: Instant| now.saturating_duration_since(at);
         match self.earned.back_mut() {
-            Some((at, tokens)) if age(*at) < config.lifetime / AGE_STEPS => *tokens += config.ratio,
+            Some((at, tokens)) if age(*at) < lifetime / AGE_STEPS => *tokens += ratio,
             _ => {
-                self.refill(config, now);
-                self.earned.push_back((now, config.ratio));
+                self.refill(now);
+                self.earned.push_back((now, ratio));
             }
         }
     }
 
     /// The tokens that can be withdrawn.
-    pub fn tokens(&mut self, config: &BudgetConfig, now: Instant) -> f64 {
-        self.refill(config, now);
+    pub fn tokens(&mut self, now: Instant) -> f64 {
+        self.refill(now);
         let earned: f64 = self.earned.iter().map(|(_, tokens)| tokens).sum();
         earned + self.added + ROUNDING
     }
 
     /// Whether a token is available.
-    pub fn has_token(&mut self, config: &BudgetConfig, now: Instant) -> bool {
-        self.tokens(config, now) >= 1.0
+    pub fn has_token(&mut self, now: Instant) -> bool {
+        self.tokens(now) >= 1.0
     }
 
     /// Takes a token, of which the oldest earned fractions come first.
@@ -89,35 +102,31 @@
         self.added = (self.added - due).max(0.0);
     }
 
-    /// Takes a token if there is one.
-    pub fn try_withdraw(&mut self, config: &BudgetConfig, now: Instant) -> bool {
-        let has_token = self.has_token(config, now);
-        if has_token {
-            self.withdraw();
+    /// Takes a token, or returns how long until there is one if no requests add to it.
+    pub fn try_withdraw(&mut self, now: Instant) -> Result<(), Duration> {
+        let missing = 1.0 - self.tokens(now);
+        if missing > 0.0 {
+            return Err(self.config.refill_interval.mul_f64(missing));
         }
-        has_token
-    }
-
-    /// How long until there is a token, if no requests add to it.
-    pub fn next_token_in(&mut self, config: &BudgetConfig, now: Instant) -> Duration {
-        let missing = 1.0 - self.tokens(config, now);
-        if missing <= 0.0 { Duration::ZERO } else { config.refill_interval.mul_f64(missing) }
+        self.withdraw();
+        Ok(())
     }
 
     /// Whether it is the same as one that has had no requests for long.
-    fn is_idle(&mut self, config: &BudgetConfig, now: Instant) -> bool {
-        self.refill(config, now);
-        self.earned.is_empty() && self.added >= config.capacity
+    fn is_idle(&mut self, now: Instant) -> bool {
+        self.refill(now);
+        self.earned.is_empty() && self.added >= self.config.capacity
     }
 
-    fn refill(&mut self, config: &BudgetConfig, now: Instant) {
+    fn refill(&mut self, now: Instant) {
+        let BudgetConfig { lifetime, capacity, refill_interval, .. } = self.config;
         let elapsed = now.saturating_duration_since(self.refilled_at);
-        if !config.refill_interval.is_zero() {
-            self.added += elapsed.as_secs_f64() / config.refill_interval.as_secs_f64();
+        if !refill_interval.is_zero() {
+            self.added += elapsed.as_secs_f64() / refill_interval.as_secs_f64();
         }
-        self.added = self.added.min(config.capacity);
+        self.added = self.added.min(capacity);
         self.refilled_at = now;
-        let is_old = |at: Instant| now.saturating_duration_since(at) >= config.lifetime;
+        let is_old = |at: Instant| now.saturating_duration_since(at) >= lifetime;
         while self.earned.front().is_some_and(|(at, _)| is_old(*at)) {
             self.earned.pop_front();
         }
@@ -127,94 +136,47 @@
 /// Budgets by key, all of which exist from the start.
 #[derive(Debug)]
 pub struct Budgets<K> {
-    config: BudgetConfig,
-    created_at: Instant,
-    /// The tokens of each budget at its start.
-    initial: f64,
+    /// The budget of a key that has not been used.
+    unused: Budget,
     budgets: HashMap<K, Budget>,
     sweep_at: usize,
 }
 
-/// Idle budgets are removed only above this number of budgets; about 0.5 MB.
+/// Idle budgets are removed only above this number of budgets; about 1 MB.
 const MIN_SWEEP_SIZE: usize = 8192;
 
-impl<K: Clone + Eq + Hash> Budgets<K> {
-    /// Creates empty budgets with these parameters.
-    pub fn new(config: BudgetConfig, now: Instant) -> Self {
-        let budgets = HashMap::new();
-        Self { config, created_at: now, initial: 0.0, budgets, sweep_at: MIN_SWEEP_SIZE }
+impl<K: Eq + Hash> Budgets<K> {
+    /// Creates budgets that are all the same at first.
+    pub fn new(unused: Budget) -> Self {
+        Self { unused, budgets: HashMap::new(), sweep_at: MIN_SWEEP_SIZE }
     }
 
-    /// Creates full budgets with these parameters.
-    pub fn full(config: BudgetConfig, now: Instant) -> Self {
-        Self { initial: config.capacity, ..Self::new(config, now) }
-    }
-
-    /// The parameters.
-    pub const fn config(&self) -> &BudgetConfig {
-        &self.config
-    }
-
-    /// Changes the parameters. Tokens beyond the new capacity are lost.
+    /// Changes the parameters of all budgets. Added tokens beyond the new capacity are lost.
     pub fn set_config(&mut self, config: BudgetConfig, now: Instant) {
-        let before = std::mem::replace(&mut self.config, config);
-        self.budgets.values_mut().for_each(|budget| budget.refill(&before, now));
-    }
-
-    /// Records a request.
-    pub fn deposit(&mut self, key: &K, now: Instant) {
-        let config = self.config;
-        self.budget(key, now).deposit(&config, now);
-    }
-
-    /// The tokens that can be withdrawn.
-    pub fn tokens(&mut self, key: &K, now: Instant) -> f64 {
-        let config = self.config;
-        self.budget(key, now).tokens(&config, now)
-    }
-
-    /// Whether a token is available.
-    pub fn has_token(&mut self, key: &K, now: Instant) -> bool {
-        let config = self.config;
-        self.budget(key, now).has_token(&config, now)
-    }
-
-    /// Takes a token.
-    pub fn withdraw(&mut self, key: &K, now: Instant) {
-        self.budget(key, now).withdraw();
-    }
-
-    /// Takes a token, or returns how long until there is one.
-    pub fn try_withdraw(&mut self, key: &K, now: Instant) -> Result<(), Duration> {
-        let config = self.config;
-        let budget = self.budget(key, now);
-        match budget.try_withdraw(&config, now) {
-            true => Ok(()),
-            false => Err(budget.next_token_in(&config, now)),
-        }
+        self.unused.set_config(config, now);
+        self.budgets.values_mut().for_each(|budget| budget.set_config(config, now));
     }
 
-    fn budget(&mut self, key: &K, now: Instant) -> &mut Budget {
+    /// The budget of a key, which is copied only for a budget that is new.
+    pub fn budget<Q>(&mut self, key: &Q, now: Instant) -> &mut Budget
+    where
+        K: Borrow<Q>,
+        Q: Eq + Hash + ToOwned<Owned = K> + ?Sized,
+    {
         if !self.budgets.contains_key(key) {
             self.sweep(now);
+            self.budgets.insert(key.to_owned(), self.unused.clone());
         }
-        self.budgets
-            .entry(key.clone())
-            .or_insert_with(|| Budget::new(self.created_at).with_tokens(self.initial))
+        self.budgets.get_mut(key).expect("it was just inserted where it was missing")
     }
 
+    /// Removes idle budgets, if one that has not been used would be idle as well by now.
     fn sweep(&mut self, now: Instant) {
         if self.budgets.len() < self.sweep_at {
             return;
         }
-        let config = self.config;
-        // An idle budget is as one created at the start, whose tokens have been added since.
-        let is_full = {
-            let mut created = Budget::new(self.created_at).with_tokens(self.initial);
-            created.is_idle(&config, now)
-        };
-        if is_full {
-            self.budgets.retain(|_, budget| !budget.is_idle(&config, now));
+        if self.unused.is_idle(now) {
+            self.budgets.retain(|_, budget| !budget.is_idle(now));
         }
         self.sweep_at = (self.budgets.len() * 2).max(MIN_SWEEP_SIZE);
     }
--- a/src/decide/retry/hedge.rs
+++ b/src/decide/retry/hedge.rs
@@ -8,6 +8,7 @@
 
 use tokio::time::Instant;
 
+use super::budget::Budget;
 use super::budget::BudgetConfig;
 use super::budget::Budgets;
 use super::quantile::Quantile;
@@ -36,7 +37,7 @@
 impl Hedge {
     /// Creates a hedge without latencies.
     pub fn new(now: Instant) -> Self {
-        Self { latencies: HashMap::new(), budgets: Budgets::full(HEDGE_BUDGET, now) }
+        Self { latencies: HashMap::new(), budgets: Budgets::new(Budget::full(HEDGE_BUDGET, now)) }
     }
 
     /// Records a first attempt; returns the time after which to call [`Self::try_start`], if the request may be hedged.
@@ -51,17 +52,13 @@
         if !short || repeat != Repeat::Allowed {
             return None;
         }
-        self.budgets.deposit(model, now);
+        self.budgets.budget(model, now).deposit(now);
         self.latencies.get(model)?.get()
     }
 
     /// Whether a second attempt may be made, and charges it if so. It must go to another upstream with a free slot.
     pub fn try_start(&mut self, model: &id::Model, now: Instant) -> bool {
-        if !self.budgets.has_token(model, now) {
-            return false;
-        }
-        self.budgets.withdraw(model, now);
-        true
+        self.budgets.budget(model, now).try_withdraw(now).is_ok()
     }
 
     /// Records the latency of a short request, from its first attempt.
--- a/src/decide/retry/reserve.rs
+++ b/src/decide/retry/reserve.rs
@@ -5,6 +5,7 @@
 
 use tokio::time::Instant;
 
+use super::budget::Budget;
 use super::budget::Budgets;
 use super::limit::Limit;
 use super::limit::Rank;
@@ -45,11 +46,11 @@
         self.set_rank(limit, rank, now);
         let Some(share) = &mut self.share else { return Err(limit.window) };
         let Some(budgets) = &mut share.budgets else { return Err(limit.window) };
-        let service = service.to_owned();
-        let Err(next_token_in) = budgets.try_withdraw(&service, now) else { return Ok(()) };
+        let budget = budgets.budget(service, now);
+        let Err(next_token_in) = budget.try_withdraw(now) else { return Ok(()) };
         let soonest = now + next_token_in;
-        let returns_at = share.returns.get(&service).map_or(soonest, |next| soonest.max(*next));
-        share.returns.insert(service, returns_at + budgets.config().refill_interval);
+        let returns_at = share.returns.get(service).map_or(soonest, |next| soonest.max(*next));
+        share.returns.insert(service.to_owned(), returns_at + budget.config().refill_interval);
         Err(returns_at - now)
     }
 
@@ -66,8 +67,10 @@
                     held.set_config(config, now);
                     held
                 }
-                None if before.is_none() && self.is_founded => Budgets::full(config, now),
-                None => Budgets::new(config, now),
+                None if before.is_none() && self.is_founded => {
+                    Budgets::new(Budget::full(config, now))
+                }
+                None => Budgets::new(Budget::new(config, now)),
             });
             Share { rank, budgets, returns: HashMap::new() }
         });
--- a/src/decide/retry/tests/limit.rs
+++ b/src/decide/retry/tests/limit.rs
@@ -49,7 +49,7 @@
 impl Fleet {
     fn new(limit: Limit, vms: usize, controls: usize) -> Self {
         let now = Instant::now();
-        let vms = vec![Budget::new(now); vms];
+        let vms = vec![Budget::new(limit.earned(), now); vms];
         let controls = (0..controls).map(|_| Reserve::default()).collect();
         Self { limit, vms, controls, now, sent: Vec::new() }
     }
@@ -64,7 +64,7 @@
             if step.frozen.is_some_and(|frozen| frozen % count == vm) {
                 continue;
             }
-            self.vms[vm].deposit(&self.limit.earned(), self.now);
+            self.vms[vm].deposit(self.now);
             if step.fails {
                 repeats += (1..MAX_ATTEMPTS).take_while(|_| self.is_repeated(vm)).count() as u32;
             }
@@ -74,10 +74,10 @@
     }
 
     fn restart(&mut self, step: &Step) {
-        let count = self.vms.len();
+        let (count, earned) = (self.vms.len(), self.limit.earned());
         if let Some((first, restarted)) = step.restarts {
             (0..restarted.min(count))
-                .for_each(|nth| self.vms[(first + nth) % count] = Budget::new(self.now));
+                .for_each(|nth| self.vms[(first + nth) % count] = Budget::new(earned, self.now));
         }
         if let Some(nth) = step.control_restarts {
             let nth = nth % self.controls.len();
@@ -93,7 +93,7 @@
     fn is_repeated(&mut self, vm: usize) -> bool {
         let (limit, now, voters) = (self.limit, self.now, self.controls.len() as u32);
         let mut controls = self.controls.iter_mut().enumerate();
-        self.vms[vm].try_withdraw(&limit.earned(), now)
+        self.vms[vm].try_withdraw(now).is_ok()
             || controls.any(|(nth, control)| {
                 let rank = Rank { nth: nth as u32, voters };
                 control.issue(&limit, Some(rank), "s", now).is_ok()
@@ -226,9 +226,9 @@
 #[test]
 fn a_window_of_no_length_allows_nothing_earned() {
     let limit = Limit { window: Duration::ZERO, ..LIMIT };
-    let mut budget = Budget::new(Instant::now());
-    (0..100).for_each(|_| budget.deposit(&limit.earned(), Instant::now()));
-    assert!(!budget.try_withdraw(&limit.earned(), Instant::now()));
+    let mut budget = Budget::new(limit.earned(), Instant::now());
+    (0..100).for_each(|_| budget.deposit(Instant::now()));
+    assert!(budget.try_withdraw(Instant::now()).is_err());
 }
 
 // Guards against a fleet whose VMs all ask again as soon as one repeat is added.
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -30,6 +30,7 @@
 use crate::decide::place::Balancer;
 use crate::decide::place::Regions;
 use crate::decide::quota::Meter;
+use crate::decide::retry::Budget;
 use crate::decide::retry::Budgets;
 use crate::http::client::Client;
 use crate::id;
@@ -153,7 +154,7 @@
             links: None,
         };
         let position = Position::of_vm(&node.vm());
-        let earned_repeats = Budgets::new(node.bounds.repeats.earned(), clock::now());
+        let earned_repeats = Budgets::new(Budget::new(node.bounds.repeats.earned(), clock::now()));
         let merged = MergedTable::default().with_position(position, node.data_centres.clone());
         Self {
             seeds: Seeds::new(&node),
--- a/src/gateway/state/retries.rs
+++ b/src/gateway/state/retries.rs
@@ -89,13 +89,14 @@
 
     /// Records a request, which adds to the retry budget of the service.
     pub fn record_first_attempt(&self, service: &str) {
-        self.earned_repeats().deposit(&service.to_owned(), clock::now());
+        let now = clock::now();
+        self.earned_repeats().budget(service, now).deposit(now);
     }
 
     /// Takes a repeat that the requests to the service have earned, if there is one.
     pub(super) fn withdraw_earned(&self, service: &str, request: Option<&str>) -> bool {
-        let has_token =
-            self.earned_repeats().try_withdraw(&service.to_owned(), clock::now()).is_ok();
+        let now = clock::now();
+        let has_token = self.earned_repeats().budget(service, now).try_withdraw(now).is_ok();
         if has_token {
             self.log_retry("earned", service, request, None);
         }
@@ -135,7 +136,7 @@
     ) {
         self.metrics.record_repeat(decision);
         let now = clock::now();
-        let tokens = self.earned_repeats().tokens(&service.to_owned(), now);
+        let tokens = self.earned_repeats().budget(service, now).tokens(now);
         info!(self.log, "retry.{}", decision; "request" => request, "service" => service,
             "earned" => tokens, "control" => asked.map(|(vm, _)| vm.to_string()),
             "asked_ms" => asked.map(|(_, at)| now.duration_since(at).as_millis() as u64),
--- a/src/gateway/state/tests/retries.rs
+++ b/src/gateway/state/tests/retries.rs
@@ -285,7 +285,8 @@
         let mut relay = Relay::new(state.clone(), job(is_counted_here));
         assert!(relay.open(None).await.is_err());
         assert_eq!(relay.attempts(), 3);
-        let tokens = state.earned_repeats().tokens(&SERVICE.to_owned(), Instant::now());
+        let now = Instant::now();
+        let tokens = state.earned_repeats().budget(SERVICE, now).tokens(now);
         assert!((tokens - requests * RATIO / 2.0).abs() < 1e-6, "{tokens} tokens");
     });
 }
