--- a/src/directory/lookup/tests.rs
+++ b/src/directory/lookup/tests.rs
@@ -13,23 +13,12 @@
 use crate::roster::Stamp;
 use crate::roster::Standing;
 use crate::roster::Table;
+use crate::roster::fixture;
 use crate::roster::table::Timeouts;
-use crate::wire::Role;
 
 fn vm(name: &str, region: &str, port: u16) -> Presence {
-    Presence {
-        vm: name.parse().unwrap(),
-        role: Role::Entry,
-        stamp: Stamp::new(1, 1),
-        nonce: 1,
-        region: region.parse().unwrap(),
-        data_centre: "a".parse().unwrap(),
-        standing: Standing::Ready,
-        ready: true,
-        callers: Some(SocketAddr::from(([127, 0, 0, 1], port))),
-        forwards: None,
-        links: None,
-    }
+    let callers = Some(SocketAddr::from(([127, 0, 0, 1], port)));
+    Presence { callers, ..fixture::entry_vm(name, region, Stamp::new(1, 1)) }
 }
 
 fn ports(region: &str, present: &[Presence], all: &[Presence]) -> Vec<u16> {
--- a/src/gateway/state/tests/region.rs
+++ b/src/gateway/state/tests/region.rs
@@ -39,6 +39,7 @@
 use crate::roster::Presence;
 use crate::roster::Stamp;
 use crate::roster::Standing;
+use crate::roster::fixture;
 use crate::routing::Document;
 use crate::routing::Service;
 use crate::routing::state::Replicated;
@@ -46,7 +47,6 @@
 use crate::unit::Rate;
 use crate::unit::Slots;
 use crate::unit::Version;
-use crate::wire::Role;
 
 const SERVICE: &str = "s";
 pub const RATE: f64 = 6.6;
@@ -131,19 +131,7 @@
 }
 
 pub fn presence(nth: usize) -> Presence {
-    Presence {
-        vm: ip(nth).parse().unwrap(),
-        role: Role::Entry,
-        stamp: Stamp::new(1, 1),
-        nonce: 1,
-        region: "r".parse().unwrap(),
-        data_centre: "a".parse().unwrap(),
-        standing: Standing::Ready,
-        ready: true,
-        callers: None,
-        forwards: None,
-        links: None,
-    }
+    fixture::entry_vm(&ip(nth), "r", Stamp::new(1, 1))
 }
 
 pub fn announcement(sequence: u64, cold_left: Duration) -> Announcement {
--- a/src/roster/fuzz.rs
+++ b/src/roster/fuzz.rs
@@ -17,6 +17,7 @@
 use super::Stamp;
 use super::Standing;
 use super::Table;
+use super::fixture;
 use super::merged::Cursor;
 use super::slice::Position;
 use super::table::Timeouts;
@@ -110,19 +111,9 @@
 
     fn presence(&mut self, nth: usize) -> Presence {
         self.sequence += 1;
-        Presence {
-            vm: format!("v{nth}").parse().unwrap(),
-            role: Role::Entry,
-            stamp: Stamp::new(1, self.sequence),
-            nonce: 1,
-            region: if nth.is_multiple_of(3) { "there" } else { "here" }.parse().unwrap(),
-            data_centre: "a".parse().unwrap(),
-            standing: Standing::Ready,
-            ready: nth.is_multiple_of(2),
-            callers: None,
-            forwards: None,
-            links: None,
-        }
+        let region = if nth.is_multiple_of(3) { "there" } else { "here" };
+        let presence = fixture::entry_vm(&format!("v{nth}"), region, Stamp::new(1, self.sequence));
+        Presence { ready: nth.is_multiple_of(2), ..presence }
     }
 
     fn apply(&mut self, op: &Op) {
--- a/src/roster/merged/tests.rs
+++ b/src/roster/merged/tests.rs
@@ -10,6 +10,7 @@
 use crate::roster::Stamp;
 use crate::roster::Standing;
 use crate::roster::delta::Observed;
+use crate::roster::fixture;
 use crate::unit::Slots;
 use crate::wire::Role;
 
@@ -65,19 +66,7 @@
 }
 
 fn entry(name: &str, region: &str, silent: bool) -> Observed<Presence> {
-    let record = Presence {
-        vm: vm(name),
-        role: Role::Entry,
-        stamp: Stamp::new(1, 1),
-        nonce: 1,
-        region: region.parse().unwrap(),
-        data_centre: "a".parse().unwrap(),
-        standing: Standing::Ready,
-        ready: true,
-        callers: None,
-        forwards: None,
-        links: None,
-    };
+    let record = fixture::entry_vm(name, region, Stamp::new(1, 1));
     Observed { record, silent }
 }
 
--- a/src/roster/mod.rs
+++ b/src/roster/mod.rs
@@ -9,6 +9,8 @@
 pub mod change_log;
 pub mod delta;
 #[cfg(test)]
+pub mod fixture;
+#[cfg(test)]
 mod fuzz;
 pub mod heartbeat;
 pub mod merged;
--- a/src/roster/table/tests.rs
+++ b/src/roster/table/tests.rs
@@ -11,8 +11,8 @@
 use crate::roster::Presence;
 use crate::roster::Stamp;
 use crate::roster::Standing;
+use crate::roster::fixture;
 use crate::unit::Slots;
-use crate::wire::Role;
 
 const TIMEOUTS: Timeouts =
     Timeouts { upstream: Duration::from_secs(5), vm: Duration::from_secs(3) };
@@ -37,19 +37,7 @@
 }
 
 fn presence(vm: &str, start_time_ms: u64, sequence: u64) -> Presence {
-    Presence {
-        vm: vm.parse().unwrap(),
-        role: Role::Entry,
-        stamp: Stamp::new(start_time_ms, sequence),
-        nonce: 1,
-        region: "r".parse().unwrap(),
-        data_centre: "a".parse().unwrap(),
-        standing: Standing::Ready,
-        ready: true,
-        callers: None,
-        forwards: None,
-        links: None,
-    }
+    fixture::entry_vm(vm, "r", Stamp::new(start_time_ms, sequence))
 }
 
 #[tokio::test(start_paused = true)]
