--- a/src/directory/daemon.rs
+++ b/src/directory/daemon.rs
@@ -20,6 +20,7 @@
 use super::links::LinkHandler;
 use super::plan::DiscoveredPlan;
 use super::prove;
+use super::service::replica_folder;
 use super::tasks;
 use crate::consensus::Role as ReplicaRole;
 use crate::control::Name;
@@ -94,7 +95,7 @@
             mesh: mesh.clone(),
             log: log.clone(),
         });
-        let folder = control.folder.join(Name::Routing.to_string());
+        let folder = replica_folder(&control.folder);
         let seed = seat::seed(&mut SmallRng::seed_from_u64(seed));
         let (seat, replica_task) =
             Seat::new(shared, Name::Routing, ReplicaRole::Voter, folder, seed);
--- a/src/directory/service.rs
+++ b/src/directory/service.rs
@@ -2,6 +2,8 @@
 
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
+use std::path::Path;
+use std::path::PathBuf;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::OnceLock;
@@ -66,6 +68,11 @@
 /// The same for an upstream that was restored from the cache.
 const RESTORED_MISSED_CHECK_INS: u32 = 2;
 
+/// The folder of the replica in the data folder.
+pub(super) fn replica_folder(folder: &Path) -> PathBuf {
+    folder.join(Name::Routing.to_string())
+}
+
 /// The state of a control daemon.
 pub struct Service {
     node: Arc<Node>,
@@ -125,7 +132,7 @@
         let folder = node.control.as_ref().map(|control| control.folder.clone());
         let folder = folder.unwrap_or_default();
         let is_first_start = node.control.as_ref().is_some_and(|control| control.found)
-            && !folder.join(Name::Routing.to_string()).exists();
+            && !replica_folder(&folder).exists();
         let reserve = if is_first_start { Reserve::founded() } else { Reserve::default() };
         let routing_cache = Cache::<Replicated>::new(&folder, cache::ROUTING_FILE);
         let restored = routing_cache.load(&log);
