Log of a run's end: how it ended, on which instance of an upstream, after how long

A request whose connection broke off could not be told from one that was late, and no line named the upstream's instance. No change of logic.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -13,6 +13,7 @@
 use http_body_util::BodyExt;
 use http_body_util::Full;
 use hyper::body::Incoming;
+use slog::info;
 use tokio::time;
 use tokio::time::Instant;
 
@@ -102,6 +103,8 @@
     pub incoming: Incoming,
     /// The capacity reserved for the request.
     pub reservation: Reservation,
+    /// When the request was sent.
+    pub started: Instant,
     lease: Lease,
     idle_timeout: Option<Duration>,
     closes_connection: bool,
@@ -115,7 +118,8 @@
     }
 
     /// Ends a failed stream; its connection is dropped.
-    pub fn fail(self) {
+    pub fn fail(self, state: &State, job: &Job) {
+        log_run_end(state, job, &self.reservation, self.started, "broke_off");
         self.reservation.complete(Outcome::Failed);
     }
 }
@@ -131,6 +135,7 @@
         Ok(request) => request,
         Err(_) => return not_sent("the request headers can't be encoded"),
     };
+    let started = Instant::now();
     let sent = time::timeout(options.response_timeout, state.client().send(address, request)).await;
     let (response, lease) = match sent {
         Ok(Ok(sent)) => sent,
@@ -139,16 +144,32 @@
             return not_sent("the connection could not be established");
         }
         Ok(Err(Error::Lost(_))) => {
+            log_run_end(state, job, &reservation, started, "broke_off");
             reservation.complete(Outcome::Failed);
             return AttemptResult::Indeterminate { reason: "the connection broke off" };
         }
         Err(_) => {
+            log_run_end(state, job, &reservation, started, "late");
             reservation.complete(Outcome::Failed);
             return AttemptResult::Indeterminate { reason: "no answer began in time" };
         }
     };
     let meta = state.adapter().decode_response(response.status(), response.headers());
-    classify(state, job, response, lease, reservation, meta).await
+    classify(state, job, response, lease, (reservation, started), meta).await
+}
+
+/// Logs how a run ended that was not answered, with the lifetime of the upstream.
+pub(super) fn log_run_end(
+    state: &State,
+    job: &Job,
+    reservation: &Reservation,
+    started: Instant,
+    end: &'static str,
+) {
+    let Target::Upstream(upstream) = reservation.target() else { return };
+    info!(state.log(), "run.ended"; "request" => &job.call.id, "end" => end,
+        "upstream" => %upstream, "born" => state.upstream_born(upstream),
+        "ran_ms" => started.elapsed().as_millis() as u64);
 }
 
 fn not_sent(reason: &'static str) -> AttemptResult {
@@ -206,7 +227,7 @@
     job: &Job,
     response: Response<Incoming>,
     lease: Lease,
-    reservation: Reservation,
+    (reservation, started): (Reservation, Instant),
     meta: ResponseMeta,
 ) -> AttemptResult {
     match reservation.target() {
@@ -248,7 +269,7 @@
         reservation.complete(Outcome::Failed);
         return AttemptResult::Indeterminate { reason: "the answer has no receipt" };
     }
-    read_body(state, job, response, lease, reservation, &meta).await
+    read_body(state, job, response, lease, (reservation, started), &meta).await
 }
 
 /// A VM's own refusal has no receipt; a forwarded response of an upstream has one.
@@ -273,7 +294,7 @@
     job: &Job,
     response: Response<Incoming>,
     lease: Lease,
-    mut reservation: Reservation,
+    (mut reservation, started): (Reservation, Instant),
     meta: &ResponseMeta,
 ) -> AttemptResult {
     let (mut head, incoming) = response.into_parts();
@@ -283,6 +304,7 @@
         let body = ResponseBody::Streaming(Box::new(UpstreamStream {
             incoming,
             reservation,
+            started,
             lease,
             idle_timeout,
             closes_connection,
@@ -291,6 +313,7 @@
     }
     let collected = time::timeout_at(job.deadline, incoming.collect()).await;
     let Ok(Ok(collected)) = collected else {
+        log_run_end(state, job, &reservation, started, "broke_off");
         reservation.complete(Outcome::Failed);
         return AttemptResult::Indeterminate { reason: "the answer broke off" };
     };
--- a/src/gateway/state/roster.rs
+++ b/src/gateway/state/roster.rs
@@ -50,6 +50,12 @@
         self.sync_placement();
     }
 
+    /// When an upstream was started, in Unix milliseconds as it stated; none if it is not known any more.
+    pub fn upstream_born(&self, upstream: &id::Upstream) -> Option<u64> {
+        let merged = self.merged();
+        merged.upstream(upstream).map(|known| known.record.stamp.start_time_ms)
+    }
+
     /// The entry VMs that a caller in the region should use for the host.
     pub fn directory_addresses(&self, region: &id::Region, host: &str) -> Vec<SocketAddr> {
         let homes = self.routing().table.map(|table| table.homes(host)).unwrap_or_default();
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -132,7 +132,7 @@
         self.relay.record_stream_failure(reason);
         // Closing the connection cancels the request at the upstream.
         if let Some(source) = self.source.take() {
-            source.fail();
+            source.fail(&self.state, self.relay.job());
         }
         let job = self.relay.job();
         if !job.route.kind.is_repeatable() || Instant::now() >= job.deadline {
--- a/src/roster/merged.rs
+++ b/src/roster/merged.rs
@@ -158,6 +158,11 @@
         }
     }
 
+    /// An upstream that has not left.
+    pub fn upstream(&self, id: &id::Upstream) -> Option<&Upstream> {
+        self.upstreams.get(id)
+    }
+
     /// The upstreams that have not left.
     pub fn upstreams(&self) -> impl Iterator<Item = &Upstream> {
         self.upstreams.values().filter(|upstream| upstream.record.standing != Standing::Gone)
