--- a/src/decide/place.rs
+++ b/src/decide/place.rs
@@ -119,6 +119,8 @@
     pub urgent: bool,
     /// The maximum expected time to the first event; above it, the request is rejected.
     pub max_wait: Duration,
+    /// The only upstream that may run it, if it is restricted to one.
+    pub only: Option<&'a id::Upstream>,
 }
 
 /// The upstream selected for a request, with the expected latency.
@@ -254,6 +256,16 @@
         placements.min_by_key(|placement| placement.cost)
     }
 
+    /// Returns the upstreams of a service that accept new requests.
+    pub fn open(&self, service: &str) -> Vec<id::Upstream> {
+        self.available(service).map(|(id, _)| id.clone()).collect()
+    }
+
+    /// Returns whether any upstream of a service accepts new requests.
+    pub fn has_open(&self, service: &str) -> bool {
+        self.available(service).next().is_some()
+    }
+
     /// Returns this VM's load on the upstreams of a shard, for the shard's host.
     pub fn loads(&self, shard: u8, now: Instant) -> Vec<(Key, Load)> {
         let upstreams = self.upstreams.values().filter(|upstream| upstream.key().shard() == shard);
@@ -313,7 +325,8 @@
     /// Estimates the latency of a typical request, for VMs of other regions.
     pub fn outlook(&mut self, service: &str, urgent: bool, now: Instant) -> Option<Outlook> {
         let (work, max_wait) = (Work::default(), Duration::MAX);
-        let query = Query { service, work, tried: &[], holds_prefix: false, urgent, max_wait };
+        let (tried, only) = (&[][..], None);
+        let query = Query { service, work, tried, holds_prefix: false, urgent, max_wait, only };
         let Some(placement) = self.choose(&query, now) else {
             let wait = self.next_opening(service, now)?;
             return Some(Outlook { wait, running: 0 });
--- a/src/decide/place/decision.rs
+++ b/src/decide/place/decision.rs
@@ -69,6 +69,7 @@
             candidates.extend(replicas().filter(|(id, upstream)| {
                 let speed = &self.profile.speed;
                 !self.query.tried.contains(id)
+                    && self.query.only.is_none_or(|only| only == *id)
                     && upstream.is_eligible(speed, is_fallback, self.sender, self.now)
             }));
             if !candidates.is_empty() {
--- a/src/decide/place/tests.rs
+++ b/src/decide/place/tests.rs
@@ -63,7 +63,7 @@
 
 fn query(work: Work) -> Query<'static> {
     let max_wait = Duration::from_millis(1200);
-    Query { service: "s", work, tried: &[], holds_prefix: true, urgent: true, max_wait }
+    Query { service: "s", work, tried: &[], holds_prefix: true, urgent: true, max_wait, only: None }
 }
 
 // Guards against recomputing a prefix on each engine: all VMs must choose the same engine for it.
--- a/src/decide/quarantine/crash_log.rs
+++ b/src/decide/quarantine/crash_log.rs
@@ -8,6 +8,7 @@
 
 use crate::decide::quarantine::CrashRecord;
 use crate::decide::quarantine::Digest;
+use crate::decide::quarantine::InstanceRecord;
 use crate::id;
 use crate::unit::Incarnation;
 
@@ -17,15 +18,19 @@
 /// The window on either side of a crash within which other crashes are counted.
 const RATE_WINDOW: Duration = Duration::from_secs(60);
 
-/// The probability below which coincidence is ruled out as the explanation of a request's crashes
-/// (see docs/MEASUREMENTS.md, quarantine).
-const MAX_COINCIDENCE: f64 = 0.002;
-
 /// The minimum crash rate assumed for any upstream: once an hour.
 const BASELINE_RATE: f64 = 1.0 / 3_600.0;
 
+/// Answers for each crash after which a request is no suspect any more. A request that crashes every other upstream is
+/// still found, and a popular one that all upstreams run is not blamed for their crashes.
+const ANSWERS_PER_CRASH: usize = 3;
+
+/// The most crashes and suspects that are remembered; the oldest are dropped first.
+const MAX_CRASHES: usize = 1_024;
+const MAX_SUSPECTS: usize = 16_384;
+
 /// One instance of an upstream, from its start to its crash.
-type Instance = (id::Upstream, Incarnation);
+pub type Instance = (id::Upstream, Incarnation);
 
 /// The crash of one instance.
 #[derive(Debug)]
@@ -34,30 +39,119 @@
     ran: BTreeMap<Digest, Duration>,
 }
 
+/// A request that was running on crashed upstreams.
+#[derive(Debug)]
+struct Suspect {
+    instances: Vec<Instance>,
+    last_crash: Instant,
+    last_answer: Option<Instant>,
+    /// Answers that this VM has seen.
+    answers: usize,
+}
+
+/// A suspect that has not been answered since its last crash.
+#[derive(Debug)]
+pub struct Unanswered<'a> {
+    pub digest: &'a Digest,
+    pub crashes: usize,
+    pub last_crash: Instant,
+}
+
+impl Suspect {
+    /// Whether it was answered completely after its last crash.
+    fn is_acquitted(&self) -> bool {
+        self.last_answer.is_some_and(|answer| answer >= self.last_crash)
+    }
+}
+
 /// The recent crashes.
 #[derive(Debug, Default)]
 pub struct CrashLog {
     crashes: HashMap<Instance, Crash>,
-    by_digest: HashMap<Digest, Vec<Instance>>,
+    suspects: HashMap<Digest, Suspect>,
 }
 
 impl CrashLog {
-    /// Adds a record.
-    pub fn add(&mut self, record: &CrashRecord, now: Instant) {
+    /// Adds a record; returns whether it is new.
+    pub fn add(&mut self, record: &CrashRecord, now: Instant) -> bool {
         let at = now.checked_sub(record.age).unwrap_or(now);
         let instance = (record.upstream.clone(), record.incarnation);
-        let crash = self
-            .crashes
-            .entry(instance.clone())
-            .or_insert_with(|| Crash { at, ran: BTreeMap::new() });
-        if crash.ran.insert(record.digest, record.ran).is_none() {
-            self.by_digest.entry(record.digest).or_default().push(instance);
+        self.add_crash(instance.clone(), at);
+        let is_full = self.suspects.len() >= MAX_SUSPECTS && !self.is_known(&record.digest);
+        let Some(crash) = self.crashes.get_mut(&instance) else { return false };
+        if is_full || crash.ran.contains_key(&record.digest) {
+            return false;
         }
+        crash.ran.insert(record.digest, record.ran);
+        let suspect = self.suspects.entry(record.digest).or_insert_with(|| Suspect {
+            instances: Vec::new(),
+            last_crash: at,
+            last_answer: None,
+            answers: 0,
+        });
+        suspect.instances.push(instance);
+        suspect.last_crash = suspect.last_crash.max(at);
+        true
+    }
+
+    /// Adds a crash without the requests that were running; returns whether it is new.
+    pub fn add_instance(&mut self, record: &InstanceRecord, now: Instant) -> bool {
+        let at = now.checked_sub(record.age).unwrap_or(now);
+        self.add_crash((record.upstream.clone(), record.incarnation), at)
+    }
+
+    fn add_crash(&mut self, instance: Instance, at: Instant) -> bool {
+        if self.crashes.contains_key(&instance) {
+            return false;
+        }
+        if self.crashes.len() >= MAX_CRASHES {
+            let oldest = self.crashes.iter().min_by_key(|(_, crash)| crash.at);
+            if let Some(oldest) = oldest.map(|(instance, _)| instance.clone()) {
+                self.remove(&oldest);
+            }
+        }
+        self.crashes.insert(instance, Crash { at, ran: BTreeMap::new() });
+        true
+    }
+
+    /// Removes a crash that did not happen, unless it is later than the sign of life.
+    pub fn withdraw(&mut self, instance: &Instance, alive_at: Instant) -> bool {
+        let is_earlier = self.crashes.get(instance).is_some_and(|crash| crash.at <= alive_at);
+        if is_earlier {
+            self.remove(instance);
+        }
+        is_earlier
+    }
+
+    /// When an instance crashed.
+    pub fn crashed_at(&self, instance: &Instance) -> Option<Instant> {
+        self.crashes.get(instance).map(|crash| crash.at)
+    }
+
+    /// Records that a request was answered; returns whether it is no suspect any more.
+    pub fn answer(&mut self, digest: &Digest, now: Instant) -> bool {
+        let Some(suspect) = self.suspects.get_mut(digest) else { return false };
+        suspect.answers += 1;
+        suspect.last_answer = suspect.last_answer.max(Some(now));
+        let is_cleared = suspect.answers >= ANSWERS_PER_CRASH * suspect.instances.len();
+        if is_cleared {
+            self.clear(digest);
+        }
+        is_cleared
+    }
+
+    /// Records an answer that another VM saw; returns whether that is new.
+    pub fn acquit(&mut self, digest: &Digest, answered_at: Instant) -> bool {
+        let Some(suspect) = self.suspects.get_mut(digest) else { return false };
+        let was_acquitted = suspect.is_acquitted();
+        suspect.last_answer = suspect.last_answer.max(Some(answered_at));
+        !was_acquitted && suspect.is_acquitted()
     }
 
     /// Removes a request from all crashes.
     pub fn clear(&mut self, digest: &Digest) {
-        for instance in self.by_digest.remove(digest).unwrap_or_default() {
+        let Some(suspect) = self.suspects.remove(digest) else { return };
+        for instance in suspect.instances {
             if let Some(crash) = self.crashes.get_mut(&instance) {
                 crash.ran.remove(digest);
             }
@@ -66,80 +160,148 @@
 
     /// Removes crashes older than the retention time.
     pub fn expire(&mut self, now: Instant) {
-        let old = |crash: &Crash| now >= crash.at + RETENTION;
-        let instances: Vec<Instance> = self
-            .crashes
-            .iter()
-            .filter(|(_, crash)| old(crash))
-            .map(|(instance, _)| instance.clone())
-            .collect();
+        let old = self.crashes.iter().filter(|(_, crash)| now >= crash.at + RETENTION);
+        let instances: Vec<Instance> = old.map(|(instance, _)| instance.clone()).collect();
         for instance in instances {
-            let Some(crash) = self.crashes.remove(&instance) else { continue };
-            for digest in crash.ran.keys() {
-                let Some(own) = self.by_digest.get_mut(digest) else { continue };
-                own.retain(|other| *other != instance);
-                if own.is_empty() {
-                    self.by_digest.remove(digest);
-                }
+            self.remove(&instance);
+        }
+    }
+
+    fn remove(&mut self, instance: &Instance) {
+        let Some(crash) = self.crashes.remove(instance) else { return };
+        for digest in crash.ran.keys() {
+            let Some(suspect) = self.suspects.get_mut(digest) else { continue };
+            suspect.instances.retain(|other| other != instance);
+            if suspect.instances.is_empty() {
+                self.suspects.remove(digest);
             }
         }
     }
 
+    /// Whether nothing is known.
+    pub fn is_empty(&self) -> bool {
+        self.crashes.is_empty()
+    }
+
+    /// The number of suspects.
+    pub fn suspects(&self) -> usize {
+        self.suspects.len()
+    }
+
     /// The upstreams that crashed while running a request.
     pub fn upstreams(&self, digest: &Digest) -> impl Iterator<Item = &id::Upstream> {
-        self.by_digest.get(digest).into_iter().flatten().map(|(upstream, _)| upstream)
+        let suspect = self.suspects.get(digest).into_iter();
+        suspect.flat_map(|suspect| &suspect.instances).map(|(upstream, _)| upstream)
     }
 
-    /// Whether any upstream crashed while running a request.
+    /// Whether any upstream crashed while running a request that has not been answered since.
     pub fn is_suspect(&self, digest: &Digest) -> bool {
-        self.by_digest.contains_key(digest)
+        self.suspects.get(digest).is_some_and(|suspect| !suspect.is_acquitted())
+    }
+
+    /// The number of upstreams that crashed while running a request.
+    pub fn crash_count(&self, digest: &Digest) -> usize {
+        self.suspects.get(digest).map_or(0, |suspect| suspect.instances.len())
+    }
+
+    fn is_known(&self, digest: &Digest) -> bool {
+        self.suspects.contains_key(digest)
+    }
+
+    /// The suspects with several crashes that ran beside a request.
+    pub fn rivals(&self, digest: &Digest) -> Vec<Digest> {
+        let suspect = self.suspects.get(digest).into_iter();
+        let instances = suspect.flat_map(|suspect| &suspect.instances);
+        let beside = instances
+            .filter_map(|instance| self.crashes.get(instance))
+            .flat_map(|crash| crash.ran.keys());
+        beside.filter(|other| *other != digest && self.crash_count(other) > 1).copied().collect()
+    }
+
+    /// The suspects that have not been answered since their last crash.
+    pub fn unanswered(&self) -> impl Iterator<Item = Unanswered<'_>> {
+        let suspects = self.suspects.iter().filter(|(_, suspect)| !suspect.is_acquitted());
+        suspects.map(|(digest, suspect)| Unanswered {
+            digest,
+            crashes: suspect.instances.len(),
+            last_crash: suspect.last_crash,
+        })
     }
 
-    /// All records, for a VM that has just started.
-    pub fn crashes(&self, now: Instant) -> Vec<CrashRecord> {
-        let record = |(upstream, incarnation): &Instance,
-                      crash: &Crash,
-                      digest: &Digest,
-                      ran: Duration| CrashRecord {
-            digest: *digest,
+    /// The records of a request.
+    pub fn records(&self, digest: &Digest, now: Instant) -> Vec<CrashRecord> {
+        let suspect = self.suspects.get(digest).into_iter();
+        let instances = suspect.flat_map(|suspect| &suspect.instances);
+        let records = instances.filter_map(|instance| {
+            let crash = self.crashes.get(instance)?;
+            let (upstream, incarnation) = instance.clone();
+            let ran = *crash.ran.get(digest)?;
+            let age = now.saturating_duration_since(crash.at);
+            Some(CrashRecord { digest: *digest, upstream, incarnation, ran, age })
+        });
+        records.collect()
+    }
+
+    /// The crashes that count for the rate of crashes at present, the newest first.
+    pub fn recent_instances(&self, now: Instant) -> Vec<InstanceRecord> {
+        let record = |(upstream, incarnation): &Instance, crash: &Crash| InstanceRecord {
             upstream: upstream.clone(),
             incarnation: *incarnation,
-            ran,
             age: now.saturating_duration_since(crash.at),
         };
-        let crashes = self.crashes.iter();
-        crashes
-            .flat_map(|(instance, crash)| {
-                crash.ran.iter().map(move |(digest, &ran)| record(instance, crash, digest, ran))
-            })
-            .collect()
+        let mut recent: Vec<InstanceRecord> = self
+            .crashes
+            .iter()
+            .map(|(instance, crash)| record(instance, crash))
+            .filter(|record| record.age < RATE_WINDOW)
+            .collect();
+        recent.sort_by_key(|record| record.age);
+        recent
     }
 
-    /// Whether a request causes the crashes.
+    /// The probability that a request's crashes are a coincidence; `None` if none of them counts.
     ///
-    /// Its first crash makes it a suspect, with all requests that ran beside it. Each later crash counts if no other
-    /// suspect ran there. The probability that such a crash is a coincidence is the rate of all other crashes times how
-    /// long the request ran; the product over its crashes must be at most [`MAX_COINCIDENCE`].
-    pub fn is_culprit(&self, digest: &Digest, upstreams: usize) -> bool {
-        let Some(instances) = self.by_digest.get(digest) else { return false };
-        let mut crashes: Vec<(&Instance, &Crash)> = instances
-            .iter()
-            .filter_map(|instance| Some((instance, self.crashes.get(instance)?)))
-            .collect();
-        crashes.sort_by_key(|(_, crash)| crash.at);
+    /// Its first crash makes it a suspect, with all requests that ran beside it; of one that is known for earlier crashes,
+    /// the first one counts too. Each later crash counts if no other suspect ran there. The probability that such a crash is
+    /// a coincidence is the rate of all other crashes times how long the request ran.
+    pub fn coincidence(&self, digest: &Digest, is_known: bool, upstreams: usize) -> Option<f64> {
+        let crashes = self.crashes_of(digest);
+        let ambiguous = usize::from(!is_known);
         let relevant =
-            crashes.iter().skip(1).filter(|(_, crash)| self.is_only_suspect(digest, crash));
+            crashes.iter().skip(ambiguous).filter(|(_, crash)| self.is_only_suspect(digest, crash));
         let probabilities: Vec<f64> = relevant
             .map(|(instance, crash)| {
                 self.coincidence_probability(digest, instance, crash, upstreams)
             })
             .collect();
-        !probabilities.is_empty() && probabilities.iter().product::<f64>() <= MAX_COINCIDENCE
+        (!probabilities.is_empty()).then(|| probabilities.iter().product())
+    }
+
+    /// The same, where all crashes but the first count, whichever suspects ran there.
+    pub fn coincidence_beside_others(&self, digest: &Digest, upstreams: usize) -> f64 {
+        let crashes = self.crashes_of(digest);
+        let probabilities = crashes.iter().skip(1).map(|(instance, crash)| {
+            self.coincidence_probability(digest, instance, crash, upstreams)
+        });
+        probabilities.product()
+    }
+
+    /// The crashes of upstreams that were running a request, the first one first.
+    fn crashes_of(&self, digest: &Digest) -> Vec<(&Instance, &Crash)> {
+        let suspect = self.suspects.get(digest).into_iter();
+        let instances = suspect.flat_map(|suspect| &suspect.instances);
+        let mut crashes: Vec<(&Instance, &Crash)> = instances
+            .filter_map(|instance| Some((instance, self.crashes.get(instance)?)))
+            .collect();
+        crashes.sort_by_key(|(_, crash)| crash.at);
+        crashes
     }
 
+    /// Whether all others that ran there were answered since, or crashed nothing before.
     fn is_only_suspect(&self, digest: &Digest, crash: &Crash) -> bool {
         let suspected_before = |other: &Digest| {
-            let instances = self.by_digest.get(other).into_iter().flatten();
+            let suspect = self.suspects.get(other).filter(|suspect| !suspect.is_acquitted());
+            let instances = suspect.into_iter().flat_map(|suspect| &suspect.instances);
             instances
                 .filter_map(|instance| self.crashes.get(instance))
                 .any(|earlier| earlier.at < crash.at)
--- a/src/decide/quarantine/digest.rs
+++ b/src/decide/quarantine/digest.rs
@@ -10,7 +10,7 @@
 
 use crate::id;
 
-/// A 128-bit digest of the entry and body of a request, shared between VMs in place of the body.
+/// A 128-bit digest of what a resent request has in common with the one before, shared between VMs in place of the body.
 #[derive(
     Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, SerializeDisplay, DeserializeFromStr,
 )]
@@ -23,6 +23,30 @@
         hash.update(entry.as_str());
         hash.update([0]);
         hash.update(body);
+        Self::finish(hash)
+    }
+
+    /// The digest of an HTTP request: its method, host, path with query, organisation and body.
+    ///
+    /// Headers don't count, since a caller may send others with each resend: ids, timeouts, traces.
+    pub fn of_call(head: [&str; 3], organisation: Option<&id::Owner>, body: &[u8]) -> Self {
+        let mut hash = Sha256::new();
+        let organisation = organisation.map_or("", id::Owner::as_str);
+        for part in head.into_iter().chain([organisation]) {
+            // Without the length, two different heads could have the same digest.
+            hash.update((part.len() as u64).to_le_bytes());
+            hash.update(part);
+        }
+        hash.update(body);
+        Self::finish(hash)
+    }
+
+    /// The first half of the digest, for rendezvous hashing.
+    pub fn key(&self) -> u64 {
+        self.0[..8].iter().fold(0, |key, byte| key << 8 | u64::from(*byte))
+    }
+
+    fn finish(hash: Sha256) -> Self {
         let mut bytes = [0; 16];
         bytes.copy_from_slice(&hash.finalize()[..16]);
         Self(bytes)
--- a/src/decide/quarantine/message.rs
+++ b/src/decide/quarantine/message.rs
@@ -1,4 +1,4 @@
-//! Crash reports between the VMs of a region.
+//! Reports on crashes between VMs.
 
 use std::time::Duration;
 
@@ -29,20 +29,79 @@
     pub age: Duration,
 }
 
-/// Crashes, and requests that have since been answered completely. Merging is idempotent.
+/// An event in the life of one instance of an upstream: its crash, or a sign of life after a reported crash.
 #[serde_as]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct InstanceRecord {
+    /// The upstream.
+    pub upstream: id::Upstream,
+    /// Its incarnation.
+    pub incarnation: Incarnation,
+    /// How long ago it happened.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    pub age: Duration,
+}
+
+/// A complete answer to a request that had been running on a crashed upstream.
+#[serde_as]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct AnswerRecord {
+    /// The request.
+    pub digest: Digest,
+    /// How long ago it was answered.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    pub age: Duration,
+    /// Whether all that was known against the request until then is void.
+    pub clears: bool,
+}
+
+/// A request that is quarantined.
+#[serde_as]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct HoldRecord {
+    /// The request.
+    pub digest: Digest,
+    /// The time left; zero for a request that may run again.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    pub time_left: Duration,
+    /// How long ago it was quarantined.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    pub age: Duration,
+    /// The number of upstreams that crashed while running it.
+    pub crashes: u32,
+}
+
+/// What a VM knows of crashes. Merging is idempotent.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Report {
     /// Requests that were running on upstreams that crashed.
     #[serde(rename = "charges")]
     pub crashes: Vec<CrashRecord>,
-    /// Requests that were answered completely.
+    /// Requests of which all that is known is void as of now.
     pub cleared: Vec<Digest>,
+    /// Crashes without the requests that were running.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub instances: Vec<InstanceRecord>,
+    /// Instances that were heard from after their reported crash.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub alive: Vec<InstanceRecord>,
+    /// Answers to requests that had been running on crashed upstreams.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub answers: Vec<AnswerRecord>,
+    /// Quarantined requests.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub holds: Vec<HoldRecord>,
 }
 
 impl Report {
     /// Whether the report is empty.
     pub fn is_empty(&self) -> bool {
-        self.crashes.is_empty() && self.cleared.is_empty()
+        let Self { crashes, cleared, instances, alive, answers, holds } = self;
+        crashes.is_empty()
+            && cleared.is_empty()
+            && instances.is_empty()
+            && alive.is_empty()
+            && answers.is_empty()
+            && holds.is_empty()
     }
 }
--- a/src/decide/quarantine/tests.rs
+++ b/src/decide/quarantine/tests.rs
@@ -106,3 +106,110 @@
         assert!(!is_quarantined(quarantine, "crasher", now + 2_000 * SECOND));
     }
 }
+
+#[test]
+fn request_that_crashes_every_other_upstream_is_quarantined() {
+    // Guards against a request whose answers hide its crashes.
+    let now = Instant::now();
+    let mut quarantine = Quarantine::new(18);
+    crash(&mut quarantine, 0, &["half"], now, SECOND / 10);
+    let later = now + 5 * SECOND;
+    quarantine.started(digest("half"), &upstream(1), later);
+    quarantine.answered(&digest("half"), &upstream(1), later);
+    assert_eq!(quarantine.status(&digest("half"), later), Status::Clear);
+    let later = now + 10 * SECOND;
+    crash(&mut quarantine, 2, &["half"], later, SECOND / 10);
+    assert!(is_quarantined(&mut quarantine, "half", later + SECOND));
+}
+
+#[test]
+fn popular_request_is_not_blamed_for_crashes_of_all_that_run_it() {
+    // Guards against holding back a request that all callers send alike, such as one without a body.
+    let now = Instant::now();
+    let mut quarantine = Quarantine::new(3);
+    for number in 0..3 {
+        let at = now + 10 * SECOND * number as u32;
+        crash(&mut quarantine, number, &["popular"], at, SECOND / 10);
+        for answer in 0..20 {
+            let at = at + 3 * SECOND + SECOND / 10 * answer;
+            quarantine.started(digest("popular"), &upstream(9), at);
+            quarantine.answered(&digest("popular"), &upstream(9), at);
+            assert!(!is_quarantined(&mut quarantine, "popular", at));
+        }
+    }
+}
+
+#[test]
+fn crash_is_withdrawn_when_the_instance_is_heard_from() {
+    // Guards against a VM that was cut off and took the upstreams for dead.
+    let now = Instant::now();
+    let (mut here, mut there) = (Quarantine::new(18), Quarantine::new(18));
+    for number in 0..2 {
+        let report = crash(&mut here, number, &["a"], now, SECOND / 10);
+        there.merge(&report, now);
+    }
+    let later = now + 3 * SECOND;
+    for number in 0..2 {
+        let alive = there.heard_from(&upstream(number), Incarnation::new(1), later, later);
+        here.merge(&alive, later);
+    }
+    for quarantine in [&mut here, &mut there] {
+        assert_eq!(quarantine.crashed_at(&upstream(0), Incarnation::new(1)), None);
+    }
+    let crashes = Report { holds: Vec::new(), ..there.shared(later) };
+    assert!(crashes.crashes.is_empty(), "{crashes:?}");
+}
+
+#[test]
+fn quarantine_is_lifted_at_all_vms() {
+    let now = Instant::now();
+    let (mut here, mut there) = (Quarantine::new(18), Quarantine::new(18));
+    crash(&mut here, 0, &["a"], now, SECOND / 10);
+    crash(&mut here, 1, &["a"], now + 5 * SECOND, SECOND / 10);
+    let later = now + 6 * SECOND;
+    assert!(is_quarantined(&mut here, "a", later));
+    there.merge(&here.shared(later), later);
+    assert!(is_quarantined(&mut there, "a", later));
+    let lifted = there.lift(&digest("a"), later);
+    here.merge(&lifted, later);
+    // A report of before does not bring it back.
+    let old = here.shared(later);
+    there.merge(&old, later);
+    for quarantine in [&mut here, &mut there] {
+        assert!(!is_quarantined(quarantine, "a", later));
+    }
+}
+
+#[test]
+fn quarantine_ends_and_the_next_crash_brings_it_back_at_once() {
+    let now = Instant::now();
+    let mut quarantine = Quarantine::new(18);
+    crash(&mut quarantine, 0, &["a"], now, SECOND / 10);
+    crash(&mut quarantine, 1, &["a"], now + 5 * SECOND, SECOND / 10);
+    assert!(is_quarantined(&mut quarantine, "a", now + 10 * SECOND));
+    let later = now + 3_600 * SECOND;
+    assert!(!is_quarantined(&mut quarantine, "a", later));
+    crash(&mut quarantine, 2, &["a"], later, SECOND / 10);
+    assert!(is_quarantined(&mut quarantine, "a", later + SECOND));
+}
+
+#[test]
+fn repeated_reports_change_nothing() {
+    // Guards against control VMs that pass the same report to each other for ever.
+    let now = Instant::now();
+    let (mut here, mut there) = (Quarantine::new(18), Quarantine::new(18));
+    crash(&mut here, 0, &["a", "b"], now, SECOND / 10);
+    crash(&mut here, 1, &["a"], now + 5 * SECOND, SECOND / 10);
+    here.lift(&digest("b"), now + 6 * SECOND);
+    here.heard_from(&upstream(0), Incarnation::new(1), now + 7 * SECOND, now + 7 * SECOND);
+    let mut later = now + 8 * SECOND;
+    is_quarantined(&mut here, "a", later);
+    there.merge(&here.shared(later), later);
+    let revisions = (here.revision(), there.revision());
+    for _ in 0..10 {
+        later += 5 * SECOND;
+        assert!(!there.merge(&here.shared(later), later + SECOND / 20));
+        assert!(!here.merge(&there.shared(later), later + SECOND / 20));
+    }
+    assert_eq!((here.revision(), there.revision()), revisions);
+}
--- a/src/directory/cache.rs
+++ b/src/directory/cache.rs
@@ -25,6 +25,8 @@
 pub const ROUTING_FILE: &str = "routing.copy";
 /// File name of the upstreams.
 pub const ROSTER_FILE: &str = "roster.copy";
+/// File name of the report on crashes.
+pub const CRASHES_FILE: &str = "crashes.copy";
 /// Length of the checksum that precedes the content.
 const CHECKSUM_BYTES: usize = 4;
 
--- a/src/directory/daemon.rs
+++ b/src/directory/daemon.rs
@@ -164,6 +164,7 @@
     spawn_task(supervisor, "proofs", service, prove::run);
     spawn_task(supervisor, "routing", service, tasks::mirror_routing);
     spawn_task(supervisor, "roster", service, tasks::save_roster);
+    spawn_task(supervisor, "crashes", service, tasks::share_crashes);
     spawn_task(supervisor, "traffic", service, tasks::log_traffic);
 }
 
--- a/src/directory/links.rs
+++ b/src/directory/links.rs
@@ -50,6 +50,7 @@
                 }
             }
             Cast::Heard(heard) => self.0.apply_broadcast(*heard, &from),
+            Cast::Quarantine(report) => self.0.apply_crash_report(report, &from),
             _ => (),
         }
     }
--- a/src/directory/service.rs
+++ b/src/directory/service.rs
@@ -12,9 +12,11 @@
 use bytes::Bytes;
 use slog::Logger;
 use slog::info;
+use tokio::sync::Notify;
 use tokio::sync::watch;
 use tokio::time::Instant;
 
+use self::quarantine::Published;
 use super::batching::Batching;
 use super::broadcast;
 use super::cache;
@@ -28,6 +30,8 @@
 use crate::control::Routes;
 use crate::control::Seat;
 use crate::decide::freshness::Freshness;
+use crate::decide::quarantine::Quarantine;
+use crate::decide::quarantine::Report;
 use crate::decide::retry::reserve::Reserve;
 use crate::group::Group;
 use crate::group::Status;
@@ -55,8 +59,11 @@
 
 mod follow;
 mod freshness;
+mod quarantine;
 mod repeats;
 
+pub use quarantine::REPEAT_INTERVAL as CRASH_REPEAT_INTERVAL;
+
 /// Timeout of a long poll by a follower. The empty response tells it that this VM is alive.
 pub const LONG_POLL_TIMEOUT: Duration = Duration::from_secs(1);
 /// Timeout for the presence of a VM, which is sent every [`LONG_POLL_TIMEOUT`]: one may be lost and
@@ -94,6 +101,11 @@
     up_to_date: watch::Sender<bool>,
     freshness: Mutex<Freshness>,
     reserve: Mutex<Reserve>,
+    quarantine: Mutex<Quarantine>,
+    crashes_changed: Notify,
+    /// The report on crashes for followers.
+    published: watch::Sender<Published>,
+    crash_cache: Cache<Report>,
     presence: Mutex<Presence>,
     broadcast: broadcast::Queue,
     routes: Arc<Routes>,
@@ -145,6 +157,12 @@
             info!(log, "roster.kept"; "upstreams" => upstreams.len());
             table.restore(upstreams, node.check_in * RESTORED_MISSED_CHECK_INS, Instant::now());
         }
+        let crash_cache = Cache::<Report>::new(&folder, cache::CRASHES_FILE);
+        let mut quarantine = Quarantine::default();
+        if let Some(report) = crash_cache.load(&log) {
+            info!(log, "crashes.kept"; "holds" => report.holds.len());
+            quarantine.merge(&report, Instant::now());
+        }
         let revision = table.revision();
         Self {
             seeds: Seeds::new(&node),
@@ -163,6 +181,10 @@
             up_to_date: watch::Sender::new(false),
             freshness: Mutex::default(),
             reserve: Mutex::new(reserve),
+            quarantine: Mutex::new(quarantine),
+            crashes_changed: Notify::new(),
+            published: watch::Sender::default(),
+            crash_cache,
             presence: Mutex::new(presence),
             broadcast: broadcast::Queue::default(),
             routes,
@@ -253,6 +275,7 @@
     pub fn announce(&self, announcement: Announcement) {
         let outcome = self.table().apply_announcement(announcement.clone(), Instant::now());
         self.metrics.record_check_in();
+        self.record_check_in(&announcement);
         let is_changed = outcome == Outcome::Changed;
         if is_changed {
             info!(self.log, "upstream.announced"; "upstream" => %announcement.id,
--- a/src/directory/service/follow.rs
+++ b/src/directory/service/follow.rs
@@ -49,7 +49,7 @@
                 None => self.wait_for_revision_after(revision).await,
             }
         };
-        self.wait_for_update(roster, follow.routing, follow.defers_routing).await;
+        self.wait_for_update(roster, (follow.routing, follow.defers_routing), follow.crashes).await;
         let mut followed = Followed {
             epoch: self.epoch,
             roster: None,
@@ -61,6 +61,7 @@
             piece: None,
             encoded_routing: None,
             routing_revision: None,
+            crashes: follow.crashes.and_then(|known| self.crash_report_after(known)),
         };
         match base {
             Some(base) => {
@@ -105,8 +106,8 @@
     async fn wait_for_update(
         &self,
         roster: impl Future<Output = ()>,
-        held: Version,
-        defers_routing: bool,
+        (held, defers_routing): (Version, bool),
+        crashes: Option<u64>,
     ) {
         let mut up_to_date = self.up_to_date.subscribe();
         let routing = async {
@@ -115,8 +116,15 @@
                 time::sleep(DEFERRED_ROUTING_DELAY).await;
             }
         };
+        let crashes = async {
+            match crashes {
+                Some(known) => self.wait_for_crash_report(known).await,
+                None => std::future::pending().await,
+            }
+        };
         let update = async {
             tokio::select! {
+                () = crashes => (),
                 _ = up_to_date.changed() => (),
                 () = roster => (),
                 () = routing => (),
--- a/src/directory/tasks.rs
+++ b/src/directory/tasks.rs
@@ -11,6 +11,7 @@
 
 use super::Service;
 use super::cache;
+use super::service::CRASH_REPEAT_INTERVAL;
 use super::service::LONG_POLL_TIMEOUT;
 use crate::routing::State;
 
@@ -64,6 +65,22 @@
         }
         service.refresh_table(now);
         service.refresh_reserve();
+        service.refresh_quarantine(now);
+    }
+}
+
+/// Publishes reports on crashes, and repeats them to the other control VMs, until shutdown.
+pub async fn share_crashes(service: Arc<Service>, mut stop: watch::Receiver<bool>) {
+    let repeat = async {
+        loop {
+            time::sleep(CRASH_REPEAT_INTERVAL).await;
+            service.repeat_crash_report();
+        }
+    };
+    tokio::select! {
+        () = service.publish_crash_reports() => (),
+        () = repeat => (),
+        _ = stop.wait_for(|stop| *stop) => (),
     }
 }
 
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -1,6 +1,7 @@
 //! Sends a request once to an upstream or VM and classifies the response by its head.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -20,6 +21,7 @@
 use super::State;
 use super::adapter::AttemptMeta;
 use super::adapter::ResponseMeta;
+use super::crashes;
 use super::headers;
 use super::relay::Job;
 use super::reservation::Reservation;
@@ -118,15 +120,17 @@
     }
 
     /// Ends a failed stream; its connection is dropped.
-    pub fn fail(self, state: &State, job: &Job) {
-        log_run_end(state, job, &self.reservation, self.started, "broke_off");
+    pub fn fail(self, state: &Arc<State>, job: &Job, is_lost: bool) {
+        if is_lost {
+            record_run_end(state, job, &self.reservation, self.started, End::BrokeOff);
+        }
         self.reservation.complete(Outcome::Failed);
     }
 }
 
 /// Sends the request and waits for the head of the response.
 pub async fn run(
-    state: &State,
+    state: &Arc<State>,
     job: &Job,
     (reservation, address): (Reservation, SocketAddr),
     options: &Options<'_>,
@@ -144,12 +148,12 @@
             return not_sent("the connection could not be established");
         }
         Ok(Err(Error::Lost(_))) => {
-            log_run_end(state, job, &reservation, started, "broke_off");
+            record_run_end(state, job, &reservation, started, End::BrokeOff);
             reservation.complete(Outcome::Failed);
             return AttemptResult::Indeterminate { reason: "the connection broke off" };
         }
         Err(_) => {
-            log_run_end(state, job, &reservation, started, "late");
+            record_run_end(state, job, &reservation, started, End::Late);
             reservation.complete(Outcome::Failed);
             return AttemptResult::Indeterminate { reason: "no answer began in time" };
         }
@@ -158,18 +162,30 @@
     classify(state, job, response, lease, (reservation, started), meta).await
 }
 
-/// Logs how a run ended that was not answered, with the lifetime of the upstream.
-pub(super) fn log_run_end(
-    state: &State,
+/// How a run ended that was not answered.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum End {
+    /// The connection broke off.
+    BrokeOff,
+    /// No answer began in time.
+    Late,
+}
+
+/// Records how a run ended that was not answered.
+fn record_run_end(
+    state: &Arc<State>,
     job: &Job,
     reservation: &Reservation,
     started: Instant,
-    end: &'static str,
+    end: End,
 ) {
     let Target::Upstream(upstream) = reservation.target() else { return };
-    info!(state.log(), "run.ended"; "request" => &job.call.id, "end" => end,
+    info!(state.log(), "run.ended"; "request" => &job.call.id, "end" => ?end,
         "upstream" => %upstream, "born" => state.upstream_born(upstream),
         "ran_ms" => started.elapsed().as_millis() as u64);
+    if end == End::BrokeOff {
+        crashes::record_break(state, job, upstream, started);
+    }
 }
 
 fn not_sent(reason: &'static str) -> AttemptResult {
@@ -223,7 +239,7 @@
 
 /// Classifies a response by its head and buffers its body unless it is streamed.
 async fn classify(
-    state: &State,
+    state: &Arc<State>,
     job: &Job,
     response: Response<Incoming>,
     lease: Lease,
@@ -290,7 +306,7 @@
 }
 
 async fn read_body(
-    state: &State,
+    state: &Arc<State>,
     job: &Job,
     response: Response<Incoming>,
     lease: Lease,
@@ -313,7 +329,7 @@
     }
     let collected = time::timeout_at(job.deadline, incoming.collect()).await;
     let Ok(Ok(collected)) = collected else {
-        log_run_end(state, job, &reservation, started, "broke_off");
+        record_run_end(state, job, &reservation, started, End::BrokeOff);
         reservation.complete(Outcome::Failed);
         return AttemptResult::Indeterminate { reason: "the answer broke off" };
     };
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -118,11 +118,13 @@
     let jitter = MAX_MOVE_JITTER.mul_f64((state.random() % 1024) as f64 / 1024.0);
     let peer = Peer::new(vm.clone(), Role::Control);
     let mut is_behind = false;
+    let mut crashes = 0;
+    state.report_known_crashes(&peer);
     loop {
         draining.mark_unchanged();
         let sent = clock::now();
         let can_defer = sources.lock().expect("no panic while locked").defers_routing(slot);
-        let call = fetch(state, &peer, slot, can_defer && !is_behind);
+        let call = fetch(state, &peer, slot, (can_defer && !is_behind, crashes));
         let followed = tokio::select! {
             followed = call => followed,
             // Draining must be reported before the pending call returns.
@@ -131,6 +133,7 @@
         let Some(followed) = followed else { return End::Failed };
         let is_fresh = followed.in_touch;
         let newest = followed.routing_revision;
+        crashes = followed.crashes.as_ref().map_or(crashes, |shared| shared.revision);
         let has_more = followed.piece.as_ref().is_some_and(|piece| piece.has_more);
         if !apply(state, vm, followed, sent) {
             return End::Failed;
@@ -152,7 +155,12 @@
     }
 }
 
-async fn fetch(state: &State, peer: &Peer, slot: usize, defers_routing: bool) -> Option<Followed> {
+async fn fetch(
+    state: &State,
+    peer: &Peer,
+    slot: usize,
+    (defers_routing, crashes): (bool, u64),
+) -> Option<Followed> {
     let region = Some(&state.node().region).filter(|_| slot != FULL_ROSTER);
     let cursor = state.merged().prepare_request(&peer.vm, region);
     let (presence, routing) = (state.next_presence(), state.routing().revision);
@@ -160,7 +168,9 @@
     let (epoch, roster, base) = (cursor.epoch, cursor.revision, Some(cursor.base));
     // A VM that has just started needs the first state that it can get.
     let defers_routing = defers_routing && routing > Version::ZERO;
-    let follow = Follow { presence, epoch, roster, only_of, routing, base, defers_routing };
+    let crashes = Some(crashes);
+    let follow =
+        Follow { presence, epoch, roster, only_of, routing, base, defers_routing, crashes };
     let reply = state.mesh()?.call(peer, Request::Follow(Box::new(follow)), CALL_TIMEOUT).await;
     match reply {
         Ok(Reply::Followed(followed)) => Some(*followed),
@@ -185,6 +195,14 @@
             }
         }
     }
+    if let Some(shared) = followed.crashes {
+        match ciborium::from_reader(&shared.report[..]) {
+            Ok(report) => state.apply_crash_report(&report),
+            Err(error) => {
+                warn!(state.log(), "crashes.unreadable"; "control" => %vm, "why" => %error);
+            }
+        }
+    }
     if let Some(proof) = followed.proof.and_then(|message| Proof::from_message(message, sent)) {
         state.apply_proof(proof);
     }
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -26,6 +26,10 @@
     repeats: Family<Labels, Counter>,
     first_event: Histogram,
     sharing_dropped: Counter,
+    crashes: Family<Labels, Counter>,
+    held_back: Family<Labels, Counter>,
+    suspects: Gauge,
+    quarantined: Gauge,
     upstreams: Gauge,
     limited: Gauge,
     draining: Gauge,
@@ -56,6 +60,18 @@
         let sharing_dropped = Counter::default();
         let text = "Datagrams of no VM of the region, or without sense";
         registry.register("sharing_dropped", text, sharing_dropped.clone());
+        let crashes = Family::<Labels, Counter>::default();
+        let text = "Crashes of upstreams that were found out, by evidence";
+        registry.register("crashes", text, crashes.clone());
+        let held_back = Family::<Labels, Counter>::default();
+        let text =
+            "Requests that were held back since upstreams crashed while running them, by reason";
+        registry.register("held_back", text, held_back.clone());
+        let suspects = Gauge::default();
+        let text = "Requests that were running on crashed upstreams";
+        registry.register("suspects", text, suspects.clone());
+        let quarantined = Gauge::default();
+        registry.register("quarantined", "Requests that are quarantined", quarantined.clone());
         let upstreams = Gauge::default();
         registry.register("upstreams", "Upstreams that take requests", upstreams.clone());
         let limited = Gauge::default();
@@ -80,6 +96,10 @@
             repeats,
             first_event,
             sharing_dropped,
+            crashes,
+            held_back,
+            suspects,
+            quarantined,
             upstreams,
             limited,
             draining,
@@ -117,6 +137,22 @@
         self.sharing_dropped.inc();
     }
 
+    /// Counts a crash of an upstream, or the withdrawal of one.
+    pub fn record_crash(&self, evidence: &'static str) {
+        self.crashes.get_or_create(&Labels { outcome: evidence }).inc();
+    }
+
+    /// Counts a request that was held back.
+    pub fn record_held_back(&self, reason: &'static str) {
+        self.held_back.get_or_create(&Labels { outcome: reason }).inc();
+    }
+
+    /// Sets the numbers of requests that are suspected and quarantined.
+    pub fn set_suspects(&self, suspects: usize, quarantined: usize) {
+        self.suspects.set(suspects as i64);
+        self.quarantined.set(quarantined as i64);
+    }
+
     /// Sets the number of upstreams that state a rate limit.
     pub fn set_limited(&self, limited: usize) {
         self.limited.set(limited as i64);
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -9,6 +9,7 @@
 pub mod attempt;
 pub mod call;
 pub mod caller;
+mod crashes;
 pub mod daemon;
 pub mod events;
 pub mod follow;
--- a/src/gateway/receive.rs
+++ b/src/gateway/receive.rs
@@ -1,6 +1,7 @@
 //! Request handling: authentication, routing and the response.
 
 use std::sync::Arc;
+use std::sync::OnceLock;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -166,6 +167,7 @@
         hop,
         is_retry,
         is_counted_here,
+        digest: OnceLock::new(),
     })
 }
 
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -2,10 +2,12 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::OnceLock;
 use std::time::Duration;
 
 use bytes::Bytes;
 use slog::info;
+use tokio::time;
 use tokio::time::Instant;
 
 use self::placement::Placement;
@@ -24,6 +26,8 @@
 use crate::decide::place::InFlight;
 use crate::decide::place::Work;
 use crate::decide::place::wait;
+use crate::decide::quarantine::Digest;
+use crate::decide::quarantine::Status;
 use crate::decide::quota;
 use crate::http::Ran;
 use crate::http::Reason;
@@ -49,6 +53,11 @@
 /// than a third of their timeout.
 const MAX_RETRY_AFTER: Duration = Duration::from_secs(2);
 
+/// Interval of checks whether a suspect can run apart from others.
+const APART_POLL: Duration = Duration::from_millis(20);
+/// Fraction of a caller's timeout for which a suspect may wait for that.
+const MAX_APART_WAIT_FRACTION: f64 = 0.5;
+
 /// The position of this VM on the path of a request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Hop {
@@ -68,6 +77,21 @@
     Refused,
 }
 
+/// Whether a request may go on to choose a target.
+enum Checked {
+    Now,
+    Later,
+}
+
+/// What is held against a request.
+enum Suspicion {
+    None,
+    /// One upstream crashed while running it.
+    Weak(Vec<id::Upstream>),
+    /// Several upstreams did.
+    Strong(Vec<id::Upstream>),
+}
+
 /// An amount charged to an organisation's allowance.
 #[derive(Debug, Clone, Copy)]
 pub struct Charge {
@@ -105,6 +129,22 @@
     pub is_retry: bool,
     /// Whether this VM is to count the request for the retry budget, when it is sent.
     pub is_counted_here: bool,
+    /// Identifies the request when it is resent; computed when it is first needed.
+    pub digest: OnceLock<Digest>,
+}
+
+impl Job {
+    /// Identifies the request when it is resent.
+    pub fn digest(&self) -> &Digest {
+        self.digest.get_or_init(|| {
+            let Call { method, host, target, .. } = &self.call;
+            Digest::of_call(
+                [method.as_str(), host, target.as_str()],
+                self.caller.name(),
+                &self.body,
+            )
+        })
+    }
 }
 
 /// The state of a request in progress.
@@ -120,6 +160,7 @@
     reached_upstream: bool,
     /// Whether the retry budget has yet to count the request.
     is_uncounted: bool,
+    suspicion: Suspicion,
     /// Permission for the next retry.
     permit: Option<Permit>,
     /// Attempts that may have been executed.
@@ -145,6 +186,7 @@
             refused_regions: Vec::new(),
             reached_upstream: job.is_retry,
             is_uncounted: job.is_counted_here,
+            suspicion: Suspicion::None,
             permit: None,
             job,
             executed: 0,
@@ -186,7 +228,15 @@
             if remaining < MIN_REMAINING {
                 return Err(self.refusal(Reason::TooLate, "no time is left"));
             }
+            match self.check_quarantine(remaining).await? {
+                Checked::Now => (),
+                Checked::Later => continue,
+            }
             let Some(placement) = self.choose_target() else {
+                if self.waits_apart(remaining) {
+                    time::sleep(APART_POLL).await;
+                    continue;
+                }
                 if self.can_wait() && self.state.wait_for_update(self.wait_deadline()).await {
                     continue;
                 }
@@ -252,6 +302,51 @@
         }
     }
 
+    /// Refuses a request that crashes upstreams, and delays one whose last crash has not been evaluated yet.
+    async fn check_quarantine(&mut self, remaining: Duration) -> Result<Checked, Refusal> {
+        self.suspicion = Suspicion::None;
+        match self.state.crash_status(&self.job) {
+            Status::Clear => Ok(Checked::Now),
+            Status::Suspect { avoid } if avoid.len() > 1 => {
+                self.suspicion = Suspicion::Strong(avoid);
+                Ok(Checked::Now)
+            }
+            Status::Suspect { avoid } => {
+                self.suspicion = Suspicion::Weak(avoid);
+                Ok(Checked::Now)
+            }
+            Status::Pending { time_left } if time_left + MIN_REMAINING < remaining => {
+                self.log_held_back("pending", time_left);
+                time::sleep(time_left).await;
+                Ok(Checked::Later)
+            }
+            Status::Pending { time_left } => Err(self.quarantined("pending", time_left)),
+            Status::Quarantined { time_left } => Err(self.quarantined("quarantined", time_left)),
+        }
+    }
+
+    fn quarantined(&self, reason: &'static str, time_left: Duration) -> Refusal {
+        self.log_held_back(reason, time_left);
+        let text = "upstreams crashed while running this request, it is not run again for now";
+        let refusal = Refusal::new(Reason::Quarantined, text).with_retry_after(time_left);
+        if self.executed > 0 { refusal.with_ran(Ran::Unknown) } else { refusal }
+    }
+
+    fn log_held_back(&self, reason: &'static str, time_left: Duration) {
+        self.state.metrics().record_held_back(reason);
+        info!(self.state.log(), "request.held_back"; "request" => &self.job.call.id,
+            "why" => reason, "digest" => %self.job.digest(), "attempts" => self.attempts(),
+            "left_ms" => time_left.as_millis() as u64);
+    }
+
+    /// Whether a request that crashed several upstreams waits until it can run apart from others like it.
+    fn waits_apart(&self, remaining: Duration) -> bool {
+        let timeout = self.job.deadline.saturating_duration_since(self.job.received_at);
+        matches!(self.suspicion, Suspicion::Strong(_))
+            && remaining > timeout.mul_f64(1.0 - MAX_APART_WAIT_FRACTION)
+            && self.state.place().has_open(&self.job.service)
+    }
+
     /// Records that a stream failed after its head was received.
     pub fn record_stream_failure(&mut self, reason: &'static str) {
         self.reached_upstream = true;
@@ -406,7 +501,12 @@
             "reads" => placement.prompt_tokens(),
             "own" => self.work.suffix.get(),
             "shared" => self.work.prefix.map(|shared| format!("{:x}", shared.key)));
-        (Reservation::new(self.state.clone(), target, service, held), address)
+        let digest = match &target {
+            Target::Upstream(upstream) => self.state.record_run(&self.job, upstream),
+            Target::Vm(..) => None,
+        };
+        let reservation = Reservation::new(self.state.clone(), target, service, held);
+        (reservation.with_digest(digest), address)
     }
 
     /// Logs a request to a cold upstream: how it came here, and which turn it takes.
--- a/src/gateway/relay/placement.rs
+++ b/src/gateway/relay/placement.rs
@@ -1,5 +1,6 @@
 //! Chooses the target of an attempt.
 
+use std::cmp::Reverse;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -7,11 +8,13 @@
 
 use super::Hop;
 use super::Relay;
+use super::Suspicion;
 use crate::decide::place;
 use crate::decide::place::Holder;
 use crate::decide::place::Query;
 use crate::decide::place::RegionCandidate;
 use crate::decide::place::RegionQuery;
+use crate::decide::route::rendezvous;
 use crate::gateway::reservation::Target;
 use crate::id;
 
@@ -94,8 +97,9 @@
         let holder = self.state.regions().holder(&passage, weight, now);
         let holds_prefix = holder == Holder::Local;
         let tried = &self.tried;
-        let demand = Query { service, work, tried, holds_prefix, urgent, max_wait: longest };
-        let here = if is_home { self.state.place().choose(&demand, now) } else { None };
+        let demand =
+            Query { service, work, tried, holds_prefix, urgent, max_wait: longest, only: None };
+        let here = if is_home { self.choose_upstream(&demand, now) } else { None };
         let offers = match self.job.hop {
             Hop::Ingress => {
                 let spread = || Duration::from_micros(self.state.random() % OFFER_JITTER_MICROS);
@@ -109,6 +113,33 @@
         self.first_reachable(better).or(here.map(Placement::Local))
     }
 
+    /// Chooses an upstream of this region. A suspect runs apart from others, so that the next crash shows which request
+    /// caused it; all VMs prefer the same upstream for it. One that crashed several upstreams runs nowhere else.
+    fn choose_upstream(&self, query: &Query<'_>, now: Instant) -> Option<place::Placement> {
+        let avoid = match &self.suspicion {
+            Suspicion::None => return self.state.place().choose(query, now),
+            Suspicion::Weak(avoid) | Suspicion::Strong(avoid) => avoid,
+        };
+        let digest = self.job.digest();
+        let mut apart = self.state.place().open(query.service);
+        {
+            let quarantine = self.state.quarantine();
+            apart.retain(|id| {
+                !avoid.contains(id) && !query.tried.contains(id) && quarantine.may_start(digest, id)
+            });
+        }
+        apart.sort_by_key(|id| Reverse(rendezvous::weight(digest.key(), id.as_str())));
+        let mut place = self.state.place();
+        let chosen = apart.iter().find_map(|id| {
+            let query = Query { only: Some(id), ..*query };
+            place.choose(&query, now)
+        });
+        match &self.suspicion {
+            Suspicion::Strong(_) => chosen,
+            _ => chosen.or_else(|| place.choose(query, now)),
+        }
+    }
+
     /// The first of the offered regions that has an available VM.
     fn first_reachable(
         &self,
--- a/src/gateway/reservation.rs
+++ b/src/gateway/reservation.rs
@@ -8,6 +8,7 @@
 use crate::decide::feedback::Feedback;
 use crate::decide::place::InFlight;
 use crate::decide::place::Outcome;
+use crate::decide::quarantine::Digest;
 use crate::id;
 
 /// The target of an attempt.
@@ -26,6 +27,9 @@
     service: String,
     held: Option<InFlight>,
     outcome: Outcome,
+    started: Instant,
+    /// The request, while it matters where suspects run.
+    digest: Option<Digest>,
 }
 
 impl Reservation {
@@ -33,7 +37,15 @@
     /// abandoned.
     pub fn new(state: Arc<State>, target: Target, service: &str, held: Option<InFlight>) -> Self {
         let outcome = Outcome::Abandoned;
-        Self { state, target, service: service.to_owned(), held, outcome }
+        let (service, started) = (service.to_owned(), Instant::now());
+        Self { state, target, service, held, outcome, started, digest: None }
+    }
+
+    /// Sets the request whose run is to be reported, if it matters where suspects run.
+    #[must_use]
+    pub fn with_digest(mut self, digest: Option<Digest>) -> Self {
+        self.digest = digest;
+        self
     }
 
     /// The target.
@@ -65,8 +77,15 @@
     fn drop(&mut self) {
         let now = Instant::now();
         match (&self.target, self.held.take()) {
-            (Target::Upstream(_), Some(held)) => {
+            (Target::Upstream(upstream), Some(held)) => {
                 self.state.place().record_end(held, self.outcome, now);
+                let is_answered = matches!(self.outcome, Outcome::Answered | Outcome::Error);
+                if let Some(digest) = &self.digest {
+                    self.state.record_run_end(digest, upstream, is_answered);
+                }
+                if is_answered {
+                    self.state.record_sign_of_life(upstream, self.started);
+                }
             }
             (Target::Vm(region, _), _) => {
                 self.state.regions().record_end(region, &self.service, self.outcome, now);
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -22,6 +22,7 @@
 
 use self::retries::Issuers;
 use super::Adapter;
+use super::crashes::Breaks;
 use super::metrics::Metrics;
 use crate::clock;
 use crate::decide::freshness;
@@ -29,6 +30,7 @@
 use crate::decide::freshness::Proof;
 use crate::decide::place::Balancer;
 use crate::decide::place::Regions;
+use crate::decide::quarantine::Quarantine;
 use crate::decide::quota::Meter;
 use crate::decide::retry::Budget;
 use crate::decide::retry::Budgets;
@@ -77,9 +79,9 @@
 
 /// The state of an entry daemon.
 pub struct State {
-    node: Arc<Node>,
+    pub(super) node: Arc<Node>,
     seeds: Seeds,
-    log: Logger,
+    pub(super) log: Logger,
     adapter: Arc<dyn Adapter>,
     routing: Mutex<Routing>,
     merged: Mutex<MergedTable>,
@@ -90,9 +92,11 @@
     /// The repeats that requests to services have earned.
     earned_repeats: Mutex<Budgets<String>>,
     issuers: Mutex<Issuers>,
+    pub(super) quarantine: Mutex<Quarantine>,
+    pub(super) breaks: Mutex<Breaks>,
     presence: Mutex<Presence>,
-    rng: Mutex<SmallRng>,
-    client: Client,
+    pub(super) rng: Mutex<SmallRng>,
+    pub(super) client: Client,
     mesh: OnceLock<Mesh>,
     draining: watch::Sender<bool>,
     /// Notifies of changes to the routing state and the roster.
@@ -108,7 +112,7 @@
     waiting: Arc<AtomicUsize>,
     /// When the last request arrived, in milliseconds since the start.
     last_request: AtomicU64,
-    metrics: Metrics,
+    pub(super) metrics: Metrics,
 }
 
 /// Counts a request until dropped.
@@ -153,7 +157,8 @@
             forwards: entry.map(|entry| entry.forwards),
             links: None,
         };
-        let position = Position::of_vm(&node.vm());
+        let vm = node.vm();
+        let position = Position::of_vm(&vm);
         let earned_repeats = Budgets::new(Budget::new(node.bounds.repeats.earned(), clock::now()));
         let merged = MergedTable::default().with_position(position, node.data_centres.clone());
         Self {
@@ -169,6 +174,8 @@
             meter: Mutex::new(Meter::new(SmallRng::from_rng(&mut rng), excess)),
             earned_repeats: Mutex::new(earned_repeats),
             issuers: Mutex::default(),
+            quarantine: Mutex::new(Quarantine::default().with_vm(vm)),
+            breaks: Mutex::default(),
             presence: Mutex::new(presence),
             rng: Mutex::new(rng),
             client: Client::new().with_connect(CONNECT_TIMEOUT),
@@ -233,6 +240,8 @@
             self.metrics.set_draining(place.draining_count());
             self.metrics.set_backing_off(place.backoff_count(Instant::now()));
         }
+        let (suspects, quarantined) = self.quarantine().counts(Instant::now());
+        self.metrics.set_suspects(suspects, quarantined);
         let version = self.routing().table.map_or(0, |table| table.version().get());
         self.metrics.encode(upstreams, vms, self.in_progress(), version)
     }
--- a/src/gateway/state/tests/region.rs
+++ b/src/gateway/state/tests/region.rs
@@ -280,8 +280,15 @@
     pub fn request(&mut self, nth: usize, now: Duration) {
         let (work, max_wait) = (Work::default(), Duration::MAX);
         let tried = &[];
-        let query =
-            Query { service: SERVICE, work, tried, holds_prefix: false, urgent: true, max_wait };
+        let query = Query {
+            service: SERVICE,
+            work,
+            tried,
+            holds_prefix: false,
+            urgent: true,
+            max_wait,
+            only: None,
+        };
         let vm = &mut self.vms[nth];
         let mut place = vm.state.place();
         let Some(placement) = place.choose(&query, Instant::now()) else { return };
--- a/src/gateway/state/tests/retries.rs
+++ b/src/gateway/state/tests/retries.rs
@@ -1,6 +1,7 @@
 //! Entry VMs that repeat what a failing service refuses, without a network.
 
 use std::sync::Arc;
+use std::sync::OnceLock;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -264,6 +265,7 @@
         hop: Hop::Ingress,
         is_retry: false,
         is_counted_here,
+        digest: OnceLock::new(),
     }
 }
 
--- a/src/gateway/state/upstreams.rs
+++ b/src/gateway/state/upstreams.rs
@@ -59,7 +59,9 @@
         let remote = self.remote_upstreams(&merged, &routing.evacuated);
         let vms = merged.entry_vm_count();
         let known_vms = peers.names.len();
+        let known_upstreams = merged.upstreams().count();
         drop(merged);
+        self.quarantine().set_upstreams(known_upstreams);
         if self.joined.get().is_some() {
             self.meter().set_vm_count(vms, now);
         }
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -39,6 +39,8 @@
 enum Next {
     Events(Bytes),
     End,
+    /// The connection broke off.
+    Lost,
     Broken(&'static str),
 }
 
@@ -88,8 +90,12 @@
                     }
                     return None;
                 }
-                Next::Broken(reason) => {
-                    if let Err(reason) = self.fail_over(reason).await {
+                next => {
+                    let (reason, is_lost) = match next {
+                        Next::Broken(reason) => (reason, false),
+                        _ => ("the connection broke off", true),
+                    };
+                    if let Err(reason) = self.fail_over(reason, is_lost).await {
                         self.outcome = "broken";
                         return Some(Err(Broken(reason.to_owned())));
                     }
@@ -104,7 +110,7 @@
         let frame = time::timeout_at(deadline, next_data(&mut source.incoming)).await;
         let bytes = match frame {
             Err(_) => return Next::Broken("the request deadline has passed"),
-            Ok(Some(Err(_))) => return Next::Broken("the connection broke off"),
+            Ok(Some(Err(_))) => return Next::Lost,
             Ok(Some(Ok(bytes))) => bytes,
             Ok(None) if self.events.has_partial() => {
                 return Next::Broken("the stream ended within an event");
@@ -128,11 +134,11 @@
     }
 
     /// Resumes the stream at another upstream if the route allows it.
-    async fn fail_over(&mut self, reason: &'static str) -> Result<(), &'static str> {
+    async fn fail_over(&mut self, reason: &'static str, is_lost: bool) -> Result<(), &'static str> {
         self.relay.record_stream_failure(reason);
         // Closing the connection cancels the request at the upstream.
         if let Some(source) = self.source.take() {
-            source.fail(&self.state, self.relay.job());
+            source.fail(&self.state, self.relay.job(), is_lost);
         }
         let job = self.relay.job();
         if !job.route.kind.is_repeatable() || Instant::now() >= job.deadline {
--- a/src/golden/tests.rs
+++ b/src/golden/tests.rs
@@ -13,6 +13,7 @@
 use crate::catalogue::Class;
 use crate::consensus;
 use crate::control;
+use crate::decide::quarantine;
 use crate::decide::sharing;
 use crate::decide::spill;
 use crate::directory;
@@ -70,6 +71,15 @@
     check_decoding::<wire::Reply>("wire-reply-without-repeats");
 }
 
+// Guards against a release that can't read the messages of one that tells only the VMs of its region of crashes.
+#[test]
+fn messages_of_a_release_that_shares_crashes_in_a_region_are_read() {
+    check_decoding::<wire::Frame>("wire-frame-without-shared-crashes");
+    check_decoding::<wire::Request>("wire-request-without-shared-crashes");
+    check_decoding::<wire::Reply>("wire-reply-without-shared-crashes");
+    check_decoding::<wire::Cast>("wire-cast-without-shared-crashes");
+}
+
 // Guards against a release that can't read the datagrams of one that does not share rate limits.
 #[test]
 fn messages_of_a_release_without_shared_limits_are_read() {
@@ -107,7 +117,12 @@
 fn files_of_control_vms() {
     check_cbor::<routing::state::Replicated>("routing-copy");
     check_cbor::<Vec<roster::Observed<roster::Announcement>>>("roster-copy");
-    let names = [directory::cache::ROUTING_FILE, directory::cache::ROSTER_FILE];
+    check_cbor::<quarantine::Report>("crashes-copy");
+    let names = [
+        directory::cache::ROUTING_FILE,
+        directory::cache::ROSTER_FILE,
+        directory::cache::CRASHES_FILE,
+    ];
     check_text("files.txt", &names.join("\n"));
 }
 
--- a/src/http/client.rs
+++ b/src/http/client.rs
@@ -1,6 +1,7 @@
 //! HTTP connections to upstreams and to other VMs: one request at a time on each, kept only after a whole answer.
 
 use std::collections::HashMap;
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
@@ -41,6 +42,22 @@
     Lost(String),
 }
 
+/// What a connection attempt shows of an upstream.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Probe {
+    /// The connection was accepted and stayed open.
+    Accepted,
+    /// It was refused.
+    Refused,
+    /// It was closed at once, as by a proxy without a target or an upstream with too many connections.
+    Closed,
+    /// There was no answer.
+    TimedOut,
+}
+
+/// How long an accepted connection must stay open.
+const PROBE_OPEN_TIME: Duration = Duration::from_millis(20);
+
 type Sender = http1::SendRequest<Full<Bytes>>;
 
 /// A connection that waits for its next request, and until when it may.
@@ -119,6 +136,22 @@
         }
     }
 
+    /// Opens a connection without sending anything.
+    pub async fn probe(&self, address: SocketAddr, limit: Duration) -> Probe {
+        let stream = match time::timeout(limit, TcpStream::connect(address)).await {
+            Ok(Ok(stream)) => stream,
+            Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused => {
+                return Probe::Refused;
+            }
+            Ok(Err(_)) => return Probe::Closed,
+            Err(_) => return Probe::TimedOut,
+        };
+        match time::timeout(PROBE_OPEN_TIME, stream.readable()).await {
+            Ok(_) => Probe::Closed,
+            Err(_) => Probe::Accepted,
+        }
+    }
+
     /// Takes a connection back after its answer was read whole.
     pub fn keep(&self, lease: Lease) {
         self.keep_for(lease, IDLE);
--- a/src/roster/merged.rs
+++ b/src/roster/merged.rs
@@ -158,7 +158,13 @@
         }
     }
 
-    /// An upstream that has not left.
+    /// The control VMs that are followed.
+    pub fn followed(&self) -> Vec<id::Vm> {
+        let followed = self.sources.iter().filter(|(_, source)| source.followed);
+        followed.map(|(vm, _)| vm.clone()).collect()
+    }
+
+    /// An upstream, if it is known.
     pub fn upstream(&self, id: &id::Upstream) -> Option<&Upstream> {
         self.upstreams.get(id)
     }
--- a/src/wire/message.rs
+++ b/src/wire/message.rs
@@ -178,6 +178,9 @@
     /// The follower receives routing states from another control VM and needs only their revision.
     #[serde(default, skip_serializing_if = "std::ops::Not::not")]
     pub defers_routing: bool,
+    /// The revision of the peer's report on crashes that the follower holds; none if it wants none.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub crashes: Option<u64>,
 }
 
 /// The changes that a follower lacked.
@@ -206,6 +209,18 @@
     /// The revision of the routing state, if it is newer and the follower defers it.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub routing_revision: Option<Version>,
+    /// The report on crashes, if it is newer.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub crashes: Option<SharedCrashes>,
+}
+
+/// A control VM's report on crashes.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct SharedCrashes {
+    /// Its revision.
+    pub revision: u64,
+    /// The encoded [`quarantine::Report`].
+    pub report: Bytes,
 }
 
 /// Records that a control VM has received since its last broadcast.
--- a/tests/load/crashes.rs
+++ b/tests/load/crashes.rs
@@ -18,6 +18,7 @@
 use crate::job::exponential;
 
 mod cases;
+mod fleet;
 
 const VMS: usize = 6;
 const UPSTREAMS: usize = 18;
@@ -216,7 +217,9 @@
                 self.incarnations[upstream] += 1;
                 self.up[upstream] = true;
             }
-            Event::Tell { vm, report } => self.quarantines[vm].merge(&report, now),
+            Event::Tell { vm, report } => {
+                self.quarantines[vm].merge(&report, now);
+            }
         }
     }
 
--- a/tests/load/restrictions/world.rs
+++ b/tests/load/restrictions/world.rs
@@ -109,7 +109,7 @@
 
 pub fn query(tried: &[id::Upstream]) -> Query<'_> {
     let (work, max_wait) = (Work::default(), Duration::MAX);
-    Query { service: SERVICE, work, tried, holds_prefix: false, urgent: true, max_wait }
+    Query { service: SERVICE, work, tried, holds_prefix: false, urgent: true, max_wait, only: None }
 }
 
 fn vm_name(rank: u32) -> id::Vm {
--- a/tests/load/streams/world.rs
+++ b/tests/load/streams/world.rs
@@ -340,8 +340,15 @@
         let weight = work.prefix.and_then(|shared| vm.place.rendezvous_weight(SERVICE, &shared));
         let holder = vm.regions.holder(&passage, weight, instant);
         let holds_prefix = holder == Holder::Local;
-        let demand =
-            Query { service: SERVICE, work, tried: &[], holds_prefix, urgent, max_wait: longest };
+        let demand = Query {
+            service: SERVICE,
+            work,
+            tried: &[],
+            holds_prefix,
+            urgent,
+            max_wait: longest,
+            only: None,
+        };
         let here = vm.place.choose(&demand, instant);
         let usual = vm.place.profile(SERVICE);
         let offers = match forwarded {
