Entry VMs connect to upstreams from the address of their settings

On a VM with several addresses the system chose one, so that neither a firewall nor a test could tell which VM a connection comes from. Where the address is not one of the VM, the system chooses as before.

--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -163,6 +163,7 @@
         let merged = MergedTable::default().with_position(position, node.data_centres.clone());
         Self {
             seeds: Seeds::new(&node),
+            client: Client::new().with_connect(CONNECT_TIMEOUT).with_source(node.ip),
             node,
             log,
             adapter,
@@ -178,7 +179,6 @@
             breaks: Mutex::default(),
             presence: Mutex::new(presence),
             rng: Mutex::new(rng),
-            client: Client::new().with_connect(CONNECT_TIMEOUT),
             mesh: OnceLock::new(),
             draining: watch::Sender::new(false),
             updates: watch::Sender::new(()),
--- a/src/http/client.rs
+++ b/src/http/client.rs
@@ -1,7 +1,9 @@
 //! HTTP connections to upstreams and to other VMs: one request at a time on each, kept only after a whole answer.
 
 use std::collections::HashMap;
+use std::io;
 use std::io::ErrorKind;
+use std::net::IpAddr;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
@@ -15,6 +17,7 @@
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
 use thiserror::Error;
+use tokio::net::TcpSocket;
 use tokio::net::TcpStream;
 use tokio::time;
 use tokio::time::Instant;
@@ -68,11 +71,12 @@
 pub struct Client {
     kept: Arc<Mutex<HashMap<SocketAddr, Vec<Kept>>>>,
     connect: Duration,
+    source: Option<IpAddr>,
 }
 
 impl Default for Client {
     fn default() -> Self {
-        Self { kept: Arc::default(), connect: CONNECT }
+        Self { kept: Arc::default(), connect: CONNECT, source: None }
     }
 }
 
@@ -97,6 +101,13 @@
         self
     }
 
+    /// The same, connecting from that address of this VM, where it is one.
+    #[must_use]
+    pub const fn with_source(mut self, source: IpAddr) -> Self {
+        self.source = Some(source);
+        self
+    }
+
     /// Sends a request and waits for the head of the answer. A kept connection that proves to be dead before a
     /// byte was written is replaced by a fresh one.
     pub async fn send(
@@ -126,7 +137,7 @@
         address: SocketAddr,
         request: Request<Full<Bytes>>,
     ) -> Result<(Response<Incoming>, Lease), Error> {
-        let mut lease = fresh(address, self.connect).await?;
+        let mut lease = self.fresh(address).await?;
         match lease.sender.try_send_request(request).await {
             Ok(response) => Ok((response, lease)),
             Err(mut failed) => match failed.take_message() {
@@ -138,7 +149,7 @@
 
     /// Opens a connection without sending anything.
     pub async fn probe(&self, address: SocketAddr, limit: Duration) -> Probe {
-        let stream = match time::timeout(limit, TcpStream::connect(address)).await {
+        let stream = match time::timeout(limit, dial(address, self.source)).await {
             Ok(Ok(stream)) => stream,
             Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused => {
                 return Probe::Refused;
@@ -200,20 +211,32 @@
         if let Some(sender) = self.kept(address) {
             return Ok(Lease { address, sender, fresh: false });
         }
-        fresh(address, self.connect).await
+        self.fresh(address).await
+    }
+
+    async fn fresh(&self, address: SocketAddr) -> Result<Lease, Error> {
+        let sender = time::timeout(self.connect, connect(address, self.source))
+            .await
+            .map_err(|_| Error::Unsent("connecting took too long".to_owned()))??;
+        Ok(Lease { address, sender, fresh: true })
     }
 }
 
-async fn fresh(address: SocketAddr, limit: Duration) -> Result<Lease, Error> {
-    let sender = time::timeout(limit, connect(address))
-        .await
-        .map_err(|_| Error::Unsent("connecting took too long".to_owned()))??;
-    Ok(Lease { address, sender, fresh: true })
+/// Opens a connection from an address of this VM. Where that is not an address of this VM, the system chooses one.
+async fn dial(address: SocketAddr, source: Option<IpAddr>) -> io::Result<TcpStream> {
+    let Some(source) = source.filter(|source| source.is_ipv4() == address.is_ipv4()) else {
+        return TcpStream::connect(address).await;
+    };
+    let socket = if source.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
+    match socket.bind(SocketAddr::new(source, 0)) {
+        Ok(()) => socket.connect(address).await,
+        Err(_) => TcpStream::connect(address).await,
+    }
 }
 
-async fn connect(address: SocketAddr) -> Result<Sender, Error> {
+async fn connect(address: SocketAddr, source: Option<IpAddr>) -> Result<Sender, Error> {
     let unsent = |error: &dyn std::error::Error| Error::Unsent(error.to_string());
-    let stream = TcpStream::connect(address).await.map_err(|error| unsent(&error))?;
+    let stream = dial(address, source).await.map_err(|error| unsent(&error))?;
     socket::prepare(&stream, None);
     let io = TokioIo::new(stream);
     let (sender, connection) = http1::handshake(io).await.map_err(|error| unsent(&error))?;
