RECOVER: a VM that reaches no upstream sends its requests through a peer of its region

Cause: a VM sent to an upstream of its region or to a VM of another region, never to a peer; VMs chose peers at random, three fifths of them as cut off as themselves; each connection that hung took 500 ms, and three of them ended the request.

Change: - decide::reach concludes from a VM's own requests whether it reaches upstreams: failures at several without an answer in between, or silence of all, raise a doubt, which probes settle; any answer ends it. Without reach, an accepted probe allows single trials; failed ones become rarer. - Without reach, a request goes to a peer of the region, one hop, else to another region; one that came from a VM is refused at once. A request that finds two upstreams unreachable goes to a peer third. - The VM's record says so to all others, which don't choose it for forwards. What it shares of upstreams is empty meanwhile. Kept connections are dropped; backoffs are forgotten once an upstream answers. - Log reach.lost with what it was concluded from, reach.regained; metric mastic_without_reach.

--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -11,6 +11,7 @@
 pub mod quarantine;
 pub mod queue;
 pub mod quota;
+pub mod reach;
 pub mod retry;
 pub mod route;
 pub mod sharing;
--- a/src/decide/place.rs
+++ b/src/decide/place.rs
@@ -266,6 +266,19 @@
         self.available(service).next().is_some()
     }
 
+    /// Returns how long nothing was received from any of the upstreams with running requests of this VM; `None` if there are
+    /// less than two of them.
+    pub fn silence(&self, now: Instant) -> Option<Duration> {
+        let busy = self.upstreams.values().filter(|upstream| upstream.running() > 0);
+        let quiet: Vec<Duration> = busy.map(|upstream| upstream.load(now).quiet).collect();
+        (quiet.len() > 1).then(|| quiet.into_iter().min().unwrap_or_default())
+    }
+
+    /// Forgets that upstreams could not be connected to.
+    pub fn forget_unreachable(&mut self) {
+        self.upstreams.values_mut().for_each(UpstreamState::forget_unreachable);
+    }
+
     /// Returns this VM's load on the upstreams of a shard, for the shard's host.
     pub fn loads(&self, shard: u8, now: Instant) -> Vec<(Key, Load)> {
         let upstreams = self.upstreams.values().filter(|upstream| upstream.key().shard() == shard);
--- a/src/decide/place/health.rs
+++ b/src/decide/place/health.rs
@@ -107,6 +107,11 @@
         }
     }
 
+    /// Forgets failures that were not the upstream's.
+    pub fn forget_unreachable(&mut self) {
+        *self = Self::default();
+    }
+
     /// Returns whether the upstream is in backoff after failed connection attempts.
     pub fn is_backing_off(&self, now: Instant) -> bool {
         self.backoff_until.is_some_and(|until| now < until)
--- a/src/decide/place/upstream.rs
+++ b/src/decide/place/upstream.rs
@@ -377,6 +377,11 @@
         self.health.record(outcome, now);
     }
 
+    /// Forgets that it could not be connected to.
+    pub fn forget_unreachable(&mut self) {
+        self.health.forget_unreachable();
+    }
+
     /// Records a load report.
     pub fn record_report(&mut self, report: Report, now: Instant) {
         let own_running = self.running.saturating_sub(self.unread);
--- a/src/directory/service.rs
+++ b/src/directory/service.rs
@@ -140,6 +140,7 @@
             callers: None,
             forwards: None,
             links: Some(SocketAddr::new(node.ip, node.link_port)),
+            without_reach: false,
         };
         let folder = node.control.as_ref().map(|control| control.folder.clone());
         let folder = folder.unwrap_or_default();
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -144,6 +144,7 @@
     let (response, lease) = match sent {
         Ok(Ok(sent)) => sent,
         Ok(Err(Error::Unsent(_))) => {
+            record_no_answer(state, &reservation);
             reservation.complete(Outcome::Unreachable);
             return not_sent("the connection could not be established");
         }
@@ -171,6 +172,13 @@
     Late,
 }
 
+/// Records that a request had no answer, which may be due to this VM's path to the upstream.
+fn record_no_answer(state: &State, reservation: &Reservation) {
+    if let Target::Upstream(upstream) = reservation.target() {
+        state.record_no_answer(upstream);
+    }
+}
+
 /// Records how a run ended that was not answered.
 fn record_run_end(
     state: &Arc<State>,
@@ -183,6 +191,7 @@
     info!(state.log(), "run.ended"; "request" => &job.call.id, "end" => ?end,
         "upstream" => %upstream, "born" => state.upstream_born(upstream),
         "ran_ms" => started.elapsed().as_millis() as u64);
+    record_no_answer(state, reservation);
     if end == End::BrokeOff {
         crashes::record_break(state, job, upstream, started);
     }
@@ -252,6 +261,7 @@
                 state.place().record_report(upstream, load, Instant::now());
             }
         }
+        Target::Vm(region, _) if *region == state.node().region => (),
         Target::Vm(region, _) => record_outlook(state, region, job, &response),
     }
     // Guards against a late response on a reused connection, which would deliver another caller's
--- a/src/gateway/crashes.rs
+++ b/src/gateway/crashes.rs
@@ -246,7 +246,7 @@
 
 /// Whether this VM reaches an upstream of its region at another address, if there is one.
 async fn reaches_another(state: &State, address: SocketAddr) -> bool {
-    let witnesses = state.some_addresses(MAX_WITNESSES, address);
+    let witnesses = state.some_addresses(MAX_WITNESSES, Some(address));
     if witnesses.is_empty() {
         return true;
     }
@@ -294,15 +294,26 @@
         })
     }
 
-    /// The addresses of some upstreams of this region, except one.
-    fn some_addresses(&self, count: usize, except: SocketAddr) -> Vec<SocketAddr> {
+    /// The addresses of the upstreams of this region that take requests.
+    pub(super) fn upstream_addresses(&self) -> Vec<SocketAddr> {
         let merged = self.merged();
-        let known = merged.upstreams().filter(|known| {
+        let usable = merged.upstreams().filter(|known| {
             let region = self.node.region_of(&known.record.data_centre);
             let is_usable = known.record.standing == Standing::Ready && !known.silent;
-            is_usable && region == Some(&self.node.region) && known.record.address != except
+            is_usable && region == Some(&self.node.region)
         });
+        usable.map(|known| known.record.address).collect()
+    }
+
+    /// Some of these addresses, except one.
+    pub(super) fn some_addresses(
+        &self,
+        count: usize,
+        except: Option<SocketAddr>,
+    ) -> Vec<SocketAddr> {
+        let all = self.upstream_addresses();
+        let others = all.into_iter().filter(|address| Some(*address) != except);
         let mut rng = self.rng.lock().expect("no panic while locked");
-        known.map(|known| known.record.address).choose_multiple(&mut *rng, count)
+        others.choose_multiple(&mut *rng, count)
     }
 }
--- a/src/gateway/daemon.rs
+++ b/src/gateway/daemon.rs
@@ -19,6 +19,7 @@
 use super::Adapter;
 use super::State;
 use super::follow;
+use super::reach;
 use super::receive;
 use super::sharing;
 use crate::entry::daemon::Error;
@@ -96,6 +97,8 @@
             // reserved for the VMs.
             info!(log, "sharing.off"; "why" => "the network is not closed");
         }
+        let (checking, stop) = (state.clone(), supervisor.stop());
+        supervisor.child("reach", move || reach::run(checking.clone(), stop.clone()));
         let (reporting, stop) = (state.clone(), supervisor.stop());
         supervisor.child("restrictions", move || {
             let (state, mut stop) = (reporting.clone(), stop.clone());
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -30,6 +30,7 @@
     held_back: Family<Labels, Counter>,
     suspects: Gauge,
     quarantined: Gauge,
+    without_reach: Gauge,
     upstreams: Gauge,
     limited: Gauge,
     draining: Gauge,
@@ -72,6 +73,9 @@
         registry.register("suspects", text, suspects.clone());
         let quarantined = Gauge::default();
         registry.register("quarantined", "Requests that are quarantined", quarantined.clone());
+        let without_reach = Gauge::default();
+        let text = "Whether this VM reaches none of the upstreams of its region";
+        registry.register("without_reach", text, without_reach.clone());
         let upstreams = Gauge::default();
         registry.register("upstreams", "Upstreams that take requests", upstreams.clone());
         let limited = Gauge::default();
@@ -100,6 +104,7 @@
             held_back,
             suspects,
             quarantined,
+            without_reach,
             upstreams,
             limited,
             draining,
@@ -153,6 +158,11 @@
         self.quarantined.set(quarantined as i64);
     }
 
+    /// Sets whether this VM reaches upstreams.
+    pub fn set_reach(&self, is_reached: bool) {
+        self.without_reach.set(i64::from(!is_reached));
+    }
+
     /// Sets the number of upstreams that state a rate limit.
     pub fn set_limited(&self, limited: usize) {
         self.limited.set(limited as i64);
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -15,6 +15,7 @@
 pub mod follow;
 pub mod headers;
 pub mod metrics;
+mod reach;
 pub mod receive;
 pub mod relay;
 pub mod reservation;
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -161,6 +161,8 @@
     /// Whether the retry budget has yet to count the request.
     is_uncounted: bool,
     suspicion: Suspicion,
+    /// Upstreams that could not be connected to.
+    unreachable: u32,
     /// Permission for the next retry.
     permit: Option<Permit>,
     /// Attempts that may have been executed.
@@ -187,6 +189,7 @@
             reached_upstream: job.is_retry,
             is_uncounted: job.is_counted_here,
             suspicion: Suspicion::None,
+            unreachable: 0,
             permit: None,
             job,
             executed: 0,
@@ -265,6 +268,7 @@
                     return Err(self.refusal(Reason::UpstreamFailed, text));
                 }
             }
+            let is_local = matches!(placement, Placement::Local(_));
             match self.attempt(placement, remaining, resume_after).await {
                 AttemptResult::Response(opened) if self.should_try_another(&opened) => {
                     self.executed += 1;
@@ -286,7 +290,7 @@
                             self.reached_upstream |= reached_upstream;
                             self.retry_after = retry_after.or(self.retry_after);
                         }
-                        Stage::NotSent => (),
+                        Stage::NotSent => self.unreachable += u32::from(is_local),
                     }
                     self.log("attempt.not_run", reason);
                 }
@@ -461,7 +465,7 @@
     ) -> AttemptResult {
         let response_timeout = self.attempt_timeout(placement.expected(), remaining);
         let reserved = self.reserve(&placement);
-        let is_forwarded = matches!(placement, Placement::Remote { .. });
+        let is_forwarded = !matches!(placement, Placement::Local(_));
         let options = attempt::Options {
             response_timeout,
             resume_after,
@@ -488,7 +492,7 @@
                 self.log_cold_send(&held);
                 (Target::Upstream(fit.id.clone()), Some(held), fit.address)
             }
-            Placement::Remote { vm, address, .. } => {
+            Placement::Remote { vm, address, .. } | Placement::Peer { vm, address, .. } => {
                 self.tried_vms.push(vm.clone());
                 (placement.target(), None, *address)
             }
--- a/src/gateway/relay/placement.rs
+++ b/src/gateway/relay/placement.rs
@@ -21,10 +21,24 @@
 /// Random jitter that spreads requests over regions of similar cost.
 const OFFER_JITTER_MICROS: u64 = 20_000;
 
+/// Upstreams that a request may find unreachable before it is sent to a peer.
+const MAX_UNREACHABLE: u32 = 2;
+
 /// The target of the next attempt.
 pub(super) enum Placement {
     Local(place::Placement),
-    Remote { vm: id::Vm, address: SocketAddr, offer: RegionCandidate },
+    Remote {
+        vm: id::Vm,
+        address: SocketAddr,
+        offer: RegionCandidate,
+    },
+    /// Another VM of this region, which reaches upstreams that this VM does not.
+    Peer {
+        vm: id::Vm,
+        address: SocketAddr,
+        region: id::Region,
+        expected: Duration,
+    },
 }
 
 impl Placement {
@@ -32,6 +46,7 @@
         match self {
             Self::Local(fit) => fit.first_event,
             Self::Remote { offer, .. } => offer.first_event,
+            Self::Peer { expected, .. } => *expected,
         }
     }
 
@@ -40,6 +55,7 @@
         match self {
             Self::Local(fit) => fit.last_event,
             Self::Remote { offer, .. } => offer.last_event,
+            Self::Peer { expected, .. } => *expected,
         }
     }
 
@@ -47,7 +63,7 @@
     pub(super) fn prompt_tokens(&self) -> Option<u64> {
         match self {
             Self::Local(fit) => Some(fit.prefill.get()),
-            Self::Remote { .. } => None,
+            Self::Remote { .. } | Self::Peer { .. } => None,
         }
     }
 
@@ -55,7 +71,7 @@
     pub(super) fn running(&self) -> Option<u32> {
         match self {
             Self::Local(fit) => Some(fit.running),
-            Self::Remote { .. } => None,
+            Self::Remote { .. } | Self::Peer { .. } => None,
         }
     }
 
@@ -64,7 +80,7 @@
     pub(super) fn load_age_ms(&self) -> Option<u64> {
         match self {
             Self::Local(fit) => fit.load_age.map(|age| age.as_millis() as u64),
-            Self::Remote { .. } => None,
+            Self::Remote { .. } | Self::Peer { .. } => None,
         }
     }
 
@@ -72,6 +88,7 @@
         match self {
             Self::Local(fit) => Target::Upstream(fit.id.clone()),
             Self::Remote { vm, offer, .. } => Target::Vm(offer.region.clone(), vm.clone()),
+            Self::Peer { vm, region, .. } => Target::Vm(region.clone(), vm.clone()),
         }
     }
 }
@@ -99,7 +116,15 @@
         let tried = &self.tried;
         let demand =
             Query { service, work, tried, holds_prefix, urgent, max_wait: longest, only: None };
-        let here = if is_home { self.choose_upstream(&demand, now) } else { None };
+        let may_send = is_home && self.state.may_send_here(self.job.route.kind.is_repeatable());
+        let needs_peer = is_home && (!may_send || self.unreachable >= MAX_UNREACHABLE);
+        if needs_peer
+            && self.job.hop == Hop::Ingress
+            && let Some(peer) = self.choose_peer(now)
+        {
+            return Some(peer);
+        }
+        let here = if may_send { self.choose_upstream(&demand, now) } else { None };
         let offers = match self.job.hop {
             Hop::Ingress => {
                 let spread = || Duration::from_micros(self.state.random() % OFFER_JITTER_MICROS);
@@ -113,6 +138,17 @@
         self.first_reachable(better).or(here.map(Placement::Local))
     }
 
+    /// Chooses another VM of this region.
+    fn choose_peer(&self, now: Instant) -> Option<Placement> {
+        let region = self.state.node().region.clone();
+        let (vm, address) = self.state.random_vm_in(&region, &self.tried_vms)?;
+        let (service, urgent) = (&self.job.service, self.job.urgent);
+        let outlook = self.state.place().outlook(service, urgent, now);
+        let expected = outlook.map_or(self.job.route.objective, |outlook| outlook.wait);
+        let expected = expected.min(self.max_wait());
+        Some(Placement::Peer { vm, address, region, expected })
+    }
+
     /// Chooses an upstream of this region. A suspect runs apart from others, so that the next crash shows which request
     /// caused it; all VMs prefer the same upstream for it. One that crashed several upstreams runs nowhere else.
     fn choose_upstream(&self, query: &Query<'_>, now: Instant) -> Option<place::Placement> {
--- a/src/gateway/reservation.rs
+++ b/src/gateway/reservation.rs
@@ -55,6 +55,9 @@
 
     /// Records an event of the response, or a complete response.
     pub fn record_event(&mut self) {
+        if let Target::Upstream(_) = self.target {
+            self.state.record_answer();
+        }
         if let Some(held) = &mut self.held {
             self.state.place().record_event(held, Instant::now());
         }
@@ -80,6 +83,9 @@
             (Target::Upstream(upstream), Some(held)) => {
                 self.state.place().record_end(held, self.outcome, now);
                 let is_answered = matches!(self.outcome, Outcome::Answered | Outcome::Error);
+                if is_answered || self.outcome == Outcome::Refused {
+                    self.state.record_answer();
+                }
                 if let Some(digest) = &self.digest {
                     self.state.record_run_end(digest, upstream, is_answered);
                 }
@@ -87,6 +93,8 @@
                     self.state.record_sign_of_life(upstream, self.started);
                 }
             }
+            // What a peer of this region answers tells nothing of another region.
+            (Target::Vm(region, _), _) if *region == self.state.node().region => (),
             (Target::Vm(region, _), _) => {
                 self.state.regions().record_end(region, &self.service, self.outcome, now);
             }
--- a/src/gateway/sharing.rs
+++ b/src/gateway/sharing.rs
@@ -186,9 +186,12 @@
         if let Some(lost) = &turn.failed {
             warn!(state.log(), "sharing.host_lost"; "shard" => shard, "host" => %lost, "next" => %turn.host);
         }
+        let has_reach = state.reaches_upstreams();
         let (loads, used, limits, draining) = {
             let mut place = state.place();
-            let (loads, used) = (place.loads(shard, now), place.take_uses(shard));
+            // The failures of a VM without reach say nothing of the upstreams.
+            let loads = if has_reach { place.loads(shard, now) } else { Vec::new() };
+            let used = place.take_uses(shard);
             (loads, used, place.rate_notices(shard, now), place.draining(shard))
         };
         let mut update = self.update(shard, turn.number, loads, used);
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -16,6 +16,7 @@
 use rand::rngs::SmallRng;
 use slog::Logger;
 use slog::info;
+use tokio::sync::Notify;
 use tokio::sync::watch;
 use tokio::time;
 use tokio::time::Instant;
@@ -32,6 +33,7 @@
 use crate::decide::place::Regions;
 use crate::decide::quarantine::Quarantine;
 use crate::decide::quota::Meter;
+use crate::decide::reach::Reach;
 use crate::decide::retry::Budget;
 use crate::decide::retry::Budgets;
 use crate::http::client::Client;
@@ -94,11 +96,15 @@
     issuers: Mutex<Issuers>,
     pub(super) quarantine: Mutex<Quarantine>,
     pub(super) breaks: Mutex<Breaks>,
+    pub(super) reach: Mutex<Reach>,
+    /// Notifies of requests that failed without an answer.
+    pub(super) reach_doubts: Notify,
     presence: Mutex<Presence>,
     pub(super) rng: Mutex<SmallRng>,
     pub(super) client: Client,
     mesh: OnceLock<Mesh>,
-    draining: watch::Sender<bool>,
+    /// Also notifies of other changes that control VMs are to hear of at once.
+    pub(super) draining: watch::Sender<bool>,
     /// Notifies of changes to the routing state and the roster.
     updates: watch::Sender<()>,
     started: Instant,
@@ -156,6 +162,7 @@
             callers: entry.map(|entry| entry.callers),
             forwards: entry.map(|entry| entry.forwards),
             links: None,
+            without_reach: false,
         };
         let vm = node.vm();
         let position = Position::of_vm(&vm);
@@ -177,6 +184,8 @@
             issuers: Mutex::default(),
             quarantine: Mutex::new(Quarantine::default().with_vm(vm)),
             breaks: Mutex::default(),
+            reach: Mutex::default(),
+            reach_doubts: Notify::new(),
             presence: Mutex::new(presence),
             rng: Mutex::new(rng),
             mesh: OnceLock::new(),
@@ -409,10 +418,10 @@
 
     /// The presence to report next, with an increased sequence number.
     pub fn next_presence(&self) -> Presence {
-        let ready = self.accepts_requests();
+        let (ready, without_reach) = (self.accepts_requests(), !self.reaches_upstreams());
         let mut presence = self.presence.lock().expect("no panic while locked");
         presence.stamp.sequence += 1;
-        presence.ready = ready;
+        (presence.ready, presence.without_reach) = (ready, without_reach);
         presence.clone()
     }
 
--- a/src/gateway/state/roster.rs
+++ b/src/gateway/state/roster.rs
@@ -70,17 +70,20 @@
         self.node.entry.as_ref().map_or(Duration::ZERO, |entry| entry.directory_time)
     }
 
-    /// Chooses a random available entry VM of the region that is not in `tried`.
+    /// Chooses a random other entry VM of the region that is available and reaches upstreams, and is not in `tried`.
     pub fn random_vm_in(
         &self,
         region: &id::Region,
         tried: &[id::Vm],
     ) -> Option<(id::Vm, SocketAddr)> {
+        let own_vm = self.node.vm();
         let merged = self.merged();
         let ready = merged.vms(Role::Entry).filter(|vm| {
             vm.region == *region
                 && vm.ready
                 && vm.standing == Standing::Ready
+                && !vm.without_reach
+                && vm.vm != own_vm
                 && !tried.contains(&vm.vm)
         });
         let mut rng = self.rng.lock().expect("no panic while locked");
--- a/src/golden/tests.rs
+++ b/src/golden/tests.rs
@@ -80,6 +80,13 @@
     check_decoding::<wire::Cast>("wire-cast-without-shared-crashes");
 }
 
+// Guards against a release that can't read the records of one whose VMs don't tell whether they reach upstreams.
+#[test]
+fn records_of_a_release_without_reach_are_read() {
+    check_decoding::<roster::Delta>("roster-delta-without-reach");
+    check_decoding::<roster::piece::Change>("roster-change-without-reach");
+}
+
 // Guards against a release that can't read the datagrams of one that does not share rate limits.
 #[test]
 fn messages_of_a_release_without_shared_limits_are_read() {
--- a/src/roster/fixture.rs
+++ b/src/roster/fixture.rs
@@ -19,5 +19,6 @@
         callers: None,
         forwards: None,
         links: None,
+        without_reach: false,
     }
 }
--- a/src/roster/presence.rs
+++ b/src/roster/presence.rs
@@ -48,6 +48,9 @@
     /// The address for links from other VMs; none on an entry VM.
     #[serde(rename = "l", alias = "links")]
     pub links: Option<SocketAddr>,
+    /// Whether an entry VM reaches none of the upstreams of its region, so that other VMs should not forward requests to it.
+    #[serde(rename = "u", default, skip_serializing_if = "std::ops::Not::not")]
+    pub without_reach: bool,
 }
 
 impl Presence {
@@ -55,14 +58,16 @@
     pub fn digest(&self) -> u64 {
         let identity = (&self.vm, self.role, &self.region, &self.data_centre);
         let addresses = (self.callers, self.forwards, self.links);
-        digest(&(
+        let all = digest(&(
             identity,
             self.stamp.start_time_ms,
             self.nonce,
             self.standing,
             self.ready,
             addresses,
-        ))
+        ));
+        // Without the field, the digest is that of a release that does not have it.
+        if self.without_reach { digest(&(all, "without reach")) } else { all }
     }
 
     /// Whether other VMs need to know of this record, given the last one.
@@ -70,6 +75,7 @@
         (self.stamp.start_time_ms, self.nonce) != (last.stamp.start_time_ms, last.nonce)
             || self.standing != last.standing
             || self.ready != last.ready
+            || self.without_reach != last.without_reach
             || (self.callers, self.forwards, self.links)
                 != (last.callers, last.forwards, last.links)
     }
--- a/tests/fleet/world.rs
+++ b/tests/fleet/world.rs
@@ -239,6 +239,7 @@
         callers: Some(([10, 0, 0, 1], 1).into()),
         forwards: Some(([10, 0, 0, 1], 2).into()),
         links: None,
+        without_reach: false,
     }
 }
 
