--- a/src/decide/feedback.rs
+++ b/src/decide/feedback.rs
@@ -3,11 +3,11 @@
 //! **Load pattern.** An engine runs short of something that its load does not show. It still answers, and states with
 //! each answer how many requests a second it takes from all VMs together. Another upstream is about to stop; its
 //! check-in reaches a control VM on the minority side of a partition, and none of the VMs that follow the others. A
-//! third one refuses each request at once and asks for a pause.
+//! third one refuses each request at once and asks for a pause. A fourth one crashes if it has to refuse many requests.
 //!
 //! **Without it.** The engine answers as fast as before, so placement sends it as much as before, and more if its
 //! neighbours are busier. VMs that receive from each answer of the other upstream that it is draining send it requests
-//! until it is gone. The third one looks idle and is sent more than before.
+//! until it is gone. The third one looks idle and is sent more than before, and so does the fourth until it crashes.
 //!
 //! **Decision.** The head of each response is decoded once into a [`Feedback`]. The [`Restrictions`] of an upstream
 //! hold what it stated, until it restarts, and placement obeys them before it compares costs. VMs pass it on to the
@@ -61,6 +61,8 @@
     pub is_refusal: bool,
     /// The requests that it takes from all VMs together, for as long as it states this.
     pub rate_limit: Statement<Rate>,
+    /// The requests a second that it can refuse for want of room; with more of them it crashes.
+    pub refusal_limit: Statement<Rate>,
     /// Whether it is about to stop and wants no new requests.
     pub draining: Statement<bool>,
     /// For how long it wants no requests from this VM.
--- a/src/decide/feedback/tests.rs
+++ b/src/decide/feedback/tests.rs
@@ -249,3 +249,28 @@
     }
     assert_eq!(lines, 3);
 }
+
+// Guards against an upstream that crashes since all VMs go on sending it requests that it has no room for.
+#[tokio::test(start_paused = true)]
+async fn a_full_upstream_that_can_refuse_few_requests_gets_few_until_it_answers() {
+    let start = Instant::now();
+    let (one, refusal_limit) = (sender(0), Statement::Value(Rate::per_second(8.0)));
+    let refusal =
+        Feedback { is_refusal: true, refusal_limit: refusal_limit.clone(), ..Feedback::default() };
+    let answer = Feedback { refusal_limit, ..Feedback::default() };
+    let mut upstream = Restrictions::default();
+    upstream.record(&answer, start, start);
+    assert_eq!(upstream.limit.rate(), None);
+    let mut sent = 0;
+    for millis in (0..3000).step_by(10) {
+        let now = after(start, millis);
+        if upstream.allows(key(), &one, now) {
+            upstream.record_sent(key(), &one, now);
+            upstream.record(&refusal, now, now);
+            sent += u32::from(millis >= 1000);
+        }
+    }
+    assert!((2..=8).contains(&sent), "{sent} requests in 2 s");
+    upstream.record(&answer, after(start, 3000), after(start, 3050));
+    assert_eq!(upstream.limit.rate(), None);
+}
