Own interface: news of crashes reach the VMs of all regions, and those that have just started

They stayed in the region of the crash, and a VM that started knew none. Some VMs of each other region are told and pass on what is new; two VMs tell one that appears. Not held: a restart of all entry VMs at once, since they have no disk.

--- a/src/entry/dispatch/suspects.rs
+++ b/src/entry/dispatch/suspects.rs
@@ -25,8 +25,13 @@
         self.quarantine.answered(&job.suspicion, upstream, now)
     }
 
-    /// Takes what another VM saw of upstreams that died.
-    pub fn reported(&mut self, report: &Report, now: Instant) {
-        self.quarantine.merge(report, now);
+    /// Takes what another VM saw of upstreams that died; returns whether it is new.
+    pub fn reported(&mut self, report: &Report, now: Instant) -> bool {
+        self.quarantine.merge(report, now)
+    }
+
+    /// All that is known of upstreams that died, for a VM that has just started.
+    pub fn known_crashes(&self, now: Instant) -> Report {
+        self.quarantine.report(now)
     }
 }
--- a/src/entry/hub/region.rs
+++ b/src/entry/hub/region.rs
@@ -7,6 +7,7 @@
 use tokio::time::Instant;
 
 use crate::decide::quarantine;
+use crate::decide::route::rendezvous;
 use crate::entry::Hub;
 use crate::entry::fleet::Effect;
 use crate::entry::fleet::Place;
@@ -19,6 +20,9 @@
 use crate::wire::Peer;
 use crate::wire::Role;
 
+/// VMs that tell one that has just started of crashes.
+const NEWCOMER_SOURCES: usize = 2;
+
 impl Hub {
     /// Takes an upstream's announcement; false where a newer one is known, or it has left.
     pub fn announce(&self, announcement: Announcement) -> bool {
@@ -79,13 +83,39 @@
         self.carry_out(effects);
     }
 
-    /// Tells the VMs of the region what this one saw of upstreams that died; a report without content is not sent.
+    /// Tells the VMs of the region, and some of each other region, what this one saw of upstreams that crashed; an empty report
+    /// is not sent.
     pub fn tell(&self, report: &quarantine::Report) {
-        if report.crashes.is_empty() && report.cleared.is_empty() {
-            return;
+        self.cast_crashes(self.neighbours(), report);
+        let away = self.some_away().into_iter().map(|vm| Peer::new(vm, Role::Entry));
+        self.cast_crashes(away.collect(), report);
+    }
+
+    /// Takes what another VM tells of crashes. News of another region are passed on to the VMs of this one.
+    pub fn crashes_told(&self, from: &Peer, report: &quarantine::Report) {
+        let is_new = self.dispatch().reported(report, Instant::now());
+        let sender = self.site.vms.get(&from.vm);
+        if is_new && sender.is_some_and(|vm| vm.region != self.place.region) {
+            self.cast_crashes(self.neighbours(), report);
         }
-        let Some(mesh) = self.mesh() else { return };
-        for peer in self.neighbours() {
+    }
+
+    /// Tells a VM that has just appeared what is known of crashes. Two VMs do so, by rendezvous hashing.
+    fn tell_newcomer(&self, vm: &id::Vm) {
+        let members = self.fleet().alive();
+        let key = rendezvous::weight(0, vm.as_str());
+        let others = members.iter().filter(|other| *other != vm);
+        let tells =
+            rendezvous::top(key, others.map(|other| (other, other.as_str())), NEWCOMER_SOURCES);
+        if tells.contains(&&self.me) {
+            let report = self.dispatch().known_crashes(Instant::now());
+            self.cast_crashes(vec![Peer::new(vm.clone(), Role::Entry)], &report);
+        }
+    }
+
+    fn cast_crashes(&self, peers: Vec<Peer>, report: &quarantine::Report) {
+        let Some(mesh) = self.mesh().filter(|_| !report.is_empty()) else { return };
+        for peer in peers {
             mesh.cast(&peer, Cast::Quarantine(report.clone()));
         }
     }
@@ -118,6 +148,9 @@
                 }
                 Effect::Alive { vm, alive } => {
                     info!(self.log, "a VM of the region"; "of" => %vm, "alive" => alive);
+                    if alive {
+                        self.tell_newcomer(&vm);
+                    }
                     let members = self.fleet().alive();
                     self.dispatch().members(members);
                     self.quota().moved(now);
--- a/src/entry/peers.rs
+++ b/src/entry/peers.rs
@@ -64,7 +64,7 @@
     fn cast(&self, from: Peer, cast: Cast) {
         match cast {
             Cast::Group { .. } | Cast::Heard(_) => (),
-            Cast::Quarantine(report) => self.hub.dispatch().reported(&report, Instant::now()),
+            Cast::Quarantine(report) => self.hub.crashes_told(&from, &report),
             Cast::Demand(demand) => self.hub.demanded(&from.vm, &demand),
             Cast::Grant(grant) => self.hub.quota().granted(&grant, Instant::now()),
             Cast::Slots(message) => self.hub.slots_told(&from.vm, &message),
@@ -163,7 +163,7 @@
 
 impl Hub {
     /// A few entry VMs of each other region, drawn anew each time.
-    fn some_away(&self) -> Vec<id::Vm> {
+    pub(super) fn some_away(&self) -> Vec<id::Vm> {
         let mut regions: BTreeMap<&id::Region, Vec<&id::Vm>> = BTreeMap::new();
         for (name, vm) in self.site.vms.iter().filter(|(_, vm)| vm.entry.is_some()) {
             if vm.region != self.place.region {
