--- a/src/decide/quarantine.rs
+++ b/src/decide/quarantine.rs
@@ -27,6 +27,7 @@
 mod digest;
 mod hold;
 mod message;
+mod popular;
 
 pub use digest::Digest;
 pub use message::AnswerRecord;
@@ -34,6 +35,7 @@
 pub use message::HoldRecord;
 pub use message::InstanceRecord;
 pub use message::Report;
+pub use popular::Popular;
 
 use crash_log::CrashLog;
 use crash_log::Instance;
@@ -56,6 +58,9 @@
 /// The same for all crashes but the first, whichever suspects ran there.
 const MAX_COINCIDENCE_BESIDE_OTHERS: f64 = 1e-5;
 
+/// Recent answers to a request from which it is not suspected: it would be found beside most crashes, whatever their cause.
+pub const POPULAR_ANSWERS: u32 = 3;
+
 /// The least number of crashes of a request that is quarantined although others ran beside it each time.
 const MIN_CRASHES_BESIDE_OTHERS: usize = 3;
 
@@ -256,8 +261,12 @@
             ran,
             age,
         };
+        let instances = match ran.is_empty() {
+            true => vec![InstanceRecord { upstream: upstream.clone(), incarnation, age }],
+            false => Vec::new(),
+        };
         let crashes = ran.into_iter().map(record).collect();
-        let report = Report { crashes, ..Report::default() };
+        let report = Report { crashes, instances, ..Report::default() };
         self.merge(&report, now);
         report
     }
--- a/src/decide/quarantine/crash_log.rs
+++ b/src/decide/quarantine/crash_log.rs
@@ -21,6 +21,9 @@
 /// The minimum crash rate assumed for any upstream: once an hour.
 const BASELINE_RATE: f64 = 1.0 / 3_600.0;
 
+/// The least time for which a request is assumed to run: callers who send many short ones have one running at most times.
+const MIN_RUN: Duration = Duration::from_millis(300);
+
 /// Answers for each crash after which a request is no suspect any more. A request that crashes every other upstream is
 /// still found, and a popular one that all upstreams run is not blamed for their crashes.
 const ANSWERS_PER_CRASH: usize = 3;
@@ -319,7 +322,7 @@
         crash: &Crash,
         upstreams: usize,
     ) -> f64 {
-        let ran = crash.ran.get(digest).copied().unwrap_or_default();
+        let ran = crash.ran.get(digest).copied().unwrap_or_default().max(MIN_RUN);
         let near = |other: &Crash| {
             other.at + RATE_WINDOW >= crash.at && other.at <= crash.at + RATE_WINDOW
         };
--- a/src/decide/quarantine/tests.rs
+++ b/src/decide/quarantine/tests.rs
@@ -139,6 +139,19 @@
     }
 }
 
+#[test]
+fn answers_are_counted_for_a_minute_at_most() {
+    let now = Instant::now();
+    let mut popular = Popular::default();
+    for number in 0..100 {
+        popular.record_answer(7 + (7 << 32), now + SECOND / 10 * number);
+        popular.record_answer(u64::from(number).wrapping_mul(0x9e37_79b9_7f4a_7c15), now);
+    }
+    assert!(popular.answers(7 + (7 << 32), now + 10 * SECOND) >= 100);
+    assert!(popular.answers(7 + (7 << 32), now + 40 * SECOND) >= 100);
+    assert_eq!(popular.answers(7 + (7 << 32), now + 100 * SECOND), 0);
+}
+
 #[test]
 fn crash_is_withdrawn_when_the_instance_is_heard_from() {
     // Guards against a VM that was cut off and took the upstreams for dead.
--- a/src/gateway/crashes.rs
+++ b/src/gateway/crashes.rs
@@ -19,6 +19,8 @@
 use super::State;
 use super::relay::Job;
 use crate::decide::quarantine::Digest;
+use crate::decide::quarantine::POPULAR_ANSWERS;
+use crate::decide::quarantine::Popular;
 use crate::decide::quarantine::Quarantine;
 use crate::decide::quarantine::Report;
 use crate::decide::quarantine::Status;
@@ -120,6 +122,15 @@
         self.report_crashes(report);
     }
 
+    /// Counts an answer to a request with that hash.
+    pub(super) fn record_popular(&self, hash: u64) {
+        self.popular().record_answer(hash, Instant::now());
+    }
+
+    fn popular(&self) -> MutexGuard<'_, Popular> {
+        self.popular.lock().expect("no panic while locked")
+    }
+
     /// Records that an upstream answered a request that was sent at that time: it had not crashed before.
     pub(super) fn record_sign_of_life(&self, upstream: &id::Upstream, sent: Instant) {
         let mut quarantine = self.quarantine();
@@ -169,16 +180,17 @@
 /// Records that the connection of a running request broke off, and finds out why.
 pub(super) fn record_break(state: &Arc<State>, job: &Job, upstream: &id::Upstream, sent: Instant) {
     let now = Instant::now();
-    let run = (*job.digest(), now.saturating_duration_since(sent));
+    let is_popular = state.popular().answers(job.hash(), now) >= POPULAR_ANSWERS;
+    let run = (!is_popular).then(|| (*job.digest(), now.saturating_duration_since(sent)));
     let mut breaks = state.breaks.lock().expect("no panic while locked");
     if let Some(broken) = breaks.broken.get_mut(upstream) {
         if broken.runs.len() < MAX_RUNS {
-            broken.runs.push(run);
+            broken.runs.extend(run);
         }
         return;
     }
     let Some(broken) = state.describe_break(upstream, now) else { return };
-    let broken = Broken { runs: vec![run], ..broken };
+    let broken = Broken { runs: run.into_iter().collect(), ..broken };
     breaks.broken.insert(upstream.clone(), broken);
     breaks.alive.retain(|_, at| now < *at + ALIVE_TIME);
     let was_alive = breaks.alive.contains_key(upstream);
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -9,6 +9,7 @@
 use slog::info;
 use tokio::time;
 use tokio::time::Instant;
+use xxhash_rust::xxh3::Xxh3;
 
 use self::placement::Placement;
 use super::Call;
@@ -134,6 +135,16 @@
 }
 
 impl Job {
+    /// A hash of what identifies the request when it is resent; unlike the digest, it can be computed for each request.
+    pub fn hash(&self) -> u64 {
+        let call = &self.call;
+        let mut hash = Xxh3::new();
+        hash.update(call.host.as_bytes());
+        hash.update(call.target.as_str().as_bytes());
+        hash.update(&self.body);
+        hash.digest()
+    }
+
     /// Identifies the request when it is resent.
     pub fn digest(&self) -> &Digest {
         self.digest.get_or_init(|| {
@@ -510,7 +521,7 @@
             Target::Vm(..) => None,
         };
         let reservation = Reservation::new(self.state.clone(), target, service, held);
-        (reservation.with_digest(digest), address)
+        (reservation.with_digest(digest).with_hash(self.job.hash()), address)
     }
 
     /// Logs a request to a cold upstream: how it came here, and which turn it takes.
--- a/src/gateway/reservation.rs
+++ b/src/gateway/reservation.rs
@@ -30,6 +30,8 @@
     started: Instant,
     /// The request, while it matters where suspects run.
     digest: Option<Digest>,
+    /// The hash of a request that was sent to an upstream.
+    hash: Option<u64>,
 }
 
 impl Reservation {
@@ -38,7 +40,7 @@
     pub fn new(state: Arc<State>, target: Target, service: &str, held: Option<InFlight>) -> Self {
         let outcome = Outcome::Abandoned;
         let (service, started) = (service.to_owned(), Instant::now());
-        Self { state, target, service, held, outcome, started, digest: None }
+        Self { state, target, service, held, outcome, started, digest: None, hash: None }
     }
 
     /// Sets the request whose run is to be reported, if it matters where suspects run.
@@ -48,6 +50,13 @@
         self
     }
 
+    /// Sets the hash of the request, whose answers are counted.
+    #[must_use]
+    pub fn with_hash(mut self, hash: u64) -> Self {
+        self.hash = Some(hash);
+        self
+    }
+
     /// The target.
     pub fn target(&self) -> &Target {
         &self.target
@@ -86,6 +95,9 @@
                 if is_answered || self.outcome == Outcome::Refused {
                     self.state.record_answer();
                 }
+                if let (Outcome::Answered, Some(hash)) = (self.outcome, self.hash) {
+                    self.state.record_popular(hash);
+                }
                 if let Some(digest) = &self.digest {
                     self.state.record_run_end(digest, upstream, is_answered);
                 }
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -31,6 +31,7 @@
 use crate::decide::freshness::Proof;
 use crate::decide::place::Balancer;
 use crate::decide::place::Regions;
+use crate::decide::quarantine::Popular;
 use crate::decide::quarantine::Quarantine;
 use crate::decide::quota::Meter;
 use crate::decide::reach::Reach;
@@ -96,6 +97,7 @@
     issuers: Mutex<Issuers>,
     pub(super) quarantine: Mutex<Quarantine>,
     pub(super) breaks: Mutex<Breaks>,
+    pub(super) popular: Mutex<Popular>,
     pub(super) reach: Mutex<Reach>,
     /// Notifies of requests that failed without an answer.
     pub(super) reach_doubts: Notify,
@@ -184,6 +186,7 @@
             issuers: Mutex::default(),
             quarantine: Mutex::new(Quarantine::default().with_vm(vm)),
             breaks: Mutex::default(),
+            popular: Mutex::default(),
             reach: Mutex::default(),
             reach_doubts: Notify::new(),
             presence: Mutex::new(presence),
