--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -39,9 +39,11 @@
 enum Next {
     Events(Bytes),
     End,
-    /// The connection broke off.
-    Lost,
-    Broken(&'static str),
+    Broken {
+        reason: &'static str,
+        /// Whether the connection broke off.
+        is_lost: bool,
+    },
 }
 
 impl Stream {
@@ -90,11 +92,7 @@
                     }
                     return None;
                 }
-                next => {
-                    let (reason, is_lost) = match next {
-                        Next::Broken(reason) => (reason, false),
-                        _ => ("the connection broke off", true),
-                    };
+                Next::Broken { reason, is_lost } => {
                     if let Err(reason) = self.fail_over(reason, is_lost).await {
                         self.outcome = "broken";
                         return Some(Err(Broken(reason.to_owned())));
@@ -109,16 +107,16 @@
         let Some(source) = &mut self.source else { return Next::End };
         let frame = time::timeout_at(deadline, next_data(&mut source.incoming)).await;
         let bytes = match frame {
-            Err(_) => return Next::Broken("the request deadline has passed"),
-            Ok(Some(Err(_))) => return Next::Lost,
+            Err(_) => return broken("the request deadline has passed", false),
+            Ok(Some(Err(_))) => return broken("the connection broke off", true),
             Ok(Some(Ok(bytes))) => bytes,
             Ok(None) if self.events.has_partial() => {
-                return Next::Broken("the stream ended within an event");
+                return broken("the stream ended within an event", false);
             }
             Ok(None) => return Next::End,
         };
         let Ok(whole) = self.events.push(bytes) else {
-            return Next::Broken("an event exceeds the size limit");
+            return broken("an event exceeds the size limit", false);
         };
         if whole.is_empty() {
             return Next::Events(whole);
@@ -128,7 +126,7 @@
         if let Some(after) = self.resumed_after.take()
             && !follows(&after, &whole)
         {
-            return Next::Broken("the resumed stream does not continue after the last event");
+            return broken("the resumed stream does not continue after the last event", false);
         }
         Next::Events(whole)
     }
@@ -154,6 +152,10 @@
     }
 }
 
+fn broken(reason: &'static str, is_lost: bool) -> Next {
+    Next::Broken { reason, is_lost }
+}
+
 /// Returns the next data frame of a body and skips trailers.
 async fn next_data(incoming: &mut Incoming) -> Option<Result<Bytes, hyper::Error>> {
     loop {
