--- a/src/directory/service/quarantine.rs
+++ b/src/directory/service/quarantine.rs
@@ -10,6 +10,7 @@
 use tokio::time::Instant;
 
 use super::Service;
+use super::cache::CRASHES_FILE;
 use crate::decide::quarantine::Digest;
 use crate::decide::quarantine::HoldRecord;
 use crate::decide::quarantine::Quarantine;
@@ -24,6 +25,8 @@
 
 /// A check-in that is heard so long after a reported crash was not sent before it.
 const MAX_CHECK_IN_DELAY: Duration = Duration::from_millis(2500);
+/// Delay before what is known of crashes is saved, so that several crashes are written once.
+const SAVE_DELAY: Duration = Duration::from_millis(500);
 /// Minimum interval between two reports to followers.
 const MIN_INTERVAL: Duration = Duration::from_millis(20);
 /// The bytes a second of reports that a follower is sent.
@@ -145,12 +148,23 @@
             }
             let pause = Duration::from_secs_f64(encoded.len() as f64 / BYTES_PER_SECOND);
             self.published.send_replace(Published { revision, report: encoded.into() });
+            time::sleep(pause.max(MIN_INTERVAL)).await;
+        }
+    }
+
+    /// Saves what is known of crashes a moment after it changes. Followers don't wait for the disk.
+    pub(in crate::directory) async fn save_crashes(&self) {
+        let mut published = self.published.subscribe();
+        // The sender can't be dropped while `self` is borrowed.
+        while published.changed().await.is_ok() {
+            time::sleep(SAVE_DELAY).await;
+            published.mark_unchanged();
+            let report = self.quarantine().shared(Instant::now());
             let (cache, log) = (self.crash_cache.clone(), self.log.clone());
             let saved = tokio::task::spawn_blocking(move || cache.save(&report, &log));
             if let Err(error) = saved.await {
-                warn!(self.log, "copy.not_written"; "file" => "quarantine", "why" => %error);
+                warn!(self.log, "copy.not_written"; "file" => CRASHES_FILE, "why" => %error);
             }
-            time::sleep(pause.max(MIN_INTERVAL)).await;
         }
     }
 
--- a/src/directory/tasks.rs
+++ b/src/directory/tasks.rs
@@ -69,7 +69,7 @@
     }
 }
 
-/// Publishes reports on crashes, and repeats them to the other control VMs, until shutdown.
+/// Publishes reports on crashes, saves them, and repeats them to the other control VMs, until shutdown.
 pub async fn share_crashes(service: Arc<Service>, mut stop: watch::Receiver<bool>) {
     let repeat = async {
         loop {
@@ -79,6 +79,7 @@
     };
     tokio::select! {
         () = service.publish_crash_reports() => (),
+        () = service.save_crashes() => (),
         () = repeat => (),
         _ = stop.wait_for(|stop| *stop) => (),
     }
