Review: a forwarded request is not hashed at the VM that forwards it; an unused method is gone

The hash is only counted for requests sent to upstreams, and was computed over the body of each forwarded one too. No other behaviour changes.

--- a/src/directory/service/quarantine.rs
+++ b/src/directory/service/quarantine.rs
@@ -15,7 +15,6 @@
 use crate::decide::quarantine::HoldRecord;
 use crate::decide::quarantine::Quarantine;
 use crate::decide::quarantine::Report;
-use crate::id;
 use crate::roster::Announcement;
 use crate::unit::Incarnation;
 use crate::wire::Cast;
@@ -180,9 +179,4 @@
         let Published { revision, report } = self.published.borrow().clone();
         (revision != known).then_some(SharedCrashes { revision, report })
     }
-
-    /// Whether the upstream is known to have crashed, for tests.
-    pub fn has_crashed(&self, upstream: &id::Upstream, incarnation: Incarnation) -> bool {
-        self.quarantine().crashed_at(upstream, incarnation).is_some()
-    }
 }
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -516,12 +516,15 @@
             "reads" => placement.prompt_tokens(),
             "own" => self.work.suffix.get(),
             "shared" => self.work.prefix.map(|shared| format!("{:x}", shared.key)));
-        let digest = match &target {
-            Target::Upstream(upstream) => self.state.record_run(&self.job, upstream),
-            Target::Vm(..) => None,
+        // A VM that a request is forwarded to records its run and counts its answer.
+        let (digest, hash) = match &target {
+            Target::Upstream(upstream) => {
+                (self.state.record_run(&self.job, upstream), Some(self.job.hash()))
+            }
+            Target::Vm(..) => (None, None),
         };
         let reservation = Reservation::new(self.state.clone(), target, service, held);
-        (reservation.with_digest(digest).with_hash(self.job.hash()), address)
+        (reservation.with_digest(digest).with_hash(hash), address)
     }
 
     /// Logs a request to a cold upstream: how it came here, and which turn it takes.
--- a/src/gateway/reservation.rs
+++ b/src/gateway/reservation.rs
@@ -50,10 +50,10 @@
         self
     }
 
-    /// Sets the hash of the request, whose answers are counted.
+    /// Sets the hash of a request whose answer is counted.
     #[must_use]
-    pub fn with_hash(mut self, hash: u64) -> Self {
-        self.hash = Some(hash);
+    pub fn with_hash(mut self, hash: Option<u64>) -> Self {
+        self.hash = hash;
         self
     }
 
