FAILBACK: after a pause a VM asks what has changed before it sends what has queued up

Cause: the news waits unread in the VM's sockets, and requests are placed by a roster as old as the pause.

Why it works: any access to the placement detects a gap of 250 ms, so the first request after a pause can't be placed by outdated data: upstreams count as cold, and it waits for an answer of a control VM to a question asked since, half a second at most. The pause counts neither as silence nor as latency of upstreams.

Tests: a_vm_that_misses_a_cold_start failed in each run before (20 requests), vms_that_miss_a_cold_start failed in 2 of 5 cases (33, 59 requests). Both pass. membership and the control VMs' table use the same detector now.

--- a/src/clock.rs
+++ b/src/clock.rs
@@ -3,6 +3,8 @@
 //! The runtime's clock stands still meanwhile, so what must not outlive a promise to others would look as fresh after a
 //! suspension as before it.
 
+pub mod pause;
+
 use std::sync::OnceLock;
 use std::time::Duration;
 
--- a/src/decide/place.rs
+++ b/src/decide/place.rs
@@ -19,6 +19,7 @@
 mod cold;
 pub mod cost;
 mod decision;
+mod doubt;
 mod health;
 mod regions;
 mod restrictions;
@@ -37,6 +38,7 @@
 use tokio::time::Instant;
 
 use self::decision::Decision;
+use self::doubt::Doubt;
 use self::service::Profile;
 use self::service::ServiceStats;
 use self::upstream::UpstreamState;
@@ -55,6 +57,8 @@
 
 pub use cold::Cold;
 pub use cold::ColdSend;
+pub use doubt::MAX_DOUBT;
+pub use doubt::OBSERVATION_INTERVAL;
 pub use health::Outcome;
 pub use regions::Holder;
 pub use regions::OpenUpstreams;
@@ -182,6 +186,7 @@
     senders: HashMap<String, Sender>,
     /// For services without upstreams.
     alone: Sender,
+    doubt: Doubt,
     /// Prefix uses not yet sent to other VMs.
     uses: Vec<PrefixUse>,
     /// Restrictions of upstreams that are gone, not yet reported to the log.
@@ -198,6 +203,7 @@
             services: HashMap::new(),
             senders: HashMap::new(),
             alone,
+            doubt: Doubt::new(),
             uses: Vec::new(),
             ended: Vec::new(),
         }
@@ -237,6 +243,40 @@
                 }
             }
         }
+        self.apply_doubt(now);
+    }
+
+    /// Records that the process runs; returns the length of the pause that has ended, if there was one. `elapsing` is the
+    /// time by a clock that goes on while the VM is suspended.
+    pub fn observe(&mut self, elapsing: Instant, now: Instant) -> Option<Duration> {
+        let pause = self.doubt.observe(elapsing, now)?;
+        self.upstreams.values_mut().for_each(|upstream| upstream.forgive_silence(now));
+        self.apply_doubt(now);
+        Some(pause)
+    }
+
+    /// Records the answer of a control VM to a question that was asked at that time; returns whether it ends the doubt.
+    pub fn record_answer(&mut self, asked_at: Instant, now: Instant) -> bool {
+        let is_news = self.doubt.record_answer(asked_at);
+        if is_news {
+            self.apply_doubt(now);
+        }
+        is_news
+    }
+
+    /// Returns until when what is known of upstreams may be outdated, since this VM paused; `None` if it is not.
+    pub fn doubt_until(&self, now: Instant) -> Option<Instant> {
+        self.doubt.until(now)
+    }
+
+    /// Returns whether this VM has paused since that time.
+    pub fn has_paused_since(&self, at: Instant) -> bool {
+        self.doubt.has_paused_since(at)
+    }
+
+    fn apply_doubt(&mut self, now: Instant) {
+        let until = self.doubt.until(now);
+        self.upstreams.values_mut().for_each(|upstream| upstream.doubt(until));
     }
 
     /// Returns the upstream with the lowest cost, or `None` if no upstream accepts the request.
@@ -412,7 +452,8 @@
         upstream.record_prefilled(in_flight.prefill);
         // Requests with a shared prefix are skipped: whether the prefix was cached is only an estimate, and a wrong
         // one would make prefills look faster than they are.
-        if in_flight.is_prefill_exact
+        if !self.doubt.has_paused_since(in_flight.sent_at)
+            && in_flight.is_prefill_exact
             && in_flight.rounds <= 1.0
             && upstream.endpoint.memory.is_some()
         {
@@ -427,6 +468,10 @@
         (since, first): (Instant, u32),
         now: Instant,
     ) {
+        if self.doubt.has_paused_since(in_flight.last_event) {
+            in_flight.gap_start = Some((now, in_flight.events));
+            return;
+        }
         let Some((upstream, stats)) = state_of(&mut self.upstreams, &mut self.services, in_flight)
         else {
             return;
@@ -456,10 +501,12 @@
         if outcome != Outcome::Answered {
             return;
         }
-        stats.record_service_time(
-            now.saturating_duration_since(in_flight.sent_at),
-            in_flight.rounds,
-        );
+        if !self.doubt.has_paused_since(in_flight.sent_at) {
+            stats.record_service_time(
+                now.saturating_duration_since(in_flight.sent_at),
+                in_flight.rounds,
+            );
+        }
         if upstream.endpoint.memory.is_some() {
             stats.length.record(&in_flight.output, in_flight.events);
         }
--- a/src/decide/place/upstream.rs
+++ b/src/decide/place/upstream.rs
@@ -96,6 +96,8 @@
     health: Health,
     cache: Cache,
     pacer: Pacer,
+    /// Until when it counts as cold, since this VM does not know whether it is.
+    doubted_until: Option<Instant>,
     /// What the upstream has stated in its responses.
     pub restrictions: Restrictions,
 }
@@ -125,6 +127,7 @@
             health: Health::default(),
             cache: Cache::default(),
             pacer: Pacer::default(),
+            doubted_until: None,
             restrictions,
         }
     }
@@ -414,7 +417,19 @@
         (blended(report.others_running, mean.0), blended(report.others_waiting, mean.1))
     }
 
+    /// Sets until when the upstream counts as cold, whatever is known of it.
+    pub fn doubt(&mut self, until: Option<Instant>) {
+        self.doubted_until = until;
+    }
+
+    /// Counts its silence from now on, since this VM has paused and read nothing.
+    pub fn forgive_silence(&mut self, now: Instant) {
+        self.busy_since = self.busy_since.map(|_| now);
+    }
+
     fn cold(&self, now: Instant) -> Option<Cold> {
-        self.endpoint.cold.filter(|cold| now < cold.until)
+        let known = self.endpoint.cold?;
+        let until = self.doubted_until.map_or(known.until, |until| until.max(known.until));
+        (now < until).then_some(Cold { until, ..known })
     }
 }
--- a/src/directory/tasks.rs
+++ b/src/directory/tasks.rs
@@ -13,6 +13,7 @@
 use super::cache;
 use super::service::CRASH_REPEAT_INTERVAL;
 use super::service::LONG_POLL_TIMEOUT;
+use crate::clock::pause;
 use crate::routing::State;
 
 /// Interval of checks for the replica while it is not running.
@@ -46,7 +47,7 @@
 pub async fn tick(service: Arc<Service>, mut stop: watch::Receiver<bool>) {
     let mut ticks = time::interval(TICK_INTERVAL);
     ticks.set_missed_tick_behavior(time::MissedTickBehavior::Delay);
-    let mut last = Instant::now();
+    let mut pauses = pause::Detector::new(STALL_THRESHOLD);
     let mut announced_at: Option<Instant> = None;
     loop {
         tokio::select! {
@@ -54,11 +55,10 @@
             _ = stop.wait_for(|stop| *stop) => return,
         }
         let now = Instant::now();
-        if now.saturating_duration_since(last) > STALL_THRESHOLD {
-            info!(service.log(), "process.stood_still"; "ms" => (now - last).as_millis() as u64);
+        if let Some(pause) = pauses.observe(now) {
+            info!(service.log(), "process.stood_still"; "ms" => pause.as_millis() as u64);
             service.table().reset_timers(now);
         }
-        last = now;
         if announced_at.is_none_or(|at| now.saturating_duration_since(at) >= LONG_POLL_TIMEOUT) {
             announced_at = Some(now);
             service.announce_presence();
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -140,7 +140,8 @@
         Err(_) => return not_sent("the request headers can't be encoded"),
     };
     let started = Instant::now();
-    let sent = time::timeout(options.response_timeout, state.client().send(address, request)).await;
+    let sending = state.client().send(address, request);
+    let sent = state.timeout(options.response_timeout, sending).await;
     let (response, lease) = match sent {
         Ok(Ok(sent)) => sent,
         Ok(Err(Error::Unsent(_))) => {
--- a/src/gateway/daemon.rs
+++ b/src/gateway/daemon.rs
@@ -99,6 +99,16 @@
         }
         let (checking, stop) = (state.clone(), supervisor.stop());
         supervisor.child("reach", move || reach::run(checking.clone(), stop.clone()));
+        let (observing, stop) = (state.clone(), supervisor.stop());
+        supervisor.child("pauses", move || {
+            let (state, mut stop) = (observing.clone(), stop.clone());
+            async move {
+                tokio::select! {
+                    () = state.observe_pauses() => (),
+                    _ = stop.wait_for(|stop| *stop) => (),
+                }
+            }
+        });
         let (reporting, stop) = (state.clone(), supervisor.stop());
         supervisor.child("restrictions", move || {
             let (state, mut stop) = (reporting.clone(), stop.clone());
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -46,6 +46,9 @@
 /// Delay before the next try if no control VM is available.
 const NO_SOURCE_DELAY: Duration = Duration::from_millis(50);
 
+/// A revision of the report on crashes that no control VM has, so that it answers at once.
+const NO_REVISION: u64 = u64::MAX;
+
 /// Why a subscription ended.
 enum End {
     /// The control VM failed.
@@ -119,18 +122,30 @@
     let peer = Peer::new(vm.clone(), Role::Control);
     let mut is_behind = false;
     let mut crashes = 0;
+    let mut doubt = state.doubt();
     state.report_known_crashes(&peer);
     loop {
         draining.mark_unchanged();
-        let sent = clock::now();
+        let doubted = *doubt.borrow_and_update();
+        if doubted.is_some_and(|until| Instant::now() < until) {
+            crashes = NO_REVISION;
+        }
+        let (sent, asked_at) = (clock::now(), Instant::now());
         let can_defer = sources.lock().expect("no panic while locked").defers_routing(slot);
         let call = fetch(state, &peer, slot, (can_defer && !is_behind, crashes));
         let followed = tokio::select! {
             followed = call => followed,
             // Draining must be reported before the pending call returns.
             Ok(()) = draining.changed() => continue,
+            // What the pending call returns may have been true before this VM paused.
+            Ok(_) = doubt.wait_for(|until| *until > doubted) => continue,
+        };
+        let Some(followed) = followed else {
+            if state.has_paused_since(asked_at) {
+                continue;
+            }
+            return End::Failed;
         };
-        let Some(followed) = followed else { return End::Failed };
         let is_fresh = followed.in_touch;
         let newest = followed.routing_revision;
         crashes = followed.crashes.as_ref().map_or(crashes, |shared| shared.revision);
@@ -138,6 +153,9 @@
         if !apply(state, vm, followed, sent) {
             return End::Failed;
         }
+        if is_fresh && !has_more {
+            state.end_doubt(asked_at);
+        }
         let candidates = candidates(state);
         {
             let mut sources = sources.lock().expect("no panic while locked");
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -26,6 +26,7 @@
     repeats: Family<Labels, Counter>,
     first_event: Histogram,
     sharing_dropped: Counter,
+    pauses: Histogram,
     crashes: Family<Labels, Counter>,
     held_back: Family<Labels, Counter>,
     suspects: Gauge,
@@ -61,6 +62,9 @@
         let sharing_dropped = Counter::default();
         let text = "Datagrams of no VM of the region, or without sense";
         registry.register("sharing_dropped", text, sharing_dropped.clone());
+        let pauses = Histogram::new(exponential_buckets(0.25, 2.0, 10));
+        let text = "Seconds for which the process did not run";
+        registry.register("pause_seconds", text, pauses.clone());
         let crashes = Family::<Labels, Counter>::default();
         let text = "Crashes of upstreams that were found out, by evidence";
         registry.register("crashes", text, crashes.clone());
@@ -100,6 +104,7 @@
             repeats,
             first_event,
             sharing_dropped,
+            pauses,
             crashes,
             held_back,
             suspects,
@@ -142,6 +147,11 @@
         self.sharing_dropped.inc();
     }
 
+    /// Counts a pause of this process.
+    pub fn record_pause(&self, pause: Duration) {
+        self.pauses.observe(pause.as_secs_f64());
+    }
+
     /// Counts a crash of an upstream, or the withdrawal of one.
     pub fn record_crash(&self, evidence: &'static str) {
         self.crashes.get_or_create(&Labels { outcome: evidence }).inc();
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -242,6 +242,9 @@
             if remaining < MIN_REMAINING {
                 return Err(self.refusal(Reason::TooLate, "no time is left"));
             }
+            if self.state.wait_while_in_doubt(self.job.deadline).await {
+                continue;
+            }
             match self.check_quarantine(remaining).await? {
                 Checked::Now => (),
                 Checked::Later => continue,
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -52,6 +52,7 @@
 use crate::wire::Mesh;
 use crate::wire::Role;
 
+mod pauses;
 mod restrictions;
 mod retries;
 mod roster;
@@ -109,6 +110,8 @@
     pub(super) draining: watch::Sender<bool>,
     /// Notifies of changes to the routing state and the roster.
     updates: watch::Sender<()>,
+    /// Until when what is known of upstreams may be outdated, since this VM paused.
+    doubt: watch::Sender<Option<Instant>>,
     started: Instant,
     /// The Unix epoch by this VM's clock at its start, from which all VMs count turns.
     epoch: Instant,
@@ -194,6 +197,7 @@
             mesh: OnceLock::new(),
             draining: watch::Sender::new(false),
             updates: watch::Sender::new(()),
+            doubt: watch::Sender::new(None),
             started: now,
             epoch: now.checked_sub(Duration::from_millis(start_time_ms)).unwrap_or(now),
             joined: OnceLock::new(),
@@ -272,10 +276,6 @@
         self.routing.lock().expect("no panic while locked").clone()
     }
 
-    pub(super) fn place(&self) -> MutexGuard<'_, Balancer> {
-        self.place.lock().expect("no panic while locked")
-    }
-
     pub(super) fn regions(&self) -> MutexGuard<'_, Regions> {
         self.regions.lock().expect("no panic while locked")
     }
--- a/src/gateway/state/tests.rs
+++ b/src/gateway/state/tests.rs
@@ -1,3 +1,4 @@
+mod pauses;
 mod region;
 mod retries;
 
--- a/src/gateway/state/tests/region.rs
+++ b/src/gateway/state/tests/region.rs
@@ -97,7 +97,7 @@
 }
 
 /// A VM of the region whose process has just started.
-fn start(nth: usize) -> State {
+pub fn start(nth: usize) -> State {
     start_with(nth, 50.0)
 }
 
@@ -167,8 +167,11 @@
     /// When the upstream starts.
     upstream_starts: Duration,
     propagation: Duration,
-    /// When the first VM stands still.
+    /// When the first VMs stand still, and how many do.
     frozen: Range<Duration>,
+    frozen_vms: usize,
+    /// Whether the upstream runs before it becomes cold.
+    runs_before: bool,
     rng: SmallRng,
     /// The requests of VMs that know the limit.
     sent: Vec<Duration>,
@@ -182,6 +185,8 @@
     has_upstream: bool,
     known: usize,
     revision: u64,
+    /// Requests that arrived while it stood still.
+    queued: usize,
     /// Requests without a response, and when that comes.
     running: Vec<(Duration, InFlight)>,
     /// When it received the first response.
@@ -199,6 +204,7 @@
             has_upstream: false,
             known: 0,
             revision: 0,
+            queued: 0,
             running: Vec::new(),
             told: None,
         };
@@ -209,6 +215,8 @@
             upstream_starts: Duration::ZERO,
             propagation: PROPAGATION,
             frozen: Duration::ZERO..Duration::ZERO,
+            frozen_vms: 0,
+            runs_before: false,
             rng: SmallRng::seed_from_u64(seed),
             sent: Vec::new(),
         }
@@ -226,7 +234,17 @@
 
     /// The first VM stands still in that time.
     pub fn with_frozen(self, frozen: Range<Duration>) -> Self {
-        Self { frozen, ..self }
+        self.with_paused(1, frozen)
+    }
+
+    /// So many VMs stand still in that time. What their callers send meanwhile is read before any news.
+    pub fn with_paused(self, frozen_vms: usize, frozen: Range<Duration>) -> Self {
+        Self { frozen, frozen_vms, ..self }
+    }
+
+    /// The upstream runs from the beginning, and becomes cold at that time.
+    pub fn with_cold_from(self, upstream_starts: Duration) -> Self {
+        Self { upstream_starts, runs_before: true, ..self }
     }
 
     /// Plays some time. All VMs have a request for the upstream at each step.
@@ -234,8 +252,14 @@
         while self.start.elapsed() < span {
             let now = self.start.elapsed();
             for nth in 0..self.vms.len() {
-                let is_frozen = nth == 0 && self.frozen.contains(&now);
-                if self.vms[nth].starts <= now && !is_frozen {
+                let is_frozen = nth < self.frozen_vms && self.frozen.contains(&now);
+                if is_frozen {
+                    self.vms[nth].queued += 1;
+                } else if self.vms[nth].starts <= now {
+                    let queued = std::mem::take(&mut self.vms[nth].queued);
+                    if self.runs_before {
+                        (0..queued).for_each(|_| self.request(nth, now));
+                    }
                     self.hear(nth, now);
                     self.respond(nth, now);
                     self.request(nth, now);
@@ -251,16 +275,19 @@
         let vm = &mut self.vms[nth];
         let has_peers = known > vm.known;
         // Now and then a record comes again, by another way.
-        let is_first = !vm.is_started || (!vm.has_upstream && now >= self.upstream_starts);
+        let is_chilled = now >= self.upstream_starts;
+        let is_first = !vm.is_started || (!vm.has_upstream && is_chilled);
         if !is_first && !has_peers && !self.rng.random_bool(0.02) {
             return;
         }
         let delay = MAX_DELAY.mul_f64(self.rng.random());
         let cold = if self.limit == Limit::Cold { COLD } else { Duration::ZERO };
         let since = now.saturating_sub(delay).saturating_sub(self.upstream_starts);
-        let cold_left = cold.saturating_sub(since);
-        let is_known = now >= self.upstream_starts;
-        let sequence = 1 + now.saturating_sub(delay).as_millis() as u64 / 1200;
+        let cold_left = if is_chilled { cold.saturating_sub(since) } else { Duration::ZERO };
+        let is_known = is_chilled || self.runs_before;
+        let beats = 1 + now.saturating_sub(delay).as_millis() as u64 / 1200;
+        // It checks in when it becomes cold.
+        let sequence = beats + u64::from(is_chilled);
         let observed = |record| Observed { record, silent: false };
         let peers = vm.known..known.max(vm.known);
         let upstream = Observed { record: announcement(sequence, cold_left), silent: false };
@@ -274,7 +301,7 @@
         let control: id::Vm = format!("control-{}", vm.revision % 2).parse().unwrap();
         vm.state.apply_roster(&control, 1, delta);
         (vm.is_started, vm.known) = (true, known.max(vm.known));
-        vm.has_upstream |= is_known;
+        vm.has_upstream |= is_chilled;
     }
 
     pub fn request(&mut self, nth: usize, now: Duration) {
@@ -321,6 +348,12 @@
         self.sent.iter().map(count).max().unwrap_or(0)
     }
 
+    /// The same of what was sent between two times.
+    pub fn most_within(&self, from: Duration, until: Duration, span: Duration) -> usize {
+        let firsts = self.sent.iter().filter(|at| (from..until).contains(*at));
+        firsts.map(|first| self.count(*first, until.min(*first + span))).max().unwrap_or(0)
+    }
+
     pub fn count(&self, from: Duration, until: Duration) -> usize {
         self.sent.iter().filter(|at| (from..until).contains(*at)).count()
     }
--- a/src/membership/detect.rs
+++ b/src/membership/detect.rs
@@ -24,6 +24,7 @@
 use super::message::Nonce;
 use super::output::Change;
 use super::output::Output;
+use crate::clock::pause;
 use crate::id;
 
 /// Most VMs that are admitted before their own fact has come.
@@ -57,7 +58,7 @@
     next_nonce: u32,
     next_round: Instant,
     next_reconnect: Instant,
-    last_tick: Instant,
+    pauses: pause::Detector,
     started: bool,
     probes: HashMap<u32, Probe>,
     errands: HashMap<u32, Errand>,
@@ -76,7 +77,7 @@
             next_nonce: rng.random(),
             next_round: now + PROBE_PERIOD.mul_f64(rng.random()),
             next_reconnect: now,
-            last_tick: now,
+            pauses: pause::Detector::new(STALL),
             started: false,
             probes: HashMap::new(),
             errands: HashMap::new(),
@@ -112,11 +113,10 @@
     /// After a freeze no answer has been read for long. Judged by that, all others would be suspected
     /// by the very VM that was away.
     fn forgive_stall(&mut self, now: Instant) {
-        if now >= self.last_tick + STALL {
+        if self.pauses.observe(now).is_some() {
             self.probes.clear();
             self.suspects.values_mut().for_each(|since| *since = now);
         }
-        self.last_tick = now;
     }
 }
 
