Quarantine: crashes at one moment are one step of a request, so that popular requests are not held back

Cause: the chance that others explain a request's crashes was computed as if crashes were independent and spread over a minute: four crashes in half a second gave 8e-8, limit 1e-5.

Why it works: three crashes of a request within half a second, beside an upstream that crashed without it, and copies that ran at once, count as one step. The request then runs apart, and its first answer acquits it. A culprit alone is found as before, since no upstream crashes without it.

Test: crashes_at_one_moment_do_not_hold_a_popular_request_back failed in all three cases before.

--- a/src/decide/quarantine.rs
+++ b/src/decide/quarantine.rs
@@ -105,9 +105,13 @@
     log: CrashLog,
     holds: Holds,
     running: HashMap<id::Upstream, Vec<(Digest, Instant)>>,
+    /// The number of entries of each request in `running`.
+    copies: HashMap<Digest, usize>,
     cleared: HashMap<Digest, Instant>,
     alive: HashMap<Instance, Instant>,
     pending: BTreeSet<(Instant, Digest)>,
+    /// When the last crash of a request in `pending` is evaluated.
+    last_evaluation: HashMap<Digest, Instant>,
     /// Until when requests with several crashes must not start.
     releases: HashMap<Digest, Instant>,
     vm: Option<id::Vm>,
@@ -183,15 +187,15 @@
         if !self.log.is_suspect(digest) {
             return true;
         }
-        let mut all = self.running.values().flatten();
         let running = self.running.get(upstream).into_iter().flatten();
-        !all.any(|(other, _)| other == digest)
+        !self.copies.contains_key(digest)
             && running.into_iter().all(|(other, _)| !self.log.is_suspect(other))
     }
 
     /// Records that a request was sent to an upstream.
     pub fn started(&mut self, digest: Digest, upstream: &id::Upstream, now: Instant) {
         self.running.entry(upstream.clone()).or_default().push((digest, now));
+        *self.copies.entry(digest).or_default() += 1;
     }
 
     /// Records a complete answer, which acquits a suspect; the report is for the other VMs.
@@ -225,6 +229,7 @@
         let Some(running) = self.running.get_mut(upstream) else { return };
         if let Some(index) = running.iter().position(|(other, _)| other == digest) {
             running.swap_remove(index);
+            remove_copy(&mut self.copies, digest);
         }
         if running.is_empty() {
             self.running.remove(upstream);
@@ -239,6 +244,7 @@
         now: Instant,
     ) -> Report {
         let running = self.running.remove(upstream).unwrap_or_default();
+        running.iter().for_each(|(digest, _)| remove_copy(&mut self.copies, digest));
         let ran = running
             .into_iter()
             .map(|(digest, started)| (digest, now.saturating_duration_since(started)));
@@ -341,7 +347,7 @@
             return false;
         }
         let evaluated_at = now + REPORT_DELAY;
-        self.pending.insert((evaluated_at, record.digest));
+        self.judge_at(evaluated_at, record.digest);
         if self.log.crash_count(&record.digest) > 1 || self.holds.is_known(&record.digest) {
             let release = evaluated_at + self.stagger(&record.digest, RELEASE_STAGGER);
             self.releases.insert(record.digest, release);
@@ -413,15 +419,22 @@
 
     /// Evaluates requests again, since one that ran beside them was answered.
     fn judge_again(&mut self, digests: Vec<Digest>, now: Instant) {
-        self.pending.extend(digests.into_iter().map(|digest| (now, digest)));
+        digests.into_iter().for_each(|digest| self.judge_at(now, digest));
+    }
+
+    fn judge_at(&mut self, at: Instant, digest: Digest) {
+        self.pending.insert((at, digest));
+        let last = self.last_evaluation.entry(digest).or_insert(at);
+        *last = at.max(*last);
     }
 
     /// Evaluates the crashes whose reports have had the time to arrive.
     pub fn evaluate(&mut self, now: Instant) {
         while self.pending.first().is_some_and(|(due, _)| *due <= now) {
-            let Some((_, digest)) = self.pending.pop_first() else { return };
-            let later_crash = self.pending.iter().any(|(_, other)| *other == digest);
-            if !later_crash {
+            let Some((due, digest)) = self.pending.pop_first() else { return };
+            let is_last = self.last_evaluation.get(&digest).is_none_or(|last| *last <= due);
+            if is_last {
+                self.last_evaluation.remove(&digest);
                 self.judge(digest, now);
             }
         }
@@ -451,10 +464,10 @@
     /// Whether a request crashed so many upstreams without an answer that other causes hardly explain them, although others
     /// ran beside it each time.
     fn is_hardly_explained(&self, digest: &Digest) -> bool {
-        let chance = self.log.coincidence_beside_others(digest, self.upstreams);
-        self.log.crash_count(digest) >= MIN_CRASHES_BESIDE_OTHERS
+        self.log.step_count(digest) >= MIN_CRASHES_BESIDE_OTHERS
             && self.log.is_suspect(digest)
-            && chance <= MAX_COINCIDENCE_BESIDE_OTHERS
+            && self.log.coincidence_beside_others(digest, self.upstreams)
+                <= MAX_COINCIDENCE_BESIDE_OTHERS
     }
 
     /// A report of everything known, for a VM that may know nothing.
@@ -518,5 +531,14 @@
     }
 }
 
+fn remove_copy(copies: &mut HashMap<Digest, usize>, digest: &Digest) {
+    if let Some(count) = copies.get_mut(digest) {
+        *count -= 1;
+        if *count == 0 {
+            copies.remove(digest);
+        }
+    }
+}
+
 #[cfg(test)]
 mod tests;
--- a/src/decide/quarantine/crash_log.rs
+++ b/src/decide/quarantine/crash_log.rs
@@ -24,6 +24,14 @@
 /// The least time for which a request is assumed to run: callers who send many short ones have one running at most times.
 const MIN_RUN: Duration = Duration::from_millis(300);
 
+/// A request that ran on so many upstreams which crashed within this time, beside others that crashed without it, is taken for
+/// popular: a rack failed, or an operator restarted a service. A request that is sent again needs longer.
+const MASS_TIME: Duration = Duration::from_millis(500);
+const MASS_CRASHES: usize = 3;
+
+/// The times of two crashes, as reported by different VMs, differ by no more than this from the truth.
+const MAX_SKEW: Duration = Duration::from_millis(250);
+
 /// Answers for each crash after which a request is no suspect any more. A request that crashes every other upstream is
 /// still found, and a popular one that all upstreams run is not blamed for their crashes.
 const ANSWERS_PER_CRASH: usize = 3;
@@ -262,16 +270,21 @@
         recent
     }
 
+    /// The number of a request's crashes that may have had different causes.
+    pub fn step_count(&self, digest: &Digest) -> usize {
+        self.steps(digest).len()
+    }
+
     /// The probability that a request's crashes are a coincidence; `None` if none of them counts.
     ///
     /// Its first crash makes it a suspect, with all requests that ran beside it; of one that is known for earlier crashes,
     /// the first one counts too. Each later crash counts if no other suspect ran there. The probability that such a crash is
     /// a coincidence is the rate of all other crashes times how long the request ran.
     pub fn coincidence(&self, digest: &Digest, is_known: bool, upstreams: usize) -> Option<f64> {
-        let crashes = self.crashes_of(digest);
+        let steps = self.steps(digest);
         let ambiguous = usize::from(!is_known);
         let relevant =
-            crashes.iter().skip(ambiguous).filter(|(_, crash)| self.is_only_suspect(digest, crash));
+            steps.iter().skip(ambiguous).filter(|(_, crash)| self.is_only_suspect(digest, crash));
         let probabilities: Vec<f64> = relevant
             .map(|(instance, crash)| {
                 self.coincidence_probability(digest, instance, crash, upstreams)
@@ -282,13 +295,45 @@
 
     /// The same, where all crashes but the first count, whichever suspects ran there.
     pub fn coincidence_beside_others(&self, digest: &Digest, upstreams: usize) -> f64 {
-        let crashes = self.crashes_of(digest);
-        let probabilities = crashes.iter().skip(1).map(|(instance, crash)| {
+        let steps = self.steps(digest);
+        let probabilities = steps.iter().skip(1).map(|(instance, crash)| {
             self.coincidence_probability(digest, instance, crash, upstreams)
         });
         probabilities.product()
     }
 
+    /// The crashes of a request that may have had different causes: the first one, and each that is a step of the request
+    /// from one upstream to the next.
+    ///
+    /// A run that began before the last step's crash is a copy, and crashes of many upstreams at one moment have one cause.
+    fn steps(&self, digest: &Digest) -> Vec<(&Instance, &Crash)> {
+        let mut steps: Vec<(&Instance, &Crash)> = Vec::new();
+        for (instance, crash) in self.crashes_of(digest) {
+            let ran = crash.ran.get(digest).copied().unwrap_or_default();
+            let is_step = steps.last().is_none_or(|(_, last)| {
+                let is_copy = crash.at + MAX_SKEW < last.at + ran;
+                !is_copy && !self.is_mass_crash(digest, last.at, crash.at)
+            });
+            if is_step {
+                steps.push((instance, crash));
+            }
+        }
+        steps
+    }
+
+    /// Whether two crashes of a request are part of a mass crash, which also took upstreams that did not run it.
+    fn is_mass_crash(&self, digest: &Digest, first: Instant, second: Instant) -> bool {
+        if second >= first + MASS_TIME {
+            return false;
+        }
+        let is_near =
+            |crash: &&Crash| crash.at + MASS_TIME > second && crash.at < first + MASS_TIME;
+        let near = self.crashes.values().filter(is_near);
+        let (own, others): (Vec<_>, Vec<_>) =
+            near.partition(|crash| crash.ran.contains_key(digest));
+        own.len() >= MASS_CRASHES && !others.is_empty()
+    }
+
     /// The crashes of upstreams that were running a request, the first one first.
     fn crashes_of(&self, digest: &Digest) -> Vec<(&Instance, &Crash)> {
         let suspect = self.suspects.get(digest).into_iter();
--- a/src/decide/quarantine/tests.rs
+++ b/src/decide/quarantine/tests.rs
@@ -1,3 +1,5 @@
+use yare::parameterized;
+
 use super::*;
 
 const SECOND: Duration = Duration::from_secs(1);
@@ -226,3 +228,66 @@
     }
     assert_eq!((here.revision(), there.revision()), revisions);
 }
+
+// Guards against a popular request that is held back for crashes of many upstreams at one moment, before it was ever
+// answered: callers start it again on the next upstream, which crashes for the same reason.
+#[parameterized(
+    four_of_six = { 6, 4 },
+    eight_of_twelve = { 12, 8 },
+    a_rack = { 850, 16 },
+)]
+fn crashes_at_one_moment_do_not_hold_a_popular_request_back(upstreams: usize, ran_on: usize) {
+    let now = Instant::now();
+    let mut quarantine = Quarantine::new(upstreams);
+    let crashed = upstreams.min(ran_on * 3 / 2);
+    let pause = Duration::from_millis(450) / crashed as u32;
+    for number in 0..crashed {
+        let texts: &[&str] = if number < ran_on { &["popular", "other"] } else { &["other"] };
+        let at = now + pause * number as u32;
+        crash(&mut quarantine, number, texts, at, Duration::from_millis(20));
+    }
+    let last = now + Duration::from_millis(500);
+    for after_ms in [0, 100, 300, 1000, 2000] {
+        let at = last + Duration::from_millis(after_ms);
+        assert!(!is_quarantined(&mut quarantine, "popular", at), "after {after_ms} ms");
+    }
+    let status = quarantine.status(&digest("popular"), last + 2 * SECOND);
+    assert!(matches!(status, Status::Suspect { .. }), "{status:?}");
+}
+
+// Guards against a request that crashes upstreams during a mass crash, and is taken for one of its victims for good.
+#[test]
+fn a_culprit_within_a_mass_crash_is_held_back_at_its_next_steps() {
+    let now = Instant::now();
+    let mut quarantine = Quarantine::new(12);
+    for number in 0..6 {
+        let texts: &[&str] = if number < 3 { &["culprit"] } else { &["other"] };
+        crash(&mut quarantine, number, texts, now, Duration::from_millis(50));
+    }
+    assert!(!is_quarantined(&mut quarantine, "culprit", now + SECOND));
+    crash(&mut quarantine, 6, &["culprit"], now + 20 * SECOND, Duration::from_millis(50));
+    crash(&mut quarantine, 7, &["culprit"], now + 23 * SECOND, Duration::from_millis(50));
+    assert!(is_quarantined(&mut quarantine, "culprit", now + 24 * SECOND));
+}
+
+// Guards against a VM that is held up by its own bookkeeping when hundreds of upstreams crash at once.
+#[test]
+fn a_crash_of_hundreds_of_upstreams_is_evaluated_in_little_time() {
+    let now = Instant::now();
+    let mut quarantine = Quarantine::new(850);
+    for number in 0..300 {
+        let texts: Vec<String> = (0..48).map(|nth| format!("{number}-{nth}")).collect();
+        let texts: Vec<&str> = texts.iter().map(String::as_str).collect();
+        crash(&mut quarantine, number, &texts, now, SECOND);
+    }
+    let began = std::time::Instant::now();
+    quarantine.evaluate(now + 2 * SECOND);
+    let evaluated = began.elapsed();
+    for number in 0..300 {
+        let digest = digest(&format!("{number}-0"));
+        quarantine.started(digest, &upstream(400 + number), now + 2 * SECOND);
+        assert!(!quarantine.may_start(&digest, &upstream(800)));
+    }
+    println!("evaluated in {evaluated:?}, all in {:?}", began.elapsed());
+    assert!(began.elapsed() < SECOND, "{:?}", began.elapsed());
+}
