A resend that joins a run too late asks the ledger again instead of answering 409

A caller who resent right after the answer was told 409 outcome-unknown, "the request does not run there any more", although the answer was kept.

Cause: the key was looked up while the request ran, and joined after its end. The 404 of the VM that ran it was taken for a failure. Evidence: a test that holds up the join alone, until the run has ended, got the same 409 in each run.

Why it works: after a 404 the ledger is asked again, for three seconds at most; looks are confirmed reads, and the key is free at its VM only once the end is recorded.

Test: a_resend_that_joins_too_late_gets_the_kept_answer failed before (409).

--- a/src/entry/run.rs
+++ b/src/entry/run.rs
@@ -43,6 +43,10 @@
 /// Who reads along with another VM asks again after so long without a first piece.
 const JOIN_PATIENCE: Duration = Duration::from_secs(3);
 
+/// How long to wait for the record of a run that has ended, and how often the ledger is asked for it.
+const RECORD_PATIENCE: Duration = Duration::from_secs(3);
+const RECORD_PAUSE: Duration = Duration::from_millis(50);
+
 /// A caller who waits for a stream hears that its request is alive this often.
 const KEEP_ALIVE: Duration = Duration::from_secs(5);
 
@@ -155,23 +159,49 @@
 
 /// Answers a request that ran or runs elsewhere.
 async fn replay(hub: &Hub, job: &Job, out: &Writer, known: Known) -> Result<(), Refusal> {
-    match known {
-        Known::Answered(answer) => {
-            let kind = HeaderValue::from_str(&answer.media);
-            let headers = kind.into_iter().map(|kind| (header::CONTENT_TYPE, kind)).collect();
-            let status = StatusCode::from_u16(answer.status).unwrap_or(StatusCode::OK);
-            let events = answer.media.starts_with("text/event-stream");
-            let body = Bytes::copy_from_slice(&answer.body);
-            out.whole_answer(Head { status, headers, events }, body);
-            Ok(())
+    let until = job.deadline.min(Instant::now() + RECORD_PATIENCE);
+    let mut known = known;
+    loop {
+        let vm = match known {
+            Known::Answered(answer) => {
+                let kind = HeaderValue::from_str(&answer.media);
+                let headers = kind.into_iter().map(|kind| (header::CONTENT_TYPE, kind)).collect();
+                let status = StatusCode::from_u16(answer.status).unwrap_or(StatusCode::OK);
+                let events = answer.media.starts_with("text/event-stream");
+                let body = Bytes::copy_from_slice(&answer.body);
+                out.whole_answer(Head { status, headers, events }, body);
+                return Ok(());
+            }
+            Known::Running(vm) => vm,
+            Known::Absent | Known::Unasked => {
+                return Err(in_progress("the request was given up elsewhere"));
+            }
+        };
+        match join(hub, job, out, &vm).await? {
+            Joined::Answered => return Ok(()),
+            // The ledger was asked before the end of the run, and knows more by now.
+            Joined::Late => known = claim::look(hub, job).await?,
+        }
+        if matches!(&known, Known::Running(other) if *other == vm) {
+            if Instant::now() >= until {
+                let text = format!("the request ended on {vm}, and how is being recorded");
+                return Err(in_progress(&text));
+            }
+            time::sleep(RECORD_PAUSE).await;
         }
-        Known::Running(vm) => join(hub, job, out, &vm).await,
-        Known::Absent | Known::Unasked => Err(in_progress("the request was given up elsewhere")),
     }
 }
 
+/// What came of reading along.
+enum Joined {
+    /// The whole answer was read.
+    Answered,
+    /// The request had ended before.
+    Late,
+}
+
 /// Reads along with the VM that runs the request.
-async fn join(hub: &Hub, job: &Job, out: &Writer, vm: &id::Vm) -> Result<(), Refusal> {
+async fn join(hub: &Hub, job: &Job, out: &Writer, vm: &id::Vm) -> Result<Joined, Refusal> {
     let address = hub.site.vms.get(vm).and_then(|vm| Some(vm.entry.as_ref()?.forwards));
     let Some(address) = address.filter(|_| *vm != hub.me) else {
         return Err(in_progress("the request was started, and how it ended is being recorded"));
@@ -179,7 +209,12 @@
     let mut sink = stage::sink(hub, job, out, &|| true);
     sink.patience.first = sink.patience.first.min(JOIN_PATIENCE);
     loop {
-        let Err(failure) = forward::ask_join(hub, job, address, &sink).await else { return Ok(()) };
+        let Err(failure) = forward::ask_join(hub, job, address, &sink).await else {
+            return Ok(Joined::Answered);
+        };
+        if failure.fault == Fault::Ended && out.pushed() == 0 {
+            return Ok(Joined::Late);
+        }
         // Joining again is harmless, and a connection that has gone silent is found out no other way.
         let again = failure.fault == Fault::Silent && out.pushed() == 0;
         if !again || Instant::now() >= job.deadline {
--- a/src/entry/stage.rs
+++ b/src/entry/stage.rs
@@ -289,7 +289,7 @@
         Err(failure) => match failure.fault {
             Fault::Full | Fault::Limited { .. } => Outcome::Full,
             Fault::Superseded => Outcome::Cancelled,
-            Fault::Silent | Fault::Failed => Outcome::Failed,
+            Fault::Silent | Fault::Ended | Fault::Failed => Outcome::Failed,
         },
     };
     ended
--- a/src/http/answer.rs
+++ b/src/http/answer.rs
@@ -48,6 +48,8 @@
     },
     /// The connection went silent; the upstream may be well.
     Silent,
+    /// The request does not run there any more.
+    Ended,
     /// It failed.
     Failed,
     /// Nothing: another attempt answers.
@@ -85,6 +87,11 @@
         Self { evidence: Evidence::BytesSent, why: why.into(), fault: Fault::Failed }
     }
 
+    /// The answer of a VM on which the request does not run any more.
+    pub fn ended(why: &str) -> Self {
+        Self { evidence: Evidence::BytesSent, why: why.to_owned(), fault: Fault::Ended }
+    }
+
     /// A silence after bytes were sent.
     pub fn silent(why: &str) -> Self {
         Self { evidence: Evidence::BytesSent, why: why.to_owned(), fault: Fault::Silent }
--- a/src/http/forward.rs
+++ b/src/http/forward.rs
@@ -102,7 +102,7 @@
     let sent = time::timeout(sink.patience.first, hub.client.send_fresh(address, request)).await;
     let (response, _lease) = sent.map_err(|_| Failure::silent("no answer began in time"))??;
     if response.status() == Reason::NotFound.status() {
-        return Err(Failure::lost("the request does not run there any more"));
+        return Err(Failure::ended("the request does not run there any more"));
     }
     sink.pass(response).await
 }
--- a/tests/promises/whole.rs
+++ b/tests/promises/whole.rs
@@ -178,6 +178,31 @@
     assert_eq!(engine.ran().len(), 2);
 }
 
+// Guards against a 409 for a resend that looks its key up while the request runs, and joins it after it has ended.
+#[tokio::test]
+async fn a_resend_that_joins_too_late_gets_the_kept_answer() {
+    let mut site = Local::start_behind_proxies(&["a@gulf", "b@gulf", "c@gulf"]).await;
+    site.put(MANDATE).await;
+    let engine = engine(&site, "e1", "gulf", "a", 4).await;
+    engine.slow_down(8.0);
+    site.cut_forwards("b", "a", true);
+    let request = Caller::chat("mandate", "move it", 20, false).with_key("k1");
+    let (first, at) = (request.clone(), site.callers("a"));
+    let running = tokio::spawn(async move { first.send(at).await });
+    while engine.ran().is_empty() {
+        assert!(!running.is_finished(), "no run: {:?}", running.await);
+        time::sleep(Duration::from_millis(5)).await;
+    }
+    let (again, at) = (request.clone(), site.callers("b"));
+    let resend = tokio::spawn(async move { again.send(at).await });
+    let first = running.await.unwrap().unwrap();
+    assert_eq!(first.status, StatusCode::OK, "{first:?}");
+    site.cut_forwards("b", "a", false);
+    let resend = resend.await.unwrap().unwrap();
+    assert_eq!((resend.status, &resend.body), (StatusCode::OK, &first.body), "{resend:?}");
+    assert_eq!(engine.ran().len(), 1);
+}
+
 // A caller asks for a stream, and the engine takes its time before the first piece. The connection carries a comment
 // every few seconds meanwhile, so that nothing on the way takes it for dead, and then the whole answer.
 #[tokio::test]
--- a/tests/support/site.rs
+++ b/tests/support/site.rs
@@ -80,6 +80,8 @@
 struct Between {
     from: id::Vm,
     to: id::Vm,
+    /// Whether requests are forwarded that way, and none of the links.
+    is_forwards: bool,
     proxy: Proxy,
 }
 
@@ -88,10 +90,11 @@
     let mut proxies = Vec::new();
     for (to, vm) in view.iter_mut().filter(|(to, _)| *to != from) {
         let (Some(entry), Some(control)) = (&mut vm.entry, &mut vm.control) else { continue };
-        for place in [&mut entry.links, &mut entry.forwards, &mut control.links] {
+        let places = [&mut entry.links, &mut entry.forwards, &mut control.links];
+        for (place, is_forwards) in places.into_iter().zip([false, true, false]) {
             let proxy = Proxy::start(place.ip(), *place).await;
             *place = proxy.address;
-            proxies.push(Between { from: from.clone(), to: to.clone(), proxy });
+            proxies.push(Between { from: from.clone(), to: to.clone(), is_forwards, proxy });
         }
     }
     proxies
@@ -306,6 +309,15 @@
         ways.for_each(|way| way.proxy.cut(cut));
     }
 
+    /// What a VM forwards to another one does not arrive any more, or again. Their links stay.
+    pub fn cut_forwards(&self, from: &str, to: &str, cut: bool) {
+        let ways = self
+            .proxies
+            .iter()
+            .filter(|way| way.is_forwards && way.from.as_str() == from && way.to.as_str() == to);
+        ways.for_each(|way| way.proxy.cut(cut));
+    }
+
     /// What a VM's entry daemon has logged since the site was started.
     pub fn logged(&self, vm: &str) -> String {
         self.lines[&vm.parse::<id::Vm>().expect("a name")].text()
