Looks and claims wait for a ledger until the deadline, 8 s at most

Callers were refused with 503 ledger-unreachable after 3 s when all connections between VMs had gone silent, although new ones worked.

Cause: a look at the ledger waited 3 s in all; detection of silence takes up to 2.8 s, and new links and an election follow.

Evidence: a test that forgets all connections and sends a first request got the 503 in each run.

Why it works: the bound is above the sum of what is waited for; looks and claims are idempotent. Where the ledger has no majority, callers wait 8 s, not 3 s.

Test: a_request_right_after_connections_are_forgotten_is_served failed before.

--- a/src/entry/claim.rs
+++ b/src/entry/claim.rs
@@ -28,8 +28,13 @@
 use crate::wire::Role;
 use crate::wire::message::Unavailable;
 
-/// One round in the region takes a few milliseconds, and an election of a leader about two seconds.
-const ASK: Duration = Duration::from_secs(3);
+/// How long a ledger is asked. One round in the region takes a few milliseconds; after links went silent, they are replaced
+/// within three seconds, and an election follows.
+const ASK: Duration = Duration::from_secs(8);
+/// The least, since a refusal is more useful if it says that nothing ran.
+const LEAST: Duration = Duration::from_millis(500);
+/// The same for a question whether a ledger answers.
+const CHECK: Duration = Duration::from_secs(3);
 /// Replicas that had no leader are asked again after this.
 const PAUSE: Duration = Duration::from_millis(100);
 /// A claim that got no answer is asked for again this often, which is harmless, before it is withdrawn.
@@ -85,12 +90,12 @@
     let home = ledger_region(hub, job);
     for past in job.origin.past.iter().filter(|past| *past != home) {
         // The look at a past home is committed there, and raises the bar for starts that it still gets.
-        match ask(hub, past, Command::Look(look.clone())).await {
+        match ask_for(hub, job, past, Command::Look(look.clone())).await {
             Ok(Reply::Absent) => (),
             other => return known(hub, job, other),
         }
     }
-    let asked = peek(hub, home, look).await;
+    let asked = peek(hub, home, look, limit(job)).await;
     known(hub, job, asked)
 }
 
@@ -112,7 +117,7 @@
     let mut last = Err(Unavailable::NoLeader);
     for _ in 0..CLAIMS {
         // Asking again for the same attempt is harmless: it is granted once, and told so each time.
-        last = ask(hub, &region, Command::Start(start.clone())).await;
+        last = ask_for(hub, job, &region, Command::Start(start.clone())).await;
         if last != Err(Unavailable::Unknown) || Instant::now() >= job.deadline {
             break;
         }
@@ -215,11 +220,31 @@
 
 /// Has a command committed by the ledger of a region.
 pub async fn ask(hub: &Hub, region: &id::Region, command: Command) -> Result<Reply, Unavailable> {
-    at_ledger(hub, region, || wire::Request::Ledger(command.clone())).await
+    at_ledger(hub, region, || wire::Request::Ledger(command.clone()), ASK).await
 }
 
-async fn peek(hub: &Hub, region: &id::Region, look: ledger::Look) -> Result<Reply, Unavailable> {
-    at_ledger(hub, region, || wire::Request::Peek(look.clone())).await
+/// The same for a request, whose caller waits until its deadline only.
+async fn ask_for(
+    hub: &Hub,
+    job: &Job,
+    region: &id::Region,
+    command: Command,
+) -> Result<Reply, Unavailable> {
+    at_ledger(hub, region, || wire::Request::Ledger(command.clone()), limit(job)).await
+}
+
+/// How long a ledger may be asked on behalf of a request.
+fn limit(job: &Job) -> Duration {
+    job.deadline.saturating_duration_since(Instant::now()).clamp(LEAST, ASK)
+}
+
+async fn peek(
+    hub: &Hub,
+    region: &id::Region,
+    look: ledger::Look,
+    limit: Duration,
+) -> Result<Reply, Unavailable> {
+    at_ledger(hub, region, || wire::Request::Peek(look.clone()), limit).await
 }
 
 /// Whether the region's ledger has a majority that answers this VM.
@@ -229,7 +254,7 @@
     };
     let body = ledger::Digest::new([0; ledger::DIGEST_BYTES]);
     let look = ledger::Look { owner, entry, key, body, home_since: Version::ZERO };
-    peek(hub, hub.region(), look).await.is_ok()
+    peek(hub, hub.region(), look, CHECK).await.is_ok()
 }
 
 /// Asks the control VMs of a region one after the other, the one that answered last first.
@@ -237,9 +262,10 @@
     hub: &Hub,
     region: &id::Region,
     request: impl Fn() -> wire::Request,
+    limit: Duration,
 ) -> Result<Reply, Unavailable> {
     let Some(mesh) = hub.mesh() else { return Err(Unavailable::NoLeader) };
-    let until = Instant::now() + ASK;
+    let until = Instant::now() + limit;
     let mut worst = Unavailable::NoLeader;
     loop {
         for peer in hub.ledger_peers(region) {
--- a/tests/promises/whole.rs
+++ b/tests/promises/whole.rs
@@ -203,6 +203,23 @@
     assert_eq!(engine.ran().len(), 1);
 }
 
+// Guards against a first request that is refused since all connections between VMs went silent just before, although it
+// could be served once new ones are made.
+#[tokio::test]
+async fn a_request_right_after_connections_are_forgotten_is_served() {
+    let mut site = Local::start_behind_proxies(&["a@gulf", "b@gulf", "c@gulf"]).await;
+    site.put(MANDATE).await;
+    let engine = engine(&site, "e1", "gulf", "a", 4).await;
+    for (nth, vm) in ["a", "b", "c"].into_iter().enumerate() {
+        site.forget_connections();
+        let request =
+            Caller::chat("mandate", "move it", 20, false).with_key(&format!("forgotten-{vm}"));
+        let answer = request.send(site.callers(vm)).await.unwrap();
+        assert_eq!(answer.status, StatusCode::OK, "{vm}: {answer:?}");
+        assert_eq!(engine.ran().len(), nth + 1);
+    }
+}
+
 // A caller asks for a stream, and the engine takes its time before the first piece. The connection carries a comment
 // every few seconds meanwhile, so that nothing on the way takes it for dead, and then the whole answer.
 #[tokio::test]
