--- a/src/entry/claim.rs
+++ b/src/entry/claim.rs
@@ -31,9 +31,9 @@
 /// How long a ledger is asked. One round in the region takes a few milliseconds; after links went silent, they are replaced
 /// within three seconds, and an election follows.
 const ASK: Duration = Duration::from_secs(8);
-/// The least, since a refusal is more useful if it says that nothing ran.
+/// How long a ledger is asked at least, even at the deadline: a refusal is more useful if it says that nothing ran.
 const LEAST: Duration = Duration::from_millis(500);
-/// The same for a question whether a ledger answers.
+/// How long a ledger is asked whether it answers at all.
 const CHECK: Duration = Duration::from_secs(3);
 /// Replicas that had no leader are asked again after this.
 const PAUSE: Duration = Duration::from_millis(100);
--- a/src/entry/run.rs
+++ b/src/entry/run.rs
@@ -159,8 +159,8 @@
 
 /// Answers a request that ran or runs elsewhere.
 async fn replay(hub: &Hub, job: &Job, out: &Writer, known: Known) -> Result<(), Refusal> {
-    let until = job.deadline.min(Instant::now() + RECORD_PATIENCE);
     let mut known = known;
+    let mut until = None;
     loop {
         let vm = match known {
             Known::Answered(answer) => {
@@ -183,6 +183,7 @@
             Joined::Late => known = claim::look(hub, job).await?,
         }
         if matches!(&known, Known::Running(other) if *other == vm) {
+            let until = *until.get_or_insert(job.deadline.min(Instant::now() + RECORD_PATIENCE));
             if Instant::now() >= until {
                 let text = format!("the request ended on {vm}, and how is being recorded");
                 return Err(in_progress(&text));
--- a/src/gateway/state/pauses.rs
+++ b/src/gateway/state/pauses.rs
@@ -47,7 +47,8 @@
 
     /// Records that a control VM has answered a question that was asked at that time.
     pub(in crate::gateway) fn end_doubt(&self, asked_at: Instant) {
-        if self.place().record_answer(asked_at, Instant::now()) {
+        let mut place = self.place();
+        if place.record_answer(asked_at, Instant::now()) {
             info!(self.log, "roster.confirmed";
                 "after_ms" => asked_at.elapsed().as_millis() as u64);
             self.doubt.send_replace(None);
