Quarantine: only a request's first crashes may be those of a victim of a mass crash

Two such requests crashed workers in bursts, and each burst counted as one step, since the other request's crashes looked like a mass crash.

Only the crashes beside the first one may count as one step now, so that each later burst counts as before.

--- a/src/decide/quarantine/crash_log.rs
+++ b/src/decide/quarantine/crash_log.rs
@@ -310,9 +310,12 @@
         let mut steps: Vec<(&Instance, &Crash)> = Vec::new();
         for (instance, crash) in self.crashes_of(digest) {
             let ran = crash.ran.get(digest).copied().unwrap_or_default();
+            let is_first = steps.len() == 1;
             let is_step = steps.last().is_none_or(|(_, last)| {
                 let is_copy = crash.at + MAX_SKEW < last.at + ran;
-                !is_copy && !self.is_mass_crash(digest, last.at, crash.at)
+                // Later steps count even so: what goes on to crash upstreams in bursts is no victim.
+                let is_victim = is_first && self.is_mass_crash(digest, last.at, crash.at);
+                !is_copy && !is_victim
             });
             if is_step {
                 steps.push((instance, crash));
--- a/src/decide/quarantine/tests.rs
+++ b/src/decide/quarantine/tests.rs
@@ -270,6 +270,26 @@
     assert!(is_quarantined(&mut quarantine, "culprit", now + 24 * SECOND));
 }
 
+// Guards against two requests that crash upstreams in bursts, each of which hides behind the crashes of the other.
+#[test]
+fn culprits_that_crash_upstreams_in_bursts_are_held_back() {
+    let now = Instant::now();
+    let mut quarantine = Quarantine::new(6);
+    let mut held_after = None;
+    for burst in 0..4 {
+        let at = now + 3 * SECOND * burst as u32;
+        for number in 0..4 {
+            let texts: &[&str] = if number < 3 { &["one"] } else { &["two"] };
+            let at = at + Duration::from_millis(120) * number as u32;
+            crash(&mut quarantine, burst * 4 + number, texts, at, Duration::from_millis(50));
+        }
+        if is_quarantined(&mut quarantine, "one", at + 2 * SECOND) {
+            held_after.get_or_insert(burst + 1);
+        }
+    }
+    assert_eq!(held_after, Some(2), "bursts until it is held back");
+}
+
 // Guards against a VM that is held up by its own bookkeeping when hundreds of upstreams crash at once.
 #[test]
 fn a_crash_of_hundreds_of_upstreams_is_evaluated_in_little_time() {
