Elections: one place counts votes, also those that are late

A pre-candidate's late votes were counted in handle_vote_answer, beside count_votes, which counts a candidate's.

--- a/src/consensus/election.rs
+++ b/src/consensus/election.rs
@@ -89,7 +89,9 @@
             {
                 self.campaign(now);
             }
-            State::Candidate { granted } if members.has_majority(|id| granted.contains(&id)) => {
+            State::Candidate { granted: votes } | State::PreCandidate { votes, .. }
+                if members.has_majority(|id| votes.contains(&id)) =>
+            {
                 self.become_leader(now);
             }
             _ => {}
@@ -173,23 +175,13 @@
     }
 
     pub(super) fn handle_vote_answer(&mut self, from: id::Replica, granted: bool, now: Instant) {
-        if !granted {
-            return;
-        }
-        let members = self.log.members();
-        match &mut self.state {
-            State::Candidate { granted: votes } => {
-                votes.insert(from);
-                self.count_votes(now);
-            }
-            // The next election has not begun, so that the votes of the last one still count.
-            State::PreCandidate { votes, .. } => {
-                votes.insert(from);
-                if members.has_majority(|id| votes.contains(&id)) {
-                    self.become_leader(now);
-                }
-            }
-            State::Follower { .. } | State::Leader(_) => (),
+        // Until a pre-candidate campaigns, the votes of its last election still count.
+        if let State::Candidate { granted: votes } | State::PreCandidate { votes, .. } =
+            &mut self.state
+            && granted
+        {
+            votes.insert(from);
+            self.count_votes(now);
         }
     }
 
