--- a/src/gateway/daemon.rs
+++ b/src/gateway/daemon.rs
@@ -99,25 +99,11 @@
         }
         let (checking, stop) = (state.clone(), supervisor.stop());
         supervisor.child("reach", move || reach::run(checking.clone(), stop.clone()));
-        let (observing, stop) = (state.clone(), supervisor.stop());
-        supervisor.child("pauses", move || {
-            let (state, mut stop) = (observing.clone(), stop.clone());
-            async move {
-                tokio::select! {
-                    () = state.observe_pauses() => (),
-                    _ = stop.wait_for(|stop| *stop) => (),
-                }
-            }
+        spawn_task(&mut supervisor, "pauses", &state, |state| async move {
+            state.observe_pauses().await;
         });
-        let (reporting, stop) = (state.clone(), supervisor.stop());
-        supervisor.child("restrictions", move || {
-            let (state, mut stop) = (reporting.clone(), stop.clone());
-            async move {
-                tokio::select! {
-                    () = state.report_restrictions() => (),
-                    _ = stop.wait_for(|stop| *stop) => (),
-                }
-            }
+        spawn_task(&mut supervisor, "restrictions", &state, |state| async move {
+            state.report_restrictions().await;
         });
         info!(log, "process.started"; "version" => env!("CARGO_PKG_VERSION"),
             "region" => %node.region, "data_centre" => %node.data_centre, "born" => start_time_ms);
@@ -167,6 +153,27 @@
     state.adapter().handle_directory(&state, &request)
 }
 
+/// Starts a supervised task that goes on until shutdown.
+fn spawn_task<A>(
+    supervisor: &mut Supervisor,
+    name: &'static str,
+    state: &Arc<State>,
+    run: impl Fn(Arc<State>) -> A + Copy + Send + Sync + 'static,
+) where
+    A: Future<Output = ()> + Send + 'static,
+{
+    let (state, stop) = (state.clone(), supervisor.stop());
+    supervisor.child(name, move || {
+        let (state, mut stop) = (state.clone(), stop.clone());
+        async move {
+            tokio::select! {
+                () = run(state) => (),
+                _ = stop.wait_for(|stop| *stop) => (),
+            }
+        }
+    });
+}
+
 /// Starts a supervised listener; the socket stays open if the task panics.
 fn spawn_listener<F, A>(
     supervisor: &mut Supervisor,
