--- a/src/consensus/transfer.rs
+++ b/src/consensus/transfer.rs
@@ -3,9 +3,12 @@
 use tokio::time::Instant;
 
 use super::Body;
+use super::Members;
 use super::Message;
 use super::Replica;
 use super::Role;
+use super::leader::Leader;
+use super::progress::Progress;
 use super::replica::State;
 use crate::id;
 
@@ -18,6 +21,17 @@
     timeout_sent: bool,
 }
 
+impl Leader {
+    /// The other data voters that respond.
+    fn responsive_voters<'a>(
+        &'a self,
+        members: &'a Members,
+    ) -> impl Iterator<Item = (&'a id::Replica, &'a Progress)> {
+        let is_voter = |id: &id::Replica| members.role(*id) == Some(Role::Voter);
+        self.progress.iter().filter(move |(id, p)| is_voter(id) && !p.unresponsive)
+    }
+}
+
 impl Replica {
     /// Starts a transfer to a responsive data voter. `SteppedDown` reports its completion to the
     /// driver.
@@ -26,9 +40,8 @@
         let State::Leader(leader) = &mut self.state else {
             return;
         };
-        let is_voter = |id: &id::Replica| members.role(*id) == Some(Role::Voter);
-        let responsive = leader.progress.iter().filter(|(id, p)| is_voter(id) && !p.unresponsive);
-        let named = responsive.filter(|(id, _)| to.is_none_or(|to| to == **id));
+        let named =
+            leader.responsive_voters(members).filter(|(id, _)| to.is_none_or(|to| to == **id));
         let Some((&to, _)) = named.max_by_key(|(_, p)| p.matched) else {
             return;
         };
@@ -44,10 +57,8 @@
     pub(super) fn is_behind_a_voter(&self) -> bool {
         let members = self.log.members();
         let State::Leader(leader) = &self.state else { return false };
-        let is_voter = |id: &id::Replica| members.role(*id) == Some(Role::Voter);
-        let mut responsive =
-            leader.progress.iter().filter(|(id, p)| is_voter(id) && !p.unresponsive);
-        leader.transfer.is_none() && responsive.any(|(_, p)| p.matched > self.log.synced())
+        let is_ahead = |(_, p): (&id::Replica, &Progress)| p.matched > self.log.synced();
+        leader.transfer.is_none() && leader.responsive_voters(members).any(is_ahead)
     }
 
     /// Requests that the new leader start its election once its log is complete.
