--- a/tests/cluster/main.rs
+++ b/tests/cluster/main.rs
@@ -53,6 +53,15 @@
     group
 }
 
+/// Plays stalls of different lengths, each in a calm group of its own.
+fn in_each_stall(shape: Shape, play: impl Fn(&mut Group, Duration, u64)) {
+    for seed in 0..seeds() {
+        for stall in STALLS_MS.map(Duration::from_millis) {
+            play(&mut calm_group(shape, seed), stall, seed);
+        }
+    }
+}
+
 // Guards against a leader that keeps the lead while its disk stands still, although the others could accept values.
 #[parameterized(
     leader_of_three = { shape(3, false), 1, true },
@@ -65,16 +74,13 @@
     count: usize,
     has_leader: bool,
 ) {
-    for seed in 0..seeds() {
-        for stall in STALLS_MS.map(Duration::from_millis) {
-            let mut group = calm_group(shape, seed);
-            group.stall(count, has_leader, stall);
-            // What the disks had persisted before is accepted yet.
-            group.go_on(Duration::from_millis(100));
-            let took = group.accept(ACCEPTED_WITHIN);
-            assert!(took.is_some(), "stall of {stall:?}, seed {seed}");
-        }
-    }
+    in_each_stall(shape, |group, stall, seed| {
+        group.stall(count, has_leader, stall);
+        // What the disks had persisted before is accepted yet.
+        group.go_on(Duration::from_millis(100));
+        let took = group.accept(ACCEPTED_WITHIN);
+        assert!(took.is_some(), "stall of {stall:?}, seed {seed}");
+    });
 }
 
 // Guards against elections without end: each candidate gives up before its vote is persisted, and raises the term.
@@ -90,20 +96,17 @@
     count: usize,
     has_leader: bool,
 ) {
-    for seed in 0..seeds() {
-        for stall in STALLS_MS.map(Duration::from_millis) {
-            let mut group = calm_group(shape, seed);
-            let term = group.term();
-            for series in 1..=2 {
-                group.stall(count, has_leader, stall);
-                group.go_on(stall);
-                let took = group.accept(ACCEPTED_WITHIN);
-                assert!(took.is_some(), "not accepted after {stall:?}, seed {seed}");
-                let terms = group.term() - term;
-                assert!(terms <= MAX_TERMS * series, "{terms} terms, {stall:?}, seed {seed}");
-            }
+    in_each_stall(shape, |group, stall, seed| {
+        let term = group.term();
+        for series in 1..=2 {
+            group.stall(count, has_leader, stall);
+            group.go_on(stall);
+            let took = group.accept(ACCEPTED_WITHIN);
+            assert!(took.is_some(), "not accepted after {stall:?}, seed {seed}");
+            let terms = group.term() - term;
+            assert!(terms <= MAX_TERMS * series, "{terms} terms, {stall:?}, seed {seed}");
         }
-    }
+    });
 }
 
 // Guards against elections without end where each sync takes longer than an election timeout.
