--- a/src/decide/feedback.rs
+++ b/src/decide/feedback.rs
@@ -18,6 +18,7 @@
 mod limit;
 mod notice;
 mod pace;
+mod refusal_limit;
 mod reported;
 mod restrictions;
 
@@ -30,6 +31,7 @@
 pub use change::Event;
 pub use limit::Limit;
 pub use notice::RateNotice;
+pub use refusal_limit::RefusalLimit;
 pub use restrictions::Restrictions;
 
 /// A value that a response may state.
--- a/src/decide/feedback/change.rs
+++ b/src/decide/feedback/change.rs
@@ -15,6 +15,12 @@
     LimitChanged(Rate),
     /// A rate limit ended.
     LimitEnded,
+    /// The upstream states how many requests a second it can refuse.
+    RefusalLimitBegan(Rate),
+    /// That number changed.
+    RefusalLimitChanged(Rate),
+    /// It does not state it any more.
+    RefusalLimitEnded,
     /// The upstream is draining.
     DrainBegan,
     /// The upstream that was draining has restarted or is gone.
--- a/src/decide/feedback/reported.rs
+++ b/src/decide/feedback/reported.rs
@@ -19,6 +19,8 @@
 pub enum State {
     /// The rate limit.
     Limit(Option<Rate>),
+    /// How many requests it can refuse.
+    RefusalLimit(Option<Rate>),
     /// Whether the upstream is draining.
     Draining(bool),
     /// The end of the time without requests.
@@ -33,12 +35,17 @@
 pub struct Reported {
     at: Option<Instant>,
     ignored_at: Option<Instant>,
-    states: [State; 3],
+    states: [State; 4],
 }
 
 impl Default for Reported {
     fn default() -> Self {
-        let states = [State::Limit(None), State::Draining(false), State::Backoff(None)];
+        let states = [
+            State::Limit(None),
+            State::RefusalLimit(None),
+            State::Draining(false),
+            State::Backoff(None),
+        ];
         Self { at: None, ignored_at: None, states }
     }
 }
@@ -47,7 +54,7 @@
     /// Returns the events that lead from the reported states to these, unless the last report was just before.
     pub fn take_events(
         &mut self,
-        states: [Known; 3],
+        states: [Known; 4],
         ignored: Option<(&'static str, String)>,
         now: Instant,
     ) -> Vec<(Event, Option<(Instant, Source)>)> {
@@ -88,6 +95,11 @@
         (State::Limit(None), State::Limit(Some(rate))) => Some(Event::LimitBegan(rate)),
         (_, State::Limit(Some(rate))) => Some(Event::LimitChanged(rate)),
         (_, State::Limit(None)) => Some(Event::LimitEnded),
+        (State::RefusalLimit(None), State::RefusalLimit(Some(rate))) => {
+            Some(Event::RefusalLimitBegan(rate))
+        }
+        (_, State::RefusalLimit(Some(rate))) => Some(Event::RefusalLimitChanged(rate)),
+        (_, State::RefusalLimit(None)) => Some(Event::RefusalLimitEnded),
         (_, State::Draining(true)) => Some(Event::DrainBegan),
         (_, State::Draining(false)) => Some(Event::DrainEnded),
         (State::Backoff(None), State::Backoff(Some(until))) => {
--- a/src/decide/feedback/restrictions.rs
+++ b/src/decide/feedback/restrictions.rs
@@ -9,6 +9,7 @@
 use super::Event;
 use super::Feedback;
 use super::Limit;
+use super::RefusalLimit;
 use super::Source;
 use super::Statement;
 use super::reported::Reported;
@@ -33,6 +34,8 @@
 pub struct Restrictions {
     /// The rate limit.
     pub limit: Limit,
+    /// How many requests it can refuse.
+    pub refusal_limit: RefusalLimit,
     /// When the upstream first stated that it is draining, and how this VM knows. It does not return until it has
     /// restarted.
     draining: Option<(Instant, Source)>,
@@ -52,6 +55,7 @@
 
     /// Records the feedback of a response to a request that was sent at `sent_at`.
     pub fn record(&mut self, feedback: &Feedback, sent_at: Instant, now: Instant) {
+        self.refusal_limit.record(feedback, sent_at, now);
         if let (true, Statement::Value(limit)) = (feedback.is_refusal, &feedback.refusal_limit) {
             let rate = Rate::per_second(limit.get() * REFUSAL_LIMIT_FRACTION);
             self.limit.record(&Statement::Value(rate), sent_at, now);
@@ -128,6 +132,7 @@
         let until = self.backoff.until(now);
         let states = [
             (State::Limit(self.limit.rate()), self.limit.known()),
+            (State::RefusalLimit(self.refusal_limit.rate()), self.refusal_limit.known()),
             (State::Draining(self.is_draining()), self.draining),
             (State::Backoff(until), self.backoff.known()),
         ];
--- a/src/decide/place/restrictions.rs
+++ b/src/decide/place/restrictions.rs
@@ -75,6 +75,12 @@
         upstreams.filter(|upstream| upstream.restrictions.backoff.until(now).is_some()).count()
     }
 
+    /// Returns the number of upstreams that state how many requests they can refuse.
+    pub fn refusal_limited_count(&self) -> usize {
+        let upstreams = self.upstreams.values();
+        upstreams.filter_map(|upstream| upstream.restrictions.refusal_limit.rate()).count()
+    }
+
     /// Returns the number of upstreams that state a rate limit.
     pub fn limited_count(&self) -> usize {
         let limits =
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -297,7 +297,12 @@
     if meta.is_not_executed || is_vm_refusal(&reservation, &meta, response.status()) {
         let is_misdirected = meta.is_misdirected;
         let stage = match reservation.target() {
-            Target::Upstream(_) => Stage::Upstream,
+            Target::Upstream(_) => {
+                if !is_misdirected {
+                    state.metrics().record_refusal();
+                }
+                Stage::Upstream
+            }
             Target::Vm(region, _) => Stage::Region {
                 region: region.clone(),
                 reached_upstream: response.headers().contains_key(headers::REACHED_UPSTREAM),
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -34,6 +34,8 @@
     without_reach: Gauge,
     upstreams: Gauge,
     limited: Gauge,
+    refusal_limited: Gauge,
+    refusals: Counter,
     draining: Gauge,
     backing_off: Gauge,
     unanswered: Gauge,
@@ -86,6 +88,12 @@
         let limited = Gauge::default();
         let text = "Upstreams that state a rate limit";
         registry.register("upstreams_limited", text, limited.clone());
+        let refusal_limited = Gauge::default();
+        let text = "Upstreams that state how many requests a second they can refuse";
+        registry.register("upstreams_refusal_limited", text, refusal_limited.clone());
+        let refusals = Counter::default();
+        let text = "Requests that upstreams refused";
+        registry.register("upstream_refusals", text, refusals.clone());
         let draining = Gauge::default();
         let text = "Upstreams known to be draining";
         registry.register("upstreams_draining", text, draining.clone());
@@ -116,6 +124,8 @@
             without_reach,
             upstreams,
             limited,
+            refusal_limited,
+            refusals,
             draining,
             backing_off,
             unanswered,
@@ -183,6 +193,16 @@
         self.limited.set(limited as i64);
     }
 
+    /// Sets the number of upstreams that state how many requests they can refuse.
+    pub fn set_refusal_limited(&self, upstreams: usize) {
+        self.refusal_limited.set(upstreams as i64);
+    }
+
+    /// Counts a request that an upstream refused.
+    pub fn record_refusal(&self) {
+        self.refusals.inc();
+    }
+
     /// Sets the number of upstreams known to be draining.
     pub fn set_draining(&self, draining: usize) {
         self.draining.set(draining as i64);
--- a/src/gateway/state/restrictions.rs
+++ b/src/gateway/state/restrictions.rs
@@ -42,6 +42,18 @@
                 info!(self.log, "upstream.limit_ended"; "upstream" => %upstream,
                     "source" => source, "age_ms" => age);
             }
+            Event::RefusalLimitBegan(rate) => {
+                info!(self.log, "upstream.refusal_limit_began"; "upstream" => %upstream,
+                    "per_second" => rate.get(), "source" => source, "age_ms" => age);
+            }
+            Event::RefusalLimitChanged(rate) => {
+                info!(self.log, "upstream.refusal_limit_changed"; "upstream" => %upstream,
+                    "per_second" => rate.get(), "source" => source, "age_ms" => age);
+            }
+            Event::RefusalLimitEnded => {
+                info!(self.log, "upstream.refusal_limit_ended"; "upstream" => %upstream,
+                    "source" => source, "age_ms" => age);
+            }
             Event::DrainBegan => {
                 info!(self.log, "upstream.drain_began"; "upstream" => %upstream,
                     "source" => source, "age_ms" => age);
