--- a/tests/load/main.rs
+++ b/tests/load/main.rs
@@ -18,6 +18,7 @@
 mod policy;
 mod pool;
 mod quotas;
+mod refusals;
 mod regions;
 mod restrictions;
 mod returning;
--- a/tests/load/restrictions.rs
+++ b/tests/load/restrictions.rs
@@ -1,6 +1,6 @@
 //! What upstreams state in their responses, over the VMs of a region, judged by arrivals at the upstreams.
 
-mod world;
+pub mod world;
 
 use std::collections::HashMap;
 use std::time::Duration;
