BUDGET: parts of prompts that crash upstreams are suspected and quarantined like requests

Callers saw one kind of request crash upstreams one after the other: 25 sends after the fifth crash, 38 crashes in all.

Cause: evidence was kept for a request as a whole (method, path, organisation, body). No two of these were alike, so that no suspect ever crashed a second upstream; in the record 202 of 203 digests ran on one crashed upstream only, and nothing was held back. The class: a key too narrow for what it has to recognise.

Change: the parts of a prompt, but the last, are suspects too, with the same evidence, chance of coincidence, sharing over VMs and regions and holds. A part on which this VM has had a complete answer in the last minutes is no suspect there, so that sound requests which share the first part go on. Operators see a held part by its key, and lift it like a request.

--- a/src/decide/quarantine.rs
+++ b/src/decide/quarantine.rs
@@ -9,6 +9,9 @@
 //! crashes are unlikely to explain its own: with few crashes around, the second one suffices. It is quarantined for long only
 //! if they can't explain it.
 //!
+//! A part of a prompt may crash upstreams, whatever else a request holds, so that no two requests are alike. Parts are suspects
+//! like requests, except those on which this VM has had a complete answer: a part that crashes upstreams has none.
+//!
 //! VMs share what they observe; requests are identified by a digest. What concerns all regions is bounded: the requests of the
 //! last crashes, those with several crashes, and the quarantined ones ([`Quarantine::shared`]).
 
@@ -23,6 +26,7 @@
 use crate::id;
 use crate::unit::Incarnation;
 
+mod answered;
 mod crash_log;
 mod digest;
 mod hold;
@@ -37,6 +41,7 @@
 pub use message::Report;
 pub use popular::Popular;
 
+use answered::Answered;
 use crash_log::CrashLog;
 use crash_log::Instance;
 use hold::Holds;
@@ -99,6 +104,30 @@
     },
 }
 
+impl Status {
+    /// The stricter one of two.
+    #[must_use]
+    pub fn or(self, other: Self) -> Self {
+        match (self, other) {
+            (Self::Clear, other) | (other, Self::Clear) => other,
+            (Self::Quarantined { time_left: one }, Self::Quarantined { time_left: other }) => {
+                Self::Quarantined { time_left: one.max(other) }
+            }
+            (held @ Self::Quarantined { .. }, _) | (_, held @ Self::Quarantined { .. }) => held,
+            (Self::Pending { time_left: one }, Self::Pending { time_left: other }) => {
+                Self::Pending { time_left: one.max(other) }
+            }
+            (pending @ Self::Pending { .. }, _) | (_, pending @ Self::Pending { .. }) => pending,
+            (Self::Suspect { mut avoid }, Self::Suspect { avoid: other }) => {
+                avoid.extend(other);
+                avoid.sort();
+                avoid.dedup();
+                Self::Suspect { avoid }
+            }
+        }
+    }
+}
+
 /// One VM's view of the requests that may have crashed upstreams.
 #[derive(Debug, Default)]
 pub struct Quarantine {
@@ -108,6 +137,7 @@
     /// The number of entries of each request in `running`.
     copies: HashMap<Digest, usize>,
     cleared: HashMap<Digest, Instant>,
+    answered_parts: Answered,
     alive: HashMap<Instance, Instant>,
     pending: BTreeSet<(Instant, Digest)>,
     /// When the last crash of a request in `pending` is evaluated.
@@ -173,6 +203,35 @@
         Status::Suspect { avoid: self.log.upstreams(digest).cloned().collect() }
     }
 
+    /// The status of a part of a prompt. One on which this VM has had an answer is no suspect here.
+    pub fn part_status(&mut self, part: &Digest, now: Instant) -> Status {
+        match self.status(part, now) {
+            Status::Suspect { .. } | Status::Pending { .. } if self.is_answered(part, now) => {
+                Status::Clear
+            }
+            status => status,
+        }
+    }
+
+    /// Records a complete answer on parts of a prompt.
+    pub fn record_part_answers(&mut self, parts: &[Digest], now: Instant) {
+        parts.iter().for_each(|part| self.answered_parts.record(*part, now));
+    }
+
+    /// Whether this VM has recently had a complete answer on a part of a prompt.
+    pub fn is_answered(&mut self, part: &Digest, now: Instant) -> bool {
+        self.answered_parts.contains(part, now)
+    }
+
+    /// The suspect among a request and its parts that has crashed the most upstreams.
+    pub fn worst_suspect(&mut self, request: &Digest, parts: &[Digest], now: Instant) -> Digest {
+        let mut suspects = vec![*request];
+        suspects.extend(parts.iter().filter(|part| !self.answered_parts.contains(part, now)));
+        let is_suspect = |digest: &&Digest| self.log.is_suspect(digest);
+        let worst = suspects.iter().filter(is_suspect);
+        worst.max_by_key(|digest| self.log.crash_count(digest)).copied().unwrap_or(*request)
+    }
+
     /// A part of a time that is different for each VM.
     ///
     /// Several VMs that run the same suspect at once lose an upstream each before they hear of the first crash.
--- a/src/decide/quarantine/digest.rs
+++ b/src/decide/quarantine/digest.rs
@@ -41,9 +41,17 @@
         Self::finish(hash)
     }
 
-    /// The first half of the digest, for rendezvous hashing.
+    /// The digest of a part of a prompt, which ends in the part's key.
+    pub fn of_part(key: u64) -> Self {
+        let mut bytes = [0; 16];
+        bytes[8..].copy_from_slice(&key.to_be_bytes());
+        Self(bytes)
+    }
+
+    /// Half of the bits of the digest, for rendezvous hashing.
     pub fn key(&self) -> u64 {
-        self.0[..8].iter().fold(0, |key, byte| key << 8 | u64::from(*byte))
+        let half = |bytes: &[u8]| bytes.iter().fold(0, |key, byte| key << 8 | u64::from(*byte));
+        half(&self.0[..8]) ^ half(&self.0[8..])
     }
 
     fn finish(hash: Sha256) -> Self {
--- a/src/gateway/crashes.rs
+++ b/src/gateway/crashes.rs
@@ -94,17 +94,36 @@
         if quarantine.has_no_suspects() {
             return Status::Clear;
         }
-        quarantine.status(job.digest(), Instant::now())
+        let now = Instant::now();
+        let request = quarantine.status(job.digest(), now);
+        let parts = job.parts().iter();
+        parts.fold(request, |status, part| status.or(quarantine.part_status(part, now)))
     }
 
-    /// Records that a request was sent to an upstream, if it matters where suspects run.
-    pub(super) fn record_run(&self, job: &Job, upstream: &id::Upstream) -> Option<Digest> {
+    /// What is suspected most of a request: itself or a part of its prompt.
+    pub(super) fn suspect(&self, job: &Job) -> Digest {
+        self.quarantine().worst_suspect(job.digest(), job.parts(), Instant::now())
+    }
+
+    /// Records that a request was sent to an upstream, if it matters where suspects run; returns the request and the parts of
+    /// its prompt.
+    pub(super) fn record_run(&self, job: &Job, upstream: &id::Upstream) -> Vec<Digest> {
         let mut quarantine = self.quarantine();
         if quarantine.has_no_suspects() {
-            return None;
+            return Vec::new();
+        }
+        let digests: Vec<Digest> = [job.digest()].into_iter().chain(job.parts()).copied().collect();
+        for digest in &digests {
+            quarantine.started(*digest, upstream, Instant::now());
+        }
+        digests
+    }
+
+    /// Records a complete answer on parts of a prompt.
+    pub(super) fn record_part_answers(&self, parts: &[Digest]) {
+        if !parts.is_empty() {
+            self.quarantine().record_part_answers(parts, Instant::now());
         }
-        quarantine.started(*job.digest(), upstream, Instant::now());
-        Some(*job.digest())
     }
 
     /// Records the end of such a run, and whether it was answered.
@@ -181,7 +200,14 @@
 pub(super) fn record_break(state: &Arc<State>, job: &Job, upstream: &id::Upstream, sent: Instant) {
     let now = Instant::now();
     let is_popular = state.popular().answers(job.hash(), now) >= POPULAR_ANSWERS;
-    let run = (!is_popular).then(|| (*job.digest(), now.saturating_duration_since(sent)));
+    let ran = now.saturating_duration_since(sent);
+    let mut run: Vec<(Digest, Duration)> = Vec::new();
+    run.extend((!is_popular).then(|| (*job.digest(), ran)));
+    {
+        let mut quarantine = state.quarantine();
+        let parts = job.parts().iter().filter(|part| !quarantine.is_answered(part, now));
+        run.extend(parts.map(|part| (*part, ran)));
+    }
     let mut breaks = state.breaks.lock().expect("no panic while locked");
     if let Some(broken) = breaks.broken.get_mut(upstream) {
         if broken.runs.len() < MAX_RUNS {
@@ -190,7 +216,7 @@
         return;
     }
     let Some(broken) = state.describe_break(upstream, now) else { return };
-    let broken = Broken { runs: run.into_iter().collect(), ..broken };
+    let broken = Broken { runs: run, ..broken };
     breaks.broken.insert(upstream.clone(), broken);
     breaks.alive.retain(|_, at| now < *at + ALIVE_TIME);
     let was_alive = breaks.alive.contains_key(upstream);
--- a/src/gateway/receive.rs
+++ b/src/gateway/receive.rs
@@ -168,6 +168,7 @@
         is_retry,
         is_counted_here,
         digest: OnceLock::new(),
+        parts: OnceLock::new(),
     })
 }
 
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -170,6 +170,8 @@
     pub is_counted_here: bool,
     /// Identifies the request when it is resent; computed when it is first needed.
     pub digest: OnceLock<Digest>,
+    /// Identifies the parts of the prompt that other requests may share; computed when they are first needed.
+    pub parts: OnceLock<Vec<Digest>>,
 }
 
 impl Job {
@@ -183,6 +185,15 @@
         hash.digest()
     }
 
+    /// Identifies the parts of the prompt that other requests may share.
+    pub fn parts(&self) -> &[Digest] {
+        self.parts.get_or_init(|| {
+            let parts = self.call.prompt.as_ref().and_then(|prompt| prompt.parts.split_last());
+            let shared = parts.map(|(_, shared)| shared).unwrap_or_default();
+            shared.iter().map(|(key, _)| Digest::of_part(*key)).collect()
+        })
+    }
+
     /// Identifies the request when it is resent.
     pub fn digest(&self) -> &Digest {
         self.digest.get_or_init(|| {
@@ -400,7 +411,8 @@
     fn log_held_back(&self, reason: &'static str, time_left: Duration) {
         self.state.metrics().record_held_back(reason);
         info!(self.state.log(), "request.held_back"; "request" => &self.job.call.id,
-            "why" => reason, "digest" => %self.job.digest(), "attempts" => self.attempts(),
+            "why" => reason, "digest" => %self.state.suspect(&self.job),
+            "attempts" => self.attempts(),
             "left_ms" => time_left.as_millis() as u64);
     }
 
@@ -604,14 +616,15 @@
             "own" => self.work.suffix.get(),
             "shared" => self.work.prefix.map(|shared| format!("{:x}", shared.key)));
         // A VM that a request is forwarded to records its run and counts its answer.
-        let (digest, hash) = match &target {
+        let (digests, hash) = match &target {
             Target::Upstream(upstream) => {
                 (self.state.record_run(&self.job, upstream), Some(self.job.hash()))
             }
-            Target::Vm(..) => (None, None),
+            Target::Vm(..) => (Vec::new(), None),
         };
+        let parts = hash.map(|_| self.job.parts().to_vec()).unwrap_or_default();
         let reservation = Reservation::new(self.state.clone(), target, service, held);
-        (reservation.with_digest(digest).with_hash(hash), address)
+        (reservation.with_digests(digests).with_hash(hash).with_parts(parts), address)
     }
 
     /// Logs a request to a cold upstream: how it came here, and which turn it takes.
--- a/src/gateway/relay/placement.rs
+++ b/src/gateway/relay/placement.rs
@@ -181,15 +181,17 @@
             Suspicion::None => return self.state.place().choose(query, now),
             Suspicion::Weak(avoid) | Suspicion::Strong(avoid) => avoid,
         };
-        let digest = self.job.digest();
+        let suspect = self.state.suspect(&self.job);
         let mut apart = self.state.place().open(query.service);
         {
             let quarantine = self.state.quarantine();
             apart.retain(|id| {
-                !avoid.contains(id) && !query.tried.contains(id) && quarantine.may_start(digest, id)
+                !avoid.contains(id)
+                    && !query.tried.contains(id)
+                    && quarantine.may_start(&suspect, id)
             });
         }
-        apart.sort_by_key(|id| Reverse(rendezvous::weight(digest.key(), id.as_str())));
+        apart.sort_by_key(|id| Reverse(rendezvous::weight(suspect.key(), id.as_str())));
         let mut place = self.state.place();
         let chosen = apart.iter().find_map(|id| {
             let query = Query { only: Some(id), ..*query };
--- a/src/gateway/reservation.rs
+++ b/src/gateway/reservation.rs
@@ -28,8 +28,10 @@
     held: Option<InFlight>,
     outcome: Outcome,
     started: Instant,
-    /// The request, while it matters where suspects run.
-    digest: Option<Digest>,
+    /// The request and the parts of its prompt, while it matters where suspects run.
+    digests: Vec<Digest>,
+    /// The parts of its prompt that other requests may share.
+    parts: Vec<Digest>,
     /// The hash of a request that was sent to an upstream.
     hash: Option<u64>,
 }
@@ -40,13 +42,21 @@
     pub fn new(state: Arc<State>, target: Target, service: &str, held: Option<InFlight>) -> Self {
         let outcome = Outcome::Abandoned;
         let (service, started) = (service.to_owned(), Instant::now());
-        Self { state, target, service, held, outcome, started, digest: None, hash: None }
+        let (digests, parts, hash) = (Vec::new(), Vec::new(), None);
+        Self { state, target, service, held, outcome, started, digests, parts, hash }
     }
 
-    /// Sets the request whose run is to be reported, if it matters where suspects run.
+    /// Sets the request and the parts of its prompt whose run is to be reported, if it matters where suspects run.
     #[must_use]
-    pub fn with_digest(mut self, digest: Option<Digest>) -> Self {
-        self.digest = digest;
+    pub fn with_digests(mut self, digests: Vec<Digest>) -> Self {
+        self.digests = digests;
+        self
+    }
+
+    /// Sets the parts of the prompt whose answer is counted.
+    #[must_use]
+    pub fn with_parts(mut self, parts: Vec<Digest>) -> Self {
+        self.parts = parts;
         self
     }
 
@@ -104,7 +114,10 @@
                 if let (Outcome::Answered, Some(hash)) = (self.outcome, self.hash) {
                     self.state.record_popular(hash);
                 }
-                if let Some(digest) = &self.digest {
+                if self.outcome == Outcome::Answered {
+                    self.state.record_part_answers(&self.parts);
+                }
+                for digest in &self.digests {
                     self.state.record_run_end(digest, upstream, is_answered);
                 }
                 if is_answered {
--- a/src/gateway/state/tests/retries.rs
+++ b/src/gateway/state/tests/retries.rs
@@ -266,6 +266,7 @@
         is_retry: false,
         is_counted_here,
         digest: OnceLock::new(),
+        parts: OnceLock::new(),
     }
 }
 
