BUDGET: an answer that ends with its connection is whole only if the upstream still accepts connections

Callers got streams that a crash had cut off between two events as whole ones, and the part that crashed the upstreams counted as answered, so that it was never held back.

Cause: an answer with neither a length nor chunks ends with its connection, however that ends; and a stream that ended within an event was no evidence of a crash. The class: the absence of an error taken for success.

Change: at such an end the gateway asks whether the upstream refuses connections. If it does, the answer has broken off: it is resumed or aborted, and counts as evidence. Only whole answers acquit.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -10,6 +10,7 @@
 use http::Request;
 use http::Response;
 use http::StatusCode;
+use http::header;
 use http::response;
 use http_body_util::BodyExt;
 use http_body_util::Full;
@@ -110,9 +111,16 @@
     lease: Lease,
     idle_timeout: Option<Duration>,
     closes_connection: bool,
+    /// Whether the answer states its length or comes in chunks, so that its end is known.
+    is_framed: bool,
 }
 
 impl UpstreamStream {
+    /// Whether the answer that has ended is whole, as far as can be known.
+    pub async fn is_whole(&self, state: &State) -> bool {
+        self.is_framed || is_alive(state, &self.reservation).await
+    }
+
     /// Ends a complete stream and returns its connection to the pool.
     pub fn finish(self, state: &State) {
         self.reservation.complete(Outcome::Answered);
@@ -168,6 +176,16 @@
     classify(state, job, response, lease, (reservation, started), meta).await
 }
 
+/// Whether the upstream that an answer without a length came from still accepts connections.
+///
+/// A crash between two events looks like the end of such an answer.
+async fn is_alive(state: &State, reservation: &Reservation) -> bool {
+    match reservation.target() {
+        Target::Upstream(upstream) => !crashes::refuses_connections(state, upstream).await,
+        Target::Vm(..) => true,
+    }
+}
+
 /// How a run ended that was not answered.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum End {
@@ -349,6 +367,8 @@
     meta: &ResponseMeta,
 ) -> AttemptResult {
     let (mut head, incoming) = response.into_parts();
+    let framing = [header::CONTENT_LENGTH, header::TRANSFER_ENCODING];
+    let is_framed = framing.iter().any(|name| head.headers.contains_key(name));
     headers::strip_hop_by_hop(&mut head.headers);
     let (idle_timeout, closes_connection) = (meta.idle_timeout, meta.closes_connection);
     if job.route.kind.is_stream() && head.status.is_success() {
@@ -359,11 +379,13 @@
             lease,
             idle_timeout,
             closes_connection,
+            is_framed,
         }));
         return AttemptResult::Response(Box::new(OpenResponse { head, body }));
     }
     let collected = time::timeout_at(job.deadline, incoming.collect()).await;
-    let Ok(Ok(collected)) = collected else {
+    let is_whole = is_framed || is_alive(state, &reservation).await;
+    let (Ok(Ok(collected)), true) = (collected, is_whole) else {
         record_run_end(state, job, &reservation, started, End::BrokeOff);
         reservation.complete(Outcome::Failed);
         return AttemptResult::Indeterminate { reason: "the answer broke off" };
--- a/src/gateway/crashes.rs
+++ b/src/gateway/crashes.rs
@@ -225,6 +225,13 @@
     tokio::spawn(examine(state.clone(), upstream.clone(), gather_time));
 }
 
+/// Whether an upstream refuses connections, so that an answer which ended with its connection may not be whole.
+pub(super) async fn refuses_connections(state: &State, upstream: &id::Upstream) -> bool {
+    let address = state.merged().upstream(upstream).map(|known| known.record.address);
+    let Some(address) = address else { return false };
+    state.client.probe(address, PROBE_TIMEOUT).await == Probe::Refused
+}
+
 /// Finds out why connections to an upstream broke off.
 async fn examine(state: Arc<State>, upstream: id::Upstream, gather_time: Duration) {
     time::sleep(gather_time).await;
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -111,9 +111,10 @@
             Ok(Some(Err(_))) => return broken("the connection broke off", true),
             Ok(Some(Ok(bytes))) => bytes,
             Ok(None) if self.events.has_partial() => {
-                return broken("the stream ended within an event", false);
+                return broken("the stream ended within an event", true);
             }
-            Ok(None) => return Next::End,
+            Ok(None) if source.is_whole(&self.state).await => return Next::End,
+            Ok(None) => return broken("the upstream crashed as the stream ended", true),
         };
         let Ok(whole) = self.events.push(bytes) else {
             return broken("an event exceeds the size limit", false);
