--- a/src/decide/place/room.rs
+++ b/src/decide/place/room.rs
@@ -75,11 +75,13 @@
         (sender, exchanges): (&'a Sender, &'a Exchanges),
         now: Instant,
     ) -> Self {
-        let (count, known) = upstreams.fold((0, 0.0), |(count, known), upstream| {
+        let (refusal_limit, service_time) = (stats.refusal_limit(now), stats.service_time());
+        // Without a limit nothing depends on it.
+        let counted = upstreams.filter(|_| refusal_limit.is_some());
+        let (count, known) = counted.fold((0, 0.0), |(count, known), upstream| {
             (count + 1, known + known_requests(upstream, now))
         });
         let mean = known / f64::from(count.max(1));
-        let (refusal_limit, service_time) = (stats.refusal_limit(now), stats.service_time());
         let has_answered = stats.has_answered;
         Self { sender, exchanges, refusal_limit, has_answered, mean, service_time, now }
     }
@@ -221,23 +223,12 @@
     /// Returns this VM's claims to room at the upstreams of a shard, and gives up what it does not use.
     pub fn claim(&mut self, shard: u8, now: Instant) -> Vec<(Key, Claim)> {
         let wanted = self.wanted(now);
-        let mut claims = Vec::new();
-        for (id, upstream) in &self.upstreams {
-            if upstream.key().shard() != shard {
-                continue;
-            }
-            let demand = self.demand(&upstream.endpoint.service, now);
-            let wants = wanted.iter().filter(|wanting| *wanting == id).count() as u32;
-            let is_limited = demand.refusal_limit_of(upstream).is_some();
-            if is_limited && upstream.running() + wants > 0 {
-                let (capacity, running) = (demand.capacity(upstream), upstream.running());
-                claims.push((upstream.key(), Claim { capacity, running, wanted: wants }));
-            }
-        }
-        for upstream in self.upstreams.values_mut() {
-            if upstream.key().shard() == shard {
-                upstream.allowance.give_up(upstream.running());
-            }
+        let limited = self.services.iter().filter(|(_, stats)| stats.refusal_limit(now).is_some());
+        let claims = limited.flat_map(|(service, _)| self.claims_of(service, shard, &wanted, now));
+        let claims: Vec<(Key, Claim)> = claims.collect();
+        let upstreams = self.upstreams.values_mut();
+        for upstream in upstreams.filter(|upstream| upstream.key().shard() == shard) {
+            upstream.allowance.give_up(upstream.running());
         }
         let exchange = &mut self.exchanges[usize::from(shard)];
         exchange.is_urgent = false;
@@ -247,6 +238,28 @@
         claims
     }
 
+    /// Returns the claims at the upstreams of one service.
+    fn claims_of(
+        &self,
+        service: &str,
+        shard: u8,
+        wanted: &[id::Upstream],
+        now: Instant,
+    ) -> Vec<(Key, Claim)> {
+        let demand = self.demand(service, now);
+        let upstreams = self.upstreams.iter().filter(|(_, upstream)| {
+            upstream.endpoint.service == service
+                && upstream.key().shard() == shard
+                && demand.refusal_limit_of(upstream).is_some()
+        });
+        let claims = upstreams.map(|(id, upstream)| {
+            let wanted = wanted.iter().filter(|wanted| *wanted == id).count() as u32;
+            let (capacity, running) = (demand.capacity(upstream), upstream.running());
+            (upstream.key(), Claim { capacity, running, wanted })
+        });
+        claims.filter(|(_, claim)| claim.running + claim.wanted > 0).collect()
+    }
+
     /// Returns the shards whose hosts are to hear of this VM's claims before its next regular update.
     pub fn urgent_claims(&self) -> Vec<u8> {
         (0..SHARDS).filter(|shard| self.exchanges[usize::from(*shard)].is_urgent).collect()
--- a/src/decide/quarantine/tests.rs
+++ b/src/decide/quarantine/tests.rs
@@ -311,3 +311,45 @@
     println!("evaluated in {evaluated:?}, all in {:?}", began.elapsed());
     assert!(began.elapsed() < SECOND, "{:?}", began.elapsed());
 }
+
+// Guards against sound requests that are held back for a part which they share with those that crash upstreams.
+#[test]
+fn a_part_that_was_answered_is_no_suspect_and_one_that_was_not_is_held_back() {
+    let now = Instant::now();
+    let mut quarantine = Quarantine::new(12);
+    let (shared, culprit) = (Digest::of_part(1), Digest::of_part(2));
+    quarantine.record_part_answers(&[shared], now);
+    for number in 0..2 {
+        let at = now + 3 * SECOND * number as u32;
+        for digest in [culprit, digest(&format!("request {number}"))] {
+            quarantine.started(digest, &upstream(number), at);
+        }
+        quarantine.crashed(&upstream(number), Incarnation::new(1), at + SECOND / 10);
+    }
+    let later = now + 6 * SECOND;
+    assert_eq!(quarantine.worst_suspect(&digest("request 9"), &[shared, culprit], later), culprit);
+    let held = quarantine.part_status(&culprit, later);
+    assert!(matches!(held, Status::Quarantined { .. }), "{held:?}");
+    // Another VM, which has had no answer on it, suspects the shared part.
+    quarantine.record_crash(
+        &upstream(5),
+        Incarnation::new(1),
+        (vec![(shared, SECOND)], Duration::ZERO),
+        later,
+    );
+    assert_eq!(quarantine.part_status(&shared, later), Status::Clear);
+}
+
+#[test]
+fn of_two_statuses_the_stricter_one_counts() {
+    let suspect = |nth| Status::Suspect { avoid: vec![upstream(nth)] };
+    let pending = Status::Pending { time_left: SECOND };
+    let held = Status::Quarantined { time_left: SECOND };
+    assert_eq!(Status::Clear.or(suspect(1)), suspect(1));
+    assert_eq!(
+        suspect(1).or(suspect(2)),
+        Status::Suspect { avoid: vec![upstream(1), upstream(2)] }
+    );
+    assert_eq!(suspect(1).or(pending.clone()), pending);
+    assert_eq!(held.clone().or(pending), held);
+}
