LIMIT: room is granted or an equal part, never estimated

What callers saw: with more VMs than places, upstreams crashed again and again, or nothing was sent to them at all.

Cause: three numbers of the bound were still estimates of each VM: ample room from delayed loads, the wait for room from the number of VMs, and a slice's part of the slots rounded down. A VM without an answer sent one request to each upstream.

Change: a request needs a granted place or falls into the VM's equal part; parts add up to all places (Sender::own_part, known_part). The first request always waits for room, the others by the wait that was measured. A VM without an answer keeps to its part, and takes turns where it has none. Places that no request waits for are given back at once, and offered ones are not kept beyond the equal part while others wait.

--- a/src/decide/place.rs
+++ b/src/decide/place.rs
@@ -186,6 +186,8 @@
     /// Ordered, so that decisions are reproducible for a given seed.
     upstreams: BTreeMap<id::Upstream, UpstreamState>,
     services: HashMap<String, ServiceStats>,
+    /// For services without requests.
+    no_stats: ServiceStats,
     /// The VMs that send to the upstreams of each service.
     senders: HashMap<String, Sender>,
     /// For services without upstreams.
@@ -208,6 +210,7 @@
             rng,
             upstreams: BTreeMap::new(),
             services: HashMap::new(),
+            no_stats: ServiceStats::default(),
             senders: HashMap::new(),
             alone,
             doubt: Doubt::new(),
@@ -291,14 +294,12 @@
     /// Returns the upstream with the lowest cost, or `None` if no upstream accepts the request.
     pub fn choose(&mut self, query: &Query<'_>, now: Instant) -> Option<Placement> {
         let prefix_candidates = self.prefix_candidates(query);
-        let no_stats = ServiceStats::default();
-        let stats = self.services.get(query.service).unwrap_or(&no_stats);
+        let stats = self.services.get(query.service).unwrap_or(&self.no_stats);
         let profile = self.profile(query.service);
         let sender = self.sender(query.service).clone();
         let mut decision = Decision::new(query, (stats, profile), &sender, now);
         let mut candidates = decision.candidates(&self.upstreams);
-        let known = candidates.iter().map(|(_, upstream)| *upstream);
-        let demand = Demand::new(known, stats, (&sender, &self.exchanges), now);
+        let demand = Demand::new(stats, &sender, &self.exchanges, now);
         candidates.retain(|(_, upstream)| demand.has_room(upstream));
         let decision = decision.with_prefix_candidates(prefix_candidates, &candidates);
         let count = decision.sample(&mut candidates, &mut self.rng);
@@ -533,7 +534,8 @@
         };
         upstream.record_end(in_flight.memory, in_flight.sent_at, outcome, now);
         let exchange = &mut self.exchanges[usize::from(upstream.key().shard())];
-        exchange.is_urgent |= upstream.allowance.record_end();
+        let is_wanted = self.waiting.contains_key(&upstream.endpoint.service);
+        exchange.is_urgent |= upstream.allowance.record_end(is_wanted);
         stats.has_answered |=
             matches!(outcome, Outcome::Answered | Outcome::Refused | Outcome::Error);
         if outcome != Outcome::Answered {
--- a/src/decide/place/room.rs
+++ b/src/decide/place/room.rs
@@ -7,7 +7,6 @@
 use super::Balancer;
 use super::Query;
 use super::UpstreamState;
-use super::sample;
 use super::service::ServiceStats;
 use crate::decide::room::Claim;
 use crate::decide::room::Grant;
@@ -15,7 +14,6 @@
 use crate::decide::sharing::SHARDS;
 use crate::decide::turns::Sender;
 use crate::id;
-use crate::unit::Rate;
 
 /// The fraction of its room from which an upstream counts as full by what is known.
 const FULL: f64 = 0.75;
@@ -23,9 +21,6 @@
 /// How long claims remain unanswered until a VM goes on without a host.
 const HOST_TIMEOUT: Duration = Duration::from_millis(400);
 
-/// Ample room is left if so many times the requests that are not reported yet would fit.
-const UNREPORTED_FACTOR: f64 = 2.0;
-
 /// Upper bound on the wait for room that callers are told.
 const MAX_WAIT: Duration = Duration::from_secs(2);
 
@@ -58,84 +53,44 @@
 pub(super) struct Demand<'a> {
     sender: &'a Sender,
     exchanges: &'a Exchanges,
-    /// What an upstream of the service stated last, for those that have not answered since.
-    refusal_limit: Option<(Rate, Instant)>,
-    /// Whether any upstream of the service has answered this VM.
-    has_answered: bool,
-    /// The mean number of known requests per upstream.
-    mean: f64,
-    service_time: Duration,
+    stats: &'a ServiceStats,
     now: Instant,
 }
 
 impl<'a> Demand<'a> {
-    pub(super) fn new<'u>(
-        upstreams: impl Iterator<Item = &'u UpstreamState>,
-        stats: &ServiceStats,
-        (sender, exchanges): (&'a Sender, &'a Exchanges),
+    pub(super) const fn new(
+        stats: &'a ServiceStats,
+        sender: &'a Sender,
+        exchanges: &'a Exchanges,
         now: Instant,
     ) -> Self {
-        let (refusal_limit, service_time) = (stats.refusal_limit(now), stats.service_time());
-        // Without a limit nothing depends on it.
-        let counted = upstreams.filter(|_| refusal_limit.is_some());
-        let (count, known) = counted.fold((0, 0.0), |(count, known), upstream| {
-            (count + 1, known + known_requests(upstream, now))
-        });
-        let mean = known / f64::from(count.max(1));
-        let has_answered = stats.has_answered;
-        Self { sender, exchanges, refusal_limit, has_answered, mean, service_time, now }
+        Self { sender, exchanges, stats, now }
     }
 
     /// Returns whether a request may be sent without the risk that the upstream has to refuse it.
     pub(super) fn has_room(&self, upstream: &UpstreamState) -> bool {
         let (running, now) = (upstream.running(), self.now);
-        // A VM that has just started does not know whether there is a limit.
-        let Some(limit) = self.refusal_limit_of(upstream) else {
-            return self.has_answered
-                || self.is_alone()
-                || upstream.is_cold(now)
-                || running < self.equal_part(upstream).max(1);
-        };
+        let is_limited = upstream.refusal_limit(self.stats, now).is_some();
+        if self.is_alone() {
+            return !is_limited || running < upstream.capacity(now);
+        }
+        if !is_limited && (self.stats.has_answered || upstream.is_cold(now)) {
+            return true;
+        }
+        let exchange = &self.exchanges[usize::from(upstream.key().shard())];
+        let risked = upstream.risked_limit(self.stats, exchange, now);
         upstream.allowance.permits(running, now)
-            || self.has_ample_room(upstream)
-            || (self.is_without_host(upstream)
-                && (running < self.equal_part(upstream)
-                    || upstream.restrictions.refusal_limit.allows(
-                        limit,
-                        upstream.key(),
-                        self.sender,
-                        now,
-                    )))
-    }
-
-    /// Returns the limit at an upstream; `None` if it may refuse as much as it has to.
-    pub(super) fn refusal_limit_of(&self, upstream: &UpstreamState) -> Option<Rate> {
-        let stated = &upstream.restrictions.refusal_limit;
-        let since = self.refusal_limit.filter(|(_, at)| stated.is_unknown_since(*at));
-        since.map(|(limit, _)| limit).or(stated.rate())
+            || risked.is_some_and(|limit| {
+                let part = self.own_part(upstream);
+                let stated = &upstream.restrictions.refusal_limit;
+                let has_turn = || stated.allows(limit, upstream.key(), self.sender, now);
+                running < part || ((is_limited || part == 0) && has_turn())
+            })
     }
 
     /// Returns the capacity for the VMs that this VM knows.
     pub(super) fn capacity(&self, upstream: &UpstreamState) -> u32 {
-        let capacity = upstream.capacity(self.now);
-        (f64::from(capacity) * self.sender.known_fraction()) as u32
-    }
-
-    fn has_ample_room(&self, upstream: &UpstreamState) -> bool {
-        if self.is_alone() {
-            return upstream.running() < upstream.capacity(self.now);
-        }
-        let known = known_requests(upstream, self.now);
-        let expected = known + 1.0 + self.unreported(known) * UNREPORTED_FACTOR;
-        upstream.has_peer_load(self.now) && expected <= f64::from(self.capacity(upstream))
-    }
-
-    /// Returns the expected number of requests from other VMs that are not reported yet: as many as end in that time, and
-    /// more where fewer run than elsewhere.
-    fn unreported(&self, known: f64) -> f64 {
-        let rate = known.max(self.mean).max(1.0) / self.service_time.as_secs_f64();
-        let preference = ((self.mean + 1.0) / (known + 1.0)).max(1.0);
-        rate * preference * sample::LOAD_AGE.as_secs_f64()
+        self.sender.known_part(upstream.key(), upstream.capacity(self.now))
     }
 
     /// Returns whether there is no other VM.
@@ -143,16 +98,10 @@
         self.sender.count() == 1 && self.sender.settles_in(self.now).is_zero()
     }
 
-    fn is_without_host(&self, upstream: &UpstreamState) -> bool {
-        self.exchanges[usize::from(upstream.key().shard())].is_lost(self.now)
-    }
-
-    /// Returns the equal part of a VM that knows the others.
-    fn equal_part(&self, upstream: &UpstreamState) -> u32 {
-        match self.sender.settles_in(self.now).is_zero() {
-            true => upstream.capacity(self.now) / self.sender.count(),
-            false => 0,
-        }
+    /// Returns this VM's equal part of the capacity, one at most while it may not know all others.
+    fn own_part(&self, upstream: &UpstreamState) -> u32 {
+        let part = self.sender.own_part(upstream.key(), upstream.capacity(self.now));
+        if self.sender.settles_in(self.now).is_zero() { part } else { part.min(1) }
     }
 }
 
@@ -187,12 +136,15 @@
         unused.map(|(id, _)| id.clone()).collect()
     }
 
-    /// Applies what a host grants.
+    /// Applies what a host grants. What no request waits for any more is given up at once.
     pub fn apply_grants(&mut self, grants: &[(Key, Grant)], now: Instant) {
         for upstream in self.upstreams.values_mut() {
             let key = upstream.key();
             if let Some((_, grant)) = grants.iter().find(|(of, _)| *of == key) {
                 upstream.allowance.apply(*grant, now);
+                let is_unused = upstream.allowance.permits(upstream.running(), now)
+                    && !self.waiting.contains_key(&upstream.endpoint.service);
+                self.exchanges[usize::from(key.shard())].is_urgent |= is_unused;
             }
         }
     }
@@ -213,11 +165,23 @@
 
     /// Returns the expected wait of one more request for room at the upstreams of a service.
     pub fn room_wait(&self, service: &str, now: Instant) -> Duration {
-        let sender = self.sender(service);
-        let places: u32 = self.available(service).map(|(_, upstream)| upstream.capacity(now)).sum();
-        let waiting = self.waiting.get(service).copied().unwrap_or_default() + 1;
-        let rounds = waiting as f64 * f64::from(sender.count()) / f64::from(places.max(1));
-        self.service_time(service).mul_f64(rounds).min(MAX_WAIT)
+        // Only a VM with a request that waits learns from the hosts whether there is room.
+        let Some(waiting) = self.waiting.get(service) else { return Duration::ZERO };
+        let stats = self.services.get(service).unwrap_or(&self.no_stats);
+        let expected = stats.room_wait(*waiting).unwrap_or_else(|| {
+            let upstreams = self.available(service);
+            let places: u32 = upstreams.map(|(_, upstream)| upstream.capacity(now)).sum();
+            let all = (waiting + 1) as f64 * f64::from(self.sender(service).count());
+            stats.service_time().mul_f64(all / f64::from(places.max(1)))
+        });
+        expected.min(MAX_WAIT)
+    }
+
+    /// Records how long a request waited for room behind so many others.
+    pub fn record_room_wait(&mut self, service: &str, waited: Duration, others: usize) {
+        if let Some(stats) = self.services.get_mut(service) {
+            stats.record_room_wait(waited, others);
+        }
     }
 
     /// Returns this VM's claims to room at the upstreams of a shard, and gives up what it does not use.
@@ -250,7 +214,7 @@
         let upstreams = self.upstreams.iter().filter(|(_, upstream)| {
             upstream.endpoint.service == service
                 && upstream.key().shard() == shard
-                && demand.refusal_limit_of(upstream).is_some()
+                && upstream.refusal_limit(demand.stats, now).is_some()
         });
         let claims = upstreams.map(|(id, upstream)| {
             let wanted = wanted.iter().filter(|wanted| *wanted == id).count() as u32;
@@ -279,8 +243,10 @@
                 .filter(|(_, upstream)| {
                     upstream.is_eligible(speed, false, sender, now) && !demand.has_room(upstream)
                 })
-                .map(|(id, upstream)| {
-                    let used = known_requests(upstream, now) / f64::from(upstream.capacity(now));
+                .map(|(id, upstream)| (demand.capacity(upstream), id, upstream))
+                .filter(|(capacity, _, _)| *capacity > 0)
+                .map(|(capacity, id, upstream)| {
+                    let used = known_requests(upstream, now) / f64::from(capacity);
                     (used >= FULL, sender.preference(upstream.key()), id)
                 })
                 .collect();
@@ -291,15 +257,7 @@
     }
 
     pub(super) fn demand<'a>(&'a self, service: &str, now: Instant) -> Demand<'a> {
-        let upstreams = self.available(service).map(|(_, upstream)| upstream);
-        let no_stats = ServiceStats::default();
-        let stats = self.services.get(service).unwrap_or(&no_stats);
-        Demand::new(upstreams, stats, (self.sender(service), &self.exchanges), now)
-    }
-
-    /// Returns the mean service time.
-    fn service_time(&self, service: &str) -> Duration {
-        let stats = self.services.get(service);
-        stats.map_or_else(|| ServiceStats::default().service_time(), ServiceStats::service_time)
+        let stats = self.services.get(service).unwrap_or(&self.no_stats);
+        Demand::new(stats, self.sender(service), &self.exchanges, now)
     }
 }
--- a/src/decide/place/service.rs
+++ b/src/decide/place/service.rs
@@ -72,6 +72,8 @@
     pub has_answered: bool,
     /// How many requests an upstream has stated that it can refuse, and when.
     refusal_limit: Option<(Rate, Instant)>,
+    /// The seconds that a request waited for room, divided by its place among those that waited.
+    room_wait: Ewma,
     /// The latency of its engines.
     pub engine: Engine,
     /// The lengths of the answers.
@@ -116,6 +118,16 @@
         self.refusal_limit.filter(|(_, at)| is_recent(*at))
     }
 
+    /// Records how long a request waited for room behind so many others.
+    pub fn record_room_wait(&mut self, waited: Duration, others: usize) {
+        self.room_wait.add(waited.as_secs_f64() / (others + 1) as f64);
+    }
+
+    /// Returns the expected wait for room behind so many others; `None` if none has waited yet.
+    pub fn room_wait(&self, others: usize) -> Option<Duration> {
+        self.room_wait.get().map(|wait| Duration::from_secs_f64(wait * (others + 1) as f64))
+    }
+
     /// Returns the number of requests per second from this VM.
     pub fn rate(&self, now: Instant) -> f64 {
         self.arrivals.recent(now) / RATE_WINDOW.as_secs_f64()
--- a/src/decide/place/upstream.rs
+++ b/src/decide/place/upstream.rs
@@ -30,6 +30,7 @@
 use crate::decide::sharing::Load;
 use crate::decide::turns::Pacer;
 use crate::decide::turns::Sender;
+use crate::unit::Rate;
 use crate::unit::Tokens;
 
 /// The minimum time constant with which load reports lose their weight; otherwise it is the service time. Reports
@@ -330,18 +331,39 @@
         self.allowance.record_refusal(beside, self.slot_count(), now);
     }
 
-    /// Records a request that is sent without a host's grant, which it may refuse.
+    /// Returns how many requests a second it can refuse, as far as is known. One that has not answered since another of its
+    /// service stated a limit is taken for one of the same kind.
+    pub fn refusal_limit(&self, stats: &ServiceStats, now: Instant) -> Option<Rate> {
+        let stated = &self.restrictions.refusal_limit;
+        let of_service = stats.refusal_limit(now).filter(|(_, at)| stated.is_unknown_since(*at));
+        of_service.map(|(limit, _)| limit).or(stated.rate())
+    }
+
+    /// Returns the limit under which requests may be sent that no host has granted room; `None` if they may not.
+    ///
+    /// A VM that has had no answer does not know of any limit, and assumes that an upstream can refuse as many requests as
+    /// it has slots.
+    pub fn risked_limit(
+        &self,
+        stats: &ServiceStats,
+        exchange: &Exchange,
+        now: Instant,
+    ) -> Option<Rate> {
+        match self.refusal_limit(stats, now) {
+            Some(limit) => exchange.is_lost(now).then_some(limit),
+            None => (!stats.has_answered).then(|| Rate::per_second(f64::from(self.slot_count()))),
+        }
+    }
+
+    /// Records a request, which the upstream may refuse if no host has granted it room.
     pub fn record_refusal_risk(
         &mut self,
         stats: &ServiceStats,
         (exchange, sender): (&Exchange, &Sender),
         now: Instant,
     ) {
-        let stated = &mut self.restrictions.refusal_limit;
-        if exchange.is_lost(now)
-            && let Some(limit) = stated.rate().or(stats.refusal_limit(now).map(|(limit, _)| limit))
-        {
-            stated.record_sent(limit, self.key, sender, now);
+        if let Some(limit) = self.risked_limit(stats, exchange, now) {
+            self.restrictions.refusal_limit.record_sent(limit, self.key, sender, now);
         }
     }
 
--- a/src/decide/room.rs
+++ b/src/decide/room.rs
@@ -13,8 +13,10 @@
 //! room, and otherwise with their regular updates. An upstream that has just started is taken for one if others of its
 //! service are.
 //!
-//! Where the known load leaves ample room, nothing needs to be granted. Without a host, each VM keeps to an equal part of
-//! the slots, and takes [turns](super::turns) at half of the stated refusals.
+//! VMs of a slice, which do not know the others, count an equal part of the slots. Without a host, each VM keeps to its own
+//! part, and beyond it takes [turns](super::turns) at half of the stated refusals. A VM that has just started does not know of
+//! any limit: until it has had an answer, it keeps to its part as well. Where it has none it takes turns, as if the upstream
+//! could refuse as many requests as it has slots.
 
 mod allowance;
 mod claim;
--- a/src/decide/room/allowance.rs
+++ b/src/decide/room/allowance.rs
@@ -48,13 +48,14 @@
         }
     }
 
-    /// Records the end of a request; returns whether others wait for its place.
-    pub const fn record_end(&mut self) -> bool {
+    /// Records the end of a request; returns whether its place is to be given up at once: others may wait for it, or no
+    /// request of this VM does.
+    pub const fn record_end(&mut self, is_wanted: bool) -> bool {
         let Some((grant, _)) = &mut self.granted else { return false };
         if !grant.keeps {
             grant.allowance = grant.allowance.saturating_sub(1);
         }
-        !grant.keeps
+        !grant.keeps || !is_wanted
     }
 
     /// Records that the upstream refused a request beside so many others.
--- a/src/decide/room/holding.rs
+++ b/src/decide/room/holding.rs
@@ -32,15 +32,25 @@
 
     /// Returns the room that is left at an upstream where VMs have these.
     pub fn free(all: &[Self]) -> u32 {
-        let capacity = all.iter().filter_map(|one| one.capacity).min().unwrap_or(0);
-        capacity.saturating_sub(all.iter().map(|one| one.allowance).sum())
+        Self::known_capacity(all).saturating_sub(all.iter().map(|one| one.allowance).sum())
     }
 
-    /// Grants one more request that it wants.
-    pub const fn grant_one(&mut self) -> Grant {
+    /// Returns the equal part of each VM that has or wants something at an upstream where VMs have these.
+    pub fn part(all: &[Self]) -> u32 {
+        let vms = all.iter().filter(|one| one.allowance + one.unmet > 0).count() as u32;
+        Self::known_capacity(all).checked_div(vms).unwrap_or(0)
+    }
+
+    /// Grants one more request that it wants, beside others that may wait.
+    pub const fn grant_one(&mut self, part: u32, others_wait: bool) -> Grant {
         self.allowance += 1;
         self.unmet -= 1;
-        Grant { allowance: self.allowance, keeps: true }
+        Grant { allowance: self.allowance, keeps: !others_wait || self.allowance <= part }
+    }
+
+    /// Returns the least capacity that any VM knows.
+    fn known_capacity(all: &[Self]) -> u32 {
+        all.iter().filter_map(|one| one.capacity).min().unwrap_or(0)
     }
 
     /// Grants a claim beside what the other VMs have; returns what the VM then has.
--- a/src/decide/sharing/aggregator.rs
+++ b/src/decide/sharing/aggregator.rs
@@ -146,8 +146,9 @@
         for key in keys {
             let all: Vec<Holding> =
                 self.received.values().filter_map(|received| received.holding(key)).collect();
+            let part = Holding::part(&all);
             for _ in 0..Holding::free(&all) {
-                let Some((vm, grant)) = self.grant_one(key) else { break };
+                let Some((vm, grant)) = self.grant_one(key, part) else { break };
                 offers.entry(vm).or_default().insert(*key, grant);
             }
         }
@@ -160,13 +161,19 @@
     }
 
     /// Grants a place to the VM that has the least and waits, the longest since its update.
-    fn grant_one(&mut self, key: &Key) -> Option<(id::Vm, Grant)> {
-        let waiting = self.received.iter_mut().filter_map(|(vm, received)| {
-            let (at, holding) = (received.at, received.holdings.get_mut(key)?);
-            holding.is_unmet().then_some((vm, at, holding))
-        });
-        let next = waiting.min_by_key(|(vm, at, holding)| (holding.allowance(), *at, *vm));
-        next.map(|(vm, _, holding)| (vm.clone(), holding.grant_one()))
+    fn grant_one(&mut self, key: &Key, part: u32) -> Option<(id::Vm, Grant)> {
+        let mut waiting: Vec<_> = self
+            .received
+            .iter_mut()
+            .filter_map(|(vm, received)| {
+                let (at, holding) = (received.at, received.holdings.get_mut(key)?);
+                holding.is_unmet().then_some((vm, at, holding))
+            })
+            .collect();
+        let others_wait = waiting.len() > 1;
+        let next =
+            waiting.iter_mut().min_by_key(|(vm, at, holding)| (holding.allowance(), *at, *vm));
+        next.map(|(vm, _, holding)| (vm.clone(), holding.grant_one(part, others_wait)))
     }
 
     fn has_begun(&self, now: Instant) -> bool {
--- a/src/decide/turns/sender.rs
+++ b/src/decide/turns/sender.rs
@@ -72,9 +72,20 @@
         rendezvous::weight(u64::from(key.get()), self.own.as_str())
     }
 
-    /// Returns the fraction of the VMs that are known.
-    pub fn known_fraction(&self) -> f64 {
-        (self.others.len() + 1) as f64 / f64::from(self.count())
+    /// Returns how many of an upstream's places fall to the known VMs, if each shard of VMs has an equal part.
+    pub fn known_part(&self, key: Key, places: u32) -> u32 {
+        let shards = 1_u64.checked_shl(u32::from(self.shard_bits)).unwrap_or(u64::MAX);
+        // The first shard differs between upstreams.
+        let rank = || u64::from(key.get()).wrapping_add(self.shard) % shards;
+        part(u64::from(places), shards, rank)
+    }
+
+    /// Returns how many of an upstream's places fall to this VM, if each VM has an equal part.
+    pub fn own_part(&self, key: Key, places: u32) -> u32 {
+        let weight = |vm: &id::Vm| rendezvous::weight(u64::from(key.get()), vm.as_str());
+        let own = (weight(&self.own), &self.own);
+        let rank = || self.others.iter().filter(|vm| (weight(vm), *vm) < own).count() as u64;
+        part(u64::from(self.known_part(key, places)), self.others.len() as u64 + 1, rank)
     }
 
     /// Returns how long the VM has no turns.
@@ -107,3 +118,10 @@
         instant.unwrap_or(self.epoch)
     }
 }
+
+/// Returns an equal part of some places. Those that are left over fall to the first holders in rank.
+fn part(places: u64, holders: u64, rank: impl FnOnce() -> u64) -> u32 {
+    let left = places % holders;
+    let has_more = left > 0 && rank() < left;
+    (places / holders) as u32 + u32::from(has_more)
+}
--- a/src/decide/turns/tests.rs
+++ b/src/decide/turns/tests.rs
@@ -159,18 +159,41 @@
     }
 }
 
-// Guards against turns of a large fleet that no shard has, or that two have.
-#[test]
-fn each_turn_has_one_owner_among_all_shards() {
+/// All VMs of four shards of five.
+fn senders_of_four_shards() -> Vec<Sender> {
     let shards: Vec<Vec<id::Vm>> = (0..4)
         .map(|shard| (0..5).map(|nth| format!("vm{shard}-{nth}").parse().unwrap()).collect())
         .collect();
-    let senders: Vec<Sender> = shards
+    shards
         .iter()
         .zip(0..)
         .flat_map(|(names, shard)| names.iter().map(move |own| (own, names, shard)))
         .map(|(own, names, shard)| Sender::new(own.clone(), names, epoch()).with_shard(shard, 2))
-        .collect();
+        .collect()
+}
+
+// Guards against places of an upstream that no VM may use, or that two may.
+#[test]
+fn equal_parts_add_up_to_all_places() {
+    let senders = senders_of_four_shards();
+    for index in 0..20 {
+        let key = Key::new(&format!("u{index}").parse().unwrap(), 1);
+        for places in [0, 1, 3, 8, 20, 47, 1000] {
+            let parts: Vec<u32> =
+                senders.iter().map(|sender| sender.own_part(key, places)).collect();
+            assert_eq!(parts.iter().sum::<u32>(), places, "{parts:?} at u{index}");
+            let spread = parts.iter().max().unwrap() - parts.iter().min().unwrap();
+            assert!(spread <= 2, "{parts:?} of {places} at u{index}");
+            let of_shards = senders.iter().step_by(5).map(|one| one.known_part(key, places));
+            assert_eq!(of_shards.sum::<u32>(), places);
+        }
+    }
+}
+
+// Guards against turns of a large fleet that no shard has, or that two have.
+#[test]
+fn each_turn_has_one_owner_among_all_shards() {
+    let senders = senders_of_four_shards();
     assert_eq!(senders[0].count(), 20);
     for index in -100..100 {
         let owners = senders.iter().filter(|sender| sender.owns(turns(1.0).key, index)).count();
--- a/src/gateway/state/room.rs
+++ b/src/gateway/state/room.rs
@@ -17,20 +17,30 @@
     state: Arc<State>,
     service: String,
     position: Position,
+    /// How many requests waited before it.
+    others: usize,
+    since: Instant,
 }
 
 impl Ticket {
     /// Adds a request to those that wait for room at the upstreams of a service.
     pub fn new(state: &Arc<State>, service: &str, rank: u8) -> Self {
-        let position = state.waiters().join(service, rank);
+        let (position, others) = {
+            let mut waiters = state.waiters();
+            let others = waiters.count(service);
+            (waiters.join(service, rank), others)
+        };
         state.update_waiting(service);
-        Self { state: state.clone(), service: service.to_owned(), position }
+        let (state, service) = (state.clone(), service.to_owned());
+        Self { state, service, position, others, since: Instant::now() }
     }
 }
 
 impl Drop for Ticket {
     fn drop(&mut self) {
         self.state.waiters().leave(&self.service, self.position);
+        let waited = self.since.elapsed();
+        self.state.place().record_room_wait(&self.service, waited, self.others);
         self.state.update_waiting(&self.service);
         self.state.notify_room();
     }
