Load tests of parts that crash upstreams, in fleets of several regions

The gateway's tests play 2 and 6 VMs only. Now the quarantine is played with 2, 6 and 985 VMs, two parts at once, other crashes beside, a restart of all VMs, and 2 to 30 such requests a second, each with two attempts.

--- a/tests/load/crashes/fleet.rs
+++ b/tests/load/crashes/fleet.rs
@@ -18,6 +18,8 @@
 
 use crate::agenda::Agenda;
 
+mod parts;
+
 const REGIONS: usize = 3;
 const CONTROLS: usize = 3;
 /// How long an upstream takes to come back.
@@ -52,6 +54,12 @@
     rate: f64,
     /// Whether all entry VMs restart at 20 s.
     restart: bool,
+    /// Parts of prompts that crash upstreams; each counts as a culprit after the others.
+    deadly_parts: usize,
+    /// Requests a second with each of these parts.
+    deadly_rate: f64,
+    /// Sessions to which the innocent requests belong, each with a part of its own.
+    sessions: usize,
 }
 
 enum Event {
@@ -68,6 +76,8 @@
 
 struct Request {
     digest: Digest,
+    /// The parts of its prompt that other requests share.
+    parts: Vec<Digest>,
     culprit: Option<usize>,
     crashes: usize,
     refused: usize,
@@ -126,8 +136,8 @@
             names: names.collect(),
             up: vec![true; case.upstreams],
             incarnations: vec![1; case.upstreams],
-            crashes: vec![Vec::new(); case.culprits],
-            starts: vec![Vec::new(); case.culprits],
+            crashes: vec![Vec::new(); case.culprits + case.deadly_parts],
+            starts: vec![Vec::new(); case.culprits + case.deadly_parts],
             largest: 0,
         };
         for culprit in 0..case.culprits {
@@ -139,6 +149,7 @@
         for nth in 0..innocent {
             fleet.add(digest(1_000 + nth), None, nth as f64 / case.rate);
         }
+        parts::add(&mut fleet);
         for _ in 0..case.others {
             let at = fleet.rng.random_range(2.0..20.0);
             fleet.agenda.after(Duration::from_secs_f64(at), Event::CrashByItself);
@@ -151,7 +162,8 @@
     }
 
     fn add(&mut self, digest: Digest, culprit: Option<usize>, at: f64) {
-        let request = Request { digest, culprit, crashes: 0, refused: 0, answered: false };
+        let parts = parts::of_innocent(&self.case, self.requests.len());
+        let request = Request { digest, parts, culprit, crashes: 0, refused: 0, answered: false };
         self.requests.push(request);
         self.agenda.after(Duration::from_secs_f64(at), Event::Ask(self.requests.len() - 1));
     }
@@ -203,8 +215,12 @@
     fn ask(&mut self, index: usize, now: Instant) {
         let vm = self.rng.random_range(0..self.case.vms);
         let request = &self.requests[index];
-        let digest = request.digest;
-        let avoid = match self.vms[vm].status(&digest, now) {
+        let (digest, parts) = (request.digest, request.parts.clone());
+        let quarantine = &mut self.vms[vm];
+        let status = parts.iter().fold(quarantine.status(&digest, now), |all, part| {
+            all.or(quarantine.part_status(part, now))
+        });
+        let avoid = match status {
             Status::Clear => Vec::new(),
             Status::Suspect { avoid } => avoid,
             Status::Pending { time_left } => {
@@ -212,15 +228,21 @@
             }
             Status::Quarantined { .. } => {
                 self.requests[index].refused += 1;
+                if request_has_ended(&self.requests[index], self.case.culprits) {
+                    return;
+                }
                 return self.agenda.after(Duration::from_secs(1), Event::Ask(index));
             }
         };
-        let Some(upstream) = self.choose(&digest, vm, &avoid) else {
+        let suspect = self.vms[vm].worst_suspect(&digest, &parts, now);
+        let Some(upstream) = self.choose(&suspect, vm, &avoid) else {
             return self.agenda.after(Duration::from_millis(20), Event::Ask(index));
         };
         self.number += 1;
         self.runs.insert(self.number, Run { request: index, vm, upstream, started: now });
-        self.vms[vm].started(digest, &self.names[upstream], now);
+        for digest in [digest].iter().chain(&parts) {
+            self.vms[vm].started(*digest, &self.names[upstream], now);
+        }
         let culprit = self.requests[index].culprit;
         let crashes = culprit.filter(|_| self.rng.random_bool(self.case.crash_chance));
         match crashes {
@@ -264,9 +286,12 @@
         let Some(run) = self.runs.remove(&number) else { return };
         let request = &mut self.requests[run.request];
         request.answered = true;
-        let digest = request.digest;
-        let report = self.vms[run.vm].answered(&digest, &self.names[run.upstream], now);
-        self.tell(run.vm, report, Duration::from_millis(1));
+        let (digest, parts) = (request.digest, request.parts.clone());
+        self.vms[run.vm].record_part_answers(&parts, now);
+        for digest in [digest].iter().chain(&parts) {
+            let report = self.vms[run.vm].answered(digest, &self.names[run.upstream], now);
+            self.tell(run.vm, report, Duration::from_millis(1));
+        }
         if self.requests[run.request].culprit.is_some() {
             let pause = Duration::from_millis(self.case.pause_ms);
             self.agenda.after(pause, Event::Ask(run.request));
@@ -294,8 +319,19 @@
         for (_, run) in lost {
             let request = &mut self.requests[run.request];
             request.crashes += 1;
-            by_vm.entry(run.vm).or_default().push((request.digest, now - run.started));
-            self.vms[run.vm].stopped(&request.digest, &self.names[upstream]);
+            let quarantine = &mut self.vms[run.vm];
+            let ran = by_vm.entry(run.vm).or_default();
+            ran.push((request.digest, now - run.started));
+            quarantine.stopped(&request.digest, &self.names[upstream]);
+            for part in &request.parts {
+                if !quarantine.is_answered(part, now) {
+                    ran.push((*part, now - run.started));
+                }
+                quarantine.stopped(part, &self.names[upstream]);
+            }
+            if request_has_ended(request, self.case.culprits) && request.crashes > 1 {
+                continue;
+            }
             // The route's second attempt, or the caller's.
             let pause = match request.culprit {
                 Some(_) => Duration::from_millis(self.case.pause_ms),
@@ -371,8 +407,16 @@
     others: 0,
     rate: 100.0,
     restart: false,
+    deadly_parts: 0,
+    deadly_rate: 0.0,
+    sessions: 0,
 };
 
+/// Whether nobody sends a request again that has been refused or has had its second attempt: one with a deadly part.
+fn request_has_ended(request: &Request, culprits: usize) -> bool {
+    request.culprit.is_some_and(|culprit| culprit >= culprits)
+}
+
 // Guards against a request that takes down one upstream after the other, resent at any VM of any region.
 #[parameterized(
     two_vms = { Case { vms: 2, ..CASE }, 3 },
--- /dev/null
+++ b/tests/load/crashes/fleet/parts.rs
@@ -0,0 +1,106 @@
+//! Parts of prompts that crash upstreams, whatever else a request holds: no two requests are alike.
+
+use std::time::Duration;
+
+use masticstream::decide::quarantine::Digest;
+use rand::Rng;
+use tokio::time::Instant;
+use yare::parameterized;
+
+use super::CASE;
+use super::CONTACT;
+use super::Case;
+use super::Fleet;
+use super::MAX_SHARED_BYTES;
+use super::SPAN;
+
+/// The part that all prompts begin with.
+const FIRST: u64 = 1;
+/// The parts of sessions, and the deadly ones.
+const SESSIONS: u64 = 1_000;
+const DEADLY: u64 = 1_000_000;
+/// The number of the first request with a deadly part.
+const FIRST_NUMBER: usize = 10_000_000;
+/// When the requests with deadly parts begin.
+const BEGINS: f64 = 5.0;
+/// The rule: as many crashes may come before requests count, and as many requests may reach upstreams later than
+/// [`CONTACT`] after them.
+const MAX_CRASHES: usize = 5;
+const MAX_LATE: usize = 3;
+/// How long after a crash VMs may not know of it: it is detected, evaluated and told to all.
+const NEWS_TIME: Duration = Duration::from_millis(400);
+
+/// The parts of an innocent request.
+pub fn of_innocent(case: &Case, number: usize) -> Vec<Digest> {
+    match case.sessions {
+        0 => Vec::new(),
+        sessions => {
+            [FIRST, SESSIONS + (number * 7919 % sessions) as u64].map(Digest::of_part).into()
+        }
+    }
+}
+
+/// Adds the requests with deadly parts.
+pub fn add(fleet: &mut Fleet) {
+    let case = fleet.case;
+    for deadly in 0..case.deadly_parts {
+        let mut at = BEGINS + deadly as f64;
+        while at < SPAN.as_secs_f64() {
+            let number = FIRST_NUMBER + fleet.requests.len();
+            fleet.add(super::digest(number), Some(case.culprits + deadly), at);
+            let request = fleet.requests.last_mut().expect("it was added");
+            request.parts = [FIRST, DEADLY + deadly as u64].map(Digest::of_part).into();
+            at += fleet.rng.random_range(0.0..2.0 / case.deadly_rate);
+        }
+    }
+}
+
+impl Fleet {
+    /// Starts of requests with a deadly part that the rule counts.
+    fn late_part_starts(&self, deadly: usize) -> usize {
+        let culprit = self.case.culprits + deadly;
+        let last = self.crashes[culprit].get(MAX_CRASHES - 1);
+        let is_late = |at: &&Instant| last.is_some_and(|last| **at > *last + CONTACT);
+        self.starts[culprit].iter().filter(is_late).count()
+    }
+
+    /// Crashes under a deadly part, but those of requests that were sent before its first crash could be known.
+    fn avoidable_crashes(&self, deadly: usize) -> usize {
+        let culprit = self.case.culprits + deadly;
+        let first = self.crashes[culprit].first();
+        let is_avoidable = |at: &&Instant| first.is_some_and(|first| **at > *first + NEWS_TIME);
+        self.starts[culprit].iter().filter(is_avoidable).count()
+    }
+}
+
+const PARTS: Case =
+    Case { culprits: 0, upstreams: 22, deadly_parts: 1, deadly_rate: 10.0, sessions: 40, ..CASE };
+
+// Guards against upstreams that crash one after the other under requests which share a part of their prompts, and against sound
+// requests that are refused for the parts that these share with them.
+#[parameterized(
+    two_vms = { Case { vms: 2, ..PARTS } },
+    six_vms = { PARTS },
+    rarely = { Case { deadly_rate: 2.0, ..PARTS } },
+    often = { Case { deadly_rate: 30.0, ..PARTS } },
+    two_parts = { Case { deadly_parts: 2, ..PARTS } },
+    many_sessions = { Case { sessions: 2_000, ..PARTS } },
+    beside_other_crashes = { Case { others: 8, ..PARTS } },
+    with_a_restart_of_all = { Case { restart: true, ..PARTS } },
+    a_fleet = { Case { vms: 985, upstreams: 850, rate: 1500.0, sessions: 20_000, ..PARTS } },
+)]
+fn a_part_that_crashes_upstreams_is_found(case: Case) {
+    for seed in 1..=10 {
+        let mut fleet = Fleet::new(case, seed);
+        fleet.play();
+        let (refused, ran) = fleet.innocent();
+        let sound = fleet.requests.iter().filter(|request| request.culprit.is_none()).count();
+        for deadly in 0..case.deadly_parts {
+            let (crashes, late) = (fleet.avoidable_crashes(deadly), fleet.late_part_starts(deadly));
+            assert!(crashes < MAX_CRASHES, "{crashes} crashes after the first, seed {seed}");
+            assert!(late <= MAX_LATE, "{late} late requests, seed {seed}");
+        }
+        assert!(refused * 100 <= sound, "{refused} of {sound} sound requests refused, seed {seed}");
+        assert!(fleet.largest <= MAX_SHARED_BYTES, "{} bytes, seed {seed}", fleet.largest);
+    }
+}
