An answer without a body is whole, also if its upstream ends after it

The end of an answer was taken for known only with a Content-Length or chunks, so that a 204 or the answer to a HEAD made the gateway ask whether the upstream still accepts connections, and counted as broken off if it did not. Asked now is what the body itself says of its length.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -14,6 +14,7 @@
 use http::response;
 use http_body_util::BodyExt;
 use http_body_util::Full;
+use hyper::body::Body;
 use hyper::body::Incoming;
 use slog::info;
 use tokio::time;
@@ -176,6 +177,12 @@
     classify(state, job, response, lease, (reservation, started), meta).await
 }
 
+/// Whether a response states its length, comes in chunks or has no body, so that its end is known.
+fn is_framed<B: Body>(response: &Response<B>) -> bool {
+    response.body().size_hint().exact().is_some()
+        || response.headers().contains_key(header::TRANSFER_ENCODING)
+}
+
 /// Whether the upstream that an answer without a length came from still accepts connections.
 ///
 /// A crash between two events looks like the end of such an answer.
@@ -366,9 +373,8 @@
     (mut reservation, started): (Reservation, Instant),
     meta: &ResponseMeta,
 ) -> AttemptResult {
+    let is_framed = is_framed(&response);
     let (mut head, incoming) = response.into_parts();
-    let framing = [header::CONTENT_LENGTH, header::TRANSFER_ENCODING];
-    let is_framed = framing.iter().any(|name| head.headers.contains_key(name));
     headers::strip_hop_by_hop(&mut head.headers);
     let (idle_timeout, closes_connection) = (meta.idle_timeout, meta.closes_connection);
     if job.route.kind.is_stream() && head.status.is_success() {
@@ -418,3 +424,6 @@
         state.client().keep_for(lease, idle_timeout.unwrap_or(Duration::MAX));
     }
 }
+
+#[cfg(test)]
+mod tests;
