BUDGET: an answer acquits a part of what came before it, and a shared part can be acquitted at all

What callers saw: a part that was answered until it began to crash upstreams was never held back; sound requests that share the first part with deadly ones were refused for half an hour.

Cause: an answer was taken as evidence about crashes that came later. A VM ignored the crashes of a part that it had answered in the last one to two minutes. Where nothing had been answered yet, the first part was quarantined with the deadly one, and then no request could acquit it; nor could an answer within a second of the one before, which counted as a repeated message.

Change: every crash counts, and a complete answer voids what is known of a part up to then, for all VMs. A quarantined part may run without other parts that may be the cause of all its crashes. Recent crashes are told also of what is quarantined. The entry of the VM's list of answered parts is gone.

--- a/src/decide/quarantine.rs
+++ b/src/decide/quarantine.rs
@@ -10,7 +10,7 @@
 //! if they can't explain it.
 //!
 //! A part of a prompt may crash upstreams, whatever else a request holds, so that no two requests are alike. Parts are suspects
-//! like requests, except those on which this VM has had a complete answer: a part that crashes upstreams has none.
+//! like requests, and acquitted by one complete answer: a part that crashes upstreams has none.
 //!
 //! VMs share what they observe; requests are identified by a digest. What concerns all regions is bounded: the requests of the
 //! last crashes, those with several crashes, and the quarantined ones ([`Quarantine::shared`]).
@@ -26,7 +26,6 @@
 use crate::id;
 use crate::unit::Incarnation;
 
-mod answered;
 mod crash_log;
 mod digest;
 mod hold;
@@ -41,7 +40,6 @@
 pub use message::Report;
 pub use popular::Popular;
 
-use answered::Answered;
 use crash_log::CrashLog;
 use crash_log::Instance;
 use hold::Holds;
@@ -137,7 +135,6 @@
     /// The number of entries of each request in `running`.
     copies: HashMap<Digest, usize>,
     cleared: HashMap<Digest, Instant>,
-    answered_parts: Answered,
     alive: HashMap<Instance, Instant>,
     pending: BTreeSet<(Instant, Digest)>,
     /// When the last crash of a request in `pending` is evaluated.
@@ -203,33 +200,47 @@
         Status::Suspect { avoid: self.log.upstreams(digest).cloned().collect() }
     }
 
-    /// The status of a part of a prompt. One on which this VM has had an answer is no suspect here.
-    pub fn part_status(&mut self, part: &Digest, now: Instant) -> Status {
+    /// The status of a request with these parts of its prompt.
+    pub fn status_with_parts(
+        &mut self,
+        request: &Digest,
+        parts: &[Digest],
+        now: Instant,
+    ) -> Status {
+        let status = self.status(request, now);
+        parts.iter().fold(status, |status, part| status.or(self.part_status(part, parts, now)))
+    }
+
+    /// The status of a part, by itself, of a request with these parts.
+    ///
+    /// Parts that sound requests share with those that crash upstreams are quarantined like these if they are not answered in
+    /// time. They may run without the parts that explain their crashes, and an answer acquits them.
+    fn part_status(&mut self, part: &Digest, parts: &[Digest], now: Instant) -> Status {
         match self.status(part, now) {
-            Status::Suspect { .. } | Status::Pending { .. } if self.is_answered(part, now) => {
-                Status::Clear
+            Status::Quarantined { .. } if self.log.is_explained(part, parts) => {
+                Status::Suspect { avoid: Vec::new() }
             }
             status => status,
         }
     }
 
-    /// Records a complete answer on parts of a prompt.
-    pub fn record_part_answers(&mut self, parts: &[Digest], now: Instant) {
-        parts.iter().for_each(|part| self.answered_parts.record(*part, now));
-    }
-
-    /// Whether this VM has recently had a complete answer on a part of a prompt.
-    pub fn is_answered(&mut self, part: &Digest, now: Instant) -> bool {
-        self.answered_parts.contains(part, now)
+    /// Records a complete answer on parts of a prompt, which acquits them: no request with a part that crashes upstreams has
+    /// one. The report is for the other VMs.
+    pub fn record_part_answers(&mut self, parts: &[Digest], now: Instant) -> Report {
+        let mut report = Report::default();
+        for part in parts {
+            if self.log.crash_count(part) > 0 || self.holds.is_known(part) {
+                report.extend(self.lift(part, now));
+            }
+        }
+        report
     }
 
     /// The suspect among a request and its parts that has crashed the most upstreams.
-    pub fn worst_suspect(&mut self, request: &Digest, parts: &[Digest], now: Instant) -> Digest {
-        let mut suspects = vec![*request];
-        suspects.extend(parts.iter().filter(|part| !self.answered_parts.contains(part, now)));
+    pub fn worst_suspect(&self, request: &Digest, parts: &[Digest]) -> Digest {
         let is_suspect = |digest: &&Digest| self.log.is_suspect(digest);
-        let worst = suspects.iter().filter(is_suspect);
-        worst.max_by_key(|digest| self.log.crash_count(digest)).copied().unwrap_or(*request)
+        let suspects = [request].into_iter().chain(parts).filter(is_suspect);
+        suspects.max_by_key(|digest| self.log.crash_count(digest)).copied().unwrap_or(*request)
     }
 
     /// A part of a time that is different for each VM.
@@ -434,7 +445,12 @@
 
     /// Voids all that is known against a request until that time.
     fn clear(&mut self, digest: &Digest, at: Instant) -> bool {
-        if self.cleared.get(digest).is_some_and(|&cleared| cleared + MAX_TRANSIT >= at) {
+        let is_repeated =
+            self.cleared.get(digest).is_some_and(|&cleared| cleared + MAX_TRANSIT >= at);
+        // It may have been charged again before it was answered.
+        let is_charged = self.log.last_crash(digest).is_some_and(|crash| crash <= at)
+            || self.holds.began(digest).is_some_and(|began| began <= at);
+        if is_repeated && !is_charged {
             return false;
         }
         self.log.clear(digest);
@@ -545,8 +561,8 @@
     pub fn shared(&self, now: Instant) -> Report {
         let suspects = self.log.unanswered().filter(|suspect| {
             let is_recent = now < suspect.last_crash + SHARED_TIME;
-            (is_recent || suspect.crashes > 1)
-                && self.holds.time_left(suspect.digest, now).is_none()
+            is_recent
+                || (suspect.crashes > 1 && self.holds.time_left(suspect.digest, now).is_none())
         });
         let mut suspects: Vec<_> = suspects.collect();
         suspects.sort_by_key(|suspect| Reverse((suspect.crashes, suspect.last_crash)));
--- a/src/decide/quarantine/crash_log.rs
+++ b/src/decide/quarantine/crash_log.rs
@@ -215,6 +215,25 @@
         self.suspects.get(digest).map_or(0, |suspect| suspect.instances.len())
     }
 
+    /// When an upstream last crashed while running a request.
+    pub fn last_crash(&self, digest: &Digest) -> Option<Instant> {
+        self.suspects.get(digest).map(|suspect| suspect.last_crash)
+    }
+
+    /// Whether other parts, which a request with these parts does not have, may be the cause of all crashes of a part: at each
+    /// of them a suspect with several crashes ran.
+    pub fn is_explained(&self, part: &Digest, parts: &[Digest]) -> bool {
+        let Some(suspect) = self.suspects.get(part) else { return false };
+        let is_cause = |other: &Digest| {
+            other.is_part()
+                && !parts.contains(other)
+                && self.crash_count(other) > 1
+                && self.is_suspect(other)
+        };
+        let mut crashes = suspect.instances.iter().filter_map(|one| self.crashes.get(one));
+        crashes.all(|crash| crash.ran.keys().any(is_cause))
+    }
+
     fn is_known(&self, digest: &Digest) -> bool {
         self.suspects.contains_key(digest)
     }
--- a/src/decide/quarantine/digest.rs
+++ b/src/decide/quarantine/digest.rs
@@ -48,6 +48,11 @@
         Self(bytes)
     }
 
+    /// Whether it is that of a part of a prompt, as far as can be known.
+    pub fn is_part(&self) -> bool {
+        self.0[..8] == [0; 8]
+    }
+
     /// Half of the bits of the digest, for rendezvous hashing.
     pub fn key(&self) -> u64 {
         let half = |bytes: &[u8]| bytes.iter().fold(0, |key, byte| key << 8 | u64::from(*byte));
--- a/src/decide/quarantine/hold.rs
+++ b/src/decide/quarantine/hold.rs
@@ -44,6 +44,11 @@
         self.0.contains_key(digest)
     }
 
+    /// When a request was quarantined; `None` if it never was.
+    pub fn began(&self, digest: &Digest) -> Option<Instant> {
+        self.0.get(digest).map(|hold| hold.since)
+    }
+
     /// How long a request is still quarantined; `None` if it is not.
     pub fn time_left(&self, digest: &Digest, now: Instant) -> Option<Duration> {
         let hold = self.0.get(digest)?;
--- a/src/decide/quarantine/message.rs
+++ b/src/decide/quarantine/message.rs
@@ -94,6 +94,16 @@
 }
 
 impl Report {
+    /// Adds all that another report says.
+    pub fn extend(&mut self, other: Self) {
+        self.crashes.extend(other.crashes);
+        self.cleared.extend(other.cleared);
+        self.instances.extend(other.instances);
+        self.alive.extend(other.alive);
+        self.answers.extend(other.answers);
+        self.holds.extend(other.holds);
+    }
+
     /// Whether the report is empty.
     pub fn is_empty(&self) -> bool {
         let Self { crashes, cleared, instances, alive, answers, holds } = self;
--- a/src/decide/quarantine/tests.rs
+++ b/src/decide/quarantine/tests.rs
@@ -312,32 +312,98 @@
     assert!(began.elapsed() < SECOND, "{:?}", began.elapsed());
 }
 
+/// Records that an upstream crashed under a request with these parts.
+fn crash_under(
+    quarantine: &mut Quarantine,
+    number: usize,
+    parts: &[Digest],
+    at: Instant,
+) -> Report {
+    let own = digest(&format!("request {number}"));
+    for digest in [own].iter().chain(parts) {
+        quarantine.started(*digest, &upstream(number), at);
+    }
+    quarantine.crashed(&upstream(number), Incarnation::new(1), at + SECOND / 10)
+}
+
 // Guards against sound requests that are held back for a part which they share with those that crash upstreams.
 #[test]
-fn a_part_that_was_answered_is_no_suspect_and_one_that_was_not_is_held_back() {
+fn a_part_that_was_answered_since_is_no_suspect_and_one_that_was_not_is_held_back() {
     let now = Instant::now();
     let mut quarantine = Quarantine::new(12);
     let (shared, culprit) = (Digest::of_part(1), Digest::of_part(2));
-    quarantine.record_part_answers(&[shared], now);
     for number in 0..2 {
         let at = now + 3 * SECOND * number as u32;
-        for digest in [culprit, digest(&format!("request {number}"))] {
-            quarantine.started(digest, &upstream(number), at);
-        }
-        quarantine.crashed(&upstream(number), Incarnation::new(1), at + SECOND / 10);
+        crash_under(&mut quarantine, number, &[shared, culprit], at);
+        let report = quarantine.record_part_answers(&[shared], at + SECOND / 5);
+        assert_eq!(report.cleared, [shared]);
     }
-    let later = now + 6 * SECOND;
-    assert_eq!(quarantine.worst_suspect(&digest("request 9"), &[shared, culprit], later), culprit);
-    let held = quarantine.part_status(&culprit, later);
+    let (sound, later) = (digest("sound"), now + 6 * SECOND);
+    assert_eq!(quarantine.worst_suspect(&sound, &[shared, culprit]), culprit);
+    assert_eq!(quarantine.status_with_parts(&sound, &[shared], later), Status::Clear);
+    let held = quarantine.status_with_parts(&sound, &[shared, culprit], later);
+    assert!(matches!(held, Status::Quarantined { .. }), "{held:?}");
+}
+
+// Guards against a shared part that is quarantined for good beside the one that crashes upstreams, since no request that could
+// acquit it may run.
+#[test]
+fn a_part_that_another_one_explains_may_run_without_it() {
+    let now = Instant::now();
+    let (mut quarantine, mut other_vm) = (Quarantine::new(12), Quarantine::new(12));
+    let (shared, culprit) = (Digest::of_part(1), Digest::of_part(2));
+    for number in 0..3 {
+        let at = now + 3 * SECOND * number as u32;
+        let report = crash_under(&mut quarantine, number, &[shared, culprit], at);
+        other_vm.merge(&report, at + SECOND / 10);
+    }
+    let (request, later) = (digest("next"), now + 9 * SECOND);
+    for vm in [&mut quarantine, &mut other_vm] {
+        let with_both = vm.status_with_parts(&request, &[shared, culprit], later);
+        assert!(matches!(with_both, Status::Quarantined { .. }), "{with_both:?}");
+        let sound = vm.status_with_parts(&request, &[shared, Digest::of_part(3)], later);
+        assert_eq!(sound, Status::Suspect { avoid: Vec::new() });
+    }
+    let report = quarantine.record_part_answers(&[shared], later);
+    other_vm.merge(&report, later);
+    for vm in [&mut quarantine, &mut other_vm] {
+        assert_eq!(vm.status_with_parts(&request, &[shared], later), Status::Clear);
+        let culprit = vm.status_with_parts(&request, &[culprit], later);
+        assert!(matches!(culprit, Status::Quarantined { .. }), "{culprit:?}");
+    }
+}
+
+// Guards against the same where two parts crash upstreams, and none of them alone explains all crashes of the shared one.
+#[test]
+fn a_part_that_two_others_explain_may_run_without_them() {
+    let now = Instant::now();
+    let mut quarantine = Quarantine::new(12);
+    let shared = Digest::of_part(1);
+    for number in 0..4 {
+        let culprit = Digest::of_part(2 + number as u64 % 2);
+        let at = now + 3 * SECOND * number as u32;
+        crash_under(&mut quarantine, number, &[shared, culprit], at);
+    }
+    let (request, later) = (digest("next"), now + 12 * SECOND);
+    let sound = quarantine.status_with_parts(&request, &[shared, Digest::of_part(9)], later);
+    assert_eq!(sound, Status::Suspect { avoid: Vec::new() });
+    let culprit = quarantine.status_with_parts(&request, &[shared, Digest::of_part(2)], later);
+    assert!(matches!(culprit, Status::Quarantined { .. }), "{culprit:?}");
+}
+
+// Guards against a part that crashes upstreams and is not suspected, since it was answered before it began to.
+#[test]
+fn a_part_that_was_answered_before_is_held_back() {
+    let now = Instant::now();
+    let mut quarantine = Quarantine::new(12);
+    let culprit = Digest::of_part(2);
+    crash_under(&mut quarantine, 0, &[culprit], now);
+    quarantine.record_part_answers(&[culprit], now + SECOND);
+    for number in 1..4 {
+        crash_under(&mut quarantine, number, &[culprit], now + 3 * SECOND * number as u32);
+    }
+    let held = quarantine.status_with_parts(&digest("next"), &[culprit], now + 12 * SECOND);
     assert!(matches!(held, Status::Quarantined { .. }), "{held:?}");
-    // Another VM, which has had no answer on it, suspects the shared part.
-    quarantine.record_crash(
-        &upstream(5),
-        Incarnation::new(1),
-        (vec![(shared, SECOND)], Duration::ZERO),
-        later,
-    );
-    assert_eq!(quarantine.part_status(&shared, later), Status::Clear);
 }
 
 #[test]
--- a/src/gateway/crashes.rs
+++ b/src/gateway/crashes.rs
@@ -94,15 +94,12 @@
         if quarantine.has_no_suspects() {
             return Status::Clear;
         }
-        let now = Instant::now();
-        let request = quarantine.status(job.digest(), now);
-        let parts = job.parts().iter();
-        parts.fold(request, |status, part| status.or(quarantine.part_status(part, now)))
+        quarantine.status_with_parts(job.digest(), job.parts(), Instant::now())
     }
 
     /// What is suspected most of a request: itself or a part of its prompt.
     pub(super) fn suspect(&self, job: &Job) -> Digest {
-        self.quarantine().worst_suspect(job.digest(), job.parts(), Instant::now())
+        self.quarantine().worst_suspect(job.digest(), job.parts())
     }
 
     /// Records that a request was sent to an upstream, if it matters where suspects run; returns the request and the parts of
@@ -122,7 +119,8 @@
     /// Records a complete answer on parts of a prompt.
     pub(super) fn record_part_answers(&self, parts: &[Digest]) {
         if !parts.is_empty() {
-            self.quarantine().record_part_answers(parts, Instant::now());
+            let report = self.quarantine().record_part_answers(parts, Instant::now());
+            self.report_crashes(report);
         }
     }
 
@@ -203,11 +201,7 @@
     let ran = now.saturating_duration_since(sent);
     let mut run: Vec<(Digest, Duration)> = Vec::new();
     run.extend((!is_popular).then(|| (*job.digest(), ran)));
-    {
-        let mut quarantine = state.quarantine();
-        let parts = job.parts().iter().filter(|part| !quarantine.is_answered(part, now));
-        run.extend(parts.map(|part| (*part, ran)));
-    }
+    run.extend(job.parts().iter().map(|part| (*part, ran)));
     let mut breaks = state.breaks.lock().expect("no panic while locked");
     if let Some(broken) = breaks.broken.get_mut(upstream) {
         if broken.runs.len() < MAX_RUNS {
--- a/tests/load/crashes/fleet.rs
+++ b/tests/load/crashes/fleet.rs
@@ -58,6 +58,10 @@
     deadly_parts: usize,
     /// Requests a second with each of these parts.
     deadly_rate: f64,
+    /// When these begin to crash upstreams, in seconds.
+    deadly_from: f64,
+    /// Whether requests with these parts were answered until then.
+    was_sound: bool,
     /// Sessions to which the innocent requests belong, each with a part of its own.
     sessions: usize,
 }
@@ -216,10 +220,7 @@
         let vm = self.rng.random_range(0..self.case.vms);
         let request = &self.requests[index];
         let (digest, parts) = (request.digest, request.parts.clone());
-        let quarantine = &mut self.vms[vm];
-        let status = parts.iter().fold(quarantine.status(&digest, now), |all, part| {
-            all.or(quarantine.part_status(part, now))
-        });
+        let status = self.vms[vm].status_with_parts(&digest, &parts, now);
         let avoid = match status {
             Status::Clear => Vec::new(),
             Status::Suspect { avoid } => avoid,
@@ -234,7 +235,7 @@
                 return self.agenda.after(Duration::from_secs(1), Event::Ask(index));
             }
         };
-        let suspect = self.vms[vm].worst_suspect(&digest, &parts, now);
+        let suspect = self.vms[vm].worst_suspect(&digest, &parts);
         let Some(upstream) = self.choose(&suspect, vm, &avoid) else {
             return self.agenda.after(Duration::from_millis(20), Event::Ask(index));
         };
@@ -287,7 +288,8 @@
         let request = &mut self.requests[run.request];
         request.answered = true;
         let (digest, parts) = (request.digest, request.parts.clone());
-        self.vms[run.vm].record_part_answers(&parts, now);
+        let report = self.vms[run.vm].record_part_answers(&parts, now);
+        self.tell(run.vm, report, Duration::from_millis(1));
         for digest in [digest].iter().chain(&parts) {
             let report = self.vms[run.vm].answered(digest, &self.names[run.upstream], now);
             self.tell(run.vm, report, Duration::from_millis(1));
@@ -324,9 +326,7 @@
             ran.push((request.digest, now - run.started));
             quarantine.stopped(&request.digest, &self.names[upstream]);
             for part in &request.parts {
-                if !quarantine.is_answered(part, now) {
-                    ran.push((*part, now - run.started));
-                }
+                ran.push((*part, now - run.started));
                 quarantine.stopped(part, &self.names[upstream]);
             }
             if request_has_ended(request, self.case.culprits) && request.crashes > 1 {
@@ -409,6 +409,8 @@
     restart: false,
     deadly_parts: 0,
     deadly_rate: 0.0,
+    deadly_from: 0.0,
+    was_sound: false,
     sessions: 0,
 };
 
--- a/tests/load/crashes/fleet/parts.rs
+++ b/tests/load/crashes/fleet/parts.rs
@@ -21,8 +21,6 @@
 const DEADLY: u64 = 1_000_000;
 /// The number of the first request with a deadly part.
 const FIRST_NUMBER: usize = 10_000_000;
-/// When the requests with deadly parts begin.
-const BEGINS: f64 = 5.0;
 /// The rule: as many crashes may come before requests count, and as many requests may reach upstreams later than
 /// [`CONTACT`] after them.
 const MAX_CRASHES: usize = 5;
@@ -44,10 +42,12 @@
 pub fn add(fleet: &mut Fleet) {
     let case = fleet.case;
     for deadly in 0..case.deadly_parts {
-        let mut at = BEGINS + deadly as f64;
+        let from = case.deadly_from + deadly as f64;
+        let mut at = if case.was_sound { 0.0 } else { from };
         while at < SPAN.as_secs_f64() {
             let number = FIRST_NUMBER + fleet.requests.len();
-            fleet.add(super::digest(number), Some(case.culprits + deadly), at);
+            let culprit = (at >= from).then_some(case.culprits + deadly);
+            fleet.add(super::digest(number), culprit, at);
             let request = fleet.requests.last_mut().expect("it was added");
             request.parts = [FIRST, DEADLY + deadly as u64].map(Digest::of_part).into();
             at += fleet.rng.random_range(0.0..2.0 / case.deadly_rate);
@@ -73,8 +73,15 @@
     }
 }
 
-const PARTS: Case =
-    Case { culprits: 0, upstreams: 22, deadly_parts: 1, deadly_rate: 10.0, sessions: 40, ..CASE };
+const PARTS: Case = Case {
+    culprits: 0,
+    upstreams: 22,
+    deadly_parts: 1,
+    deadly_rate: 10.0,
+    deadly_from: 5.0,
+    sessions: 40,
+    ..CASE
+};
 
 // Guards against upstreams that crash one after the other under requests which share a part of their prompts, and against sound
 // requests that are refused for the parts that these share with them.
@@ -85,6 +92,10 @@
     often = { Case { deadly_rate: 30.0, ..PARTS } },
     two_parts = { Case { deadly_parts: 2, ..PARTS } },
     many_sessions = { Case { sessions: 2_000, ..PARTS } },
+    before_any_answer = { Case { deadly_from: 0.0, rate: 7.0, ..PARTS } },
+    before_any_answer_few_upstreams = { Case { deadly_from: 0.0, rate: 7.0, upstreams: 6, ..PARTS } },
+    two_before_any_answer = { Case { deadly_from: 0.0, rate: 7.0, deadly_parts: 2, ..PARTS } },
+    sound_before = { Case { was_sound: true, ..PARTS } },
     beside_other_crashes = { Case { others: 8, ..PARTS } },
     with_a_restart_of_all = { Case { restart: true, ..PARTS } },
     a_fleet = { Case { vms: 985, upstreams: 850, rate: 1500.0, sessions: 20_000, ..PARTS } },
@@ -93,7 +104,7 @@
     for seed in 1..=10 {
         let mut fleet = Fleet::new(case, seed);
         fleet.play();
-        let (refused, ran) = fleet.innocent();
+        let (refused, _) = fleet.innocent();
         let sound = fleet.requests.iter().filter(|request| request.culprit.is_none()).count();
         for deadly in 0..case.deadly_parts {
             let (crashes, late) = (fleet.avoidable_crashes(deadly), fleet.late_part_starts(deadly));
