LIMIT: a VM's part of the places at an upstream is known without a look at all others

A VM that has just started asks for its part at each upstream and each check; ranking the VMs by hash anew for each took as many hashes as there are VMs. The rank by name is found once, and turned by a hash of the upstream.

--- a/src/decide/place/room.rs
+++ b/src/decide/place/room.rs
@@ -83,6 +83,7 @@
             || risked.is_some_and(|limit| {
                 let part = self.own_part(upstream);
                 let stated = &upstream.restrictions.refusal_limit;
+                // A VM without an answer takes turns only where no place falls to it.
                 let has_turn = || stated.allows(limit, upstream.key(), self.sender, now);
                 running < part || ((is_limited || part == 0) && has_turn())
             })
--- a/src/decide/turns/sender.rs
+++ b/src/decide/turns/sender.rs
@@ -20,6 +20,8 @@
     own: id::Vm,
     /// The other known VMs.
     others: Arc<[id::Vm]>,
+    /// The number of known VMs with smaller names.
+    rank: u64,
     /// The turns are divided among shards of VMs, of which only this VM's own is known.
     shard: u64,
     shard_bits: u8,
@@ -37,8 +39,9 @@
         known: impl IntoIterator<Item = &'a id::Vm>,
         epoch: Instant,
     ) -> Self {
-        let others = known.into_iter().filter(|vm| **vm != own).cloned().collect();
-        Self { own, others, shard: 0, shard_bits: 0, epoch, settled_at: None }
+        let others: Arc<[id::Vm]> = known.into_iter().filter(|vm| **vm != own).cloned().collect();
+        let rank = others.iter().filter(|vm| **vm < own).count() as u64;
+        Self { own, others, rank, shard: 0, shard_bits: 0, epoch, settled_at: None }
     }
 
     /// Creates the only sender.
@@ -75,17 +78,13 @@
     /// Returns how many of an upstream's places fall to the known VMs, if each shard of VMs has an equal part.
     pub fn known_part(&self, key: Key, places: u32) -> u32 {
         let shards = 1_u64.checked_shl(u32::from(self.shard_bits)).unwrap_or(u64::MAX);
-        // The first shard differs between upstreams.
-        let rank = || u64::from(key.get()).wrapping_add(self.shard) % shards;
-        part(u64::from(places), shards, rank)
+        part(key, u64::from(places), shards, self.shard)
     }
 
     /// Returns how many of an upstream's places fall to this VM, if each VM has an equal part.
     pub fn own_part(&self, key: Key, places: u32) -> u32 {
-        let weight = |vm: &id::Vm| rendezvous::weight(u64::from(key.get()), vm.as_str());
-        let own = (weight(&self.own), &self.own);
-        let rank = || self.others.iter().filter(|vm| (weight(vm), *vm) < own).count() as u64;
-        part(u64::from(self.known_part(key, places)), self.others.len() as u64 + 1, rank)
+        let known = u64::from(self.known_part(key, places));
+        part(key, known, self.others.len() as u64 + 1, self.rank)
     }
 
     /// Returns how long the VM has no turns.
@@ -119,9 +118,10 @@
     }
 }
 
-/// Returns an equal part of some places. Those that are left over fall to the first holders in rank.
-fn part(places: u64, holders: u64, rank: impl FnOnce() -> u64) -> u32 {
-    let left = places % holders;
-    let has_more = left > 0 && rank() < left;
-    (places / holders) as u32 + u32::from(has_more)
+/// Returns an equal part of an upstream's places. Those that are left over fall to some of the holders, and to others at another
+/// upstream.
+fn part(key: Key, places: u64, holders: u64, rank: u64) -> u32 {
+    let offset = xxh3_64_with_seed(&holders.to_le_bytes(), u64::from(key.get()));
+    let position = offset.wrapping_add(rank) % holders;
+    (places / holders) as u32 + u32::from(position < places % holders)
 }
