LIMIT: a VM that has had no answer may send one request to each upstream again

Turns for VMs without a place, until their first answer, held back requests for services that have no limit at all: after a restart of all VMs beside failing upstreams they waited for turns.

--- a/src/decide/place/room.rs
+++ b/src/decide/place/room.rs
@@ -74,18 +74,18 @@
         if self.is_alone() {
             return !is_limited || running < upstream.capacity(now);
         }
-        if !is_limited && (self.stats.has_answered || upstream.is_cold(now)) {
-            return true;
+        if !is_limited {
+            // A VM that has just started does not know whether there is a limit.
+            let has_answered = self.stats.has_answered;
+            return has_answered || upstream.is_cold(now) || running < self.own_part(upstream);
         }
         let exchange = &self.exchanges[usize::from(upstream.key().shard())];
         let risked = upstream.risked_limit(self.stats, exchange, now);
         upstream.allowance.permits(running, now)
             || risked.is_some_and(|limit| {
-                let part = self.own_part(upstream);
                 let stated = &upstream.restrictions.refusal_limit;
-                // A VM without an answer takes turns only where no place falls to it.
-                let has_turn = || stated.allows(limit, upstream.key(), self.sender, now);
-                running < part || ((is_limited || part == 0) && has_turn())
+                running < self.own_part(upstream)
+                    || stated.allows(limit, upstream.key(), self.sender, now)
             })
     }
 
@@ -99,10 +99,12 @@
         self.sender.count() == 1 && self.sender.settles_in(self.now).is_zero()
     }
 
-    /// Returns this VM's equal part of the capacity, one at most while it may not know all others.
+    /// Returns this VM's equal part of the capacity, one at most while it may not know all others, and one at least until it
+    /// has had an answer: most upstreams have no limit, and some may not answer.
     fn own_part(&self, upstream: &UpstreamState) -> u32 {
         let part = self.sender.own_part(upstream.key(), upstream.capacity(self.now));
-        if self.sender.settles_in(self.now).is_zero() { part } else { part.min(1) }
+        let part = if self.sender.settles_in(self.now).is_zero() { part } else { part.min(1) };
+        if self.stats.has_answered { part } else { part.max(1) }
     }
 }
 
--- a/src/decide/place/upstream.rs
+++ b/src/decide/place/upstream.rs
@@ -340,19 +340,13 @@
     }
 
     /// Returns the limit under which requests may be sent that no host has granted room; `None` if they may not.
-    ///
-    /// A VM that has had no answer does not know of any limit, and assumes that an upstream can refuse as many requests as
-    /// it has slots.
     pub fn risked_limit(
         &self,
         stats: &ServiceStats,
         exchange: &Exchange,
         now: Instant,
     ) -> Option<Rate> {
-        match self.refusal_limit(stats, now) {
-            Some(limit) => exchange.is_lost(now).then_some(limit),
-            None => (!stats.has_answered).then(|| Rate::per_second(f64::from(self.slot_count()))),
-        }
+        self.refusal_limit(stats, now).filter(|_| exchange.is_lost(now))
     }
 
     /// Records a request, which the upstream may refuse if no host has granted it room.
--- a/src/decide/quarantine/crash_log.rs
+++ b/src/decide/quarantine/crash_log.rs
@@ -36,6 +36,9 @@
 /// still found, and a popular one that all upstreams run is not blamed for their crashes.
 const ANSWERS_PER_CRASH: usize = 3;
 
+/// So many explained crashes of a part leave one that is not explained in doubt.
+const MANY_EXPLAINED: usize = 4;
+
 /// The most crashes and suspects that are remembered; the oldest are dropped first.
 const MAX_CRASHES: usize = 1_024;
 const MAX_SUSPECTS: usize = 16_384;
@@ -221,7 +224,8 @@
     }
 
     /// Whether other parts, which a request with these parts does not have, may be the cause of all crashes of a part: at each
-    /// of them a suspect with several crashes ran.
+    /// of them a suspect with several crashes ran. Beside many such crashes, one of a part that crashed nothing else counts too:
+    /// nothing runs that has both.
     pub fn is_explained(&self, part: &Digest, parts: &[Digest]) -> bool {
         let Some(suspect) = self.suspects.get(part) else { return false };
         let is_cause = |other: &Digest| {
@@ -230,8 +234,10 @@
                 && self.crash_count(other) > 1
                 && self.is_suspect(other)
         };
-        let mut crashes = suspect.instances.iter().filter_map(|one| self.crashes.get(one));
-        crashes.all(|crash| crash.ran.keys().any(is_cause))
+        let crashes = suspect.instances.iter().filter_map(|one| self.crashes.get(one));
+        let explained = crashes.filter(|crash| crash.ran.keys().any(is_cause)).count();
+        let unexplained = suspect.instances.len() - explained;
+        unexplained == 0 || (unexplained == 1 && explained >= MANY_EXPLAINED)
     }
 
     fn is_known(&self, digest: &Digest) -> bool {
--- a/src/decide/quarantine/tests.rs
+++ b/src/decide/quarantine/tests.rs
@@ -373,18 +373,21 @@
     }
 }
 
-// Guards against the same where two parts crash upstreams, and none of them alone explains all crashes of the shared one.
-#[test]
-fn a_part_that_two_others_explain_may_run_without_them() {
+// Guards against the same where several parts crash upstreams, and none of them alone explains all crashes of the shared one.
+#[parameterized(
+    two_parts = { &[2, 3, 2, 3] },
+    one_of_them_once = { &[2, 2, 2, 2, 3] },
+)]
+fn a_part_that_others_explain_may_run_without_them(culprits: &[u64]) {
     let now = Instant::now();
     let mut quarantine = Quarantine::new(12);
     let shared = Digest::of_part(1);
-    for number in 0..4 {
-        let culprit = Digest::of_part(2 + number as u64 % 2);
+    for (number, key) in culprits.iter().enumerate() {
+        let culprit = Digest::of_part(*key);
         let at = now + 3 * SECOND * number as u32;
         crash_under(&mut quarantine, number, &[shared, culprit], at);
     }
-    let (request, later) = (digest("next"), now + 12 * SECOND);
+    let (request, later) = (digest("next"), now + 20 * SECOND);
     let sound = quarantine.status_with_parts(&request, &[shared, Digest::of_part(9)], later);
     assert_eq!(sound, Status::Suspect { avoid: Vec::new() });
     let culprit = quarantine.status_with_parts(&request, &[shared, Digest::of_part(2)], later);
--- a/src/decide/room.rs
+++ b/src/decide/room.rs
@@ -15,8 +15,7 @@
 //!
 //! VMs of a slice, which do not know the others, count an equal part of the slots. Without a host, each VM keeps to its own
 //! part, and beyond it takes [turns](super::turns) at half of the stated refusals. A VM that has just started does not know of
-//! any limit: until it has had an answer, it keeps to its part as well. Where it has none it takes turns, as if the upstream
-//! could refuse as many requests as it has slots.
+//! any limit: until it has had an answer, it keeps to its part, or to one request where it has none.
 
 mod allowance;
 mod claim;
