--- a/src/decide/place.rs
+++ b/src/decide/place.rs
@@ -462,8 +462,10 @@
         in_flight.events = in_flight.events.saturating_add(1);
         if let Some(upstream) = self.upstreams.get_mut(&in_flight.id) {
             upstream.record_response(now);
-            let stats = self.services.entry(upstream.endpoint.service.clone()).or_default();
-            stats.has_answered = true;
+            if in_flight.gap_start.is_none() {
+                let stats = self.services.entry(upstream.endpoint.service.clone()).or_default();
+                stats.has_answered = true;
+            }
         }
         match in_flight.gap_start {
             None => self.record_first_event(in_flight, now),
--- a/src/decide/place/room.rs
+++ b/src/decide/place/room.rs
@@ -70,23 +70,22 @@
     /// Returns whether a request may be sent without the risk that the upstream has to refuse it.
     pub(super) fn has_room(&self, upstream: &UpstreamState) -> bool {
         let (running, now) = (upstream.running(), self.now);
-        let is_limited = upstream.refusal_limit(self.stats, now).is_some();
-        if self.is_alone() {
-            return !is_limited || running < upstream.capacity(now);
-        }
-        if !is_limited {
+        let Some(limit) = upstream.refusal_limit(self.stats, now) else {
             // A VM that has just started does not know whether there is a limit.
-            let has_answered = self.stats.has_answered;
-            return has_answered || upstream.is_cold(now) || running < self.own_part(upstream);
+            return self.stats.has_answered
+                || self.is_alone()
+                || upstream.is_cold(now)
+                || running < self.own_part(upstream);
+        };
+        if self.is_alone() {
+            return running < upstream.capacity(now);
         }
         let exchange = &self.exchanges[usize::from(upstream.key().shard())];
-        let risked = upstream.risked_limit(self.stats, exchange, now);
+        let stated = &upstream.restrictions.refusal_limit;
         upstream.allowance.permits(running, now)
-            || risked.is_some_and(|limit| {
-                let stated = &upstream.restrictions.refusal_limit;
-                running < self.own_part(upstream)
-                    || stated.allows(limit, upstream.key(), self.sender, now)
-            })
+            || (exchange.is_lost(now)
+                && (running < self.own_part(upstream)
+                    || stated.allows(limit, upstream.key(), self.sender, now)))
     }
 
     /// Returns the capacity for the VMs that this VM knows.
--- a/src/decide/place/sample.rs
+++ b/src/decide/place/sample.rs
@@ -22,7 +22,7 @@
 const MAX_UNREPORTED: f64 = 2.0;
 
 /// The typical age of load data: one round until the host receives it, and half a round until it is sent out.
-pub const LOAD_AGE: Duration =
+const LOAD_AGE: Duration =
     UPDATE_INTERVAL.saturating_mul(3).checked_div(2).expect("two is not zero");
 
 /// An upstream that can run the request.
--- a/src/decide/place/upstream.rs
+++ b/src/decide/place/upstream.rs
@@ -339,16 +339,6 @@
         of_service.map(|(limit, _)| limit).or(stated.rate())
     }
 
-    /// Returns the limit under which requests may be sent that no host has granted room; `None` if they may not.
-    pub fn risked_limit(
-        &self,
-        stats: &ServiceStats,
-        exchange: &Exchange,
-        now: Instant,
-    ) -> Option<Rate> {
-        self.refusal_limit(stats, now).filter(|_| exchange.is_lost(now))
-    }
-
     /// Records a request, which the upstream may refuse if no host has granted it room.
     pub fn record_refusal_risk(
         &mut self,
@@ -356,7 +346,9 @@
         (exchange, sender): (&Exchange, &Sender),
         now: Instant,
     ) {
-        if let Some(limit) = self.risked_limit(stats, exchange, now) {
+        if exchange.is_lost(now)
+            && let Some(limit) = self.refusal_limit(stats, now)
+        {
             self.restrictions.refusal_limit.record_sent(limit, self.key, sender, now);
         }
     }
--- a/src/decide/quarantine/crash_log.rs
+++ b/src/decide/quarantine/crash_log.rs
@@ -36,7 +36,7 @@
 /// still found, and a popular one that all upstreams run is not blamed for their crashes.
 const ANSWERS_PER_CRASH: usize = 3;
 
-/// So many explained crashes of a part leave one that is not explained in doubt.
+/// Beside so many crashes of a part that others explain, one that none explains does not count.
 const MANY_EXPLAINED: usize = 4;
 
 /// The most crashes and suspects that are remembered; the oldest are dropped first.
@@ -224,8 +224,10 @@
     }
 
     /// Whether other parts, which a request with these parts does not have, may be the cause of all crashes of a part: at each
-    /// of them a suspect with several crashes ran. Beside many such crashes, one of a part that crashed nothing else counts too:
-    /// nothing runs that has both.
+    /// of them a suspect with several crashes ran.
+    ///
+    /// Beside many of these, one crash may be unexplained: the part that caused it has crashed nothing else, since no request
+    /// that has both runs any more.
     pub fn is_explained(&self, part: &Digest, parts: &[Digest]) -> bool {
         let Some(suspect) = self.suspects.get(part) else { return false };
         let is_cause = |other: &Digest| {
--- a/src/gateway/crashes.rs
+++ b/src/gateway/crashes.rs
@@ -102,18 +102,17 @@
         self.quarantine().worst_suspect(job.digest(), job.parts())
     }
 
-    /// Records that a request was sent to an upstream, if it matters where suspects run; returns the request and the parts of
-    /// its prompt.
-    pub(super) fn record_run(&self, job: &Job, upstream: &id::Upstream) -> Vec<Digest> {
+    /// Records that a request was sent to an upstream, with the parts of its prompt, if it matters where suspects run; returns
+    /// its digest then.
+    pub(super) fn record_run(&self, job: &Job, upstream: &id::Upstream) -> Option<Digest> {
         let mut quarantine = self.quarantine();
         if quarantine.has_no_suspects() {
-            return Vec::new();
+            return None;
         }
-        let digests: Vec<Digest> = [job.digest()].into_iter().chain(job.parts()).copied().collect();
-        for digest in &digests {
+        for digest in [job.digest()].into_iter().chain(job.parts().iter()) {
             quarantine.started(*digest, upstream, Instant::now());
         }
-        digests
+        Some(*job.digest())
     }
 
     /// Records a complete answer on parts of a prompt.
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -171,7 +171,7 @@
     /// Identifies the request when it is resent; computed when it is first needed.
     pub digest: OnceLock<Digest>,
     /// Identifies the parts of the prompt that other requests may share; computed when they are first needed.
-    pub parts: OnceLock<Vec<Digest>>,
+    pub parts: OnceLock<Arc<[Digest]>>,
 }
 
 impl Job {
@@ -186,7 +186,7 @@
     }
 
     /// Identifies the parts of the prompt that other requests may share.
-    pub fn parts(&self) -> &[Digest] {
+    pub fn parts(&self) -> &Arc<[Digest]> {
         self.parts.get_or_init(|| {
             let parts = self.call.prompt.as_ref().and_then(|prompt| prompt.parts.split_last());
             let shared = parts.map(|(_, shared)| shared).unwrap_or_default();
@@ -616,15 +616,15 @@
             "own" => self.work.suffix.get(),
             "shared" => self.work.prefix.map(|shared| format!("{:x}", shared.key)));
         // A VM that a request is forwarded to records its run and counts its answer.
-        let (digests, hash) = match &target {
+        let (digest, hash) = match &target {
             Target::Upstream(upstream) => {
                 (self.state.record_run(&self.job, upstream), Some(self.job.hash()))
             }
-            Target::Vm(..) => (Vec::new(), None),
+            Target::Vm(..) => (None, None),
         };
-        let parts = hash.map(|_| self.job.parts().to_vec()).unwrap_or_default();
+        let parts = hash.map(|_| self.job.parts().clone()).unwrap_or_default();
         let reservation = Reservation::new(self.state.clone(), target, service, held);
-        (reservation.with_digests(digests).with_hash(hash).with_parts(parts), address)
+        (reservation.with_digest(digest).with_hash(hash).with_parts(parts), address)
     }
 
     /// Logs a request to a cold upstream: how it came here, and which turn it takes.
--- a/src/gateway/reservation.rs
+++ b/src/gateway/reservation.rs
@@ -28,10 +28,10 @@
     held: Option<InFlight>,
     outcome: Outcome,
     started: Instant,
-    /// The request and the parts of its prompt, while it matters where suspects run.
-    digests: Vec<Digest>,
+    /// The request, while it matters where suspects run.
+    digest: Option<Digest>,
     /// The parts of its prompt that other requests may share.
-    parts: Vec<Digest>,
+    parts: Arc<[Digest]>,
     /// The hash of a request that was sent to an upstream.
     hash: Option<u64>,
 }
@@ -42,20 +42,20 @@
     pub fn new(state: Arc<State>, target: Target, service: &str, held: Option<InFlight>) -> Self {
         let outcome = Outcome::Abandoned;
         let (service, started) = (service.to_owned(), Instant::now());
-        let (digests, parts, hash) = (Vec::new(), Vec::new(), None);
-        Self { state, target, service, held, outcome, started, digests, parts, hash }
+        let (digest, parts, hash) = (None, Arc::default(), None);
+        Self { state, target, service, held, outcome, started, digest, parts, hash }
     }
 
-    /// Sets the request and the parts of its prompt whose run is to be reported, if it matters where suspects run.
+    /// Sets the request whose run is to be reported with its parts, if it matters where suspects run.
     #[must_use]
-    pub fn with_digests(mut self, digests: Vec<Digest>) -> Self {
-        self.digests = digests;
+    pub fn with_digest(mut self, digest: Option<Digest>) -> Self {
+        self.digest = digest;
         self
     }
 
     /// Sets the parts of the prompt whose answer is counted.
     #[must_use]
-    pub fn with_parts(mut self, parts: Vec<Digest>) -> Self {
+    pub fn with_parts(mut self, parts: Arc<[Digest]>) -> Self {
         self.parts = parts;
         self
     }
@@ -117,8 +117,10 @@
                 if self.outcome == Outcome::Answered {
                     self.state.record_part_answers(&self.parts);
                 }
-                for digest in &self.digests {
-                    self.state.record_run_end(digest, upstream, is_answered);
+                if let Some(request) = &self.digest {
+                    for digest in [request].into_iter().chain(self.parts.iter()) {
+                        self.state.record_run_end(digest, upstream, is_answered);
+                    }
                 }
                 if is_answered {
                     self.state.record_sign_of_life(upstream, self.started);
--- a/tests/load/crashes/fleet.rs
+++ b/tests/load/crashes/fleet.rs
@@ -29,7 +29,8 @@
 /// Until a VM that sees a connection break knows that the upstream crashed.
 const DETECTION: Duration = Duration::from_millis(15);
 const SPAN: Duration = Duration::from_secs(60);
-/// The rule: a request may reach upstreams this often later than [`CONTACT`] after it crashed the third.
+/// The rule: a request may reach upstreams this often later than [`CONTACT`] after its third crash.
+const CRASHES_OF_REQUEST: usize = 3;
 const MAX_LATE_RETRIES: usize = 3;
 const CONTACT: Duration = Duration::from_secs(5);
 /// Innocent requests that may be refused for some seconds.
@@ -229,7 +230,7 @@
             }
             Status::Quarantined { .. } => {
                 self.requests[index].refused += 1;
-                if request_has_ended(&self.requests[index], self.case.culprits) {
+                if has_deadly_part(&self.requests[index], self.case.culprits) {
                     return;
                 }
                 return self.agenda.after(Duration::from_secs(1), Event::Ask(index));
@@ -329,7 +330,7 @@
                 ran.push((*part, now - run.started));
                 quarantine.stopped(part, &self.names[upstream]);
             }
-            if request_has_ended(request, self.case.culprits) && request.crashes > 1 {
+            if has_deadly_part(request, self.case.culprits) && request.crashes > 1 {
                 continue;
             }
             // The route's second attempt, or the caller's.
@@ -382,10 +383,10 @@
         self.agenda.after(trip, Event::Shared(control));
     }
 
-    /// Starts that the rule counts.
-    fn late_starts(&self, culprit: usize) -> usize {
-        let third = self.crashes[culprit].get(2);
-        let is_late = |at: &&Instant| third.is_some_and(|third| **at > *third + CONTACT);
+    /// Starts that a rule counts from the crash of that number on.
+    fn late_starts(&self, culprit: usize, number: usize) -> usize {
+        let last = self.crashes[culprit].get(number - 1);
+        let is_late = |at: &&Instant| last.is_some_and(|last| **at > *last + CONTACT);
         self.starts[culprit].iter().filter(is_late).count()
     }
 
@@ -414,8 +415,8 @@
     sessions: 0,
 };
 
-/// Whether nobody sends a request again that has been refused or has had its second attempt: one with a deadly part.
-fn request_has_ended(request: &Request, culprits: usize) -> bool {
+/// Whether a request has a deadly part. Nobody sends it again once it was refused or has had its second attempt.
+fn has_deadly_part(request: &Request, culprits: usize) -> bool {
     request.culprit.is_some_and(|culprit| culprit >= culprits)
 }
 
@@ -444,7 +445,7 @@
                 .map(|at| at.duration_since(fleet.start).as_secs_f64())
                 .collect();
             assert!(crashes.len() <= max_crashes, "crashes at {crashes:?} s, seed {seed}");
-            let late = fleet.late_starts(culprit);
+            let late = fleet.late_starts(culprit, CRASHES_OF_REQUEST);
             assert!(late <= MAX_LATE_RETRIES, "{late} late retries, seed {seed}");
         }
         let (refused, ran) = fleet.innocent();
--- a/tests/load/crashes/fleet/parts.rs
+++ b/tests/load/crashes/fleet/parts.rs
@@ -8,9 +8,9 @@
 use yare::parameterized;
 
 use super::CASE;
-use super::CONTACT;
 use super::Case;
 use super::Fleet;
+use super::MAX_LATE_RETRIES;
 use super::MAX_SHARED_BYTES;
 use super::SPAN;
 
@@ -21,10 +21,8 @@
 const DEADLY: u64 = 1_000_000;
 /// The number of the first request with a deadly part.
 const FIRST_NUMBER: usize = 10_000_000;
-/// The rule: as many crashes may come before requests count, and as many requests may reach upstreams later than
-/// [`CONTACT`] after them.
-const MAX_CRASHES: usize = 5;
-const MAX_LATE: usize = 3;
+/// The rule counts requests with a part later than a while after this crash.
+const CRASHES_OF_PART: usize = 5;
 /// How long after a crash VMs may not know of it: it is detected, evaluated and told to all.
 const NEWS_TIME: Duration = Duration::from_millis(400);
 
@@ -56,17 +54,8 @@
 }
 
 impl Fleet {
-    /// Starts of requests with a deadly part that the rule counts.
-    fn late_part_starts(&self, deadly: usize) -> usize {
-        let culprit = self.case.culprits + deadly;
-        let last = self.crashes[culprit].get(MAX_CRASHES - 1);
-        let is_late = |at: &&Instant| last.is_some_and(|last| **at > *last + CONTACT);
-        self.starts[culprit].iter().filter(is_late).count()
-    }
-
-    /// Crashes under a deadly part, but those of requests that were sent before its first crash could be known.
-    fn avoidable_crashes(&self, deadly: usize) -> usize {
-        let culprit = self.case.culprits + deadly;
+    /// Starts of requests with a deadly part, each of which crashes its upstream, once its first crash could be known.
+    fn avoidable_starts(&self, culprit: usize) -> usize {
         let first = self.crashes[culprit].first();
         let is_avoidable = |at: &&Instant| first.is_some_and(|first| **at > *first + NEWS_TIME);
         self.starts[culprit].iter().filter(is_avoidable).count()
@@ -107,9 +96,11 @@
         let (refused, _) = fleet.innocent();
         let sound = fleet.requests.iter().filter(|request| request.culprit.is_none()).count();
         for deadly in 0..case.deadly_parts {
-            let (crashes, late) = (fleet.avoidable_crashes(deadly), fleet.late_part_starts(deadly));
-            assert!(crashes < MAX_CRASHES, "{crashes} crashes after the first, seed {seed}");
-            assert!(late <= MAX_LATE, "{late} late requests, seed {seed}");
+            let culprit = case.culprits + deadly;
+            let crashes = fleet.avoidable_starts(culprit);
+            assert!(crashes < CRASHES_OF_PART, "{crashes} crashes after the first, seed {seed}");
+            let late = fleet.late_starts(culprit, CRASHES_OF_PART);
+            assert!(late <= MAX_LATE_RETRIES, "{late} late requests, seed {seed}");
         }
         assert!(refused * 100 <= sound, "{refused} of {sound} sound requests refused, seed {seed}");
         assert!(fleet.largest <= MAX_SHARED_BYTES, "{} bytes, seed {seed}", fleet.largest);
--- a/tests/load/refusals/world.rs
+++ b/tests/load/refusals/world.rs
@@ -31,6 +31,7 @@
 use super::upstream::SLOTS;
 use super::upstream::Upstream;
 use crate::restrictions::world::SERVICE;
+use crate::restrictions::world::endpoint;
 use crate::restrictions::world::query;
 
 const STEP: Duration = Duration::from_millis(10);
@@ -231,17 +232,9 @@
         let known = self.upstreams.iter().enumerate().filter(|(_, upstream)| is_known(upstream));
         let endpoints: Vec<Endpoint> = known
             .map(|(index, upstream)| Endpoint {
-                id: upstream_name(index),
                 incarnation: upstream.incarnation,
-                service: SERVICE.to_owned(),
-                address: ([127, 0, 0, 1], 1).into(),
                 slots: Slots::new(SLOTS as u64),
-                memory: None,
-                connections: 1000,
-                cold: None,
-                open: true,
-                draining: false,
-                silent: false,
+                ..endpoint(upstream_name(index).as_str())
             })
             .collect();
         let setting = self.setting;
