--- a/tests/support/site.rs
+++ b/tests/support/site.rs
@@ -1,6 +1,7 @@
 //! Starts and ends the daemons of a site, and changes its catalogue.
 
 use std::collections::BTreeMap;
+use std::io::ErrorKind;
 use std::net::IpAddr;
 use std::net::Ipv4Addr;
 use std::net::SocketAddr;
@@ -362,7 +363,14 @@
 
     /// Throws a control daemon's data folder away; the daemon must have ended.
     pub fn lose_folder(&self, vm: &str) {
-        std::fs::remove_dir_all(self.folder.path().join(vm)).expect("a folder");
+        let folder = self.folder.path().join(vm);
+        let until = std::time::Instant::now() + PATIENCE;
+        // A write that was under way as the daemon ended may still make a file.
+        while let Err(error) = std::fs::remove_dir_all(&folder) {
+            let is_written = error.kind() == ErrorKind::DirectoryNotEmpty;
+            assert!(is_written && std::time::Instant::now() < until, "{folder:?}: {error}");
+            std::thread::sleep(Duration::from_millis(1));
+        }
     }
 
     /// Waits until a control daemon's replica of the catalogue holds all that is committed.
