--- a/tests/promises/refusals.rs
+++ b/tests/promises/refusals.rs
@@ -110,6 +110,39 @@
     assert_eq!(answer.streamed(), Some(fakes::answer("calm", 2)), "{answer:?}");
 }
 
+// Requests of which no two are alike share a part of their prompts that crashes each engine that runs it. Sound ones
+// share their system prompt with them. The engines that are left go on to serve these.
+#[tokio::test]
+async fn requests_with_a_part_that_crashes_engines_are_stopped() {
+    let mut site = Local::start(&["a@gulf", "b@gulf"]).await;
+    site.put(LOOKUP).await;
+    let mut engines = Vec::new();
+    for number in 0..8 {
+        let vm = if number % 2 == 0 { "a" } else { "b" };
+        engines.push(engine(&site, &format!("e{number}"), "gulf", vm, 4).await);
+    }
+    let system = "s".repeat(400);
+    let (deadly, sound) = ("[[crash]]".repeat(100), "calm".repeat(225));
+    let mut stopped = 0;
+    let mut served = 0;
+    for number in 0..12 {
+        let to = site.callers(if number % 2 == 0 { "a" } else { "b" });
+        let prompt = format!("{system}{deadly}{number}");
+        let answer = Caller::chat("lookup", &prompt, 3, true).send(to).await.unwrap();
+        assert!(!answer.status.is_success(), "{answer:?}");
+        stopped += u32::from(answer.problem().kind == "urn:masticstream:refusal:quarantined");
+        let prompt = format!("{system}{sound}{number}");
+        let answer = Caller::chat("lookup", &prompt, 2, true).send(to).await.unwrap();
+        served += u32::from(answer.streamed() == Some(fakes::answer(&prompt, 2)));
+        time::sleep(Duration::from_millis(300)).await;
+    }
+    let runs: usize = engines.iter().map(|engine| engine.ran().len()).sum();
+    let crashes = runs.saturating_sub(served as usize);
+    assert!(crashes <= 3, "{crashes} engines were lost to one part of the prompts");
+    assert!(stopped >= 8, "it was stopped {stopped} of 12 times");
+    assert_eq!(served, 12, "sound requests with the same system prompt");
+}
+
 // A region of two VMs loses one of them. No majority of its VMs is left to say who keeps the owners' limits, so
 // callers would be held to half of what they are due until somebody repairs the VM. The ledger, which has a witness
 // elsewhere, answers the VM that is left, and that decides.
