BUDGET: the own interface finds parts of prompts that crash engines

Cause: evidence was kept for a request as a whole, and no two were alike. A request that is refused for a part of its prompt and never ran is told so.

--- a/src/decide/quarantine.rs
+++ b/src/decide/quarantine.rs
@@ -229,13 +229,18 @@
     pub fn record_part_answers(&mut self, parts: &[Digest], now: Instant) -> Report {
         let mut report = Report::default();
         for part in parts {
-            if self.log.crash_count(part) > 0 || self.holds.is_known(part) {
+            if self.is_charged(part) {
                 report.extend(self.lift(part, now));
             }
         }
         report
     }
 
+    /// Whether a request is remembered for a crash.
+    pub fn is_charged(&self, digest: &Digest) -> bool {
+        self.log.crash_count(digest) > 0 || self.holds.is_known(digest)
+    }
+
     /// The suspect among a request and its parts that has crashed the most upstreams.
     pub fn worst_suspect(&self, request: &Digest, parts: &[Digest]) -> Digest {
         let is_suspect = |digest: &&Digest| self.log.is_suspect(digest);
--- a/src/entry/dispatch.rs
+++ b/src/entry/dispatch.rs
@@ -243,7 +243,9 @@
     pub fn finished(&mut self, job: &Job, grant: &Grant, outcome: Outcome, now: Instant) {
         let class = job.entry.class;
         let took = now.saturating_duration_since(grant.since);
-        self.quarantine.stopped(&job.suspicion, &grant.upstream.id);
+        for suspect in job.suspects() {
+            self.quarantine.stopped(suspect, &grant.upstream.id);
+        }
         self.route.finish_attempt(&grant.upstream.id, &job.facts(&[]), outcome, took, now);
         if outcome == Outcome::Answered {
             self.admission.observe(&job.entry.name, class, took);
@@ -395,8 +397,9 @@
             let facts = waiting.job.facts(&waiting.avoid);
             let picked = self.route.pick(&facts, now, &mut self.rng);
             let chosen = picked.and_then(|id| self.upstreams.get_key_value(&id));
-            let allowed =
-                chosen.filter(|(id, _)| self.quarantine.may_start(&waiting.job.suspicion, id));
+            let Job { suspicion, parts, .. } = &*waiting.job;
+            let suspect = self.quarantine.worst_suspect(suspicion, parts);
+            let allowed = chosen.filter(|(id, _)| self.quarantine.may_start(&suspect, id));
             let Some((chosen, hosted)) = allowed else {
                 pool.waiting.insert(ticket.request, waiting);
                 unplaced.push(ticket);
@@ -405,13 +408,17 @@
             let chosen = chosen.clone();
             let grant = Grant { upstream: hosted.announcement.clone(), since: now };
             self.route.start_attempt(&chosen, now);
-            self.quarantine.started(waiting.job.suspicion, &chosen, now);
+            for suspect in waiting.job.suspects() {
+                self.quarantine.started(*suspect, &chosen, now);
+            }
             pool.capacity.started(ticket.class);
             if waiting.answer.send(Ok(grant)).is_err() {
                 let facts = waiting.job.facts(&[]);
                 self.route.finish_attempt(&chosen, &facts, Outcome::Cancelled, Duration::ZERO, now);
                 pool.capacity.finished(ticket.class);
-                self.quarantine.stopped(&waiting.job.suspicion, &chosen);
+                for suspect in waiting.job.suspects() {
+                    self.quarantine.stopped(suspect, &chosen);
+                }
             }
         }
         for ticket in unplaced {
--- a/src/entry/dispatch/suspects.rs
+++ b/src/entry/dispatch/suspects.rs
@@ -12,7 +12,12 @@
 impl Dispatch {
     /// How a request stands that upstreams may have died of.
     pub fn standing(&mut self, job: &Job, now: Instant) -> Status {
-        self.quarantine.status(&job.suspicion, now)
+        self.quarantine.status_with_parts(&job.suspicion, &job.parts, now)
+    }
+
+    /// Whether an upstream died while it ran the request, by this or an earlier send.
+    pub fn is_charged(&self, job: &Job) -> bool {
+        self.quarantine.is_charged(&job.suspicion)
     }
 
     /// An upstream died, with all that ran there; the report is for the other VMs of the region.
@@ -22,7 +27,9 @@
 
     /// A request was answered whole; the report is for the other VMs of the region.
     pub fn cleared(&mut self, job: &Job, upstream: &id::Upstream, now: Instant) -> Report {
-        self.quarantine.answered(&job.suspicion, upstream, now)
+        let mut report = self.quarantine.record_part_answers(&job.parts, now);
+        report.extend(self.quarantine.answered(&job.suspicion, upstream, now));
+        report
     }
 
     /// Takes what another VM saw of upstreams that died; returns whether it is new.
--- a/src/entry/job.rs
+++ b/src/entry/job.rs
@@ -73,6 +73,8 @@
     pub body: Bytes,
     /// Tells the request from others that upstreams may have died of, whatever their keys.
     pub suspicion: quarantine::Digest,
+    /// The same for the parts of its prompt that other requests may share.
+    pub parts: Vec<quarantine::Digest>,
     /// Tells the request from others under the same key.
     pub digest: Digest,
     /// The model, or the service's name.
@@ -168,6 +170,11 @@
 }
 
 impl Job {
+    /// What upstreams may die of: the request and the parts of its prompt.
+    pub fn suspects(&self) -> impl Iterator<Item = &quarantine::Digest> {
+        [&self.suspicion].into_iter().chain(&self.parts)
+    }
+
     /// What the choice of an upstream rests on.
     pub fn facts<'a>(&'a self, avoid: &'a [id::Upstream]) -> Criteria<'a> {
         let kind = match self.entry.kind {
--- a/src/entry/run.rs
+++ b/src/entry/run.rs
@@ -358,7 +358,7 @@
     let mut avoid = Vec::new();
     hub.dispatch().began(job, Instant::now());
     loop {
-        match acquitted(hub, job).await {
+        match acquitted(hub, job, &evidence).await {
             Ok(upstreams) => avoid.extend(upstreams),
             Err(refusal) => return (checked.into_step(), Err(refusal)),
         }
@@ -388,7 +388,11 @@
 }
 
 /// Refuses a request that upstreams die of, and else names those that died under it.
-async fn acquitted(hub: &Hub, job: &Job) -> Result<Vec<id::Upstream>, Refusal> {
+async fn acquitted(
+    hub: &Hub,
+    job: &Job,
+    evidence: &[Evidence],
+) -> Result<Vec<id::Upstream>, Refusal> {
     loop {
         let status = hub.dispatch().standing(job, Instant::now());
         match status {
@@ -396,9 +400,14 @@
             Status::Suspect { avoid } => return Ok(avoid),
             Status::Pending { time_left } => time::sleep(time_left).await,
             Status::Quarantined { time_left } => {
-                let text = "each upstream that ran this request died; it is not run again for now";
-                // It did run, by an earlier send or attempt.
-                let refusal = Refusal::new(Reason::Quarantined, text).with_ran(Ran::Unknown);
+                let text = "upstreams died while running this request, or others that share a part of \
+                    its prompt; it is not run for now";
+                // It may have run by an earlier send.
+                let ran = match hub.dispatch().is_charged(job) {
+                    true => Ran::Unknown,
+                    false => Ran::after(evidence),
+                };
+                let refusal = Refusal::new(Reason::Quarantined, text).with_ran(ran);
                 return Err(refusal.with_retry_after(time_left));
             }
         }
--- a/src/http/caller.rs
+++ b/src/http/caller.rs
@@ -389,6 +389,7 @@
     Ok(Job {
         request: hub.random(id::Request::random),
         suspicion: quarantine::Digest::of(&entry.name, &body),
+        parts: content.prefix.iter().copied().map(quarantine::Digest::of_part).collect(),
         digest: job::digest(&entry.name, &parts.method, &path, &body),
         headers: passed_on(hub, &parts),
         method: parts.method,
