--- a/tests/promises/whole.rs
+++ b/tests/promises/whole.rs
@@ -5,6 +5,9 @@
 
 use fakes::Fault;
 use http::StatusCode;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpListener;
 use tokio::time;
 
 use crate::LOOKUP;
@@ -239,3 +242,51 @@
         "the kept answer has no comments"
     );
 }
+
+/// Takes requests until it has begun to answer one, without a length, and crashes in the middle of it.
+async fn crash_in_an_answer(listener: TcpListener) {
+    loop {
+        let (mut stream, _) = listener.accept().await.expect("a connection");
+        let mut head = Vec::new();
+        let mut bytes = [0; 4096];
+        while !head.windows(4).any(|end| end == b"\r\n\r\n") {
+            let count = stream.read(&mut bytes).await.expect("a request");
+            if count == 0 {
+                break;
+            }
+            head.extend_from_slice(&bytes[..count]);
+        }
+        let is_asked = head.starts_with(b"POST");
+        let answer: &[u8] = match is_asked {
+            true => b"HTTP/1.1 200 OK\r\nconnection: close\r\n\r\n{\"choices\":",
+            false => b"HTTP/1.1 404 Not Found\r\ncontent-length: 0\r\nconnection: close\r\n\r\n",
+        };
+        if is_asked {
+            drop(listener);
+            stream.write_all(answer).await.expect("a caller");
+            return;
+        }
+        stream.write_all(answer).await.expect("a caller");
+    }
+}
+
+// An engine's answer has neither a length nor chunks, and the engine crashes in the middle of it, which looks like its
+// end. All callers get whole answers, from another engine.
+#[tokio::test]
+async fn an_answer_without_a_length_that_a_crash_ends_is_not_passed_on() {
+    let mut site = Local::start(&["a@gulf"]).await;
+    site.put(LOOKUP).await;
+    let _engine = engine(&site, "e1", "gulf", "a", 4).await;
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let crash = tokio::spawn(crash_in_an_answer(listener));
+    assert!(site.announce_at("a", ("e0", address), 1));
+    site.upstreams_known("gulf", 2).await;
+    let request = Caller::chat("lookup", "whole", 3, false);
+    let answers = futures::future::join_all((0..8).map(|_| request.send(site.callers("a")))).await;
+    crash.await.unwrap();
+    for answer in answers.into_iter().map(Result::unwrap) {
+        assert!(answer.status.is_success(), "{answer:?}");
+        assert!(answer.body.contains(&fakes::answer("whole", 3)), "{answer:?}");
+    }
+}
--- a/tests/support/site.rs
+++ b/tests/support/site.rs
@@ -340,10 +340,15 @@
 
     /// Announces an engine to a VM, as its renewal of that number; false where the VM does not take it.
     pub fn announce(&self, vm: &str, engine: &fakes::Upstream, sequence: u64) -> bool {
+        self.announce_at(vm, (engine.id(), engine.address()), sequence)
+    }
+
+    /// The same of an engine with that name and address.
+    pub fn announce_at(&self, vm: &str, (id, at): (&str, SocketAddr), sequence: u64) -> bool {
         let hub = self.hub(vm);
         let announcement = serde_json::json!({
-            "id": engine.id(),
-            "address": engine.address().to_string(),
+            "id": id,
+            "address": at.to_string(),
             "region": hub.region().as_str(),
             "data_centre": hub.place.data_centre.as_str(),
             "kind": "engine",
