An answer of the own interface that ends with its connection is whole only if its engine still accepts connections

Cause: an answer with neither a length nor chunks ends as its connection does, and a crash ends it in the same way. It asks now before a caller sees any of it. One is_framed for both, moved to http::answer with its test.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -10,11 +10,9 @@
 use http::Request;
 use http::Response;
 use http::StatusCode;
-use http::header;
 use http::response;
 use http_body_util::BodyExt;
 use http_body_util::Full;
-use hyper::body::Body;
 use hyper::body::Incoming;
 use slog::info;
 use tokio::time;
@@ -30,6 +28,7 @@
 use super::reservation::Target;
 use crate::decide::place::Outcome;
 use crate::decide::place::Outlook;
+use crate::http::answer::is_framed;
 use crate::http::client::Error;
 use crate::http::client::Lease;
 use crate::id;
@@ -177,12 +176,6 @@
     classify(state, job, response, lease, (reservation, started), meta).await
 }
 
-/// Whether a response states its length, comes in chunks or has no body, so that its end is known.
-fn is_framed<B: Body>(response: &Response<B>) -> bool {
-    response.body().size_hint().exact().is_some()
-        || response.headers().contains_key(header::TRANSFER_ENCODING)
-}
-
 /// Whether the upstream that an answer without a length came from still accepts connections.
 ///
 /// A crash between two events looks like the end of such an answer.
@@ -424,6 +417,3 @@
         state.client().keep_for(lease, idle_timeout.unwrap_or(Duration::MAX));
     }
 }
-
-#[cfg(test)]
-mod tests;
--- a/src/http/answer.rs
+++ b/src/http/answer.rs
@@ -9,6 +9,7 @@
 use http::Response;
 use http::header;
 use http_body_util::BodyExt;
+use hyper::body::Body;
 use hyper::body::Incoming;
 use tokio::time;
 use tokio::time::Instant;
@@ -108,9 +109,24 @@
     }
 }
 
+/// Whether a response states its length, comes in chunks or has no body, so that its end is known.
+pub fn is_framed<B: Body>(response: &Response<B>) -> bool {
+    response.body().size_hint().exact().is_some()
+        || response.headers().contains_key(header::TRANSFER_ENCODING)
+}
+
 impl Sink<'_> {
     /// Passes an answer on. `Ok` only when it is whole; otherwise the failure tells whether a caller has seen any of it.
-    pub async fn pass(&self, mut response: Response<Incoming>) -> Result<(), Failure> {
+    pub async fn pass(&self, response: Response<Incoming>) -> Result<(), Failure> {
+        self.pass_if(response, async || true).await
+    }
+
+    /// The same, where an answer that has ended may not be whole: this is asked before a caller sees it.
+    pub async fn pass_if(
+        &self,
+        mut response: Response<Incoming>,
+        is_whole: impl AsyncFnOnce() -> bool,
+    ) -> Result<(), Failure> {
         let before = self.out.pushed();
         let is_stream = response
             .headers()
@@ -119,7 +135,7 @@
         let passed = if self.events && is_stream && response.status().is_success() {
             self.events(&mut response).await
         } else {
-            self.whole(&mut response).await
+            self.whole(&mut response, is_whole).await
         };
         passed.map_err(|failure| {
             let evidence = match failure.evidence {
@@ -193,7 +209,11 @@
     }
 
     /// Reads a whole answer before any of it is passed on: a broken one can then be replaced by another attempt's.
-    async fn whole(&self, response: &mut Response<Incoming>) -> Result<(), Failure> {
+    async fn whole(
+        &self,
+        response: &mut Response<Incoming>,
+        is_whole: impl AsyncFnOnce() -> bool,
+    ) -> Result<(), Failure> {
         let mut body = BytesMut::new();
         while let Some(data) = self.next(response, self.deadline).await? {
             body.extend_from_slice(&data);
@@ -201,6 +221,9 @@
                 return Err(Failure::lost("the answer is too large"));
             }
         }
+        if !is_whole().await {
+            return Err(Failure::lost("the upstream crashed as the answer ended"));
+        }
         self.begin()?;
         self.out.whole_answer(self.head(response, false), body.freeze());
         Ok(())
@@ -241,3 +264,6 @@
     let found = bytes[start..].windows(2).position(|two| two == b"\n\n")?;
     Some(start + found + 2)
 }
+
+#[cfg(test)]
+mod tests;
--- a/src/http/engine.rs
+++ b/src/http/engine.rs
@@ -21,9 +21,11 @@
 use crate::http::answer::Failure;
 use crate::http::answer::Fault;
 use crate::http::answer::Sink;
+use crate::http::answer::is_framed;
 use crate::http::client::Client;
 use crate::http::client::Error;
 use crate::http::client::Lease;
+use crate::http::client::Probe;
 use crate::id;
 use crate::upstream::Announcement;
 use crate::upstream::Load;
@@ -65,7 +67,10 @@
     let sent = time::timeout(first, client.send(order.address, request)).await;
     let (response, lease) = sent.map_err(|_| Failure::silent("no answer began in time"))??;
     check(&response, order)?;
-    sink.pass(response).await?;
+    let is_framed = is_framed(&response);
+    // A crash looks like the end of an answer without a length.
+    let is_whole = async || is_framed || client.probe(order.address, PROBE).await != Probe::Refused;
+    sink.pass_if(response, is_whole).await?;
     client.keep(lease);
     Ok(())
 }
