BUDGET: a crash report of the own interface names a shared part once

Each request that ran on a crashed upstream is charged with up to four parts of its prompt; a part that all of them share was reported once for each of them, to all VMs of the region. It is charged once now, with the longest run. Unit test: three requests with one part, four records (six before, by reading).

--- a/src/decide/quarantine.rs
+++ b/src/decide/quarantine.rs
@@ -16,6 +16,7 @@
 //! last crashes, those with several crashes, and the quarantined ones ([`Quarantine::shared`]).
 
 use std::cmp::Reverse;
+use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::collections::HashMap;
 use std::time::Duration;
@@ -319,11 +320,14 @@
         now: Instant,
     ) -> Report {
         let running = self.running.remove(upstream).unwrap_or_default();
-        running.iter().for_each(|(digest, _)| remove_copy(&mut self.copies, digest));
-        let ran = running
-            .into_iter()
-            .map(|(digest, started)| (digest, now.saturating_duration_since(started)));
-        self.record_crash(upstream, incarnation, (ran.collect(), Duration::ZERO), now)
+        // Requests that share a part of their prompts are charged with it once.
+        let mut ran = BTreeMap::new();
+        for (digest, started) in running {
+            remove_copy(&mut self.copies, &digest);
+            let longest = ran.entry(digest).or_insert(Duration::ZERO);
+            *longest = now.saturating_duration_since(started).max(*longest);
+        }
+        self.record_crash(upstream, incarnation, (ran.into_iter().collect(), Duration::ZERO), now)
     }
 
     /// Records a crash of an upstream that happened some time ago, with the requests that were running there and for how
--- a/src/decide/quarantine/tests.rs
+++ b/src/decide/quarantine/tests.rs
@@ -326,6 +326,27 @@
     quarantine.crashed(&upstream(number), Incarnation::new(1), at + SECOND / 10)
 }
 
+// Guards against reports that repeat a part for each request with it: all VMs get them at each crash.
+#[test]
+fn a_crash_charges_a_part_once_for_all_requests_that_share_it() {
+    let now = Instant::now();
+    let mut quarantine = Quarantine::new(12);
+    let shared = Digest::of_part(1);
+    for (number, text) in ["a", "b", "c"].into_iter().enumerate() {
+        let at = now + SECOND / 10 * number as u32;
+        quarantine.started(digest(text), &upstream(0), at);
+        quarantine.started(shared, &upstream(0), at);
+    }
+    let report = quarantine.crashed(&upstream(0), Incarnation::new(1), now + SECOND);
+    let ran: Vec<Duration> = report
+        .crashes
+        .iter()
+        .filter(|record| record.digest == shared)
+        .map(|record| record.ran)
+        .collect();
+    assert_eq!((report.crashes.len(), ran), (4, vec![SECOND]));
+}
+
 // Guards against sound requests that are held back for a part which they share with those that crash upstreams.
 #[test]
 fn a_part_that_was_answered_since_is_no_suspect_and_one_that_was_not_is_held_back() {
