--- a/src/decide/quarantine/tests.rs
+++ b/src/decide/quarantine/tests.rs
@@ -255,6 +255,28 @@
     assert!(matches!(status, Status::Suspect { .. }), "{status:?}");
 }
 
+// Guards against a popular request that is held back since its crashes become known before those beside them: where all
+// upstreams are down, each crash is known only as the next instance checks in.
+#[test]
+fn crashes_that_become_known_late_are_evaluated_with_those_beside_them() {
+    let now = Instant::now();
+    let mut quarantine = Quarantine::new(6);
+    let known_after_ms = [1_300, 1_320, 1_450, 1_680, 1_700, 1_730];
+    for (number, known) in known_after_ms.map(Duration::from_millis).into_iter().enumerate() {
+        let other = format!("other {number}");
+        let texts: &[&str] = if number < 2 { &["popular", &other] } else { &[&other] };
+        let crashed = Duration::from_millis(20) * number as u32;
+        quarantine.evaluate(now + known);
+        let ran = texts.iter().map(|text| (digest(text), Duration::from_millis(2))).collect();
+        let crash = (ran, known - crashed);
+        quarantine.record_crash(&upstream(number), Incarnation::new(1), crash, now + known);
+    }
+    for after_ms in [1_800, 2_200, 3_000, 4_000] {
+        let at = now + Duration::from_millis(after_ms);
+        assert!(!is_quarantined(&mut quarantine, "popular", at), "after {after_ms} ms");
+    }
+}
+
 // Guards against a request that crashes upstreams during a mass crash, and is taken for one of its victims for good.
 #[test]
 fn a_culprit_within_a_mass_crash_is_held_back_at_its_next_steps() {
