Room and parts, read once more: twins made one, a probe only where it is needed

Behaviour unchanged, and no bound or assertion changed. - A host's grant works out free room and equal parts with the functions that its offers use, instead of the same formulas again.

--- a/src/decide/place/room.rs
+++ b/src/decide/place/room.rs
@@ -1,5 +1,6 @@
 //! Room at upstreams that can refuse few requests; see [`room`](crate::decide::room).
 
+use std::collections::HashMap;
 use std::time::Duration;
 
 use tokio::time::Instant;
@@ -140,9 +141,10 @@
 
     /// Applies what a host grants. What no request waits for any more is given up at once.
     pub fn apply_grants(&mut self, grants: &[(Key, Grant)], now: Instant) {
+        let grants: HashMap<Key, Grant> = grants.iter().copied().collect();
         for upstream in self.upstreams.values_mut() {
             let key = upstream.key();
-            if let Some((_, grant)) = grants.iter().find(|(of, _)| *of == key) {
+            if let Some(grant) = grants.get(&key) {
                 upstream.allowance.apply(*grant, now);
                 let is_unused = upstream.allowance.permits(upstream.running(), now)
                     && !self.waiting.contains_key(&upstream.endpoint.service);
--- a/src/decide/room/holding.rs
+++ b/src/decide/room/holding.rs
@@ -57,14 +57,10 @@
     ///
     /// A host that has just begun grants nothing new, since it does not know yet what others have.
     pub fn grant(claim: &Claim, others: &[Self], has_begun: bool) -> (Self, Grant) {
-        let Claim { running, wanted, .. } = *claim;
-        let capacity =
-            others.iter().filter_map(|other| other.capacity).fold(claim.capacity, u32::min);
-        let held: u32 = others.iter().map(|other| other.allowance).sum();
-        let free = capacity.saturating_sub(held).saturating_sub(running);
-        let vms =
-            others.iter().filter(|other| other.allowance + other.unmet > 0).count() as u32 + 1;
-        let part = capacity / vms;
+        let Claim { capacity, running, wanted } = *claim;
+        let own = Self { allowance: running, unmet: wanted, capacity: Some(capacity) };
+        let all = [others, &[own]].concat();
+        let (free, part) = (Self::free(&all), Self::part(&all));
         let others_wait =
             others.iter().any(|other| other.unmet > 0 && other.allowance < part.max(1));
         let granted = if has_begun { wanted.min(free) } else { 0 };
@@ -73,9 +69,9 @@
             false => running + granted,
         };
         let unmet = wanted.saturating_sub(allowance.saturating_sub(running));
-        let is_over = held + allowance > capacity;
+        let held: u32 = others.iter().map(|other| other.allowance).sum();
+        let is_over = held + allowance > Self::known_capacity(&all);
         let keeps = !is_over && (!others_wait || allowance <= part);
-        let holding = Self { allowance, unmet, capacity: Some(claim.capacity) };
-        (holding, Grant { allowance, keeps })
+        (Self { allowance, unmet, ..own }, Grant { allowance, keeps })
     }
 }
--- a/src/decide/sharing/aggregator.rs
+++ b/src/decide/sharing/aggregator.rs
@@ -21,6 +21,7 @@
 use super::Update;
 use super::remotes::Remotes;
 use crate::decide::feedback::RateNotice;
+use crate::decide::room::Claim;
 use crate::decide::room::Grant;
 use crate::decide::room::Holding;
 use crate::id;
@@ -123,6 +124,11 @@
             grants,
         })
     }
+
+    /// Removes and returns what VMs that wait for room have been granted since the last call.
+    pub fn take_offers(&mut self) -> Vec<(id::Vm, Offer)> {
+        std::mem::take(&mut self.offers)
+    }
 }
 
 impl Received {
@@ -181,13 +187,6 @@
     }
 }
 
-impl Aggregator {
-    /// Removes and returns what VMs that wait for room have been granted since the last call.
-    pub fn take_offers(&mut self) -> Vec<(id::Vm, Offer)> {
-        std::mem::take(&mut self.offers)
-    }
-}
-
 impl Update {
     /// Whether it is `other` or a later update of the same start.
     const fn supersedes(&self, other: &Self) -> bool {
@@ -239,13 +238,13 @@
         now: Instant,
     ) -> BTreeMap<Key, (Holding, Grant)> {
         let has_begun = self.has_begun(now);
-        let grant = |(key, claim)| {
+        let grant = |(key, claim): &(Key, Claim)| {
             let others = self.received.iter().filter(|(vm, _)| *vm != from);
             let others: Vec<Holding> =
                 others.filter_map(|(_, received)| received.holding(key)).collect();
             (*key, Holding::grant(claim, &others, has_begun))
         };
-        update.claims.iter().map(|(key, claim)| grant((key, claim))).collect()
+        update.claims.iter().map(grant).collect()
     }
 
     fn add_uses(&mut self, uses: &[PrefixUse]) {
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -383,11 +383,13 @@
         return AttemptResult::Response(Box::new(OpenResponse { head, body }));
     }
     let collected = time::timeout_at(job.deadline, incoming.collect()).await;
-    let is_whole = is_framed || is_alive(state, &reservation).await;
-    let (Ok(Ok(collected)), true) = (collected, is_whole) else {
-        record_run_end(state, job, &reservation, started, End::BrokeOff);
-        reservation.complete(Outcome::Failed);
-        return AttemptResult::Indeterminate { reason: "the answer broke off" };
+    let collected = match collected {
+        Ok(Ok(collected)) if is_framed || is_alive(state, &reservation).await => collected,
+        _ => {
+            record_run_end(state, job, &reservation, started, End::BrokeOff);
+            reservation.complete(Outcome::Failed);
+            return AttemptResult::Indeterminate { reason: "the answer broke off" };
+        }
     };
     reservation.record_event();
     let is_error = head.status.is_server_error();
--- a/tests/load/crashes/fleet.rs
+++ b/tests/load/crashes/fleet.rs
@@ -324,11 +324,9 @@
             request.crashes += 1;
             let quarantine = &mut self.vms[run.vm];
             let ran = by_vm.entry(run.vm).or_default();
-            ran.push((request.digest, now - run.started));
-            quarantine.stopped(&request.digest, &self.names[upstream]);
-            for part in &request.parts {
-                ran.push((*part, now - run.started));
-                quarantine.stopped(part, &self.names[upstream]);
+            for digest in [request.digest].iter().chain(&request.parts) {
+                ran.push((*digest, now - run.started));
+                quarantine.stopped(digest, &self.names[upstream]);
             }
             if has_deadly_part(request, self.case.culprits) && request.crashes > 1 {
                 continue;
--- a/tests/promises/refusals.rs
+++ b/tests/promises/refusals.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use fakes::Upstream;
 use tokio::time;
 use tokio::time::Instant;
 
@@ -49,7 +50,7 @@
     site.put(&limited).await;
     let engine = engine(&site, "e1", "gulf", "a", 8).await;
     let calls = (0..80).map(|number| {
-        let to = site.callers(if number % 2 == 0 { "a" } else { "b" });
+        let to = site.callers(vm_of(number));
         async move {
             let answer = Caller::chat("hot", "again", 1, true).send(to).await.unwrap();
             answer.status.is_success()
@@ -84,20 +85,30 @@
     }
 }
 
+/// The one of two VMs to which a request or an engine of that number goes.
+const fn vm_of(number: usize) -> &'static str {
+    if number.is_multiple_of(2) { "a" } else { "b" }
+}
+
+/// Starts engines that announce themselves to both VMs of a region.
+async fn engines(site: &Local, count: usize) -> Vec<Upstream> {
+    let mut engines = Vec::new();
+    for number in 0..count {
+        engines.push(engine(site, &format!("e{number}"), "gulf", vm_of(number), 4).await);
+    }
+    engines
+}
+
 // One request crashes each engine that runs it, and its caller sends it again and again, to either VM. Two engines
 // fall; then it is refused, and the others go on to serve.
 #[tokio::test]
 async fn a_request_that_kills_what_runs_it_is_stopped() {
     let mut site = Local::start(&["a@gulf", "b@gulf"]).await;
     site.put(LOOKUP).await;
-    let mut engines = Vec::new();
-    for number in 0..5 {
-        let vm = if number % 2 == 0 { "a" } else { "b" };
-        engines.push(engine(&site, &format!("e{number}"), "gulf", vm, 4).await);
-    }
+    let engines = engines(&site, 5).await;
     let mut stopped = 0;
     for number in 0..8 {
-        let to = site.callers(if number % 2 == 0 { "a" } else { "b" });
+        let to = site.callers(vm_of(number));
         let answer = Caller::chat("lookup", "[[crash]]", 3, true).send(to).await.unwrap();
         assert!(!answer.status.is_success(), "{answer:?}");
         stopped += u32::from(answer.problem().kind == "urn:masticstream:refusal:quarantined");
@@ -116,17 +127,13 @@
 async fn requests_with_a_part_that_crashes_engines_are_stopped() {
     let mut site = Local::start(&["a@gulf", "b@gulf"]).await;
     site.put(LOOKUP).await;
-    let mut engines = Vec::new();
-    for number in 0..8 {
-        let vm = if number % 2 == 0 { "a" } else { "b" };
-        engines.push(engine(&site, &format!("e{number}"), "gulf", vm, 4).await);
-    }
+    let engines = engines(&site, 8).await;
     let system = "s".repeat(400);
     let (deadly, sound) = ("[[crash]]".repeat(100), "calm".repeat(225));
     let mut stopped = 0;
     let mut served = 0;
     for number in 0..12 {
-        let to = site.callers(if number % 2 == 0 { "a" } else { "b" });
+        let to = site.callers(vm_of(number));
         let prompt = format!("{system}{deadly}{number}");
         let answer = Caller::chat("lookup", &prompt, 3, true).send(to).await.unwrap();
         assert!(!answer.status.is_success(), "{answer:?}");
