Other regions: plain requests leave before their region is full

Peak regions rejected requests while others idled.

Change: where the objective of a plain service is at least three trips, the margin is 20 ms. The random addend is one service time instead of 20 ms there, so that the VMs of a region don't choose the same region until the next outlook. Other routes have the same cost as before.

--- a/src/decide/place/regions.rs
+++ b/src/decide/place/regions.rs
@@ -11,6 +11,9 @@
 //! Regions are compared by the cost to all callers, as engines are. By the time to the first event alone, a region
 //! with full batches would look as good as one with a few streams, and long streams would exceed their deadlines.
 //!
+//! A full upstream of a plain service rejects requests, so another region is used before this one is full. The trip is
+//! all that forwarding a plain request costs, provided that its objective leaves time for it.
+//!
 //! A region sends its outlook (the expected time to the first event and the number of requests on its best engine)
 //! with each answer to another region; the VMs of a region exchange outlooks, and stale ones are ignored.
 
@@ -37,6 +40,14 @@
 const ROUND_TRIP: Duration = Duration::from_millis(110);
 /// The minimum gain of forwarding, for the bandwidth and for the load on the other region.
 const FORWARDING_COST: Duration = Duration::from_millis(150);
+/// The same for a plain service whose objective leaves time for the trip. Its upstreams queue requests for about 300 ms
+/// at most, so that a higher cost would keep requests here until they are rejected.
+const PLAIN_FORWARDING_COST: Duration = Duration::from_millis(20);
+/// The minimum objective of a plain service for that cost, in round trips. With less, the trip would use up the time
+/// that a request may wait for a slot there.
+const MIN_OBJECTIVE_TRIPS: u32 = 3;
+/// The range of the random addend that spreads requests over regions of similar cost.
+const JITTER: Duration = Duration::from_millis(20);
 /// The cost of 1,000 bytes of inter-region traffic in seconds in flight: 33 kB cost as much as one second more in
 /// flight. It follows from what operators pay for a GB between regions and what a lost request costs them.
 const COST_PER_KILOBYTE: f64 = 0.03;
@@ -88,6 +99,8 @@
     pub bytes: usize,
     /// The maximum expected time to the first event; above it, the request is rejected.
     pub max_wait: Duration,
+    /// The route's objective.
+    pub objective: Duration,
     /// Returns whether a region may serve the request.
     pub allows: &'a dyn Fn(&id::Region) -> bool,
 }
@@ -116,6 +129,15 @@
     pub cost: Duration,
 }
 
+impl RegionQuery<'_> {
+    /// Returns whether the request may be forwarded before this region is full: it is for a plain service, and the trip
+    /// leaves time to be served.
+    fn is_forwarded_early(&self) -> bool {
+        let is_plain = self.work.suffix == Tokens::ZERO && self.work.prefix.is_none();
+        is_plain && self.objective >= ROUND_TRIP * MIN_OBJECTIVE_TRIPS
+    }
+}
+
 impl Regions {
     /// Updates the list of upstreams that accept requests in other regions, by service.
     pub fn sync(&mut self, open: HashMap<String, OpenUpstreams>) {
@@ -186,16 +208,22 @@
         }
     }
 
-    /// Returns the other regions that may serve a request, in order of cost. `jitter` returns a random addend that
-    /// breaks ties.
+    /// Returns the other regions that may serve a request, in order of cost. `random` returns random numbers between
+    /// zero and one, which break ties.
     pub fn candidates(
         &self,
         query: &RegionQuery<'_>,
         holder: &Holder,
         profile: &Profile,
-        mut jitter: impl FnMut() -> Duration,
+        mut random: impl FnMut() -> f64,
         now: Instant,
     ) -> Vec<RegionCandidate> {
+        let (margin, jitter) = match query.is_forwarded_early() {
+            // All VMs of the region know the same outlooks. Differences of less than a service time mean little, and
+            // without a jitter of that size all VMs would choose the same region until the next outlook.
+            true => (PLAIN_FORWARDING_COST, profile.service_time.max(JITTER)),
+            false => (FORWARDING_COST, JITTER),
+        };
         let reachable = self.reachable(query, now);
         let candidates = reachable.map(|(region, _)| {
             let (outlook, penalty) = self.outlook_and_penalty(region, query, profile, now);
@@ -208,7 +236,8 @@
             let estimate = conditions.estimate(profile, query.max_wait);
             let kilobytes = query.bytes as f64 / 1000.0 + conditions.events * EVENT_KILOBYTES;
             let transfer = seconds(kilobytes * COST_PER_KILOBYTE);
-            let cost = seconds(estimate.cost) + FORWARDING_COST + transfer + penalty + jitter();
+            let cost =
+                seconds(estimate.cost) + margin + transfer + penalty + jitter.mul_f64(random());
             let (first_event, last_event) =
                 (seconds(estimate.first_event), seconds(estimate.last_event));
             RegionCandidate { region: region.clone(), first_event, last_event, cost }
--- a/src/decide/place/regions/tests.rs
+++ b/src/decide/place/regions/tests.rs
@@ -1,6 +1,9 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
+use rand::Rng;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
 use tokio::time::Instant;
 
 use super::Holder;
@@ -53,13 +56,14 @@
 }
 
 fn query(work: Work) -> RegionQuery<'static> {
-    let max_wait = Duration::from_millis(1200);
-    RegionQuery { service: "s", work, urgent: true, bytes: 0, max_wait, allows: &|_| true }
+    let (max_wait, objective) = (Duration::from_millis(1200), Duration::from_millis(1200));
+    let (service, urgent, bytes) = ("s", true, 0);
+    RegionQuery { service, work, urgent, bytes, max_wait, objective, allows: &|_| true }
 }
 
 fn candidates(regions: &Regions, work: Work, holder: &Holder) -> Vec<RegionCandidate> {
     let profile = ServiceStats::default().profile(48.0);
-    regions.candidates(&query(work), holder, &profile, || Duration::ZERO, Instant::now())
+    regions.candidates(&query(work), holder, &profile, || 0.0, Instant::now())
 }
 
 // Guards against each region assigning an engine of its own to a prefix, which would then be computed three times.
@@ -129,3 +133,61 @@
         candidates(&regions, lookup, &Holder::Unknown)[0].first_event < Duration::from_millis(250)
     );
 }
+
+fn plain(objective: u64) -> RegionQuery<'static> {
+    RegionQuery { objective: Duration::from_millis(objective), ..query(Work::default()) }
+}
+
+fn plain_outlook(millis: u64) -> Outlook {
+    Outlook { wait: Duration::from_millis(millis), running: 3 }
+}
+
+// Guards against requests that stay in a region whose upstreams then reject them, since forwarding looks more expensive
+// than a full queue of about 300 ms.
+#[tokio::test(start_paused = true)]
+async fn an_idle_region_costs_less_than_a_full_queue() {
+    let (mut regions, now) = (other_regions("r"), Instant::now());
+    regions.record_outlook(&region("q"), ("s", true), plain_outlook(60), now);
+    regions.record_outlook(&region("p"), ("s", true), plain_outlook(300), now);
+    let profile = ServiceStats::default().profile(6.0);
+    let cost = |objective| {
+        let query = RegionQuery { bytes: 1000, ..plain(objective) };
+        regions.candidates(&query, &Holder::Unknown, &profile, || 0.0, now)[0].clone()
+    };
+    let early = cost(500);
+    assert_eq!((early.region, early.cost.as_millis()), (region("q"), 60 + 110 + 20 + 30));
+    assert_eq!(early.last_event, early.first_event);
+    assert_eq!(cost(330).cost, early.cost);
+}
+
+// Guards against forwarding where the trip uses up the objective, and against a change for engines.
+#[tokio::test(start_paused = true)]
+async fn the_cost_of_other_routes_includes_the_whole_margin() {
+    let (mut regions, now) = (other_regions("r"), Instant::now());
+    regions.record_outlook(&region("q"), ("s", true), plain_outlook(60), now);
+    let profile = ServiceStats::default().profile(6.0);
+    let at_least = Duration::from_millis(60 + 110 + 150);
+    let lookup = Work { suffix: Tokens::new(300), ..Work::default() };
+    for query in [plain(329), plain(300), query(lookup)] {
+        let found = regions.candidates(&query, &Holder::Unknown, &profile, || 0.0, now);
+        assert!(found[0].cost >= at_least, "{:?}", found[0]);
+    }
+}
+
+// Guards against all VMs of a region sending to the same other region between two outlooks.
+#[tokio::test(start_paused = true)]
+async fn requests_are_spread_over_regions_of_similar_cost() {
+    let (mut regions, now) = (other_regions("r"), Instant::now());
+    regions.record_outlook(&region("q"), ("s", true), plain_outlook(60), now);
+    regions.record_outlook(&region("p"), ("s", true), plain_outlook(70), now);
+    let mut stats = ServiceStats::default();
+    stats.record_service_time(Duration::from_millis(60), 1.0);
+    let (profile, mut rng) = (stats.profile(6.0), SmallRng::seed_from_u64(1));
+    let sent_to_p = (0..1000).filter(|_| {
+        let random = || rng.random::<f64>();
+        let found = regions.candidates(&plain(500), &Holder::Unknown, &profile, random, now);
+        found[0].region == region("p")
+    });
+    let sent_to_p = sent_to_p.count();
+    assert!((250..500).contains(&sent_to_p), "{sent_to_p} of 1000");
+}
--- a/src/decide/place/service.rs
+++ b/src/decide/place/service.rs
@@ -85,6 +85,8 @@
 /// Typical parameters of the engines of a service.
 #[derive(Debug, Clone, Copy)]
 pub struct Profile {
+    /// The mean time of a request on an upstream.
+    pub service_time: Duration,
     /// The latency.
     pub speed: Speed,
     /// The lengths of the answers.
@@ -163,7 +165,8 @@
         let running = self.running.get().unwrap_or(0.0);
         let utilization = running / slots;
         let slowdown = self.slowdown.get().unwrap_or(1.0);
-        Profile { speed: self.engine.speed(), length: self.length, running, utilization, slowdown }
+        let (service_time, speed) = (self.service_time(), self.engine.speed());
+        Profile { service_time, speed, length: self.length, running, utilization, slowdown }
     }
 
     /// Returns the mean number of tokens to prefill per request.
--- a/src/gateway/relay/placement.rs
+++ b/src/gateway/relay/placement.rs
@@ -18,9 +18,6 @@
 use crate::gateway::reservation::Target;
 use crate::id;
 
-/// Random jitter that spreads requests over regions of similar cost.
-const OFFER_JITTER_MICROS: u64 = 20_000;
-
 /// Upstreams that a request may find unreachable before it is sent to a peer.
 const MAX_UNREACHABLE: u32 = 2;
 
@@ -113,8 +110,15 @@
         let urgent = self.job.urgent;
         let longest = self.job.deadline.saturating_duration_since(now).min(self.max_wait());
         let (work, bytes) = (self.work, self.job.body.len());
-        let passage =
-            RegionQuery { service, work, urgent, bytes, max_wait: longest, allows: &allows };
+        let passage = RegionQuery {
+            service,
+            work,
+            urgent,
+            bytes,
+            max_wait: longest,
+            objective: route.objective,
+            allows: &allows,
+        };
         let is_home = is_home(&self.state.node().region);
         let shared = self.work.prefix.filter(|_| is_home);
         let weight =
@@ -135,9 +139,9 @@
         let here = if may_send { self.choose_upstream(&demand, now) } else { None };
         let offers = match self.job.hop {
             Hop::Ingress => {
-                let spread = || Duration::from_micros(self.state.random() % OFFER_JITTER_MICROS);
+                let random = || self.state.random() as f64 / u64::MAX as f64;
                 let usual = self.state.place().profile(service);
-                self.state.regions().candidates(&passage, &holder, &usual, spread, now)
+                self.state.regions().candidates(&passage, &holder, &usual, random, now)
             }
             Hop::Forwarded => Vec::new(),
         };
--- a/tests/load/streams/world.rs
+++ b/tests/load/streams/world.rs
@@ -336,6 +336,7 @@
             urgent,
             bytes: 5000,
             max_wait: longest,
+            objective: Duration::from_secs_f64(kind.objective),
             allows: &allows,
         };
         let weight = work.prefix.and_then(|shared| vm.place.rendezvous_weight(SERVICE, &shared));
@@ -354,7 +355,7 @@
         let usual = vm.place.profile(SERVICE);
         let offers = match forwarded {
             true => Vec::new(),
-            false => vm.regions.candidates(&passage, &holder, &usual, || Duration::ZERO, instant),
+            false => vm.regions.candidates(&passage, &holder, &usual, || 0.0, instant),
         };
         let cost = here.as_ref().map_or(Duration::MAX, |fit| fit.cost);
         if let Some(offer) = offers.first().filter(|offer| offer.cost < cost) {
