Room at plain upstreams: the bound learned from rejections, and the places below it

Cause: no component knows how many requests a plain upstream holds, so a VM sends to one that it could know to be full. Change: an upstream that rejects a request as full states what it holds in the same response. That number is its bound: a lower one applies at once, it rises by one request a second without rejections, and is forgotten after a minute. Balancer::free_places states what the plain upstreams of a service can take below their bounds. Nothing is decided by it yet.

--- a/src/decide/place/room.rs
+++ b/src/decide/place/room.rs
@@ -6,9 +6,12 @@
 use tokio::time::Instant;
 
 use super::Balancer;
+use super::InFlight;
 use super::Query;
+use super::Report;
 use super::UpstreamState;
 use super::service::ServiceStats;
+use super::state_of;
 use crate::decide::room::Claim;
 use crate::decide::room::Grant;
 use crate::decide::sharing::Key;
@@ -89,6 +92,13 @@
                     || stated.allows(limit, upstream.key(), self.sender, now)))
     }
 
+    /// Returns how many more requests a plain upstream takes below its bound, as far as this VM knows.
+    fn free_places(&self, upstream: &UpstreamState) -> Option<u32> {
+        let bound = upstream.bound(self.stats, self.now)?;
+        let held = upstream.total_requests(self.stats, self.sender, self.now).ceil();
+        Some(bound.saturating_sub(held as u32))
+    }
+
     /// Returns the capacity for the VMs that this VM knows.
     pub(super) fn capacity(&self, upstream: &UpstreamState) -> u32 {
         self.sender.known_part(upstream.key(), upstream.capacity(self.now))
@@ -260,8 +270,30 @@
         wanted
     }
 
+    /// Records that an upstream rejected a request as full, with the load that it stated in the same response.
+    pub fn record_rejection(&mut self, in_flight: &InFlight, report: Report, now: Instant) {
+        let found = state_of(&mut self.upstreams, &mut self.services, in_flight);
+        let Some((upstream, stats)) = found else { return };
+        let held = report.running.saturating_add(report.waiting);
+        if upstream.record_rejection(held, now) {
+            stats.record_rejection(held, now);
+        }
+    }
+
+    /// Returns how many more requests the plain upstreams of a service can take now below their bounds; `None` while no bound
+    /// is known.
+    pub fn free_places(&self, service: &str, now: Instant) -> Option<u32> {
+        let demand = self.demand(service, now);
+        let upstreams = self.available(service);
+        let free = upstreams.filter_map(|(_, upstream)| demand.free_places(upstream));
+        free.reduce(u32::saturating_add)
+    }
+
     pub(super) fn demand<'a>(&'a self, service: &str, now: Instant) -> Demand<'a> {
         let stats = self.services.get(service).unwrap_or(&self.no_stats);
         Demand::new(stats, self.sender(service), &self.exchanges, now)
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/src/decide/place/service.rs
+++ b/src/decide/place/service.rs
@@ -10,6 +10,7 @@
 use crate::decide::engine::Output;
 use crate::decide::engine::Quantile;
 use crate::decide::engine::Speed;
+use crate::decide::room::Bound;
 use crate::decide::route::Ewma;
 use crate::unit::Rate;
 use crate::unit::Tokens;
@@ -72,6 +73,8 @@
     pub has_answered: bool,
     /// How many requests an upstream has stated that it can refuse, and when.
     refusal_limit: Option<(Rate, Instant)>,
+    /// The least requests beside which a plain upstream has rejected one recently.
+    bound: Option<Bound>,
     /// The seconds that a request waited for room, divided by its place among those that waited.
     room_wait: Ewma,
     /// The latency of its engines.
@@ -118,6 +121,16 @@
         self.refusal_limit.filter(|(_, at)| is_recent(*at))
     }
 
+    /// Records that a plain upstream rejected a request beside so many others.
+    pub fn record_rejection(&mut self, held: u32, now: Instant) {
+        self.bound.get_or_insert_with(|| Bound::new(held, now)).record_rejection(held, now);
+    }
+
+    /// Returns the requests that each of its upstreams holds at most, as far as rejections have shown.
+    pub fn bound(&self, now: Instant) -> Option<u32> {
+        self.bound.and_then(|bound| bound.get(now))
+    }
+
     /// Records how long a request waited for room behind so many others.
     pub fn record_room_wait(&mut self, waited: Duration, others: usize) {
         self.room_wait.add(waited.as_secs_f64() / (others + 1) as f64);
--- a/src/decide/place/upstream.rs
+++ b/src/decide/place/upstream.rs
@@ -26,6 +26,7 @@
 use crate::decide::feedback::Restrictions;
 use crate::decide::feedback::Source;
 use crate::decide::room::Allowance;
+use crate::decide::room::Bound;
 use crate::decide::sharing::Key;
 use crate::decide::sharing::Load;
 use crate::decide::turns::Pacer;
@@ -107,6 +108,8 @@
     pub restrictions: Restrictions,
     /// The requests that this VM may have there, if it can refuse few.
     pub allowance: Allowance,
+    /// The requests that it holds at most, if it is a plain one that has rejected some.
+    bound: Option<Bound>,
 }
 
 impl UpstreamState {
@@ -138,6 +141,7 @@
             doubted_until: None,
             restrictions,
             allowance: Allowance::default(),
+            bound: None,
         }
     }
 
@@ -339,6 +343,24 @@
         of_service.map(|(limit, _)| limit).or(stated.rate())
     }
 
+    /// Records that it rejected a request as full, beside so many others. Returns whether that shows its bound: an engine
+    /// rejects by its memory, and an upstream with free slots for another reason.
+    pub fn record_rejection(&mut self, held: u32, now: Instant) -> bool {
+        let is_full = self.endpoint.memory.is_none() && held >= self.slot_count();
+        if is_full {
+            self.bound.get_or_insert_with(|| Bound::new(held, now)).record_rejection(held, now);
+        }
+        is_full
+    }
+
+    /// Returns the requests that a plain upstream holds at most; `None` while none of its service has rejected any.
+    pub fn bound(&self, stats: &ServiceStats, now: Instant) -> Option<u32> {
+        let own = self.bound.and_then(|bound| bound.get(now));
+        let of_service = || stats.bound(now).filter(|_| self.endpoint.memory.is_none());
+        let of_service = || of_service().map(|bound| bound.max(self.slot_count()));
+        own.or_else(of_service)
+    }
+
     /// Records a request, which the upstream may refuse if no host has granted it room.
     pub fn record_refusal_risk(
         &mut self,
--- a/src/decide/room.rs
+++ b/src/decide/room.rs
@@ -18,11 +18,14 @@
 //! any limit: until it has had an answer, it keeps to its part, or to one request where it has none.
 
 mod allowance;
+mod bound;
 mod claim;
 mod holding;
 mod waiters;
 
 pub use allowance::Allowance;
+pub use bound::BOUND_TTL;
+pub use bound::Bound;
 pub use claim::Claim;
 pub use claim::Grant;
 pub use holding::Holding;
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -312,6 +312,13 @@
     if !meta.is_misdirected && (meta.has_receipt || meta.is_not_executed) {
         reservation.record_feedback(&meta.feedback);
     }
+    if !meta.is_misdirected
+        && meta.is_not_executed
+        && response.status() == StatusCode::SERVICE_UNAVAILABLE
+        && let Some(load) = meta.load
+    {
+        reservation.record_rejection(load);
+    }
     if meta.is_not_executed || is_vm_refusal(&reservation, &meta, response.status()) {
         let is_misdirected = meta.is_misdirected;
         let stage = match reservation.target() {
--- a/src/gateway/reservation.rs
+++ b/src/gateway/reservation.rs
@@ -8,6 +8,7 @@
 use crate::decide::feedback::Feedback;
 use crate::decide::place::InFlight;
 use crate::decide::place::Outcome;
+use crate::decide::place::Report;
 use crate::decide::quarantine::Digest;
 use crate::id;
 
@@ -89,6 +90,13 @@
         }
     }
 
+    /// Records that the upstream rejected the request, and the load that it stated with it.
+    pub fn record_rejection(&self, load: Report) {
+        if let Some(held) = &self.held {
+            self.state.place().record_rejection(held, load, Instant::now());
+        }
+    }
+
     /// Releases the capacity with the given outcome.
     pub fn complete(mut self, outcome: Outcome) {
         self.outcome = outcome;
