A lower limit of the expected time while a service of engines is short of capacity

Cause: the expected time to the first event is limited to 1.25 times the objective for urgent requests, whatever the load. In an overload of ten seconds a queue of that length stands before each engine, and half of what is admitted is late.

Change: decide::shortage detects a standing shortage per service: for a second, requests of this VM were expected above 0.75 of their objective, with no three others in a row and no more others than those. The limit is 0.75 of the objective until none was refused for a second; a VM with fewer than ten requests since then goes on for up to 3 s. Placement has the same limit, or an engine above it would be chosen, and the request refused, while another is below. A return is recognised by the timeout that its caller states. Its limit in a shortage is 0.75 of what is left of its objective, at least 0.5 of the objective; with its objective over, it has the limit of 0.75 as soon as one request was expected above that, before the shortage is detected.

--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -16,5 +16,6 @@
 pub mod room;
 pub mod route;
 pub mod sharing;
+pub mod shortage;
 pub mod spill;
 pub mod turns;
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -28,7 +28,6 @@
 use super::state::Ticket;
 use crate::decide::place::InFlight;
 use crate::decide::place::Work;
-use crate::decide::place::wait;
 use crate::decide::quarantine::Digest;
 use crate::decide::quarantine::Status;
 use crate::decide::quota;
@@ -243,12 +242,16 @@
     ticket: Option<Ticket>,
     /// Until when it may wait for room.
     room_deadline: Option<Instant>,
+    /// The time since its caller's first attempt, if this is not the first.
+    since_first: Option<Duration>,
 }
 
 impl Relay {
     /// Creates a relay without any attempt.
     pub fn new(state: Arc<State>, job: Job) -> Self {
         let work = job.call.work();
+        let stated = job.call.timeout;
+        let since_first = stated.and_then(|timeout| state.record_timeout(&job.route.name, timeout));
         Self {
             state,
             work,
@@ -268,6 +271,7 @@
             waiting: None,
             ticket: None,
             room_deadline: None,
+            since_first,
         }
     }
 
@@ -324,6 +328,7 @@
             };
             self.waiting = None;
             let max_wait = remaining.min(self.max_wait());
+            self.record_expected(&placement);
             if placement.expected() > max_wait {
                 let excess = placement.expected() - max_wait;
                 self.retry_after = Some(excess.min(MAX_RETRY_AFTER));
@@ -522,12 +527,28 @@
 
     /// Maximum expected time to the first event. It is unlimited for plain services, since a few
     /// slow responses would otherwise raise the mean enough to refuse requests.
+    ///
+    /// The choice of a target has the same limit, also in a shortage: with a higher one, an engine above the limit could be
+    /// chosen, and the request refused, while others are below it.
     fn max_wait(&self) -> Duration {
-        let route = &self.job.route;
-        match route.kind.is_stream() {
-            true => wait::limit(route.objective, self.job.urgent),
-            false => Duration::MAX,
+        let Job { route, service, urgent, .. } = &self.job;
+        if !route.kind.is_stream() {
+            return Duration::MAX;
+        }
+        let (objective, now) = ((route.objective, *urgent), Instant::now());
+        self.state.shortages().limit(service, objective, self.since_first, now)
+    }
+
+    /// Records the expected time of a request that has not been sent yet, which shows whether the service is short of
+    /// capacity. What is expected of a peer is no estimate.
+    fn record_expected(&self, placement: &Placement) {
+        let Job { route, service, .. } = &self.job;
+        let is_estimate = !matches!(placement, Placement::Peer { .. });
+        if !is_estimate || !route.kind.is_stream() || self.attempts() > 0 {
+            return;
         }
+        let (expected, now) = (placement.expected(), Instant::now());
+        self.state.shortages().record_expected(service, expected, route.objective, now);
     }
 
     /// Maximum number of attempts. Only the VM that received the request from its caller retries;
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -38,6 +38,8 @@
 use crate::decide::retry::Budget;
 use crate::decide::retry::Budgets;
 use crate::decide::room::Waiters;
+use crate::decide::shortage::Returns;
+use crate::decide::shortage::Shortages;
 use crate::http::client::Client;
 use crate::id;
 use crate::roster::MergedTable;
@@ -58,6 +60,7 @@
 mod retries;
 mod room;
 mod roster;
+mod shortage;
 mod upstreams;
 
 pub use retries::Permit;
@@ -127,6 +130,8 @@
     waiting: Arc<AtomicUsize>,
     /// Requests that wait for room at an upstream.
     waiters: Mutex<Waiters>,
+    shortages: Mutex<Shortages>,
+    returns: Mutex<Returns>,
     /// Notifies of room at upstreams.
     room_changes: watch::Sender<()>,
     /// Notifies of claims to room that can't wait for the next update.
@@ -215,6 +220,8 @@
             in_progress: Arc::default(),
             waiting: Arc::default(),
             waiters: Mutex::default(),
+            shortages: Mutex::default(),
+            returns: Mutex::default(),
             room_changes: watch::Sender::new(()),
             claims_due: Notify::new(),
             last_request: AtomicU64::new(0),
--- a/tests/load/main.rs
+++ b/tests/load/main.rs
@@ -25,6 +25,7 @@
 mod rounds;
 mod routing;
 mod scenario;
+mod shortage;
 mod streams;
 mod table;
 mod tally;
