Plain upstreams: no request is sent that exceeds a known bound

Change: while a bound is known, a VM has at most its equal part of it at each upstream (places that can't be divided pass to other VMs every 8 s), and more where the last summary of other VMs' requests shows free places. After a rejection it sends no more than before for an update interval. Summaries count only once the host has heard from all VMs. What finds no place goes to another region, waits at its VM within the objective as at upstreams that state a refusal limit, or is refused at once; no claims are sent for it. The expected time of plain requests is limited to the objective meanwhile. The bound rises by 0.2 requests a second, not by one: each VM finds by a rejection of its own that it rose too far. The log states bounds that begin, change by half or end, and what led to a refusal; two gauges show bounded upstreams and waiting requests.

--- a/src/decide/feedback/change.rs
+++ b/src/decide/feedback/change.rs
@@ -21,6 +21,12 @@
     RefusalLimitChanged(Rate),
     /// It does not state it any more.
     RefusalLimitEnded,
+    /// A rejection has shown how many requests the upstream holds at most.
+    BoundBegan(u32),
+    /// That number has changed much.
+    BoundChanged(u32),
+    /// It has not rejected any request for a while.
+    BoundEnded,
     /// The upstream is draining.
     DrainBegan,
     /// The upstream that was draining has restarted or is gone.
--- a/src/decide/place/restrictions.rs
+++ b/src/decide/place/restrictions.rs
@@ -11,6 +11,7 @@
 use crate::decide::feedback::Change;
 use crate::decide::feedback::Feedback;
 use crate::decide::feedback::RateNotice;
+use crate::decide::feedback::Source;
 use crate::decide::feedback::Statement;
 use crate::decide::sharing::Key;
 
@@ -72,6 +73,12 @@
         let mut changes = std::mem::take(&mut self.ended);
         for (id, upstream) in &mut self.upstreams {
             changes.extend(upstream.restrictions.take_changes(id, now));
+            changes.extend(upstream.take_bound_event(now).map(|event| Change {
+                upstream: id.clone(),
+                event,
+                source: Source::Response,
+                age: Duration::ZERO,
+            }));
         }
         changes
     }
@@ -93,6 +100,11 @@
         upstreams.filter_map(|upstream| upstream.restrictions.refusal_limit.rate()).count()
     }
 
+    /// Returns the number of upstreams that have shown by rejections how many requests they hold at most.
+    pub fn bounded_count(&self, now: Instant) -> usize {
+        self.upstreams.values().filter(|upstream| upstream.has_bound(now)).count()
+    }
+
     /// Returns the number of upstreams that state a rate limit.
     pub fn limited_count(&self) -> usize {
         let limits =
--- a/src/decide/place/room.rs
+++ b/src/decide/place/room.rs
@@ -16,6 +16,7 @@
 use crate::decide::room::Grant;
 use crate::decide::sharing::Key;
 use crate::decide::sharing::SHARDS;
+use crate::decide::sharing::UPDATE_INTERVAL;
 use crate::decide::turns::Sender;
 use crate::id;
 
@@ -25,6 +26,19 @@
 /// How long claims remain unanswered until a VM goes on without a host.
 const HOST_TIMEOUT: Duration = Duration::from_millis(400);
 
+/// The fraction of a bound up to which VMs send more than their equal parts. What other VMs have sent since the last summary
+/// needs the rest.
+const SHARED_FRACTION: f64 = 0.7;
+
+/// How long places that can't be divided equally fall to the same VMs.
+const PART_PERIOD: Duration = Duration::from_secs(8);
+
+/// The fraction of the time beside a full queue for which a request may wait at its VM; the rest is for queues that take longer.
+const MAX_WAIT_FRACTION: f64 = 0.75;
+
+/// The margin of the expected wait for a place at plain upstreams: a request that waits in vain is refused late.
+const WAIT_MARGIN: f64 = 1.5;
+
 /// Upper bound on the wait for room that callers are told.
 const MAX_WAIT: Duration = Duration::from_secs(2);
 
@@ -76,10 +90,11 @@
         let (running, now) = (upstream.running(), self.now);
         let Some(limit) = upstream.refusal_limit(self.stats, now) else {
             // A VM that has just started does not know whether there is a limit.
-            return self.stats.has_answered
+            let may_send = self.stats.has_answered
                 || self.is_alone()
                 || upstream.is_cold(now)
                 || running < self.own_part(upstream);
+            return may_send && self.is_below_bound(upstream);
         };
         if self.is_alone() {
             return running < upstream.capacity(now);
@@ -92,6 +107,66 @@
                     || stated.allows(limit, upstream.key(), self.sender, now)))
     }
 
+    /// Returns whether a request may be sent to an upstream that rejects what exceeds its bound; true while none is known.
+    ///
+    /// A VM may always have its equal part there. It may have more where the last summary shows that places are free: the VMs
+    /// divide these among them, in proportion to what they have there. While fewer are free than there are VMs, they are drawn,
+    /// unless the upstream has idle slots.
+    fn is_below_bound(&self, upstream: &UpstreamState) -> bool {
+        let Some(bound) = upstream.bound(self.stats, self.now) else { return true };
+        let (running, key) = (upstream.running(), upstream.key());
+        if upstream.ceiling_after_rejection(self.now).is_some_and(|ceiling| running >= ceiling) {
+            return false;
+        }
+        if self.is_alone() {
+            return running < bound;
+        }
+        if running < self.part_of_bound(upstream) {
+            return true;
+        }
+        let Some(load) = upstream.settled_peer_load(self.now) else { return false };
+        let before = upstream.running_at_summary();
+        let known = f64::from(before + load.running);
+        let free = f64::from(bound) * SHARED_FRACTION - known;
+        let share = (f64::from(before) / known.max(1.0)).max(1.0 / f64::from(self.sender.count()));
+        let is_idle = known < upstream.slots();
+        // As parts pass from some VMs to others, the last summary shows places that the new ones are about to use.
+        if !is_idle && self.is_changing_parts(upstream, bound) {
+            return false;
+        }
+        let more = if is_idle { (free * share).max(1.0) } else { free * share };
+        let is_drawn = || self.sender.is_drawn(key, more, UPDATE_INTERVAL, self.now);
+        let more = if (0.0..1.0).contains(&more) { f64::from(is_drawn()) } else { more.floor() };
+        f64::from(running) < f64::from(before) + more
+    }
+
+    /// Returns whether the room at an upstream follows from its bound, so that no host grants it.
+    fn is_bounded(&self, upstream: &UpstreamState) -> bool {
+        upstream.refusal_limit(self.stats, self.now).is_none()
+            && upstream.bound(self.stats, self.now).is_some()
+    }
+
+    /// Returns this VM's equal part of the requests that an upstream holds, one at most while it may not know all others.
+    fn part_of_bound(&self, upstream: &UpstreamState) -> u32 {
+        let bound = upstream.confirmed_bound(self.stats, self.now).unwrap_or_default();
+        let overlap = self.full_queue(upstream, bound).min(PART_PERIOD);
+        let periods = (PART_PERIOD, overlap);
+        let part = self.sender.rotating_part(upstream.key(), bound, periods, self.now);
+        if self.sender.settles_in(self.now).is_zero() { part } else { part.min(1) }
+    }
+
+    /// Returns whether parts have just passed to other VMs, at an upstream that holds less than one request of each.
+    fn is_changing_parts(&self, upstream: &UpstreamState, bound: u32) -> bool {
+        let overlap = self.full_queue(upstream, bound).min(PART_PERIOD) + UPDATE_INTERVAL * 2;
+        bound < self.sender.count() && self.sender.is_within(PART_PERIOD, overlap, self.now)
+    }
+
+    /// Returns the time from sending a request to its answer at an upstream that holds as many as it can.
+    fn full_queue(&self, upstream: &UpstreamState, bound: u32) -> Duration {
+        let rounds = f64::from(bound) / f64::from(upstream.slot_count());
+        self.stats.service_time().mul_f64(rounds.max(1.0))
+    }
+
     /// Returns how many more requests a plain upstream takes below its bound, as far as this VM knows.
     fn free_places(&self, upstream: &UpstreamState) -> Option<u32> {
         let bound = upstream.bound(self.stats, self.now)?;
@@ -179,18 +254,31 @@
 
     /// Returns the expected wait of one more request for room at the upstreams of a service.
     pub fn room_wait(&self, service: &str, now: Instant) -> Duration {
+        if self.full_queue(service, now).is_some() {
+            let expected = self.place_interval(service, now) * (self.waiting(service) + 1);
+            return expected.mul_f64(WAIT_MARGIN).min(MAX_WAIT);
+        }
         // Only a VM with a request that waits learns from the hosts whether there is room.
         let Some(waiting) = self.waiting.get(service) else { return Duration::ZERO };
         let stats = self.services.get(service).unwrap_or(&self.no_stats);
-        let expected = stats.room_wait(*waiting).unwrap_or_else(|| {
-            let upstreams = self.available(service);
-            let places: u32 = upstreams.map(|(_, upstream)| upstream.capacity(now)).sum();
-            let all = (waiting + 1) as f64 * f64::from(self.sender(service).count());
-            stats.service_time().mul_f64(all / f64::from(places.max(1)))
-        });
+        let expected = stats
+            .room_wait(*waiting)
+            .unwrap_or_else(|| self.place_interval(service, now).mul_f64((waiting + 1) as f64));
         expected.min(MAX_WAIT)
     }
 
+    /// Returns the time from one place that becomes free for this VM to the next, if all VMs want equally many.
+    fn place_interval(&self, service: &str, now: Instant) -> Duration {
+        let stats = self.services.get(service).unwrap_or(&self.no_stats);
+        let places: u32 = self.available(service).map(|(_, upstream)| upstream.capacity(now)).sum();
+        let vms = f64::from(self.sender(service).count());
+        stats.service_time().mul_f64(vms / f64::from(places.max(1)))
+    }
+
+    fn waiting(&self, service: &str) -> u32 {
+        self.waiting.get(service).map_or(0, |waiting| u32::try_from(*waiting).unwrap_or(u32::MAX))
+    }
+
     /// Records how long a request waited for room behind so many others.
     pub fn record_room_wait(&mut self, service: &str, waited: Duration, others: usize) {
         if let Some(stats) = self.services.get_mut(service) {
@@ -255,7 +343,9 @@
             let mut full: Vec<(bool, u64, &id::Upstream)> = self
                 .available(service)
                 .filter(|(_, upstream)| {
-                    upstream.is_eligible(speed, false, sender, now) && !demand.has_room(upstream)
+                    !demand.is_bounded(upstream)
+                        && upstream.is_eligible(speed, false, sender, now)
+                        && !demand.has_room(upstream)
                 })
                 .map(|(id, upstream)| (demand.capacity(upstream), id, upstream))
                 .filter(|(capacity, _, _)| *capacity > 0)
@@ -289,6 +379,34 @@
         free.reduce(u32::saturating_add)
     }
 
+    /// Returns how many requests the plain upstreams of a service hold at most, as far as is known.
+    pub fn bounds(&self, service: &str, now: Instant) -> u32 {
+        let stats = self.services.get(service).unwrap_or(&self.no_stats);
+        self.available(service).filter_map(|(_, upstream)| upstream.bound(stats, now)).sum()
+    }
+
+    /// Returns the least time from sending a request to its answer at a plain upstream that holds as many as it can; `None`
+    /// while no bound is known.
+    pub fn full_queue(&self, service: &str, now: Instant) -> Option<Duration> {
+        let demand = self.demand(service, now);
+        let upstreams = self.available(service);
+        let queues = upstreams.filter_map(|(_, upstream)| {
+            Some(demand.full_queue(upstream, upstream.bound(demand.stats, now)?))
+        });
+        queues.min()
+    }
+
+    /// Returns how long a request with that objective may wait for room at its VM. At plain upstreams it then waits once more.
+    pub fn max_room_wait(&self, service: &str, objective: Duration, now: Instant) -> Duration {
+        let spare = |queue| objective.saturating_sub(queue).mul_f64(MAX_WAIT_FRACTION);
+        self.full_queue(service, now).map_or(objective, spare)
+    }
+
+    /// Returns the number of requests that wait for room.
+    pub fn waiting_for_room(&self) -> usize {
+        self.waiting.values().sum()
+    }
+
     pub(super) fn demand<'a>(&'a self, service: &str, now: Instant) -> Demand<'a> {
         let stats = self.services.get(service).unwrap_or(&self.no_stats);
         Demand::new(stats, self.sender(service), &self.exchanges, now)
--- a/src/decide/place/service.rs
+++ b/src/decide/place/service.rs
@@ -127,8 +127,8 @@
     }
 
     /// Returns the requests that each of its upstreams holds at most, as far as rejections have shown.
-    pub fn bound(&self, now: Instant) -> Option<u32> {
-        self.bound.and_then(|bound| bound.get(now))
+    pub const fn bound(&self) -> Option<Bound> {
+        self.bound
     }
 
     /// Records how long a request waited for room behind so many others.
--- a/src/decide/place/upstream.rs
+++ b/src/decide/place/upstream.rs
@@ -23,12 +23,14 @@
 use super::silence::Silence;
 use crate::decide::engine::Quantile;
 use crate::decide::engine::Speed;
+use crate::decide::feedback::Event;
 use crate::decide::feedback::Restrictions;
 use crate::decide::feedback::Source;
 use crate::decide::room::Allowance;
 use crate::decide::room::Bound;
 use crate::decide::sharing::Key;
 use crate::decide::sharing::Load;
+use crate::decide::sharing::UPDATE_INTERVAL;
 use crate::decide::turns::Pacer;
 use crate::decide::turns::Sender;
 use crate::unit::Rate;
@@ -92,6 +94,8 @@
     report: Option<LastReport>,
     /// The load from other VMs of the region and when it was received.
     peer_load: Option<(Load, Instant)>,
+    /// Since when that load has been received without a gap.
+    peers_since: Option<Instant>,
     /// When the upstream last responded.
     heard: Option<Instant>,
     /// Since when this VM has had requests on the upstream without interruption.
@@ -110,6 +114,12 @@
     pub allowance: Allowance,
     /// The requests that it holds at most, if it is a plain one that has rejected some.
     bound: Option<Bound>,
+    /// This VM's requests beside the last one that was rejected as beyond the bound.
+    rejection: Option<(u32, Instant)>,
+    /// This VM's requests when the load from other VMs was received.
+    running_at_summary: u32,
+    /// The bound that the log has been told.
+    reported_bound: Option<u32>,
 }
 
 impl UpstreamState {
@@ -131,6 +141,7 @@
             memory: Tokens::ZERO,
             report: None,
             peer_load: None,
+            peers_since: None,
             heard: None,
             busy_since: None,
             slowdown: Quantile::default(),
@@ -142,6 +153,9 @@
             restrictions,
             allowance: Allowance::default(),
             bound: None,
+            rejection: None,
+            running_at_summary: 0,
+            reported_bound: None,
         }
     }
 
@@ -349,16 +363,62 @@
         let is_full = self.endpoint.memory.is_none() && held >= self.slot_count();
         if is_full {
             self.bound.get_or_insert_with(|| Bound::new(held, now)).record_rejection(held, now);
+            self.rejection = Some((self.running.saturating_sub(1), now));
         }
         is_full
     }
 
+    /// Returns whether its own rejections have shown its bound.
+    pub fn has_bound(&self, now: Instant) -> bool {
+        self.bound.is_some_and(|bound| bound.get(now).is_some())
+    }
+
     /// Returns the requests that a plain upstream holds at most; `None` while none of its service has rejected any.
     pub fn bound(&self, stats: &ServiceStats, now: Instant) -> Option<u32> {
-        let own = self.bound.and_then(|bound| bound.get(now));
-        let of_service = || stats.bound(now).filter(|_| self.endpoint.memory.is_none());
-        let of_service = || of_service().map(|bound| bound.max(self.slot_count()));
-        own.or_else(of_service)
+        self.bound_by(stats, |bound| bound.get(now))
+    }
+
+    /// Returns the bound at the last rejection, which VMs divide among them.
+    pub fn confirmed_bound(&self, stats: &ServiceStats, now: Instant) -> Option<u32> {
+        self.bound_by(stats, |bound| bound.confirmed(now))
+    }
+
+    fn bound_by(
+        &self,
+        stats: &ServiceStats,
+        requests: impl Fn(&Bound) -> Option<u32>,
+    ) -> Option<u32> {
+        if self.endpoint.memory.is_some() {
+            return None;
+        }
+        let own = self.bound.as_ref().and_then(&requests);
+        let of_service = || stats.bound().as_ref().and_then(&requests);
+        own.or_else(|| Some(of_service()?.max(self.slot_count())))
+    }
+
+    /// Returns how many requests this VM may have there since one of them was rejected, until other VMs are heard again.
+    pub fn ceiling_after_rejection(&self, now: Instant) -> Option<u32> {
+        let (ceiling, at) = self.rejection?;
+        (now.saturating_duration_since(at) < UPDATE_INTERVAL).then_some(ceiling)
+    }
+
+    /// Returns this VM's requests when the load from other VMs was received.
+    pub const fn running_at_summary(&self) -> u32 {
+        self.running_at_summary
+    }
+
+    /// Returns what has become of the bound since the last call, if that is much.
+    pub fn take_bound_event(&mut self, now: Instant) -> Option<Event> {
+        let bound = self.bound.and_then(|bound| bound.get(now));
+        let event = match (self.reported_bound, bound) {
+            (None, None) => return None,
+            (None, Some(bound)) => Event::BoundBegan(bound),
+            (Some(_), None) => Event::BoundEnded,
+            (Some(before), Some(bound)) if 2 * before.abs_diff(bound) < before => return None,
+            (Some(_), Some(bound)) => Event::BoundChanged(bound),
+        };
+        self.reported_bound = bound;
+        Some(event)
     }
 
     /// Records a request, which the upstream may refuse if no host has granted it room.
@@ -375,7 +435,8 @@
         }
     }
 
-    fn slot_count(&self) -> u32 {
+    /// Returns the number of requests that run concurrently.
+    pub(super) fn slot_count(&self) -> u32 {
         u32::try_from(self.endpoint.slots.get()).unwrap_or(u32::MAX).max(1)
     }
 
--- a/src/decide/place/upstream/peers.rs
+++ b/src/decide/place/upstream/peers.rs
@@ -16,6 +16,9 @@
 const UNRESPONSIVE_AFTER: Duration = Duration::from_millis(700);
 const UNRESPONSIVE_PREFILLS: f64 = 2.0;
 
+/// How long after a gap summaries may lack the load of some VMs.
+const HOST_SETTLING_TIME: Duration = sharing::UPDATE_INTERVAL.saturating_mul(2);
+
 /// A plain service that has not responded for this many mean service times takes longer than usual.
 const USUAL_SERVICE_TIMES: u32 = 2;
 
@@ -43,9 +46,22 @@
         self.peer_load.map(|(load, _)| load.aged(age))
     }
 
+    /// Returns the load from other VMs, if it is current and their host has heard from all of them: one that has just begun
+    /// reports the load of a few.
+    pub fn settled_peer_load(&self, now: Instant) -> Option<Load> {
+        let since = self.peers_since?;
+        let load = self.peer_load(now)?;
+        (now.saturating_duration_since(since) >= HOST_SETTLING_TIME).then_some(load)
+    }
+
     /// Updates the load from other VMs.
     pub fn set_peer_load(&mut self, load: Load, now: Instant) {
+        let is_next = self.load_age(now).is_some_and(|age| age < HOST_SETTLING_TIME);
+        if !is_next {
+            self.peers_since = Some(now);
+        }
         self.peer_load = Some((load, now));
+        self.running_at_summary = self.running();
     }
 
     /// Records that another VM sent a prompt with the prefix.
--- a/src/decide/room/bound.rs
+++ b/src/decide/room/bound.rs
@@ -4,8 +4,9 @@
 
 use tokio::time::Instant;
 
-/// How fast the bound rises without rejections, in requests a second.
-const RECOVERY_RATE: f64 = 1.0;
+/// How fast the bound rises without rejections, in requests a second. Each VM finds by a rejection of its own that it has risen
+/// too far: at one a second, 26 VMs at three times the load had 6 in 100 arrivals rejected for it.
+const RECOVERY_RATE: f64 = 0.2;
 
 /// How long after its last rejection an upstream counts as bounded.
 pub const BOUND_TTL: Duration = Duration::from_secs(60);
@@ -15,32 +16,43 @@
 /// It is known from rejections only: the upstream states with each of them how many it holds.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Bound {
+    /// The number at the last rejection.
     requests: f64,
-    /// When that number was stated.
-    stated_at: Instant,
     rejected_at: Instant,
 }
 
 impl Bound {
     /// Creates the bound of an upstream that rejected a request beside so many others.
     pub fn new(held: u32, now: Instant) -> Self {
-        Self { requests: f64::from(held), stated_at: now, rejected_at: now }
+        Self { requests: f64::from(held), rejected_at: now }
     }
 
-    /// Records a rejection beside so many others. A larger number leaves the bound as it is: it rises by itself.
+    /// Records a rejection beside so many others. Where these are more than the bound, it has risen as far as it may by now.
     pub fn record_rejection(&mut self, held: u32, now: Instant) {
-        let is_lower = self.get(now).is_none_or(|known| held < known);
-        if is_lower {
-            *self = Self::new(held, now);
-        }
-        self.rejected_at = now;
+        let known = if self.is_valid(now) { self.risen(now) } else { f64::INFINITY };
+        *self = Self { requests: known.min(f64::from(held)), rejected_at: now };
     }
 
     /// Returns the requests that the upstream holds at most; `None` if it has not rejected any for a while.
     pub fn get(&self, now: Instant) -> Option<u32> {
-        let is_valid = now.saturating_duration_since(self.rejected_at) < BOUND_TTL;
-        let risen = now.saturating_duration_since(self.stated_at).as_secs_f64() * RECOVERY_RATE;
-        is_valid.then_some((self.requests + risen) as u32)
+        self.is_valid(now).then_some(self.risen(now) as u32)
+    }
+
+    /// Returns the bound at the last rejection, which VMs divide among them.
+    ///
+    /// Failure: each VM's bound rises until it receives a rejection itself. If parts rose with it, the sum of all parts would
+    /// exceed the bound most of the time, and requests of VMs that keep to theirs would be rejected.
+    pub fn confirmed(&self, now: Instant) -> Option<u32> {
+        self.is_valid(now).then_some(self.requests as u32)
+    }
+
+    fn is_valid(&self, now: Instant) -> bool {
+        now.saturating_duration_since(self.rejected_at) < BOUND_TTL
+    }
+
+    fn risen(&self, now: Instant) -> f64 {
+        let elapsed = now.saturating_duration_since(self.rejected_at);
+        self.requests + elapsed.as_secs_f64() * RECOVERY_RATE
     }
 }
 
--- a/src/decide/turns/sender.rs
+++ b/src/decide/turns/sender.rs
@@ -87,6 +87,40 @@
         part(key, known, self.others.len() as u64 + 1, self.rank)
     }
 
+    /// Returns the same, where the places that are left over fall to other VMs in each period. As one period follows another,
+    /// those of both have them until the requests of the one before have ended, after `overlap`.
+    pub fn rotating_part(
+        &self,
+        key: Key,
+        places: u32,
+        (period, overlap): (Duration, Duration),
+        now: Instant,
+    ) -> u32 {
+        let known = u64::from(self.known_part(key, places));
+        let holders = self.others.len() as u64 + 1;
+        let index = (self.since_epoch(now) / period.as_secs_f64()).floor() as i64;
+        let part_in = |index: i64| {
+            let offset = xxh3_64_with_seed(&index.to_le_bytes(), u64::from(key.get()));
+            part_at(offset, known, holders, self.rank)
+        };
+        match self.is_within(period, overlap, now) {
+            true => part_in(index).min(part_in(index - 1)),
+            false => part_in(index),
+        }
+    }
+
+    /// Returns whether less than that time has passed since the current period began.
+    pub fn is_within(&self, period: Duration, time: Duration, now: Instant) -> bool {
+        self.since_epoch(now).rem_euclid(period.as_secs_f64()) < time.as_secs_f64()
+    }
+
+    /// Returns whether this VM is drawn for a chance at an upstream, which differs from one period to the next.
+    pub fn is_drawn(&self, key: Key, chance: f64, period: Duration, now: Instant) -> bool {
+        let index = (self.since_epoch(now) / period.as_secs_f64()).floor() as i64;
+        let seed = xxh3_64_with_seed(&index.to_le_bytes(), u64::from(key.get()));
+        (rendezvous::weight(seed, self.own.as_str()) as f64) < chance * u64::MAX as f64
+    }
+
     /// Returns how long the VM has no turns.
     pub fn settles_in(&self, now: Instant) -> Duration {
         self.settled_at.map_or(Duration::ZERO, |at| at.saturating_duration_since(now))
@@ -122,6 +156,10 @@
 /// upstream.
 fn part(key: Key, places: u64, holders: u64, rank: u64) -> u32 {
     let offset = xxh3_64_with_seed(&holders.to_le_bytes(), u64::from(key.get()));
-    let position = offset.wrapping_add(rank) % holders;
+    part_at(offset, places, holders, rank)
+}
+
+fn part_at(offset: u64, places: u64, holders: u64, rank: u64) -> u32 {
+    let position = (offset % holders + rank) % holders;
     (places / holders) as u32 + u32::from(position < places % holders)
 }
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -35,6 +35,8 @@
     upstreams: Gauge,
     limited: Gauge,
     refusal_limited: Gauge,
+    bounded: Gauge,
+    waiting_for_room: Gauge,
     refusals: Counter,
     draining: Gauge,
     backing_off: Gauge,
@@ -91,6 +93,12 @@
         let refusal_limited = Gauge::default();
         let text = "Upstreams that state how many requests a second they can refuse";
         registry.register("upstreams_refusal_limited", text, refusal_limited.clone());
+        let bounded = Gauge::default();
+        let text = "Upstreams that have shown by rejections how many requests they hold at most";
+        registry.register("upstreams_bounded", text, bounded.clone());
+        let waiting_for_room = Gauge::default();
+        let text = "Requests that wait for room at upstreams";
+        registry.register("waiting_for_room", text, waiting_for_room.clone());
         let refusals = Counter::default();
         let text = "Requests that upstreams refused";
         registry.register("upstream_refusals", text, refusals.clone());
@@ -125,6 +133,8 @@
             upstreams,
             limited,
             refusal_limited,
+            bounded,
+            waiting_for_room,
             refusals,
             draining,
             backing_off,
@@ -198,6 +208,16 @@
         self.refusal_limited.set(upstreams as i64);
     }
 
+    /// Sets the number of upstreams that have shown by rejections how many requests they hold at most.
+    pub fn set_bounded(&self, upstreams: usize) {
+        self.bounded.set(upstreams as i64);
+    }
+
+    /// Sets the number of requests that wait for room at upstreams.
+    pub fn set_waiting_for_room(&self, requests: usize) {
+        self.waiting_for_room.set(requests as i64);
+    }
+
     /// Counts a request that an upstream refused.
     pub fn record_refusal(&self) {
         self.refusals.inc();
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -320,6 +320,7 @@
                 if self.can_wait() && self.state.wait_for_update(self.wait_deadline()).await {
                     continue;
                 }
+                self.log_no_room();
                 return Err(self.refusal(Reason::NoUpstream, "no upstream can take it now"));
             };
             self.waiting = None;
@@ -458,12 +459,13 @@
         if !self.lacks_room(now) {
             return false;
         }
+        let service = &self.job.service;
+        let objective = self.job.route.objective;
         let longest = self
             .max_wait()
-            .min(self.job.route.objective)
+            .min(self.state.place().max_room_wait(service, objective, now))
             .min(remaining.mul_f64(MAX_ROOM_WAIT_FRACTION));
         let until = *self.room_deadline.get_or_insert(now + longest);
-        let service = &self.job.service;
         if self.ticket.is_none() {
             if now + self.state.place().room_wait(service, now) >= until {
                 return false;
@@ -492,7 +494,17 @@
     /// once, since another region may have capacity, and so are those that upstreams will not take
     /// in time.
     fn can_wait(&mut self) -> bool {
-        self.job.hop == Hop::Ingress && self.attempts() == 0 && self.is_taken_in_time()
+        self.job.hop == Hop::Ingress
+            && self.attempts() == 0
+            && !self.lacks_places()
+            && self.is_taken_in_time()
+    }
+
+    /// Whether all plain upstreams hold as many requests as they can.
+    fn lacks_places(&self) -> bool {
+        let now = Instant::now();
+        let is_bounded = self.state.place().full_queue(&self.job.service, now).is_some();
+        is_bounded && self.lacks_room(now)
     }
 
     /// Whether upstreams that are cold or limited will take the request while it may wait, after
@@ -521,13 +533,15 @@
     }
 
     /// Maximum expected time to the first event. It is unlimited for plain services, since a few
-    /// slow responses would otherwise raise the mean enough to refuse requests.
+    /// slow responses would otherwise raise the mean enough to refuse requests, unless they are
+    /// short of room.
     fn max_wait(&self) -> Duration {
         let route = &self.job.route;
-        match route.kind.is_stream() {
-            true => wait::limit(route.objective, self.job.urgent),
-            false => Duration::MAX,
+        if route.kind.is_stream() {
+            return wait::limit(route.objective, self.job.urgent);
         }
+        let full_queue = self.state.place().full_queue(&self.job.service, Instant::now());
+        full_queue.map_or(Duration::MAX, |_| route.objective)
     }
 
     /// Maximum number of attempts. Only the VM that received the request from its caller retries;
@@ -710,6 +724,18 @@
             "shared_tokens" => self.work.prefix.map(|shared| shared.tokens.get()));
     }
 
+    /// Logs what is known of the room at plain upstreams, if that led to a refusal.
+    fn log_no_room(&self) {
+        let (now, service) = (Instant::now(), &self.job.service);
+        let place = self.state.place();
+        let Some(full_queue) = place.full_queue(service, now) else { return };
+        info!(self.state.log(), "request.no_room"; "request" => &self.job.call.id,
+            "bounds" => place.bounds(service, now), "free" => place.free_places(service, now),
+            "full_queue_ms" => full_queue.as_millis() as u64,
+            "room_wait_ms" => place.room_wait(service, now).as_millis() as u64,
+            "waited_ms" => self.job.received_at.elapsed().as_millis() as u64);
+    }
+
     fn log(&self, event: &'static str, reason: &'static str) {
         let remaining = self.job.deadline.saturating_duration_since(Instant::now());
         info!(self.state.log(), "{}", event; "request" => &self.job.call.id,
--- a/src/gateway/sharing.rs
+++ b/src/gateway/sharing.rs
@@ -339,9 +339,7 @@
             state.meter().apply_rates(summary.shard, parts, now);
         }
         state.place().apply_summary(&summary, now);
-        if !summary.grants.is_empty() {
-            state.notify_room();
-        }
+        state.notify_room();
         state.regions().apply_remotes(&summary.remotes, now);
     }
 
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -267,6 +267,8 @@
             let place = self.place();
             self.metrics.set_limited(place.limited_count());
             self.metrics.set_refusal_limited(place.refusal_limited_count());
+            self.metrics.set_bounded(place.bounded_count(Instant::now()));
+            self.metrics.set_waiting_for_room(place.waiting_for_room());
             self.metrics.set_draining(place.draining_count());
             self.metrics.set_backing_off(place.backoff_count(Instant::now()));
             self.metrics.set_unanswered(place.unanswered());
--- a/src/gateway/state/restrictions.rs
+++ b/src/gateway/state/restrictions.rs
@@ -54,6 +54,17 @@
                 info!(self.log, "upstream.refusal_limit_ended"; "upstream" => %upstream,
                     "source" => source, "age_ms" => age);
             }
+            Event::BoundBegan(bound) => {
+                info!(self.log, "upstream.bound_began"; "upstream" => %upstream,
+                    "requests" => bound);
+            }
+            Event::BoundChanged(bound) => {
+                info!(self.log, "upstream.bound_changed"; "upstream" => %upstream,
+                    "requests" => bound);
+            }
+            Event::BoundEnded => {
+                info!(self.log, "upstream.bound_ended"; "upstream" => %upstream);
+            }
             Event::DrainBegan => {
                 info!(self.log, "upstream.drain_began"; "upstream" => %upstream,
                     "source" => source, "age_ms" => age);
