--- a/tests/load/main.rs
+++ b/tests/load/main.rs
@@ -15,6 +15,7 @@
 mod job;
 mod limits;
 mod overload;
+mod places;
 mod policy;
 mod pool;
 mod quotas;
