Other regions: the VMs of a region divide the room that another one reports

Cause: all VMs of a region hear that another one has room and fill it together; a region of which nothing is known gets the excess of all VMs at once.

Change: outlooks state the room of a region (mastic-outlook-room, "f" in estimates; absent where no bound is known or from older VMs). A plain request that could be served here is forwarded only within this VM's part of that room, less its requests in flight that the report does not include. The part is rounded at random once for each report, so that it holds for any number of VMs. Room 0 excludes the region for 0.5 s; after a rejected forward the sender takes it as 0, and the request is not forwarded again while upstreams here are open. A region of which nothing is known gets four requests from all VMs together in each interval of updates. Requests that can't be served here are forwarded as before. Counter mastic_forwards_total, fields room and room_ms of request.placed.

Suspected, not shown: VMs still send to upstreams of their own region that are known to be full.

--- a/src/decide/place.rs
+++ b/src/decide/place.rs
@@ -70,6 +70,7 @@
 pub use regions::RegionCandidate;
 pub use regions::RegionQuery;
 pub use regions::Regions;
+pub use regions::Room;
 pub use service::Prefix;
 pub use service::Work;
 pub use upstream::Report;
@@ -405,9 +406,11 @@
         let (work, max_wait) = (Work::default(), Duration::MAX);
         let (tried, only) = (&[][..], None);
         let query = Query { service, work, tried, holds_prefix: false, urgent, max_wait, only };
+        let room = self.free_places(service, now);
         let Some(placement) = self.choose(&query, now) else {
-            let wait = self.next_opening(service, now)?;
-            return Some(Outlook { wait, running: 0 });
+            let wait = self.next_opening(service, now);
+            let wait = wait.or_else(|| room.map(|_| self.queue_time(service, now)))?;
+            return Some(Outlook { wait, running: 0, room });
         };
         let sender = self.sender(service);
         let upstream = self.upstreams.get(&placement.id);
@@ -415,7 +418,17 @@
         // The next request under a rate limit waits for the VM's next turn.
         let interval = upstream.map(|upstream| upstream.limit_interval(sender, now));
         let wait = placement.first_event + failures + interval.unwrap_or_default();
-        Some(Outlook { wait, running: placement.running })
+        Some(Outlook { wait, running: placement.running, room })
+    }
+
+    /// Returns the expected time of a request at the upstream of a service with the shortest queue, whether it has room or not.
+    fn queue_time(&self, service: &str, now: Instant) -> Duration {
+        let stats = self.services.get(service).unwrap_or(&self.no_stats);
+        let sender = self.sender(service);
+        let rounds = self
+            .available(service)
+            .map(|(_, upstream)| upstream.rounds(upstream.total_requests(stats, sender, now)));
+        stats.service_time().mul_f64(rounds.reduce(f64::min).unwrap_or(1.0))
     }
 
     /// Records that a request was sent to the selected upstream.
--- a/src/decide/place/regions.rs
+++ b/src/decide/place/regions.rs
@@ -15,7 +15,9 @@
 //! all that forwarding a plain request costs, provided that its objective leaves time for it.
 //!
 //! A region sends its outlook (the expected time to the first event and the number of requests on its best engine)
-//! with each answer to another region; the VMs of a region exchange outlooks, and stale ones are ignored.
+//! with each answer to another region, and how many more requests it has room for; the VMs of a region exchange outlooks, and stale ones are ignored.
+
+mod room;
 
 use std::collections::BTreeMap;
 use std::collections::HashMap;
@@ -23,6 +25,7 @@
 
 use tokio::time::Instant;
 
+use self::room::Credit;
 use super::cost::Conditions;
 use super::health::Health;
 use super::health::Outcome;
@@ -36,6 +39,8 @@
 use crate::id;
 use crate::unit::Tokens;
 
+pub use self::room::Room;
+
 /// The round-trip time to another region.
 const ROUND_TRIP: Duration = Duration::from_millis(110);
 /// The minimum gain of forwarding, for the bandwidth and for the load on the other region.
@@ -62,6 +67,7 @@
 struct Other {
     /// The outlooks for requests that are not urgent and for urgent ones.
     outlooks: [Option<(Outlook, Instant)>; 2],
+    credit: Credit,
     health: Health,
 }
 
@@ -72,6 +78,8 @@
     pub wait: Duration,
     /// The number of requests on the engine that it would run on.
     pub running: u32,
+    /// The number of further requests that the region could place; `None` if it is unknown.
+    pub room: Option<u32>,
 }
 
 /// The upstreams that accept requests, by region.
@@ -101,6 +109,8 @@
     pub max_wait: Duration,
     /// The route's objective.
     pub objective: Duration,
+    /// The number of VMs that send to the upstreams of this region; `None` if the request can't be served here.
+    pub vms: Option<u32>,
     /// Returns whether a region may serve the request.
     pub allows: &'a dyn Fn(&id::Region) -> bool,
 }
@@ -127,6 +137,10 @@
     pub last_event: Duration,
     /// The total cost, for comparison.
     pub cost: Duration,
+    /// The room of the region, as last reported.
+    pub room: Option<Room>,
+    /// Whether the request would be forwarded for want of room here.
+    pub is_for_room: bool,
 }
 
 impl RegionQuery<'_> {
@@ -136,6 +150,12 @@
         let is_plain = self.work.suffix == Tokens::ZERO && self.work.prefix.is_none();
         is_plain && self.objective >= ROUND_TRIP * MIN_OBJECTIVE_TRIPS
     }
+
+    /// Returns the number of VMs that divide the room of other regions, if the request is forwarded for want of room. One
+    /// that can't be served here has nowhere else to go, whatever is known of the room there.
+    pub fn is_forwarded_for_room(&self) -> Option<u32> {
+        self.vms.filter(|_| self.is_forwarded_early())
+    }
 }
 
 impl Regions {
@@ -152,7 +172,11 @@
         outlook: Outlook,
         now: Instant,
     ) {
-        self.other(region, service).outlooks[usize::from(urgent)] = Some((outlook, now));
+        let other = self.other(region, service);
+        other.outlooks[usize::from(urgent)] = Some((outlook, now));
+        if let Some(places) = outlook.room {
+            other.credit.record_room(Room { places, at: now });
+        }
         let key = (region.clone(), service.to_owned(), urgent);
         self.unsent.insert(key, (outlook, now));
     }
@@ -166,6 +190,7 @@
             urgent,
             wait: outlook.wait,
             running: outlook.running,
+            room: outlook.room,
             age: now.saturating_duration_since(at),
         });
         unsent.collect()
@@ -174,22 +199,37 @@
     /// Applies the outlooks that other VMs of the region received.
     pub fn apply_remotes(&mut self, remotes: &[RegionEstimate], now: Instant) {
         for remote in remotes {
-            let outlook = Outlook { wait: remote.wait, running: remote.running };
+            let (wait, running, room) = (remote.wait, remote.running, remote.room);
+            let outlook = Outlook { wait, running, room };
             let at = now.checked_sub(remote.age).unwrap_or(now);
             let other = self.other(&remote.region, &remote.service);
             other.outlooks[usize::from(remote.urgent)] = Some((outlook, at));
+            if let Some(places) = room {
+                other.credit.record_room(Room { places, at });
+            }
         }
     }
 
-    /// Records the outcome of a forwarded request.
+    /// Records that a request was forwarded.
+    pub fn record_sent(&mut self, region: &id::Region, service: &str, now: Instant) {
+        self.other(region, service).credit.record_sent(now);
+    }
+
+    /// Records the outcome of a request that was forwarded at that time. After a rejection the region counts as full: what
+    /// it reported was wrong.
     pub fn record_end(
         &mut self,
         region: &id::Region,
         service: &str,
-        outcome: Outcome,
+        (outcome, sent_at): (Outcome, Instant),
         now: Instant,
     ) {
-        self.other(region, service).health.record(outcome, now);
+        let other = self.other(region, service);
+        other.health.record(outcome, now);
+        other.credit.record_end(sent_at);
+        if outcome == Outcome::Refused {
+            other.credit.record_room(Room { places: 0, at: now });
+        }
     }
 
     /// Returns the region that caches the prefix. `here` is the highest rendezvous weight of this region's engines.
@@ -211,7 +251,7 @@
     /// Returns the other regions that may serve a request, in order of cost. `random` returns random numbers between
     /// zero and one, which break ties.
     pub fn candidates(
-        &self,
+        &mut self,
         query: &RegionQuery<'_>,
         holder: &Holder,
         profile: &Profile,
@@ -224,6 +264,7 @@
             true => (PLAIN_FORWARDING_COST, profile.service_time.max(JITTER)),
             false => (FORWARDING_COST, JITTER),
         };
+        let is_for_room = query.is_forwarded_for_room().is_some();
         let reachable = self.reachable(query, now);
         let candidates = reachable.map(|(region, _)| {
             let (outlook, penalty) = self.outlook_and_penalty(region, query, profile, now);
@@ -240,9 +281,18 @@
                 seconds(estimate.cost) + margin + transfer + penalty + jitter.mul_f64(random());
             let (first_event, last_event) =
                 (seconds(estimate.first_event), seconds(estimate.last_event));
-            RegionCandidate { region: region.clone(), first_event, last_event, cost }
+            let (region, room) = (region.clone(), None);
+            RegionCandidate { region, first_event, last_event, cost, room, is_for_room }
         });
         let mut candidates: Vec<RegionCandidate> = candidates.collect();
+        candidates.retain_mut(|candidate| {
+            let other = self.other(&candidate.region, query.service);
+            candidate.room = other.credit.room(now);
+            let has_outlook = other.outlook(query.urgent, now).is_some();
+            query
+                .is_forwarded_for_room()
+                .is_none_or(|vms| other.credit.permits(vms, has_outlook, random(), now))
+        });
         candidates.sort_by_key(|candidate| candidate.cost);
         candidates
     }
@@ -268,13 +318,12 @@
         profile: &Profile,
         now: Instant,
     ) -> (Outlook, Duration) {
-        let unknown = Outlook { wait: DEFAULT_WAIT, running: profile.running.round() as u32 };
+        let running = profile.running.round() as u32;
+        let unknown = Outlook { wait: DEFAULT_WAIT, running, room: None };
         let Some(other) = self.others.get(&(region.clone(), query.service.to_owned())) else {
             return (unknown, Duration::ZERO);
         };
-        let fresh = |(_, at): &(Outlook, Instant)| now.saturating_duration_since(*at) < OUTLOOK_TTL;
-        let outlook = other.outlooks[usize::from(query.urgent)];
-        let outlook = outlook.filter(fresh).map_or(unknown, |(outlook, _)| outlook);
+        let outlook = other.outlook(query.urgent, now).unwrap_or(unknown);
         let is_engine = query.work.suffix > Tokens::ZERO;
         (outlook, other.health.penalty(is_engine, OutcomeCounts::default(), now))
     }
@@ -284,6 +333,14 @@
     }
 }
 
+impl Other {
+    /// Returns the outlook for that urgency, unless it is stale.
+    fn outlook(&self, urgent: bool, now: Instant) -> Option<Outlook> {
+        let (outlook, at) = self.outlooks[usize::from(urgent)]?;
+        (now.saturating_duration_since(at) < OUTLOOK_TTL).then_some(outlook)
+    }
+}
+
 /// Returns the conditions for a request in a region with that outlook, the network delay included.
 fn conditions(
     query: &RegionQuery<'_>,
--- a/src/decide/place/regions/tests.rs
+++ b/src/decide/place/regions/tests.rs
@@ -58,10 +58,11 @@
 fn query(work: Work) -> RegionQuery<'static> {
     let (max_wait, objective) = (Duration::from_millis(1200), Duration::from_millis(1200));
     let (service, urgent, bytes) = ("s", true, 0);
-    RegionQuery { service, work, urgent, bytes, max_wait, objective, allows: &|_| true }
+    let (vms, allows) = (Some(26), &|_: &id::Region| true);
+    RegionQuery { service, work, urgent, bytes, max_wait, objective, vms, allows }
 }
 
-fn candidates(regions: &Regions, work: Work, holder: &Holder) -> Vec<RegionCandidate> {
+fn candidates(regions: &mut Regions, work: Work, holder: &Holder) -> Vec<RegionCandidate> {
     let profile = ServiceStats::default().profile(48.0);
     regions.candidates(&query(work), holder, &profile, || 0.0, Instant::now())
 }
@@ -94,8 +95,8 @@
 async fn an_unreachable_region_is_assigned_no_prefix() {
     let now = Instant::now();
     let (mut from_r, mut from_q) = (other_regions("r"), other_regions("q"));
-    from_r.record_end(&region("p"), "s", Outcome::Unreachable, now);
-    from_q.record_end(&region("p"), "s", Outcome::Unreachable, now);
+    from_r.record_end(&region("p"), "s", (Outcome::Unreachable, now), now);
+    from_q.record_end(&region("p"), "s", (Outcome::Unreachable, now), now);
     for key in 0..100 {
         let one = from_r.holder(&query(work(key)), weight_here("r", key), now);
         let other = from_q.holder(&query(work(key)), weight_here("q", key), now);
@@ -120,17 +121,18 @@
     let now = Instant::now();
     let mut regions = other_regions("r");
     let holder = Holder::Remote(region("p"));
-    let first = candidates(&regions, work(1), &holder);
+    let first = candidates(&mut regions, work(1), &holder);
     assert_eq!(first[0].region, region("p"));
     assert!(first[0].first_event + Duration::from_millis(200) < first[1].first_event);
-    let wait = |millis| Outlook { wait: Duration::from_millis(millis), running: 0 };
+    let wait = |millis| Outlook { wait: Duration::from_millis(millis), running: 0, room: None };
     regions.record_outlook(&region("p"), ("s", true), wait(800), now);
-    assert_eq!(candidates(&regions, work(1), &holder)[0].region, region("p"));
+    assert_eq!(candidates(&mut regions, work(1), &holder)[0].region, region("p"));
     regions.record_outlook(&region("p"), ("s", true), wait(1500), now);
-    assert_eq!(candidates(&regions, work(1), &holder)[0].region, region("q"));
+    assert_eq!(candidates(&mut regions, work(1), &holder)[0].region, region("q"));
     let lookup = Work { suffix: Tokens::new(300), ..Work::default() };
     assert!(
-        candidates(&regions, lookup, &Holder::Unknown)[0].first_event < Duration::from_millis(250)
+        candidates(&mut regions, lookup, &Holder::Unknown)[0].first_event
+            < Duration::from_millis(250)
     );
 }
 
@@ -139,7 +141,7 @@
 }
 
 fn plain_outlook(millis: u64) -> Outlook {
-    Outlook { wait: Duration::from_millis(millis), running: 3 }
+    Outlook { wait: Duration::from_millis(millis), running: 3, room: None }
 }
 
 // Guards against requests that stay in a region whose upstreams then reject them, since forwarding looks more expensive
@@ -150,7 +152,7 @@
     regions.record_outlook(&region("q"), ("s", true), plain_outlook(60), now);
     regions.record_outlook(&region("p"), ("s", true), plain_outlook(300), now);
     let profile = ServiceStats::default().profile(6.0);
-    let cost = |objective| {
+    let mut cost = |objective| {
         let query = RegionQuery { bytes: 1000, ..plain(objective) };
         regions.candidates(&query, &Holder::Unknown, &profile, || 0.0, now)[0].clone()
     };
@@ -191,3 +193,40 @@
     let sent_to_p = sent_to_p.count();
     assert!((250..500).contains(&sent_to_p), "{sent_to_p} of 1000");
 }
+
+// Guards against forwards to a region that rejects them, for as long as its last report says that it has room.
+#[tokio::test(start_paused = true)]
+async fn a_rejected_forward_shows_that_a_region_is_full() {
+    let (mut regions, now) = (other_regions("r"), Instant::now());
+    let profile = ServiceStats::default().profile(6.0);
+    let outlook = Outlook { room: Some(500), ..plain_outlook(60) };
+    for name in ["p", "q"] {
+        regions.record_outlook(&region(name), ("s", true), outlook, now);
+    }
+    let find = |regions: &mut Regions, query: &RegionQuery<'_>, now| {
+        let found = regions.candidates(query, &Holder::Unknown, &profile, || 0.0, now);
+        found.into_iter().map(|candidate| candidate.region).collect::<Vec<_>>()
+    };
+    assert_eq!(find(&mut regions, &plain(500), now).len(), 2);
+    regions.record_sent(&region("q"), "s", now);
+    let later = now + Duration::from_millis(170);
+    regions.record_end(&region("q"), "s", (Outcome::Refused, now), later);
+    assert_eq!(find(&mut regions, &plain(500), later), vec![region("p")]);
+    assert_eq!(find(&mut regions, &plain(300), later).len(), 2, "such routes are served as before");
+    let only_there = RegionQuery { vms: None, ..plain(500) };
+    assert_eq!(find(&mut regions, &only_there, later).len(), 2, "it can't be served here");
+    regions.record_outlook(&region("q"), ("s", true), outlook, later + Duration::from_millis(1));
+    assert_eq!(find(&mut regions, &plain(500), later + Duration::from_millis(1)).len(), 2);
+}
+
+// Guards against a VM that learns of a full region from others and still sends to it.
+#[tokio::test(start_paused = true)]
+async fn the_room_is_shared_within_the_region() {
+    let (mut one, mut other, now) = (other_regions("r"), other_regions("r"), Instant::now());
+    let outlook = Outlook { room: Some(0), ..plain_outlook(60) };
+    one.record_outlook(&region("q"), ("s", true), outlook, now);
+    other.apply_remotes(&one.take_outlooks(now), now);
+    let profile = ServiceStats::default().profile(6.0);
+    let found = other.candidates(&plain(500), &Holder::Unknown, &profile, || 1.0, now);
+    assert!(found.iter().all(|candidate| candidate.region != region("q")));
+}
--- a/src/decide/sharing/message.rs
+++ b/src/decide/sharing/message.rs
@@ -81,6 +81,9 @@
     /// Requests running on the upstream that it would be sent to.
     #[serde(rename = "n")]
     pub running: u32,
+    /// The number of further requests that the region could place; `None` if it is unknown.
+    #[serde(rename = "f", default, skip_serializing_if = "Option::is_none")]
+    pub room: Option<u32>,
     /// Age of the estimate.
     #[serde(rename = "a")]
     #[serde_as(as = "DurationMilliSeconds<u64>")]
--- a/src/decide/sharing/remotes.rs
+++ b/src/decide/sharing/remotes.rs
@@ -26,6 +26,8 @@
 struct Average {
     wait: f64,
     running: f64,
+    /// The latest room. An average would show room for a while after a region has become full.
+    room: Option<u32>,
     at: Instant,
 }
 
@@ -39,10 +41,11 @@
         self.0.retain(|_, average| now.saturating_duration_since(average.at) < ESTIMATE_TTL);
         let at = now.checked_sub(remote.age).unwrap_or(now);
         let (wait, running) = (remote.wait.as_secs_f64(), f64::from(remote.running));
+        let room = remote.room;
         let key = (remote.region, remote.service, remote.urgent);
         let Some(average) = self.0.get_mut(&key) else {
             if self.0.len() < MAX_ENTRIES {
-                self.0.insert(key, Average { wait, running, at });
+                self.0.insert(key, Average { wait, running, room, at });
             }
             return;
         };
@@ -50,7 +53,9 @@
         let weight = 1.0 - (-elapsed / SMOOTHING_TIME.as_secs_f64()).exp();
         average.wait += weight * (wait - average.wait);
         average.running += weight * (running - average.running);
-        average.at = average.at.max(at);
+        if average.at <= at {
+            (average.room, average.at) = (room, at);
+        }
     }
 
     /// All recent estimates.
@@ -61,6 +66,7 @@
             urgent: *urgent,
             wait: Duration::try_from_secs_f64(average.wait).unwrap_or(Duration::MAX),
             running: average.running.round() as u32,
+            room: average.room,
             age: now.saturating_duration_since(average.at),
         });
         estimates.filter(|remote| remote.age < ESTIMATE_TTL).collect()
--- a/src/decide/sharing/tests.rs
+++ b/src/decide/sharing/tests.rs
@@ -226,6 +226,7 @@
         urgent: true,
         wait: Duration::from_millis(wait),
         running: 4,
+        room: None,
         age: Duration::from_millis(age),
     }
 }
@@ -264,3 +265,18 @@
     assert_eq!(tell(1, remote(100, 0), now), 100);
     assert_eq!(tell(2, remote(900, 500), now), 100);
 }
+
+// Guards against an average that shows room for a while after a region has become full.
+#[test]
+fn the_latest_room_of_a_region_counts() {
+    let start = Instant::from_std(std::time::Instant::now());
+    let mut host = Aggregator::new(7);
+    let mut last = Vec::new();
+    for (number, room, age) in [(1, Some(40), 0), (2, Some(0), 0), (3, Some(40), 500)] {
+        let remotes = vec![RegionEstimate { room, ..remote(100, age) }];
+        let said = Update { remotes, ..update(number, &[]) };
+        let now = start + Duration::from_millis(160) * number as u32;
+        last = host.apply_update(&vm(1), said, now).unwrap().remotes;
+    }
+    assert_eq!(last[0].room, Some(0));
+}
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -35,7 +35,8 @@
 
 /// Assumed for a region that refuses without reporting an outlook, so that other regions are
 /// preferred for the next seconds.
-const REJECTED_OUTLOOK: Outlook = Outlook { wait: Duration::from_secs(1), running: 0 };
+const REJECTED_OUTLOOK: Outlook =
+    Outlook { wait: Duration::from_secs(1), running: 0, room: Some(0) };
 
 /// The result of an attempt.
 pub enum AttemptResult {
@@ -328,10 +329,15 @@
                 }
                 Stage::Upstream
             }
-            Target::Vm(region, _) => Stage::Region {
-                region: region.clone(),
-                reached_upstream: response.headers().contains_key(headers::REACHED_UPSTREAM),
-            },
+            Target::Vm(region, _) => {
+                if *region != state.node().region {
+                    state.metrics().record_forward("rejected");
+                }
+                Stage::Region {
+                    region: region.clone(),
+                    reached_upstream: response.headers().contains_key(headers::REACHED_UPSTREAM),
+                }
+            }
         };
         reservation.complete(if is_misdirected { Outcome::Unreachable } else { Outcome::Refused });
         drain_refusal_body(state, response, lease, &meta).await;
--- a/src/gateway/headers.rs
+++ b/src/gateway/headers.rs
@@ -16,6 +16,9 @@
 /// Zero is assumed for older VMs, which do not send it.
 const OUTLOOK_RUNNING: HeaderName = HeaderName::from_static("mastic-outlook-running");
 
+/// Between VMs: the number of further requests that the sender's region could place. It is absent if unknown.
+const OUTLOOK_ROOM: HeaderName = HeaderName::from_static("mastic-outlook-room");
+
 /// Between VMs: the request may have reached an upstream before, so that sending it is a retry.
 pub const RETRY: HeaderName = HeaderName::from_static("mastic-repeat");
 
@@ -50,16 +53,22 @@
 
 /// The outlook reported in another VM's response.
 pub fn parse_outlook(headers: &HeaderMap) -> Option<Outlook> {
-    let number = |name: &HeaderName| headers.get(name)?.to_str().ok()?.parse().ok();
+    let number =
+        |name: &HeaderName| -> Option<u64> { headers.get(name)?.to_str().ok()?.parse().ok() };
+    let count =
+        |name: &HeaderName| number(name).map(|count| u32::try_from(count).unwrap_or(u32::MAX));
     let wait = Duration::from_millis(number(&OUTLOOK)?);
-    let running = number(&OUTLOOK_RUNNING).unwrap_or(0);
-    Some(Outlook { wait, running: u32::try_from(running).unwrap_or(u32::MAX) })
+    let (running, room) = (count(&OUTLOOK_RUNNING).unwrap_or(0), count(&OUTLOOK_ROOM));
+    Some(Outlook { wait, running, room })
 }
 
 /// Reports this region's outlook to another VM.
 pub fn insert_outlook(headers: &mut HeaderMap, outlook: &Outlook) {
     headers.insert(OUTLOOK, HeaderValue::from(outlook.wait.as_millis() as u64));
     headers.insert(OUTLOOK_RUNNING, HeaderValue::from(outlook.running));
+    if let Some(room) = outlook.room {
+        headers.insert(OUTLOOK_ROOM, HeaderValue::from(room));
+    }
 }
 
 /// Removes hop-by-hop headers, those listed in `Connection`, and the headers exchanged between VMs.
@@ -73,7 +82,7 @@
         .collect();
     for name in HOP_BY_HOP
         .iter()
-        .chain([&KEEP_ALIVE, &PROXY_CONNECTION, &OUTLOOK, &OUTLOOK_RUNNING])
+        .chain([&KEEP_ALIVE, &PROXY_CONNECTION, &OUTLOOK, &OUTLOOK_RUNNING, &OUTLOOK_ROOM])
         .chain([&RETRY, &COUNTED_BY_RECEIVER, &REACHED_UPSTREAM, &ORGANISATION])
         .chain(&named)
     {
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -24,6 +24,7 @@
     requests: Family<Labels, Counter>,
     attempts: Family<Labels, Counter>,
     repeats: Family<Labels, Counter>,
+    forwards: Family<Labels, Counter>,
     first_event: Histogram,
     sharing_dropped: Counter,
     pauses: Histogram,
@@ -59,6 +60,10 @@
         let repeats = Family::<Labels, Counter>::default();
         let text = "Decisions of the retry budget";
         registry.register("repeats", text, repeats.clone());
+        let forwards = Family::<Labels, Counter>::default();
+        let text =
+            "Requests forwarded to other regions for want of room, and forwards rejected there";
+        registry.register("forwards", text, forwards.clone());
         let first_event = seconds_histogram();
         let text = "Seconds from arrival to the head of the answer";
         registry.register("first_event_seconds", text, first_event.clone());
@@ -114,6 +119,7 @@
             requests,
             attempts,
             repeats,
+            forwards,
             first_event,
             sharing_dropped,
             pauses,
@@ -152,6 +158,11 @@
         self.repeats.get_or_create(&Labels { outcome: decision }).inc();
     }
 
+    /// Counts a request forwarded to another region for want of room, or a rejected forward.
+    pub fn record_forward(&self, outcome: &'static str) {
+        self.forwards.get_or_create(&Labels { outcome }).inc();
+    }
+
     /// Records the time from arrival to the head of the response.
     pub fn observe_first_event(&self, took: Duration) {
         self.first_event.observe(took.as_secs_f64());
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -627,6 +627,9 @@
             }
             Placement::Remote { vm, address, .. } | Placement::Peer { vm, address, .. } => {
                 self.tried_vms.push(vm.clone());
+                if placement.is_for_room() {
+                    self.state.metrics().record_forward("sent");
+                }
                 (placement.target(), None, *address)
             }
         };
@@ -639,6 +642,8 @@
             "expected_ms" => placement.expected().as_millis() as u64,
             "whole_ms" => placement.expected_total().as_millis() as u64,
             "beside" => placement.running(), "told_ms" => placement.load_age_ms(),
+            "room" => placement.room().map(|room| room.places),
+            "room_ms" => placement.room().map(|room| room.at.elapsed().as_millis() as u64),
             "reads" => placement.prompt_tokens(),
             "own" => self.work.suffix.get(),
             "shared" => self.work.prefix.map(|shared| format!("{:x}", shared.key)));
--- a/src/gateway/relay/placement.rs
+++ b/src/gateway/relay/placement.rs
@@ -89,6 +89,22 @@
         }
     }
 
+    /// The room of the other region, as last reported.
+    pub(super) const fn room(&self) -> Option<place::Room> {
+        match self {
+            Self::Remote { offer, .. } => offer.room,
+            Self::Local(_) | Self::Peer { .. } => None,
+        }
+    }
+
+    /// Whether it is in another region although this one has upstreams.
+    pub(super) const fn is_for_room(&self) -> bool {
+        match self {
+            Self::Remote { offer, .. } => offer.is_for_room,
+            Self::Local(_) | Self::Peer { .. } => false,
+        }
+    }
+
     pub(super) fn target(&self) -> Target {
         match self {
             Self::Local(fit) => Target::Upstream(fit.id.clone()),
@@ -110,6 +126,9 @@
         let urgent = self.job.urgent;
         let longest = self.job.deadline.saturating_duration_since(now).min(self.max_wait());
         let (work, bytes) = (self.work, self.job.body.len());
+        let is_home = is_home(&self.state.node().region);
+        let may_send = is_home && self.state.may_send_here(route.kind.is_repeatable());
+        let vms = if may_send { self.senders() } else { None };
         let passage = RegionQuery {
             service,
             work,
@@ -117,9 +136,9 @@
             bytes,
             max_wait: longest,
             objective: route.objective,
+            vms,
             allows: &allows,
         };
-        let is_home = is_home(&self.state.node().region);
         let shared = self.work.prefix.filter(|_| is_home);
         let weight =
             shared.and_then(|shared| self.state.place().rendezvous_weight(service, &shared));
@@ -128,7 +147,6 @@
         let tried = &self.tried;
         let demand =
             Query { service, work, tried, holds_prefix, urgent, max_wait: longest, only: None };
-        let may_send = is_home && self.state.may_send_here(self.job.route.kind.is_repeatable());
         let needs_peer = is_home && (!may_send || self.unreachable >= MAX_UNREACHABLE);
         if needs_peer
             && self.job.hop == Hop::Ingress
@@ -138,6 +156,13 @@
         }
         let here = if may_send { self.choose_upstream(&demand, now) } else { None };
         let offers = match self.job.hop {
+            // A second region has hardly more room than the first, and the trips use up the time that is left.
+            Hop::Ingress
+                if passage.is_forwarded_for_room().is_some()
+                    && !self.refused_regions.is_empty() =>
+            {
+                Vec::new()
+            }
             Hop::Ingress => {
                 let random = || self.state.random() as f64 / u64::MAX as f64;
                 let usual = self.state.place().profile(service);
@@ -150,6 +175,12 @@
         self.first_reachable(better).or(here.map(Placement::Local))
     }
 
+    /// The number of VMs that send to the upstreams of this region, if there are any.
+    fn senders(&self) -> Option<u32> {
+        let (place, service) = (self.state.place(), &self.job.service);
+        place.has_open(service).then(|| place.sender(service).count())
+    }
+
     /// Chooses another VM of this region.
     fn choose_peer(&self, now: Instant) -> Option<Placement> {
         let region = self.state.node().region.clone();
--- a/src/gateway/reservation.rs
+++ b/src/gateway/reservation.rs
@@ -44,6 +44,11 @@
         let outcome = Outcome::Abandoned;
         let (service, started) = (service.to_owned(), Instant::now());
         let (digest, parts, hash) = (None, Arc::default(), None);
+        if let Target::Vm(region, _) = &target
+            && *region != state.node().region
+        {
+            state.regions().record_sent(region, &service, started);
+        }
         Self { state, target, service, held, outcome, started, digest, parts, hash }
     }
 
@@ -137,7 +142,8 @@
             // What a peer of this region answers tells nothing of another region.
             (Target::Vm(region, _), _) if *region == self.state.node().region => (),
             (Target::Vm(region, _), _) => {
-                self.state.regions().record_end(region, &self.service, self.outcome, now);
+                let ended = (self.outcome, self.started);
+                self.state.regions().record_end(region, &self.service, ended, now);
             }
             (Target::Upstream(_), None) => (),
         }
--- a/src/golden/tests.rs
+++ b/src/golden/tests.rs
@@ -99,6 +99,12 @@
     check_decoding::<sharing::Message>("sharing-message-without-claims");
 }
 
+// Guards against a release that can't read the datagrams of one whose regions don't report their room.
+#[test]
+fn messages_of_a_release_without_room_of_regions_are_read() {
+    check_decoding::<sharing::Message>("sharing-message-without-room");
+}
+
 #[test]
 fn records_of_the_membership() {
     check_cbor::<membership::Key>("membership-key");
@@ -238,6 +244,7 @@
     let gateway = gateway::metrics::Metrics::default();
     gateway.record_request("whole");
     gateway.record_attempt("whole");
+    gateway.record_forward("sent");
     gateway.observe_first_event(Duration::from_millis(20));
     gateway.record_sharing_drop();
     gateway.set_limited(2);
--- a/tests/load/main.rs
+++ b/tests/load/main.rs
@@ -11,6 +11,7 @@
 mod caller;
 mod crashes;
 mod fleet;
+mod forwarding;
 mod hedging;
 mod job;
 mod limits;
--- a/tests/load/streams/world.rs
+++ b/tests/load/streams/world.rs
@@ -337,6 +337,7 @@
             bytes: 5000,
             max_wait: longest,
             objective: Duration::from_secs_f64(kind.objective),
+            vms: None,
             allows: &allows,
         };
         let weight = work.prefix.and_then(|shared| vm.place.rendezvous_weight(SERVICE, &shared));
