Pace: placement follows how fast an upstream is at this moment

Cause: upstreams that share their machines take 2.5 times as long for 600 ms at a time and state so in the fourth figure of the load header, which was not read. They got as many requests as others, and what was measured in the meantime was learned as the usual speed.

Change: the third and fourth figures are decoded. The latest pace of an upstream scales the expected service time and wait of plain services and the first event and gaps of engines; it decays to the usual with 400 ms, and measured durations are converted to those at the usual pace. VMs tell each other of paces that differ from the usual by more than a tenth ("v", at most 256 a message, none when idle). Two gauges count slow and fast upstreams. Reported slots count before announced ones in estimates. Without the figure no estimate changes, down to the last bit.

--- a/fakes/src/steps.rs
+++ b/fakes/src/steps.rs
@@ -74,6 +74,8 @@
     parts: HashMap<u64, (u64, u64)>,
     /// When the present step ends.
     free: f64,
+    /// The factor by which steps take longer than usual.
+    pace: f64,
     steps: u64,
     taken: u64,
     /// Tokens of shared parts that were read.
@@ -89,6 +91,7 @@
             running: Vec::new(),
             parts: HashMap::new(),
             free: 0.0,
+            pace: 1.0,
             steps: 0,
             taken: 0,
             shared_read: 0,
@@ -104,6 +107,11 @@
         self.waiting.push(Run { ask, to_read: 0, made: 0, order: self.taken });
     }
 
+    /// Steps take that many times as long from now on.
+    pub const fn set_pace(&mut self, pace: f64) {
+        self.pace = pace;
+    }
+
     /// A request's caller left.
     pub fn drop(&mut self, id: u64) {
         self.waiting.retain(|run| run.ask.id != id);
@@ -164,9 +172,10 @@
             run.to_read -= read;
         }
         let read = self.settings.chunk - left;
-        self.free += self.settings.base
+        let usual = self.settings.base
             + self.settings.per_request * generating as f64
             + self.settings.per_token * read as f64;
+        self.free += usual * self.pace;
         for run in self.running.iter().filter(|run| run.to_read == 0 && run.made > 0) {
             if run.made >= run.ask.output {
                 shown.push((self.free, run.ask.id, Shown::End));
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -7,6 +7,7 @@
 mod history;
 pub mod limit;
 pub mod order;
+pub mod pace;
 pub mod place;
 pub mod quarantine;
 pub mod queue;
--- a/src/decide/place.rs
+++ b/src/decide/place.rs
@@ -21,6 +21,7 @@
 mod decision;
 mod doubt;
 mod health;
+mod pace;
 mod regions;
 mod restrictions;
 mod room;
@@ -50,6 +51,7 @@
 use crate::decide::feedback::Change;
 use crate::decide::feedback::RateNotice;
 use crate::decide::feedback::Source;
+use crate::decide::pace::Notice;
 use crate::decide::route::rendezvous;
 use crate::decide::sharing::Key;
 use crate::decide::sharing::Load;
@@ -363,6 +365,8 @@
         self.exchanges[usize::from(summary.shard)].record_answer();
         self.apply_grants(&summary.grants, now);
         let limits: HashMap<Key, RateNotice> = summary.limits.iter().copied().collect();
+        let paces: HashMap<Key, &Notice> =
+            summary.paces.iter().map(|notice| (notice.upstream, notice)).collect();
         for upstream in self.upstreams.values_mut() {
             let key = upstream.key();
             if key.shard() != summary.shard {
@@ -372,6 +376,9 @@
             if let Some(notice) = limits.get(&key) {
                 upstream.restrictions.limit.apply_notice(notice, now);
             }
+            if let Some(notice) = paces.get(&key) {
+                upstream.apply_pace(notice, now);
+            }
             if summary.draining.contains(&key) {
                 upstream.restrictions.record_draining(Source::Vm, now);
             }
@@ -489,6 +496,7 @@
             && upstream.endpoint.memory.is_some()
         {
             let elapsed = now.saturating_duration_since(in_flight.sent_at);
+            let elapsed = upstream.pace(now).usual_duration(elapsed);
             stats.engine.record_first_event(in_flight.queued_prefill.get() as f64, elapsed);
         }
     }
@@ -509,9 +517,12 @@
         };
         let sender = self.senders.get(&upstream.endpoint.service).unwrap_or(&self.alone);
         let running = upstream.total_requests(stats, sender, now);
-        stats.engine.record_gap(running, now.saturating_duration_since(in_flight.last_event));
+        let pace = upstream.pace(now);
+        let gap = pace.usual_duration(now.saturating_duration_since(in_flight.last_event));
+        stats.engine.record_gap(running, gap);
         if in_flight.events - first >= GAP_SAMPLES {
-            let gap = now.saturating_duration_since(since) / (in_flight.events - first);
+            let gaps = pace.usual_duration(now.saturating_duration_since(since));
+            let gap = gaps / (in_flight.events - first);
             let ratio = gap.as_secs_f64() / stats.engine.speed().gap(running);
             upstream.record_slowdown(ratio);
             stats.slowdown.add(ratio);
@@ -544,10 +555,9 @@
             return;
         }
         if !has_paused {
-            stats.record_service_time(
-                now.saturating_duration_since(in_flight.sent_at),
-                in_flight.rounds,
-            );
+            let elapsed = now.saturating_duration_since(in_flight.sent_at);
+            let elapsed = upstream.pace(now).usual_duration(elapsed);
+            stats.record_service_time(elapsed, in_flight.rounds);
         }
         if upstream.endpoint.memory.is_some() {
             stats.length.record(&in_flight.output, in_flight.events);
--- a/src/decide/place/tests.rs
+++ b/src/decide/place/tests.rs
@@ -18,6 +18,8 @@
 use crate::decide::engine::Output;
 use crate::decide::feedback::Feedback;
 use crate::decide::feedback::Statement;
+use crate::decide::pace::Notice;
+use crate::decide::pace::Pace;
 use crate::decide::room::Grant;
 use crate::decide::sharing::Key;
 use crate::decide::sharing::Load;
@@ -54,6 +56,10 @@
     }
 }
 
+fn report(running: u32, waiting: u32) -> Report {
+    Report { running, waiting, slots: None, pace: None }
+}
+
 fn long_prompt(key: u64) -> Work {
     let prefix = Prefix { key, tokens: Tokens::new(13_300) };
     Work {
@@ -254,9 +260,9 @@
     for _ in 0..200 {
         now += Duration::from_millis(20);
         for busy in ["b", "c"] {
-            balancer.record_report(&busy.parse().unwrap(), Report { running: 40, waiting: 0 }, now);
+            balancer.record_report(&busy.parse().unwrap(), report(40, 0), now);
         }
-        balancer.record_report(&"a".parse().unwrap(), Report { running: 0, waiting: 0 }, now);
+        balancer.record_report(&"a".parse().unwrap(), report(0, 0), now);
         let placement = balancer.choose(&query(stream), now).unwrap();
         let in_flight = balancer.record_sent(&placement, &stream, now);
         let fails = placement.id.as_str() == "a";
@@ -272,8 +278,8 @@
     let now = Instant::now();
     let mut balancer = balancer();
     balancer.sync(vec![engine("a"), engine("b")], senders(0, 3), now);
-    balancer.record_report(&"a".parse().unwrap(), Report { running: 40, waiting: 20 }, now);
-    balancer.record_report(&"b".parse().unwrap(), Report { running: 2, waiting: 0 }, now);
+    balancer.record_report(&"a".parse().unwrap(), report(40, 20), now);
+    balancer.record_report(&"b".parse().unwrap(), report(2, 0), now);
     for _ in 0..10 {
         assert_eq!(balancer.choose(&query(Work::default()), now).unwrap().id.as_str(), "b");
     }
@@ -392,12 +398,12 @@
     let mut balancer = balancer();
     balancer.sync(["a", "b"].map(engine).to_vec(), senders(0, 2), now);
     let first = balancer.choose(&query(long_prompt(1)), now).unwrap().id;
-    balancer.record_report(&first, Report { running: 48, waiting: 2 }, now);
+    balancer.record_report(&first, report(48, 2), now);
     let query = Query { urgent: false, ..query(long_prompt(1)) };
     let other = balancer.choose(&query, now).unwrap();
     assert_ne!(other.id, first);
     assert!(other.first_event < Duration::from_millis(500), "{other:?}");
-    balancer.record_report(&other.id, Report { running: 48, waiting: 2 }, now);
+    balancer.record_report(&other.id, report(48, 2), now);
     let full = balancer.choose(&query, now).unwrap();
     let max_wait = wait::limit(Duration::from_millis(1200), false);
     assert!(full.first_event > max_wait, "rejected if all engines are full: {full:?}");
@@ -416,7 +422,7 @@
         }
         let first = one.choose(&query(long_prompt(key)), now).unwrap().id;
         let seconds = [&mut one, &mut other].map(|vm| {
-            vm.record_report(&first, Report { running: 47, waiting: 200 }, now);
+            vm.record_report(&first, report(47, 200), now);
             vm.choose(&query(long_prompt(key)), now).unwrap().id
         });
         assert_ne!(seconds[0], first);
@@ -659,3 +665,132 @@
     vm.record_sent(&placed, &Work::default(), now);
     assert!(vm.choose(&query, now).is_some(), "no limit was stated");
 }
+
+fn paced(percent: f64) -> Report {
+    Report { pace: Pace::from_percent(percent), ..report(0, 0) }
+}
+
+// Guards against a slow upstream that gets as many requests as others, and one that gets none for seconds after it has
+// recovered.
+#[tokio::test(start_paused = true)]
+async fn a_slow_upstream_gets_fewer_requests() {
+    let start = Instant::now();
+    for memory in [None, engine("a").memory] {
+        let endpoints = ["a", "b"].map(|name| Endpoint { memory, ..engine(name) });
+        let mut balancer = balancer();
+        balancer.sync(endpoints.to_vec(), senders(0, 1), start);
+        let slow: id::Upstream = "a".parse().unwrap();
+        balancer.record_report(&slow, paced(250.0), start);
+        let mut sent = |now| {
+            let work = Work { suffix: Tokens::new(2000), ..Work::default() };
+            let placed: Vec<_> = (0..16)
+                .map(|_| {
+                    let placement = balancer.choose(&query(work), now).unwrap();
+                    balancer.record_sent(&placement, &work, now)
+                })
+                .collect();
+            let count = placed.iter().filter(|in_flight| in_flight.id == slow).count();
+            placed.into_iter().for_each(|one| balancer.record_end(one, Outcome::Refused, now));
+            count
+        };
+        let (early, late) = (sent(start), sent(start + Duration::from_secs(4)));
+        assert!(early <= 4, "{memory:?}: {early} of 16 during the slow phase");
+        assert!(late >= 5, "{memory:?}: {late} of 16 after it");
+    }
+}
+
+// Guards against a slow phase that is learned as the usual speed, so that all upstreams of the service look slow after it.
+#[tokio::test(start_paused = true)]
+async fn a_slow_phase_is_not_learned_as_the_usual_speed() {
+    let start = Instant::now();
+    let work = Work { suffix: Tokens::new(2000), ..Work::default() };
+    let learn = |memory, factor: u32, pace: Option<f64>| {
+        let mut balancer = balancer();
+        let endpoints = ["a", "b"].map(|name| Endpoint { memory, ..engine(name) });
+        balancer.sync(endpoints.to_vec(), senders(0, 1), start);
+        let mut now = start;
+        for _ in 0..200 {
+            let placement = balancer.choose(&query(work), now).unwrap();
+            let mut in_flight = balancer.record_sent(&placement, &work, now);
+            now += Duration::from_millis(20) * factor;
+            let report = Report { pace: pace.and_then(Pace::from_percent), ..report(0, 0) };
+            balancer.record_report(&placement.id, report, now);
+            balancer.record_event(&mut in_flight, now);
+            for _ in 0..8 {
+                now += Duration::from_millis(5) * factor;
+                balancer.record_event(&mut in_flight, now);
+            }
+            balancer.record_report(&placement.id, report, now);
+            balancer.record_end(in_flight, Outcome::Answered, now);
+        }
+        let later = now + Duration::from_secs(10);
+        balancer.choose(&query(work), later).unwrap().last_event.as_secs_f64()
+    };
+    for memory in [None, engine("a").memory] {
+        let usual = learn(memory, 1, None);
+        let slow = learn(memory, 2, None);
+        let normalized = learn(memory, 2, Some(200.0));
+        assert!(slow > 1.5 * usual, "{memory:?}: {slow} for {usual}");
+        assert!((normalized / usual - 1.0).abs() < 0.15, "{memory:?}: {normalized} for {usual}");
+    }
+}
+
+// Guards against a pace that outlives the process that stated it.
+#[tokio::test(start_paused = true)]
+async fn a_new_incarnation_starts_without_a_pace() {
+    let now = Instant::now();
+    let mut balancer = balancer();
+    let plain = Endpoint { memory: None, ..engine("a") };
+    balancer.sync(vec![plain.clone()], senders(0, 1), now);
+    let usual = balancer.choose(&query(Work::default()), now).unwrap().first_event;
+    let report = Report { slots: Some(Slots::new(2)), ..paced(250.0) };
+    balancer.record_report(&"a".parse().unwrap(), report, now);
+    assert!(balancer.choose(&query(Work::default()), now).unwrap().first_event > usual * 3 / 2);
+    assert_eq!(balancer.pace_counts(now), (1, 0));
+    balancer.sync(vec![Endpoint { incarnation: 2, ..plain }], senders(0, 1), now);
+    assert_eq!(balancer.choose(&query(Work::default()), now).unwrap().first_event, usual);
+    assert_eq!(balancer.pace_counts(now), (0, 0));
+}
+
+// Guards against a wait for a slot that is computed from an announced number of slots which the upstream does not have.
+#[tokio::test(start_paused = true)]
+async fn reported_slots_count_before_announced_ones() {
+    let now = Instant::now();
+    let mut balancer = balancer();
+    balancer.sync(vec![Endpoint { memory: None, ..engine("a") }], senders(0, 1), now);
+    for _ in 0..20 {
+        let placement = balancer.choose(&query(Work::default()), now).unwrap();
+        balancer.record_sent(&placement, &Work::default(), now);
+    }
+    let announced = balancer.choose(&query(Work::default()), now).unwrap().first_event;
+    let reported = Report { slots: Some(Slots::new(6)), ..report(20, 0) };
+    balancer.record_report(&"a".parse().unwrap(), reported, now);
+    let few = balancer.choose(&query(Work::default()), now).unwrap().first_event;
+    assert!(few > announced * 3, "{few:?} for {announced:?}");
+    // A later response without the figure, or with none that makes sense, changes nothing.
+    balancer.record_report(&"a".parse().unwrap(), report(20, 0), now);
+    assert_eq!(balancer.choose(&query(Work::default()), now).unwrap().first_event, few);
+}
+
+// Guards against a pace that only the VM knows which received the response.
+#[tokio::test(start_paused = true)]
+async fn other_vms_are_told_of_a_pace() {
+    let now = Instant::now();
+    let (mut one, mut other) = (balancer(), balancer());
+    for vm in [&mut one, &mut other] {
+        let endpoints = ["a", "b"].map(|name| Endpoint { memory: None, ..engine(name) });
+        vm.sync(endpoints.to_vec(), senders(0, 2), now);
+    }
+    let slow: id::Upstream = "a".parse().unwrap();
+    let shard = Key::new(&slow, 1).shard();
+    assert_eq!(one.paces(shard, now), []);
+    one.record_report(&slow, paced(250.0), now);
+    let paces = one.paces(shard, now);
+    let expected = Notice { upstream: Key::new(&slow, 1), percent: 250, age: Duration::ZERO };
+    assert_eq!(paces, [expected]);
+    other.apply_summary(&Summary { shard, paces, ..Summary::default() }, now);
+    assert_eq!(other.pace_counts(now), (1, 0));
+    assert_eq!(other.paces(shard, now), [], "it is not told again");
+    let chosen = other.choose(&query(Work::default()), now).unwrap();
+    assert_ne!(chosen.id, slow);
+}
--- a/src/decide/place/upstream.rs
+++ b/src/decide/place/upstream.rs
@@ -16,6 +16,7 @@
 use super::health::Outcome;
 use super::health::OutcomeCounts;
 use super::room::Exchange;
+use super::seconds;
 use super::service::Prefix;
 use super::service::Profile;
 use super::service::ServiceStats;
@@ -25,12 +26,15 @@
 use crate::decide::engine::Speed;
 use crate::decide::feedback::Restrictions;
 use crate::decide::feedback::Source;
+use crate::decide::pace;
+use crate::decide::pace::Pace;
 use crate::decide::room::Allowance;
 use crate::decide::sharing::Key;
 use crate::decide::sharing::Load;
 use crate::decide::turns::Pacer;
 use crate::decide::turns::Sender;
 use crate::unit::Rate;
+use crate::unit::Slots;
 use crate::unit::Tokens;
 
 /// The minimum time constant with which load reports lose their weight; otherwise it is the service time. Reports
@@ -49,12 +53,16 @@
 const PREEMPTION_THRESHOLD: f64 = 0.9;
 
 /// A load report of an upstream.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Report {
     /// The requests of all VMs that generate tokens.
     pub running: u32,
     /// The requests of all VMs that are queued or in prefill.
     pub waiting: u32,
+    /// The number of requests that run concurrently.
+    pub slots: Option<Slots>,
+    /// How fast the upstream is at present.
+    pub pace: Option<Pace>,
 }
 
 /// Whether an upstream has a prefix cached that this VM did not send to it.
@@ -89,6 +97,9 @@
     /// The memory used by this VM's running requests, without shared prefixes.
     memory: Tokens,
     report: Option<LastReport>,
+    /// The slots that it last reported.
+    reported_slots: Option<Slots>,
+    pace: pace::Latest,
     /// The load from other VMs of the region and when it was received.
     peer_load: Option<(Load, Instant)>,
     /// When the upstream last responded.
@@ -127,6 +138,8 @@
             unread_tokens: Tokens::ZERO,
             memory: Tokens::ZERO,
             report: None,
+            reported_slots: None,
+            pace: pace::Latest::default(),
             peer_load: None,
             heard: None,
             busy_since: None,
@@ -245,11 +258,12 @@
         now: Instant,
     ) -> Conditions {
         let total = self.total_requests(stats, sender, now);
+        let pace = self.pace(now);
         let slot_wait = stats.service_time().as_secs_f64() * (self.rounds(total) - 1.0);
         let Some(memory) = self.endpoint.memory else {
             let first_event = stats.service_time().as_secs_f64() + slot_wait;
             return Conditions {
-                first_event,
+                first_event: pace.duration(first_event),
                 prefill: 0.0,
                 uncached: 0.0,
                 events: 0.0,
@@ -264,15 +278,19 @@
         let slowdown = self.slowdown(profile);
         // The model of the first event already includes the mean slowdown.
         let relative_slowdown = slowdown / profile.slowdown;
+        let usual = profile.speed.first_event(queued) * relative_slowdown + slot_wait;
+        let first_event = pace.duration(usual) + preemption;
+        let events = profile.length.events(&query.work.output);
+        // The pace decays while the request is queued and prefilled.
+        let stream = events * profile.speed.gap(total + 1.0) * slowdown;
+        let stream_factor = pace.after(seconds(first_event)).mean_factor(stream);
         Conditions {
-            first_event: profile.speed.first_event(queued) * relative_slowdown
-                + slot_wait
-                + preemption,
+            first_event,
             prefill,
             uncached: uncached.get() as f64,
-            events: profile.length.events(&query.work.output),
+            events,
             running: total,
-            slowdown,
+            slowdown: slowdown * stream_factor,
         }
     }
 
@@ -359,7 +377,7 @@
 
     /// Returns the number of requests that run concurrently.
     pub fn slots(&self) -> f64 {
-        self.endpoint.slots.get().max(1) as f64
+        self.reported_slots.unwrap_or(self.endpoint.slots).get().max(1) as f64
     }
 
     /// Returns the expected duration of one more request in multiples of the service time, the wait for a slot
@@ -470,8 +488,28 @@
         running.max(self.silence.duration(now))
     }
 
+    /// Returns how fast it is expected to be.
+    pub fn pace(&self, now: Instant) -> Pace {
+        self.pace.pace(now)
+    }
+
+    /// Returns the pace to tell other VMs of.
+    pub fn pace_notice(&self, now: Instant) -> Option<pace::Notice> {
+        self.pace.notice(self.key, now)
+    }
+
+    /// Records the pace that another VM observed.
+    pub fn apply_pace(&mut self, notice: &pace::Notice, now: Instant) {
+        self.pace.apply_notice(notice, now);
+    }
+
     /// Records a load report.
     pub fn record_report(&mut self, report: Report, now: Instant) {
+        let slots = report.slots.filter(|slots| *slots > Slots::ZERO);
+        self.reported_slots = slots.or(self.reported_slots);
+        if let Some(pace) = report.pace {
+            self.pace.record(pace, now);
+        }
         let own_running = self.running.saturating_sub(self.unread);
         self.report = Some(LastReport {
             others_running: report.running.saturating_sub(own_running),
--- a/src/decide/sharing/aggregator.rs
+++ b/src/decide/sharing/aggregator.rs
@@ -11,6 +11,7 @@
 use super::Cursor;
 use super::Key;
 use super::Load;
+use super::MAX_PACES;
 use super::Offer;
 use super::PrefixUse;
 use super::REMOTES_SHARD;
@@ -21,6 +22,7 @@
 use super::Update;
 use super::remotes::Remotes;
 use crate::decide::feedback::RateNotice;
+use crate::decide::pace;
 use crate::decide::room::Claim;
 use crate::decide::room::Grant;
 use crate::decide::room::Holding;
@@ -109,6 +111,7 @@
         let loads = shard.sum_excluding(from, now).into_iter().collect();
         let limits = shard.limits_excluding(from, now).into_iter().collect();
         let draining = shard.draining_excluding(from).into_iter().collect();
+        let paces = shard.paces_excluding(from, now).into_values().take(MAX_PACES).collect();
         let remotes = if index == REMOTES_SHARD { self.remotes.recent(now) } else { Vec::new() };
         let quotas = None;
         Some(Summary {
@@ -122,6 +125,7 @@
             limits,
             draining,
             grants,
+            paces,
         })
     }
 
@@ -224,6 +228,22 @@
         latest
     }
 
+    /// Returns the latest paces that all VMs except one observed.
+    fn paces_excluding(&self, excluded: &id::Vm, now: Instant) -> BTreeMap<Key, pace::Notice> {
+        let mut latest: BTreeMap<Key, pace::Notice> = BTreeMap::new();
+        for (_, received) in self.received.iter().filter(|(vm, _)| *vm != excluded) {
+            let age = now.saturating_duration_since(received.at);
+            let notices = received.update.paces.iter().map(|notice| notice.aged(age));
+            for notice in notices.filter(|notice| notice.age < pace::NOTICE_TTL) {
+                latest
+                    .entry(notice.upstream)
+                    .and_modify(|known| *known = known.merge(notice))
+                    .or_insert(notice);
+            }
+        }
+        latest
+    }
+
     /// Returns the draining upstreams of all VMs except one.
     fn draining_excluding(&self, excluded: &id::Vm) -> BTreeSet<Key> {
         let others = self.received.iter().filter(|(vm, _)| *vm != excluded);
--- a/src/decide/sharing/message.rs
+++ b/src/decide/sharing/message.rs
@@ -11,6 +11,7 @@
 use super::Load;
 use super::SHARDS;
 use crate::decide::feedback::RateNotice;
+use crate::decide::pace;
 use crate::decide::quota;
 use crate::decide::room::Claim;
 use crate::decide::room::Grant;
@@ -19,6 +20,9 @@
 /// Upper bound on the entries of each list; longer messages are dropped.
 const MAX_ENTRIES: usize = 1000;
 
+/// The same for paces, of which there are some for each slow upstream of a shard.
+pub const MAX_PACES: usize = 256;
+
 /// A datagram.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum Message {
@@ -124,6 +128,9 @@
     /// The VM's claims to room at upstreams. It has given up all that it does not use.
     #[serde(rename = "c", default, skip_serializing_if = "Vec::is_empty")]
     pub claims: Vec<(Key, Claim)>,
+    /// Paces that the VM found in responses of upstreams and that differ from the usual one.
+    #[serde(rename = "v", default, skip_serializing_if = "Vec::is_empty")]
+    pub paces: Vec<pace::Notice>,
 }
 
 /// Room that has become free for a VM which waits for it.
@@ -174,6 +181,9 @@
     /// The room that the VM's claims are granted; valid until its next update is sent.
     #[serde(rename = "c", default, skip_serializing_if = "Vec::is_empty")]
     pub grants: Vec<(Key, Grant)>,
+    /// The latest paces that other VMs found.
+    #[serde(rename = "v", default, skip_serializing_if = "Vec::is_empty")]
+    pub paces: Vec<pace::Notice>,
 }
 
 impl Message {
@@ -198,6 +208,7 @@
                     remotes: &update.remotes,
                     limits: &update.limits,
                     draining: &update.draining,
+                    paces: &update.paces,
                 }
                 .is_valid()
                     && update.has_valid_claims()
@@ -210,6 +221,7 @@
                     remotes: &summary.remotes,
                     limits: &summary.limits,
                     draining: &summary.draining,
+                    paces: &summary.paces,
                 }
                 .is_valid()
                     && summary.grants.len() <= MAX_ENTRIES
@@ -234,6 +246,7 @@
     remotes: &'a [RegionEstimate],
     limits: &'a [(Key, RateNotice)],
     draining: &'a [Key],
+    paces: &'a [pace::Notice],
 }
 
 impl Contents<'_> {
@@ -245,9 +258,11 @@
             && self.remotes.len() <= MAX_ENTRIES
             && self.limits.len() <= MAX_ENTRIES
             && self.draining.len() <= MAX_ENTRIES
+            && self.paces.len() <= MAX_PACES
             && self.loads.iter().all(|(key, load)| is_here(key) && load.is_valid())
             && self.uses.iter().all(|used| is_here(&used.engine))
             && self.limits.iter().all(|(key, notice)| is_here(key) && notice.is_valid())
             && self.draining.iter().all(is_here)
+            && self.paces.iter().all(|notice| is_here(&notice.upstream))
     }
 }
--- a/src/decide/sharing/mod.rs
+++ b/src/decide/sharing/mod.rs
@@ -33,6 +33,7 @@
 pub use key::Key;
 pub use load::Load;
 pub use message::Cursor;
+pub use message::MAX_PACES;
 pub use message::Message;
 pub use message::Offer;
 pub use message::PrefixUse;
--- a/src/decide/sharing/tests.rs
+++ b/src/decide/sharing/tests.rs
@@ -9,6 +9,7 @@
 use super::Hosts;
 use super::Key;
 use super::Load;
+use super::MAX_PACES;
 use super::Message;
 use super::PrefixUse;
 use super::RegionEstimate;
@@ -19,6 +20,8 @@
 use super::UPDATE_TTL;
 use super::Update;
 use super::hosts::MAX_UNANSWERED;
+use crate::decide::pace::NOTICE_TTL;
+use crate::decide::pace::Notice;
 use crate::id;
 
 fn vm(nth: usize) -> id::Vm {
@@ -35,6 +38,10 @@
     Load { running, ..Load::default() }
 }
 
+fn pace(upstream: u64, percent: u32, age_ms: u64) -> Notice {
+    Notice { upstream: key(upstream), percent, age: Duration::from_millis(age_ms) }
+}
+
 fn update(number: u64, loads: &[(Key, Load)]) -> Update {
     Update { start: 1, number, loads: loads.to_vec(), ..Update::default() }
 }
@@ -119,7 +126,9 @@
         Update { shard: SHARDS, ..sound.clone() },
         Update { shard: 1, ..sound.clone() },
         Update { loads: vec![(key(1), absurd)], ..sound.clone() },
-        Update { loads: vec![(key(1), unread)], ..sound },
+        Update { loads: vec![(key(1), unread)], ..sound.clone() },
+        Update { paces: vec![pace(1, 250, 0); MAX_PACES + 1], ..sound.clone() },
+        Update { shard: 1, loads: Vec::new(), paces: vec![pace(1, 250, 0)], ..sound },
     ];
     for update in bad {
         assert_eq!(Message::decode(&Message::Update(update.clone()).encode()), None, "{update:?}");
@@ -264,3 +273,37 @@
     assert_eq!(tell(1, remote(100, 0), now), 100);
     assert_eq!(tell(2, remote(900, 500), now), 100);
 }
+
+// Guards against a VM that sends to a slow upstream because only another VM has heard from it, and against an older report that
+// hides a later one.
+#[test]
+fn the_latest_pace_is_passed_on_to_other_vms() {
+    let start = Instant::from_std(std::time::Instant::now());
+    let mut host = Aggregator::new(7);
+    let said = |number, paces: &[Notice]| Update { paces: paces.to_vec(), ..update(number, &[]) };
+    let own = host.apply_update(&vm(1), said(1, &[pace(1, 250, 40)]), start).unwrap();
+    assert_eq!(own.paces, [], "not back to the VM that observed it");
+    host.apply_update(&vm(2), said(1, &[pace(1, 150, 90), pace(2, 300, 5)]), start);
+    let later = start + Duration::from_millis(100);
+    let summary = host.apply_update(&vm(3), said(1, &[]), later).unwrap();
+    let mut found = summary.paces.clone();
+    found.sort_by_key(|notice| notice.percent);
+    assert_eq!(found, [pace(1, 250, 140), pace(2, 300, 105)]);
+    let message = Message::Summary(summary);
+    assert_eq!(Message::decode(&message.encode()), Some(message));
+    let over = start + UPDATE_TTL - Duration::from_millis(1);
+    host.apply_update(&vm(2), said(2, &[pace(2, 300, NOTICE_TTL.as_millis() as u64)]), over);
+    let summary = host.apply_update(&vm(3), said(2, &[]), over).unwrap();
+    assert_eq!(summary.paces, [pace(1, 250, 739)], "no paces beyond their age");
+}
+
+// Guards against messages that older VMs would read differently, or that grow, although all upstreams are as fast as usual.
+#[test]
+fn messages_without_paces_are_as_before() {
+    let bytes = Message::Update(update(1, &[(key(1), running(3))])).encode();
+    assert!(!bytes.windows(2).any(|pair| pair == [0x61, b'v']));
+    let with = Update { paces: vec![pace(1, 250, 999); MAX_PACES], ..update(1, &[]) };
+    let without = Message::Update(Update { paces: Vec::new(), ..with.clone() }).encode().len();
+    let length = Message::Update(with).encode().len();
+    assert!(length < without + 12 * MAX_PACES + 8, "{length} bytes for {without}");
+}
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -37,6 +37,8 @@
     refusal_limited: Gauge,
     refusals: Counter,
     draining: Gauge,
+    slow: Gauge,
+    fast: Gauge,
     backing_off: Gauge,
     unanswered: Gauge,
     vms: Gauge,
@@ -97,6 +99,12 @@
         let draining = Gauge::default();
         let text = "Upstreams known to be draining";
         registry.register("upstreams_draining", text, draining.clone());
+        let slow = Gauge::default();
+        let text = "Upstreams that take longer than usual at present";
+        registry.register("upstreams_slow", text, slow.clone());
+        let fast = Gauge::default();
+        let text = "Upstreams that are faster than usual at present";
+        registry.register("upstreams_fast", text, fast.clone());
         let backing_off = Gauge::default();
         let text = "Upstreams that want no requests from this VM at present";
         registry.register("upstreams_backing_off", text, backing_off.clone());
@@ -127,6 +135,8 @@
             refusal_limited,
             refusals,
             draining,
+            slow,
+            fast,
             backing_off,
             unanswered,
             vms,
@@ -208,6 +218,12 @@
         self.draining.set(draining as i64);
     }
 
+    /// Sets the numbers of upstreams that are slower and faster than usual at present.
+    pub fn set_unusual_paces(&self, slow: usize, fast: usize) {
+        self.slow.set(slow as i64);
+        self.fast.set(fast as i64);
+    }
+
     /// Sets the number of upstreams that want no requests from this VM at present.
     pub fn set_backing_off(&self, backing_off: usize) {
         self.backing_off.set(backing_off as i64);
--- a/src/gateway/sharing.rs
+++ b/src/gateway/sharing.rs
@@ -203,16 +203,18 @@
             warn!(state.log(), "sharing.host_lost"; "shard" => shard, "host" => %lost, "next" => %turn.host);
         }
         let has_reach = state.reaches_upstreams();
-        let (loads, used, limits, draining, claims) = {
+        let (loads, used, limits, draining, claims, paces) = {
             let mut place = state.place();
             // The failures of a VM without reach say nothing of the upstreams.
             let loads = if has_reach { place.loads(shard, now) } else { Vec::new() };
             let used = place.take_uses(shard);
             let claims = place.claim(shard, now);
-            (loads, used, place.rate_notices(shard, now), place.draining(shard), claims)
+            let (limits, paces) = (place.rate_notices(shard, now), place.paces(shard, now));
+            (loads, used, limits, place.draining(shard), claims, paces)
         };
         let mut update = self.update(shard, turn.number, loads, used);
         (update.limits, update.draining, update.claims) = (limits, draining, claims);
+        update.paces = paces;
         update.quotas = state.meter().counts(shard, now);
         if shard == REMOTES_SHARD {
             update.remotes = state.regions().take_outlooks(now);
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -268,6 +268,8 @@
             self.metrics.set_limited(place.limited_count());
             self.metrics.set_refusal_limited(place.refusal_limited_count());
             self.metrics.set_draining(place.draining_count());
+            let (slow, fast) = place.pace_counts(Instant::now());
+            self.metrics.set_unusual_paces(slow, fast);
             self.metrics.set_backing_off(place.backoff_count(Instant::now()));
             self.metrics.set_unanswered(place.unanswered());
         }
--- a/src/golden/tests.rs
+++ b/src/golden/tests.rs
@@ -99,6 +99,12 @@
     check_decoding::<sharing::Message>("sharing-message-without-claims");
 }
 
+// Guards against a release that can't read the datagrams of one that shares no paces.
+#[test]
+fn messages_of_a_release_without_paces_are_read() {
+    check_decoding::<sharing::Message>("sharing-message-without-paces");
+}
+
 #[test]
 fn records_of_the_membership() {
     check_cbor::<membership::Key>("membership-key");
@@ -242,6 +248,7 @@
     gateway.record_sharing_drop();
     gateway.set_limited(2);
     gateway.set_draining(3);
+    gateway.set_unusual_paces(6, 7);
     gateway.set_backing_off(4);
     gateway.set_unanswered(5);
     check_text("metrics/gateway.txt", &in_order(&gateway.encode(1, 2, 3, 4)));
--- a/tests/load/main.rs
+++ b/tests/load/main.rs
@@ -15,6 +15,7 @@
 mod job;
 mod limits;
 mod overload;
+mod pace;
 mod policy;
 mod pool;
 mod quotas;
--- a/tests/load/streams/world.rs
+++ b/tests/load/streams/world.rs
@@ -175,6 +175,7 @@
             limits,
             draining,
             claims: Vec::new(),
+            paces: vm.place.paces(shard, now),
         };
         let summary = host.apply_update(&name, update, now).unwrap();
         vm.known[usize::from(shard)] = summary.known;
@@ -420,7 +421,11 @@
             self.requests[request].first = Some(at + way);
             let (running, waiting) = self.engines[region][engine].load();
             let place = &mut self.vms[region][vm].place;
-            place.record_report(&engine_name(region, engine), Report { running, waiting }, instant);
+            place.record_report(
+                &engine_name(region, engine),
+                Report { running, waiting, slots: None, pace: None },
+                instant,
+            );
             if let Some((from, asked)) = self.requests[request].from
                 && let Some(outlook) = place.outlook(SERVICE, true, instant)
             {
