--- a/src/decide/place/room/tests.rs
+++ b/src/decide/place/room/tests.rs
@@ -86,7 +86,11 @@
 
 fn reject(balancer: &mut Balancer, (running, waiting): (u32, u32), now: Instant) {
     let in_flight = send(balancer, now).unwrap();
-    balancer.record_rejection(&in_flight, Report { running, waiting }, now);
+    balancer.record_rejection(
+        &in_flight,
+        Report { running, waiting, slots: None, pace: None },
+        now,
+    );
     balancer.record_end(in_flight, Outcome::Refused, now);
 }
 
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -277,6 +277,8 @@
             self.metrics.set_bounded(place.bounded_count(Instant::now()));
             self.metrics.set_waiting_for_room(place.waiting_for_room());
             self.metrics.set_draining(place.draining_count());
+            let (slow, fast) = place.pace_counts(Instant::now());
+            self.metrics.set_unusual_paces(slow, fast);
             self.metrics.set_backing_off(place.backoff_count(Instant::now()));
             self.metrics.set_unanswered(place.unanswered());
         }
--- a/tests/load/main.rs
+++ b/tests/load/main.rs
@@ -16,6 +16,7 @@
 mod job;
 mod limits;
 mod overload;
+mod pace;
 mod places;
 mod policy;
 mod pool;
--- a/tests/load/places/world.rs
+++ b/tests/load/places/world.rs
@@ -408,7 +408,7 @@
         let now = self.start + at;
         let upstream = &self.upstreams[index];
         let (running, waiting) = (upstream.running.len() as u32, upstream.waiting.len() as u32);
-        let report = Report { running, waiting };
+        let report = Report { running, waiting, slots: None, pace: None };
         let Request { vm, in_flight, .. } = &mut self.requests[request];
         let Some(in_flight) = in_flight.take() else { return };
         let balancer = &mut self.vms[*vm].balancer;
