Index of the prompt parts that engines hold, without I/O

Change: decide::held has the index of an engine by epoch and event number with doubt after a gap, the asking VM by rendezvous hashing, the differences that it tells, the host's log with a budget of bytes for each VM, and the view of the other VMs with the longest held chain of a prompt. Memory is bounded in each of them.

--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -4,6 +4,7 @@
 pub mod engine;
 pub mod feedback;
 pub mod freshness;
+pub mod held;
 mod history;
 pub mod limit;
 pub mod order;
