Exchange of what engines hold among the VMs of a region

Change: updates and summaries carry an optional exchange of cached parts ("h"), which a host passes on with a position in its log. It is left out where engines are not asked, so that messages are as before; the golden file of the release before is kept.

--- a/src/decide/sharing/aggregator.rs
+++ b/src/decide/sharing/aggregator.rs
@@ -21,6 +21,7 @@
 use super::Update;
 use super::remotes::Remotes;
 use crate::decide::feedback::RateNotice;
+use crate::decide::held;
 use crate::decide::room::Claim;
 use crate::decide::room::Grant;
 use crate::decide::room::Holding;
@@ -51,6 +52,8 @@
     /// When the first update arrived after a time without any.
     began_at: Option<Instant>,
     uses: VecDeque<PrefixUse>,
+    /// What VMs tell of engines' caches.
+    held: held::Relay,
     /// Sequence number of the first element of `uses`.
     first_number: u64,
 }
@@ -98,6 +101,8 @@
         let (number, index, known) = (update.number, update.shard, update.known);
         let (uses, known) = shard.uses_since(start, known);
         shard.add_uses(&update.uses);
+        let told = update.held.take();
+        let held = told.map(|told| shard.held.exchange(start, from, told, now));
         let before = shard.received.get(from).into_iter();
         let mut keys: BTreeSet<Key> =
             before.flat_map(|received| received.holdings.keys().copied()).collect();
@@ -122,6 +127,7 @@
             limits,
             draining,
             grants,
+            held,
         })
     }
 
--- a/src/decide/sharing/message.rs
+++ b/src/decide/sharing/message.rs
@@ -11,6 +11,7 @@
 use super::Load;
 use super::SHARDS;
 use crate::decide::feedback::RateNotice;
+use crate::decide::held;
 use crate::decide::quota;
 use crate::decide::room::Claim;
 use crate::decide::room::Grant;
@@ -124,6 +125,9 @@
     /// The VM's claims to room at upstreams. It has given up all that it does not use.
     #[serde(rename = "c", default, skip_serializing_if = "Vec::is_empty")]
     pub claims: Vec<(Key, Claim)>,
+    /// What the engines of the shard that the VM asks hold in their caches; none where they are not asked.
+    #[serde(rename = "h", default, skip_serializing_if = "Option::is_none")]
+    pub held: Option<held::Exchange>,
 }
 
 /// Room that has become free for a VM which waits for it.
@@ -174,6 +178,9 @@
     /// The room that the VM's claims are granted; valid until its next update is sent.
     #[serde(rename = "c", default, skip_serializing_if = "Vec::is_empty")]
     pub grants: Vec<(Key, Grant)>,
+    /// What VMs have told of engines' caches since the position in the update; none if that has none.
+    #[serde(rename = "h", default, skip_serializing_if = "Option::is_none")]
+    pub held: Option<held::Exchange>,
 }
 
 impl Message {
@@ -201,6 +208,7 @@
                 }
                 .is_valid()
                     && update.has_valid_claims()
+                    && update.held.as_ref().is_none_or(|held| held.is_valid(update.shard))
             }
             Self::Summary(summary) => {
                 Contents {
@@ -213,6 +221,7 @@
                 }
                 .is_valid()
                     && summary.grants.len() <= MAX_ENTRIES
+                    && summary.held.as_ref().is_none_or(|held| held.is_valid(summary.shard))
             }
         };
         is_valid.then_some(message)
--- a/src/golden/tests.rs
+++ b/src/golden/tests.rs
@@ -99,6 +99,12 @@
     check_decoding::<sharing::Message>("sharing-message-without-claims");
 }
 
+// Guards against a release that can't read the datagrams of one that does not tell what engines have in their caches.
+#[test]
+fn messages_of_a_release_without_cached_parts_are_read() {
+    check_decoding::<sharing::Message>("sharing-message-without-held");
+}
+
 #[test]
 fn records_of_the_membership() {
     check_cbor::<membership::Key>("membership-key");
--- a/tests/load/streams/world.rs
+++ b/tests/load/streams/world.rs
@@ -164,6 +164,7 @@
         let quotas = Vec::new();
         let (limits, draining) = (vm.place.rate_notices(shard, now), vm.place.draining(shard));
         let update = Update {
+            held: None,
             shard,
             start: 1,
             number,
