Placement by what engines hold, where that is known

Cause: with one key a prompt and an assumed cache of 0.6 of the memory, prompts are sent past engines that hold them.

Change: for an engine with an index that is not in doubt, the tokens to read are the prefix without its longest held chain, and the cost of eviction counts what exceeds the engine's memory. A part that nobody holds goes to the engine that rendezvous hashing gives, unless it is busier. Other engines are estimated as before.

Result: unit tests; decisions without the setting, or with an index in doubt, equal those of a balancer that was told nothing. Not measured under load yet.

--- a/src/decide/place.rs
+++ b/src/decide/place.rs
@@ -50,6 +50,7 @@
 use crate::decide::feedback::Change;
 use crate::decide::feedback::RateNotice;
 use crate::decide::feedback::Source;
+use crate::decide::held;
 use crate::decide::route::rendezvous;
 use crate::decide::sharing::Key;
 use crate::decide::sharing::Load;
@@ -152,6 +153,8 @@
     pub load_age: Option<Duration>,
     /// The tokens that are prefilled before the first event, those of other requests included.
     queued_prefill: Tokens,
+    /// Whether the tokens to prefill follow from the engine's own events.
+    is_indexed: bool,
 }
 
 /// A request in flight, with the resources it uses on its upstream.
@@ -198,6 +201,10 @@
     /// The requests that wait for room, by service.
     waiting: HashMap<String, usize>,
     exchanges: Exchanges,
+    /// What the engines hold in their caches.
+    held: held::View,
+    /// Shared tokens that indexed engines were expected to hold, and those that they had to read.
+    held_tokens: (u64, u64),
     /// Restrictions of upstreams that are gone, not yet reported to the log.
     ended: Vec<Change>,
 }
@@ -217,6 +224,8 @@
             uses: Vec::new(),
             waiting: HashMap::new(),
             exchanges: Exchanges::default(),
+            held: held::View::default(),
+            held_tokens: (0, 0),
             ended: Vec::new(),
         }
     }
@@ -255,6 +264,9 @@
                 }
             }
         }
+        let kept: std::collections::HashSet<Key> =
+            self.upstreams.values().map(UpstreamState::key).collect();
+        self.held.retain(|engine| kept.contains(&engine));
         self.apply_doubt(now);
     }
 
@@ -301,7 +313,8 @@
         let mut candidates = decision.candidates(&self.upstreams);
         let demand = Demand::new(stats, &sender, &self.exchanges, now);
         candidates.retain(|(_, upstream)| demand.has_room(upstream));
-        let decision = decision.with_prefix_candidates(prefix_candidates, &candidates);
+        let decision =
+            decision.with_held(&self.held).with_prefix_candidates(prefix_candidates, &candidates);
         let count = decision.sample(&mut candidates, &mut self.rng);
         let placements = candidates[..count]
             .iter()
@@ -363,6 +376,8 @@
         self.exchanges[usize::from(summary.shard)].record_answer();
         self.apply_grants(&summary.grants, now);
         let limits: HashMap<Key, RateNotice> = summary.limits.iter().copied().collect();
+        let told = summary.held.iter().flat_map(|held| &held.changes);
+        told.for_each(|change| self.held.apply(change, now));
         for upstream in self.upstreams.values_mut() {
             let key = upstream.key();
             if key.shard() != summary.shard {
@@ -379,6 +394,7 @@
             for used in uses {
                 let prefix = Prefix { key: used.part, tokens: Tokens::new(used.tokens) };
                 upstream.record_peer_use(prefix, now);
+                self.held.record_use(key, used.part, now);
             }
         }
     }
@@ -433,6 +449,16 @@
             let shard = usize::from(upstream.key().shard());
             upstream.record_refusal_risk(stats, (&self.exchanges[shard], &sender), now);
             cold_send = upstream.record_sent(work, placement.prefill, memory, &sender, now);
+            if let Some(prefix) = work.prefix {
+                let parts = work.chain.parts().iter();
+                parts.for_each(|(part, _)| self.held.record_shared(*part, now));
+                self.held.record_use(upstream.key(), prefix.key, now);
+                if placement.is_indexed {
+                    let read = placement.prefill.saturating_sub(work.suffix);
+                    self.held_tokens.0 += prefix.tokens.saturating_sub(read).get();
+                    self.held_tokens.1 += read.get();
+                }
+            }
             let prefix = work.prefix.filter(|_| self.uses.len() < MAX_PENDING_USES);
             self.uses.extend(prefix.map(|prefix| PrefixUse {
                 engine: upstream.key(),
@@ -554,6 +580,31 @@
         }
     }
 
+    /// Returns what the engines hold in their caches.
+    pub const fn held(&self) -> &held::View {
+        &self.held
+    }
+
+    /// Starts to record what the engines hold in their caches.
+    pub const fn enable_held(&mut self) {
+        self.held.enable();
+    }
+
+    /// Returns the shared tokens of prompts that indexed engines were expected to hold, and those that they had to read.
+    pub const fn held_tokens(&self) -> (u64, u64) {
+        self.held_tokens
+    }
+
+    /// Returns the engines of this region, with their addresses and memory.
+    pub fn engines(&self) -> Vec<(id::Upstream, Key, SocketAddr, Tokens)> {
+        let engine = |(id, upstream): (&id::Upstream, &UpstreamState)| {
+            let endpoint = &upstream.endpoint;
+            let memory = endpoint.memory.filter(|_| endpoint.open && !endpoint.silent)?;
+            Some((id.clone(), upstream.key(), endpoint.address, memory))
+        };
+        self.upstreams.iter().filter_map(engine).collect()
+    }
+
     /// Records a load report of an upstream.
     pub fn record_report(&mut self, id: &id::Upstream, report: Report, now: Instant) {
         if let Some(upstream) = self.upstreams.get_mut(id) {
--- a/src/decide/place/cost.rs
+++ b/src/decide/place/cost.rs
@@ -35,9 +35,9 @@
     pub first_event: f64,
     /// Tokens of the prompt that are to be prefilled.
     pub prefill: f64,
-    /// Tokens of the prefix that are to be prefilled although another engine has them cached. They evict other
-    /// prefixes.
-    pub uncached: f64,
+    /// Tokens of other prefixes that are evicted. Unless the engine's cache is known, these are as many as tokens of the
+    /// prefix that are to be prefilled.
+    pub evicting: f64,
     /// The expected number of events of the answer.
     pub events: f64,
     /// The number of requests that run on the engine.
@@ -81,7 +81,7 @@
         let last_event = self.first_event + stream;
         let lengthening = self.events * speed.gap_per_request() * self.slowdown;
         let others = self.running * (lengthening + speed.prefill(self.prefill));
-        let eviction = self.uncached / 1000.0 * EVICTION_PER_KILOTOKEN;
+        let eviction = self.evicting / 1000.0 * EVICTION_PER_KILOTOKEN;
         let is_refused = self.first_event > max_wait.as_secs_f64();
         let refusal = if is_refused { refusal(profile.utilization) } else { 0.0 };
         Estimate {
--- a/src/decide/place/decision.rs
+++ b/src/decide/place/decision.rs
@@ -14,9 +14,13 @@
 use super::service::Profile;
 use super::service::ServiceStats;
 use super::upstream::CacheState;
+use super::upstream::Reading;
 use super::upstream::UpstreamState;
+use crate::decide::held;
+use crate::decide::held::Held;
 use crate::decide::turns::Sender;
 use crate::id;
+use crate::unit::Tokens;
 
 /// The range of the random addend that breaks ties; otherwise all VMs choose the same upstream between two load
 /// reports.
@@ -25,6 +29,10 @@
 /// The same, as a fraction of the cost, about as large as the error from outdated load data.
 const JITTER_FRACTION: f64 = 0.03;
 
+/// The cost of reading a prefix that no engine holds elsewhere than at the engine that the VMs find by rendezvous hashing.
+/// It decides between engines with about the same queue.
+const SCATTER: Duration = Duration::from_millis(300);
+
 /// The request, the statistics of its service and the identity of the sender.
 pub struct Decision<'a> {
     query: &'a Query<'a>,
@@ -38,6 +46,8 @@
     prefix_candidates: Vec<id::Upstream>,
     /// Whether load data is shared among VMs and an engine has the prefix cached.
     is_cached: bool,
+    /// What the engines hold in their caches.
+    held: Option<&'a held::View>,
 }
 
 impl<'a> Decision<'a> {
@@ -49,7 +59,8 @@
         now: Instant,
     ) -> Self {
         let (unreported, prefix_candidates, is_cached) = (0.0, Vec::new(), false);
-        Self { query, stats, profile, sender, now, unreported, prefix_candidates, is_cached }
+        let held = None;
+        Self { query, stats, profile, sender, now, unreported, prefix_candidates, is_cached, held }
     }
 
     /// Returns the upstreams that accept the request: the healthy ones or, if there are none, the unhealthy ones.
@@ -80,6 +91,13 @@
         candidates
     }
 
+    /// Adds what the engines hold in their caches.
+    #[must_use]
+    pub fn with_held(self, held: &'a held::View) -> Self {
+        let held = self.query.work.prefix.is_some().then_some(held);
+        Self { held, ..self }
+    }
+
     /// Adds the engines for the prefix.
     #[must_use]
     pub fn with_prefix_candidates(
@@ -103,12 +121,14 @@
 
     /// Evaluates an upstream. `random`, between zero and one, breaks ties.
     pub fn evaluate(&self, id: &id::Upstream, upstream: &UpstreamState, random: f64) -> Placement {
-        let uncached = upstream.uncached_prefix(&self.query.work, self.cache_state(id));
+        let held = self.held(upstream);
+        let reading = self.reading(id, upstream, held);
+        let uncached = reading.uncached;
         let conditions = upstream.conditions(
             self.stats,
             &self.profile,
             self.query,
-            uncached,
+            reading,
             self.sender,
             self.now,
         );
@@ -116,6 +136,7 @@
         let cost = seconds(estimate.cost * (1.0 + JITTER_FRACTION * random))
             + upstream.penalty(self.now)
             + upstream.stall(self.stats.service_time(), self.now)
+            + self.scatter(id, held)
             + JITTER.mul_f64(random);
         let prefill = uncached + self.query.work.suffix;
         Placement {
@@ -128,10 +149,36 @@
             running: conditions.running.round() as u32,
             load_age: upstream.load_age(self.now),
             queued_prefill: upstream.backlog(self.stats, self.sender, self.now) + prefill,
+            is_indexed: held.is_some(),
         }
     }
 
+    /// Returns what an engine holds of the prompt, if its cache is known.
+    fn held(&self, upstream: &UpstreamState) -> Option<Held> {
+        self.held?.longest(upstream.key(), &self.query.work.chain, self.now)
+    }
+
+    fn reading(&self, id: &id::Upstream, upstream: &UpstreamState, held: Option<Held>) -> Reading {
+        let Some(held) = held else {
+            let uncached = upstream.uncached_prefix(&self.query.work, self.cache_state(id));
+            return Reading { uncached, cached: None };
+        };
+        let prefix = self.query.work.prefix.map_or(Tokens::ZERO, |prefix| prefix.tokens);
+        Reading { uncached: prefix.saturating_sub(held.tokens), cached: Some(held.total) }
+    }
+
+    /// Returns an addend for engines that would read a prefix which no engine holds, except for the one that the VMs find
+    /// by rendezvous hashing: requests with that prefix which follow within a second find it there.
+    fn scatter(&self, id: &id::Upstream, held: Option<Held>) -> Duration {
+        let is_new = held.is_some_and(|held| held.tokens == Tokens::ZERO) && !self.is_cached;
+        let is_assigned = self.prefix_candidates.first() == Some(id);
+        if is_new && !is_assigned { SCATTER } else { Duration::ZERO }
+    }
+
     fn is_holder(&self, upstream: &UpstreamState) -> bool {
+        if let Some(held) = self.held(upstream) {
+            return held.tokens > Tokens::ZERO;
+        }
         self.query.work.prefix.is_some_and(|prefix| upstream.has_cached(&prefix))
     }
 
@@ -144,3 +191,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/src/decide/place/regions.rs
+++ b/src/decide/place/regions.rs
@@ -267,7 +267,7 @@
     Conditions {
         first_event: delay + profile.speed.prefill(prefill),
         prefill,
-        uncached: uncached.get() as f64,
+        evicting: uncached.get() as f64,
         events: profile.length.events(&query.work.output),
         running: f64::from(outlook.running),
         slowdown: profile.slowdown,
--- a/src/decide/place/regions/tests.rs
+++ b/src/decide/place/regions/tests.rs
@@ -49,6 +49,7 @@
         prefix: Some(prefix),
         suffix: Tokens::new(3_700),
         output: Output { limit: Tokens::new(120), hint: None },
+        ..Work::default()
     }
 }
 
--- a/src/decide/place/service.rs
+++ b/src/decide/place/service.rs
@@ -10,6 +10,7 @@
 use crate::decide::engine::Output;
 use crate::decide::engine::Quantile;
 use crate::decide::engine::Speed;
+use crate::decide::held::Chain;
 use crate::decide::route::Ewma;
 use crate::unit::Rate;
 use crate::unit::Tokens;
@@ -28,6 +29,8 @@
 pub struct Work {
     /// The shared prefix, if it is long enough to be worth caching.
     pub prefix: Option<Prefix>,
+    /// The parts of that prefix, where they are known.
+    pub chain: Chain,
     /// The rest of the prompt.
     pub suffix: Tokens,
     /// The stated length of the answer.
--- a/src/decide/place/tests.rs
+++ b/src/decide/place/tests.rs
@@ -60,6 +60,7 @@
         prefix: Some(prefix),
         suffix: Tokens::new(3_700),
         output: Output { limit: Tokens::new(120), hint: None },
+        ..Work::default()
     }
 }
 
--- a/src/decide/place/upstream.rs
+++ b/src/decide/place/upstream.rs
@@ -68,6 +68,15 @@
     Unknown,
 }
 
+/// The part of a prompt's prefix that an engine would have to read.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Reading {
+    /// The tokens of the prefix that are not cached.
+    pub uncached: Tokens,
+    /// The tokens of all shared parts in the engine's cache, if its own events say so.
+    pub cached: Option<Tokens>,
+}
+
 #[derive(Debug)]
 struct LastReport {
     others_running: u32,
@@ -240,7 +249,7 @@
         stats: &ServiceStats,
         profile: &Profile,
         query: &Query<'_>,
-        uncached: Tokens,
+        reading: Reading,
         sender: &Sender,
         now: Instant,
     ) -> Conditions {
@@ -251,12 +260,13 @@
             return Conditions {
                 first_event,
                 prefill: 0.0,
-                uncached: 0.0,
+                evicting: 0.0,
                 events: 0.0,
                 running: total,
                 slowdown: 1.0,
             };
         };
+        let uncached = reading.uncached;
         let prefill = (uncached + query.work.suffix).get() as f64;
         let queued = self.backlog(stats, sender, now).get() as f64 + prefill;
         let reserved = self.reserved_memory(&query.work, sender, total, now);
@@ -269,7 +279,16 @@
                 + slot_wait
                 + preemption,
             prefill,
-            uncached: uncached.get() as f64,
+            evicting: match reading.cached {
+                // Its prefix and what the running requests have reserved take the free memory first.
+                Some(cached) => {
+                    let added = prefill + query.work.output.likely().get() as f64;
+                    let needed = (cached + uncached).get() as f64 + reserved;
+                    let evicted = (needed - memory.get() as f64).clamp(0.0, added);
+                    evicted.min(cached.get() as f64)
+                }
+                None => uncached.get() as f64,
+            },
             events: profile.length.events(&query.work.output),
             running: total,
             slowdown,
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -7,6 +7,8 @@
 use http::uri::PathAndQuery;
 
 use crate::decide::engine::Output;
+use crate::decide::held;
+use crate::decide::held::Chain;
 use crate::decide::place::Prefix;
 use crate::decide::place::Work;
 use crate::routing::Credential;
@@ -14,7 +16,7 @@
 
 /// Shorter shared prefixes do not affect placement: reading them again costs less than the usual
 /// differences between engines.
-const MIN_SHARED_TOKENS: Tokens = Tokens::new(1_000);
+const MIN_SHARED_TOKENS: Tokens = held::MIN_PART_TOKENS;
 
 /// A request without its body.
 #[derive(Debug, Clone)]
@@ -68,7 +70,9 @@
         let shared = prompt.shared();
         let read = shared.map_or(Tokens::ZERO, |shared| shared.tokens);
         let output = Output { limit: prompt.output, hint: prompt.hint };
-        Work { prefix: shared, suffix: prompt.input.saturating_sub(read), output }
+        let leading = prompt.parts.split_last().map_or(&[][..], |(_, leading)| leading);
+        let chain = shared.map_or_else(Chain::default, |_| Chain::new(leading));
+        Work { prefix: shared, chain, suffix: prompt.input.saturating_sub(read), output }
     }
 }
 
--- a/tests/load/streams/world.rs
+++ b/tests/load/streams/world.rs
@@ -310,7 +310,7 @@
         let Request { ask, hint, .. } = &self.requests[request];
         let shared = ask.shared.map(|(key, tokens)| Prefix { key, tokens: Tokens::new(tokens) });
         let output = Output { limit: Tokens::new(4000), hint: Some(Tokens::new(*hint)) };
-        Work { prefix: shared, suffix: Tokens::new(ask.own), output }
+        Work { prefix: shared, suffix: Tokens::new(ask.own), output, ..Work::default() }
     }
 
     /// A request reaches a VM, which sends it to an engine or to another region; the arrival there, where it does.
