VMs ask engines what they hold in their caches

Result: unit tests of the decoder were not run, only compiled; the polls have no test against a server yet.

--- a/src/gateway/adapter.rs
+++ b/src/gateway/adapter.rs
@@ -4,17 +4,20 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use bytes::Bytes;
 use futures::future::BoxFuture;
 use http::HeaderMap;
 use http::Request;
 use http::Response;
 use http::StatusCode;
 use http::request;
+use http_body_util::Full;
 use hyper::body::Incoming;
 
 use super::Call;
 use super::State;
 use crate::decide::feedback::Feedback;
+use crate::decide::held;
 use crate::decide::place::Report;
 use crate::http::Body;
 use crate::http::Refusal;
@@ -32,8 +35,31 @@
     fn encode_refusal(&self, refusal: &Refusal) -> Response<Body>;
 }
 
+/// Asks engines what they hold in their caches. Without an implementation nothing is asked.
+pub trait CacheCodec: Send + Sync + 'static {
+    /// Encodes the question for events from that number on. The engine waits that long for one.
+    fn encode_events_query(&self, _since: u64, _wait: Duration) -> Option<Request<Full<Bytes>>> {
+        None
+    }
+
+    /// Decodes the answer; `None` if it is malformed.
+    fn decode_events(&self, _body: &[u8]) -> Option<held::Events> {
+        None
+    }
+
+    /// Encodes the question for all that the engine holds.
+    fn encode_list_query(&self) -> Option<Request<Full<Bytes>>> {
+        None
+    }
+
+    /// Decodes the answer; `None` if it is malformed.
+    fn decode_list(&self, _body: &[u8]) -> Option<held::Listing> {
+        None
+    }
+}
+
 /// Serves the operator endpoints (readiness, metrics) and the directory.
-pub trait Adapter: Codec {
+pub trait Adapter: Codec + CacheCodec {
     /// Handles an operator's request.
     fn handle_operator(
         &self,
--- a/src/gateway/daemon.rs
+++ b/src/gateway/daemon.rs
@@ -19,6 +19,7 @@
 use super::Adapter;
 use super::State;
 use super::follow;
+use super::held;
 use super::reach;
 use super::receive;
 use super::sharing;
@@ -89,6 +90,11 @@
         let (following, stop) = (state.clone(), supervisor.stop());
         supervisor.child("following", move || follow::run(following.clone(), stop.clone()));
         if node.secret.is_empty() {
+            if entry.held_prompts {
+                // Only one VM asks an engine, so what it learns is of use where VMs share it.
+                state.place().enable_held();
+                spawn_task(&mut supervisor, "held", &state, held::run);
+            }
             let (state, stop, address) = (state.clone(), supervisor.stop(), entry.forwards);
             supervisor
                 .child("sharing", move || sharing::run(state.clone(), address, seed, stop.clone()));
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -39,6 +39,9 @@
     draining: Gauge,
     backing_off: Gauge,
     unanswered: Gauge,
+    indexed: Gauge,
+    held_tokens: Counter,
+    unheld_tokens: Counter,
     vms: Gauge,
     in_progress: Gauge,
     version: Gauge,
@@ -103,6 +106,15 @@
         let unanswered = Gauge::default();
         let text = "Requests that were given up, and that upstreams may still run";
         registry.register("unanswered", text, unanswered.clone());
+        let indexed = Gauge::default();
+        let text = "Engines of the region whose cached prompt parts are known";
+        registry.register("engines_indexed", text, indexed.clone());
+        let held_tokens = Counter::default();
+        let text = "Shared prompt tokens that the chosen engine held, by its index";
+        registry.register("held_tokens", text, held_tokens.clone());
+        let unheld_tokens = Counter::default();
+        let text = "Shared prompt tokens that the chosen engine had to read, by its index";
+        registry.register("unheld_tokens", text, unheld_tokens.clone());
         let vms = Gauge::default();
         registry.register("vms", "Entry VMs that take requests", vms.clone());
         let in_progress = Gauge::default();
@@ -129,6 +141,9 @@
             draining,
             backing_off,
             unanswered,
+            indexed,
+            held_tokens,
+            unheld_tokens,
             vms,
             in_progress,
             version,
@@ -218,6 +233,13 @@
         self.unanswered.set(i64::from(unanswered));
     }
 
+    /// Sets the number of engines with an index, and the shared tokens that they held and had to read since the start.
+    pub fn set_held(&self, engines: usize, (held, unheld): (u64, u64)) {
+        self.indexed.set(engines as i64);
+        self.held_tokens.inc_by(held.saturating_sub(self.held_tokens.get()));
+        self.unheld_tokens.inc_by(unheld.saturating_sub(self.unheld_tokens.get()));
+    }
+
     /// Encodes all metrics in the text format, after updating the gauges.
     pub fn encode(&self, upstreams: usize, vms: usize, in_progress: usize, version: u64) -> String {
         self.upstreams.set(upstreams as i64);
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -14,6 +14,7 @@
 pub mod events;
 pub mod follow;
 pub mod headers;
+mod held;
 pub mod metrics;
 mod reach;
 pub mod receive;
@@ -24,6 +25,7 @@
 pub mod stream;
 
 pub use adapter::Adapter;
+pub use adapter::CacheCodec;
 pub use adapter::Codec;
 pub use call::Call;
 pub use caller::Caller;
--- a/src/gateway/sharing.rs
+++ b/src/gateway/sharing.rs
@@ -21,6 +21,7 @@
 use tokio::time::Instant;
 
 use super::State;
+use crate::decide::held;
 use crate::decide::quota;
 use crate::decide::quota::Balances;
 use crate::decide::quota::Excess;
@@ -69,6 +70,8 @@
     known: Cursor,
     /// Own uses that are not confirmed, each with the number of the first update that contained it.
     uses: Vec<(u64, PrefixUse)>,
+    /// The position up to which changes of engines' caches have been received.
+    known_held: Cursor,
 }
 
 /// Addresses of other entry VMs.
@@ -214,6 +217,7 @@
         let mut update = self.update(shard, turn.number, loads, used);
         (update.limits, update.draining, update.claims) = (limits, draining, claims);
         update.quotas = state.meter().counts(shard, now);
+        update.held = self.held(state, shard, turn.number, now);
         if shard == REMOTES_SHARD {
             update.remotes = state.regions().take_outlooks(now);
         }
@@ -249,6 +253,13 @@
         Update { shard, start, number, loads, uses, known, ..Update::default() }
     }
 
+    /// What this VM tells of engines' caches; `None` if engines are not asked.
+    fn held(&self, state: &State, shard: u8, number: u64, now: Instant) -> Option<held::Exchange> {
+        state.node().entry.as_ref().filter(|entry| entry.held_prompts)?;
+        let known = self.inner().shards[usize::from(shard)].known_held;
+        Some(held::Exchange { known, changes: state.held_changes(shard, number, now) })
+    }
+
     async fn receive(&self, state: &State) {
         let mut bytes = vec![0; MAX_DATAGRAM_BYTES];
         loop {
@@ -334,10 +345,14 @@
             let shard = &mut inner.shards[usize::from(summary.shard)];
             shard.known = summary.known;
             shard.uses.retain(|(number, _)| *number > summary.number);
+            if let Some(held) = &summary.held {
+                shard.known_held = held.known;
+            }
         }
         if let Some(parts) = &summary.quotas {
             state.meter().apply_rates(summary.shard, parts, now);
         }
+        state.confirm_held(summary.shard, summary.number);
         state.place().apply_summary(&summary, now);
         if !summary.grants.is_empty() {
             state.notify_room();
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -24,6 +24,7 @@
 use self::retries::Issuers;
 use super::Adapter;
 use super::crashes::Breaks;
+use super::held::Asked;
 use super::metrics::Metrics;
 use crate::clock;
 use crate::decide::freshness;
@@ -106,6 +107,8 @@
     pub(super) reach: Mutex<Reach>,
     /// Notifies of requests that failed without an answer.
     pub(super) reach_doubts: Notify,
+    /// What the engines that this VM asks hold in their caches.
+    pub(super) held: Mutex<Asked>,
     presence: Mutex<Presence>,
     pub(super) rng: Mutex<SmallRng>,
     pub(super) client: Client,
@@ -202,6 +205,7 @@
             popular: Mutex::default(),
             reach: Mutex::default(),
             reach_doubts: Notify::new(),
+            held: Mutex::new(Asked::new(seed)),
             presence: Mutex::new(presence),
             rng: Mutex::new(rng),
             mesh: OnceLock::new(),
@@ -270,6 +274,8 @@
             self.metrics.set_draining(place.draining_count());
             self.metrics.set_backing_off(place.backoff_count(Instant::now()));
             self.metrics.set_unanswered(place.unanswered());
+            let indexed = place.held().known_count(Instant::now());
+            self.metrics.set_held(indexed, place.held_tokens());
         }
         let (suspects, quarantined) = self.quarantine().counts(Instant::now());
         self.metrics.set_suspects(suspects, quarantined);
--- a/src/gateway/state/tests/region.rs
+++ b/src/gateway/state/tests/region.rs
@@ -24,6 +24,7 @@
 use crate::decide::place::Query;
 use crate::decide::place::Work;
 use crate::gateway::Adapter;
+use crate::gateway::CacheCodec;
 use crate::gateway::Call;
 use crate::gateway::Codec;
 use crate::gateway::State;
@@ -78,6 +79,8 @@
     }
 }
 
+impl CacheCodec for NoAdapter {}
+
 impl Adapter for NoAdapter {
     fn handle_operator(
         &self,
--- a/src/settings/node.rs
+++ b/src/settings/node.rs
@@ -60,6 +60,8 @@
     pub directory: Option<SocketAddr>,
     /// How long callers use an answer of the directory, this VM's or a control VM's.
     pub directory_time: Duration,
+    /// Whether engines are asked what they hold in their caches.
+    pub held_prompts: bool,
     /// From the signal to end until the process is ended by force.
     pub grace: Duration,
 }
@@ -289,6 +291,7 @@
     let forwards = section.required("forwards");
     let directory: Option<SocketAddr> = section.optional("directory");
     let directory_time = directory_time(section);
+    let held_prompts = section.or("held_prompts", Flag(false));
     let grace = section.or("grace", Span(Duration::from_secs(600)));
     section.finish();
     Some(Entry {
@@ -297,6 +300,7 @@
         forwards: forwards?,
         directory,
         directory_time: directory_time?,
+        held_prompts: held_prompts?.0,
         grace: grace?.0,
     })
 }
