--- a/tests/load/main.rs
+++ b/tests/load/main.rs
@@ -17,6 +17,7 @@
 mod overload;
 mod policy;
 mod pool;
+mod prompts;
 mod quotas;
 mod refusals;
 mod regions;
