Shortage: only the most urgent requests have the lower limit

Suspected, not traced: the lower limit also raises the cost of engines above it, so that prompts of lower rank are moved to engines that have to read their parts again, and their expected time, which includes preemption, makes the service look short of capacity. Change: the expected time of urgent requests alone shows a shortage, and they alone have the lower limit.

--- a/src/decide/room/bound.rs
+++ b/src/decide/room/bound.rs
@@ -5,7 +5,7 @@
 use tokio::time::Instant;
 
 /// How fast the bound rises without rejections, in requests a second. Each VM finds by a rejection of its own that it has risen
-/// too far: at one a second, 26 VMs at three times the load had 6 in 100 arrivals rejected for it.
+/// too far, so that many VMs cause many rejections at a higher rate.
 const RECOVERY_RATE: f64 = 0.2;
 
 /// How long after its last rejection an upstream counts as bounded.
--- a/src/decide/shortage/shortages.rs
+++ b/src/decide/shortage/shortages.rs
@@ -15,7 +15,9 @@
 }
 
 impl Shortages {
-    /// Records the expected time to the first event of a request, and its objective.
+    /// Records the expected time to the first event of an urgent request, and its objective.
+    ///
+    /// Others don't count: what is expected of them includes preemption by urgent ones, which is no queue.
     pub fn record_expected(
         &mut self,
         service: &str,
@@ -38,6 +40,9 @@
     /// Returns the limit of the expected time of a request; a lower one in a shortage, and lower still if its caller's first
     /// attempt was so long ago.
     ///
+    /// Only urgent requests have a lower limit. Others are refused before them by their usual one; with less, prompts would be
+    /// moved away from engines that hold their parts.
+    ///
     /// Failure: requests that can't be in time any more lengthen the wait of others, which are late as well then.
     pub fn limit(
         &self,
@@ -47,7 +52,7 @@
         now: Instant,
     ) -> Duration {
         let limit = wait::limit(objective, urgent);
-        let Some(detector) = self.services.get(service) else { return limit };
+        let Some(detector) = self.services.get(service).filter(|_| urgent) else { return limit };
         let elapsed = since_first.unwrap_or_default();
         let is_late = elapsed >= objective;
         match (detector.is_standing(now), is_late && detector.is_pressed(now)) {
--- a/src/decide/shortage/tests.rs
+++ b/src/decide/shortage/tests.rs
@@ -107,3 +107,13 @@
     let later = start + Duration::from_secs(30);
     assert_eq!(returns.record_timeout("r", ms(1000), later), None);
 }
+
+// Guards against prompts of lower rank that are moved away from engines which hold their parts, since their limit is lowered.
+#[tokio::test(start_paused = true)]
+async fn a_shortage_leaves_the_limit_of_other_requests_as_it_is() {
+    let (mut shortages, start) = (Shortages::default(), Instant::now());
+    let end = press(&mut shortages, start, Duration::from_secs(2), u32::MAX);
+    assert!(is_standing(&shortages, end));
+    let limit = shortages.limit("s", (OBJECTIVE, false), Some(OBJECTIVE), end);
+    assert_eq!(limit, wait::limit(OBJECTIVE, false));
+}
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -553,12 +553,12 @@
         full_queue.map_or(Duration::MAX, |_| route.objective)
     }
 
-    /// Records the expected time of a request that has not been sent yet, which shows whether the service is short of
+    /// Records the expected time of an urgent request that has not been sent yet, which shows whether the service is short of
     /// capacity. What is expected of a peer is no estimate.
     fn record_expected(&self, placement: &Placement) {
-        let Job { route, service, .. } = &self.job;
+        let Job { route, service, urgent, .. } = &self.job;
         let is_estimate = !matches!(placement, Placement::Peer { .. });
-        if !is_estimate || !route.kind.is_stream() || self.attempts() > 0 {
+        if !is_estimate || !urgent || !route.kind.is_stream() || self.attempts() > 0 {
             return;
         }
         let (expected, now) = (placement.expected(), Instant::now());
