Room, pace and sharing, read once more: one piece for twins, no search where no bound is known

Cause: the read of the whole change found logic that stood twice and work on the path of each request that nobody uses. Change: what VMs report of one upstream (loads, limits, paces) is merged by one function; the bounds of a service's upstreams are found by one iterator, which searches nothing while the service has had no rejection; turns, parts and draws share their seed; the time of a stream stands in one formula; stated timeouts are recorded for streams alone, which alone use them; two load tests share their engine.

--- a/src/decide/place/cost.rs
+++ b/src/decide/place/cost.rs
@@ -77,7 +77,7 @@
     /// move prefixes away from engines that still meet it.
     pub fn estimate(&self, profile: &Profile, max_wait: Duration) -> Estimate {
         let speed = &profile.speed;
-        let stream = self.events * speed.gap(self.running + 1.0) * self.slowdown;
+        let stream = profile.stream(self.events, self.running, self.slowdown);
         let last_event = self.first_event + stream;
         let lengthening = self.events * speed.gap_per_request() * self.slowdown;
         let others = self.running * (lengthening + speed.prefill(self.prefill));
--- a/src/decide/place/regions.rs
+++ b/src/decide/place/regions.rs
@@ -14,8 +14,9 @@
 //! A full upstream of a plain service rejects requests, so another region is used before this one is full. The trip is
 //! all that forwarding a plain request costs, provided that its objective leaves time for it.
 //!
-//! A region sends its outlook (the expected time to the first event and the number of requests on its best engine)
-//! with each answer to another region, and how many more requests it has room for; the VMs of a region exchange outlooks, and stale ones are ignored.
+//! A region sends its outlook (the expected time to the first event, the number of requests on its best engine, and how
+//! many more requests it has room for) with each answer to another region; the VMs of a region exchange outlooks, and
+//! stale ones are ignored.
 
 mod room;
 
@@ -45,8 +46,8 @@
 const ROUND_TRIP: Duration = Duration::from_millis(110);
 /// The minimum gain of forwarding, for the bandwidth and for the load on the other region.
 const FORWARDING_COST: Duration = Duration::from_millis(150);
-/// The same for a plain service whose objective leaves time for the trip. Its upstreams queue requests for about 300 ms
-/// at most, so that a higher cost would keep requests here until they are rejected.
+/// The same for a plain service whose objective leaves time for the trip. The queues of its upstreams are short, so that a
+/// higher cost would keep requests here until they are rejected.
 const PLAIN_FORWARDING_COST: Duration = Duration::from_millis(20);
 /// The minimum objective of a plain service for that cost, in round trips. With less, the trip would use up the time
 /// that a request may wait for a slot there.
--- a/src/decide/place/room.rs
+++ b/src/decide/place/room.rs
@@ -167,13 +167,6 @@
         self.stats.service_time().mul_f64(rounds.max(1.0))
     }
 
-    /// Returns how many more requests a plain upstream takes below its bound, as far as this VM knows.
-    fn free_places(&self, upstream: &UpstreamState) -> Option<u32> {
-        let bound = upstream.bound(self.stats, self.now)?;
-        let held = upstream.total_requests(self.stats, self.sender, self.now).ceil();
-        Some(bound.saturating_sub(held as u32))
-    }
-
     /// Returns the capacity for the VMs that this VM knows.
     pub(super) fn capacity(&self, upstream: &UpstreamState) -> u32 {
         self.sender.known_part(upstream.key(), upstream.capacity(self.now))
@@ -374,26 +367,37 @@
     /// is known.
     pub fn free_places(&self, service: &str, now: Instant) -> Option<u32> {
         let demand = self.demand(service, now);
-        let upstreams = self.available(service);
-        let free = upstreams.filter_map(|(_, upstream)| demand.free_places(upstream));
+        let free = self.bounded(service, now).map(|(upstream, bound)| {
+            let held = upstream.total_requests(demand.stats, demand.sender, now).ceil();
+            bound.saturating_sub(held as u32)
+        });
         free.reduce(u32::saturating_add)
     }
 
     /// Returns how many requests the plain upstreams of a service hold at most, as far as is known.
     pub fn bounds(&self, service: &str, now: Instant) -> u32 {
-        let stats = self.services.get(service).unwrap_or(&self.no_stats);
-        self.available(service).filter_map(|(_, upstream)| upstream.bound(stats, now)).sum()
+        self.bounded(service, now).map(|(_, bound)| bound).sum()
     }
 
     /// Returns the least time from sending a request to its answer at a plain upstream that holds as many as it can; `None`
     /// while no bound is known.
     pub fn full_queue(&self, service: &str, now: Instant) -> Option<Duration> {
         let demand = self.demand(service, now);
-        let upstreams = self.available(service);
-        let queues = upstreams.filter_map(|(_, upstream)| {
-            Some(demand.full_queue(upstream, upstream.bound(demand.stats, now)?))
-        });
-        queues.min()
+        let bounded = self.bounded(service, now);
+        bounded.map(|(upstream, bound)| demand.full_queue(upstream, bound)).min()
+    }
+
+    /// Iterates over the plain upstreams of a service with their bounds. A service without any rejection is not searched.
+    fn bounded<'a>(
+        &'a self,
+        service: &'a str,
+        now: Instant,
+    ) -> impl Iterator<Item = (&'a UpstreamState, u32)> {
+        let stats = self.services.get(service).filter(|stats| stats.bound().is_some());
+        stats.into_iter().flat_map(move |stats| {
+            let upstreams = self.available(service);
+            upstreams.filter_map(move |(_, upstream)| Some((upstream, upstream.bound(stats, now)?)))
+        })
     }
 
     /// Returns how long a request with that objective may wait for room at its VM. At plain upstreams it then waits once more.
--- a/src/decide/place/service.rs
+++ b/src/decide/place/service.rs
@@ -105,6 +105,14 @@
 /// The service time before any measurement.
 const DEFAULT_SERVICE_TIME: Duration = Duration::from_millis(200);
 
+impl Profile {
+    /// Returns the seconds from the first to the last event of a stream beside `running` others, with a slowdown that gaps have
+    /// there.
+    pub fn stream(&self, events: f64, running: f64, slowdown: f64) -> f64 {
+        events * self.speed.gap(running + 1.0) * slowdown
+    }
+}
+
 impl ServiceStats {
     /// Records a request with that many tokens to prefill.
     pub fn record_sent(&mut self, prefill: Tokens, now: Instant) {
--- a/src/decide/place/upstream.rs
+++ b/src/decide/place/upstream.rs
@@ -300,7 +300,7 @@
         let first_event = pace.duration(usual) + preemption;
         let events = profile.length.events(&query.work.output);
         // The pace decays while the request is queued and prefilled.
-        let stream = events * profile.speed.gap(total + 1.0) * slowdown;
+        let stream = profile.stream(events, total, slowdown);
         let stream_factor = pace.after(seconds(first_event)).mean_factor(stream);
         Conditions {
             first_event,
@@ -453,12 +453,12 @@
         }
     }
 
-    /// Returns the number of requests that run concurrently.
+    /// Returns the slots that it announced, which all VMs know alike.
     pub(super) fn slot_count(&self) -> u32 {
         u32::try_from(self.endpoint.slots.get()).unwrap_or(u32::MAX).max(1)
     }
 
-    /// Returns the number of requests that run concurrently.
+    /// Returns the number of requests that run concurrently, as far as this VM knows.
     pub fn slots(&self) -> f64 {
         self.reported_slots.unwrap_or(self.endpoint.slots).get().max(1) as f64
     }
--- a/src/decide/room.rs
+++ b/src/decide/room.rs
@@ -24,7 +24,6 @@
 mod waiters;
 
 pub use allowance::Allowance;
-pub use bound::BOUND_TTL;
 pub use bound::Bound;
 pub use claim::Claim;
 pub use claim::Grant;
--- a/src/decide/room/bound.rs
+++ b/src/decide/room/bound.rs
@@ -9,7 +9,7 @@
 const RECOVERY_RATE: f64 = 0.2;
 
 /// How long after its last rejection an upstream counts as bounded.
-pub const BOUND_TTL: Duration = Duration::from_secs(60);
+const BOUND_TTL: Duration = Duration::from_secs(60);
 
 /// The requests, running and waiting, beyond which an upstream rejects more of them.
 ///
--- a/src/decide/sharing/aggregator.rs
+++ b/src/decide/sharing/aggregator.rs
@@ -199,49 +199,44 @@
 }
 
 impl Shard {
+    /// Iterates over the last updates of all VMs except one, with their ages.
+    fn updates_excluding<'a>(
+        &'a self,
+        excluded: &'a id::Vm,
+        now: Instant,
+    ) -> impl Iterator<Item = (&'a Update, Duration)> {
+        let others = self.received.iter().filter(move |(vm, _)| *vm != excluded);
+        others.map(move |(_, received)| {
+            (&received.update, now.saturating_duration_since(received.at))
+        })
+    }
+
     /// Sums the load over all VMs except one.
     fn sum_excluding(&self, excluded: &id::Vm, now: Instant) -> BTreeMap<Key, Load> {
-        let mut sums: BTreeMap<Key, Load> = BTreeMap::new();
-        for (_, received) in self.received.iter().filter(|(vm, _)| *vm != excluded) {
-            let age = now.saturating_duration_since(received.at);
-            for (key, load) in &received.update.loads {
-                let sum = sums.entry(*key).or_default();
-                *sum = sum.merge(load.aged(age));
-            }
-        }
-        sums
+        let updates = self.updates_excluding(excluded, now);
+        let loads = updates.flat_map(|(update, age)| {
+            update.loads.iter().map(move |(key, load)| (*key, load.aged(age)))
+        });
+        merge_by_key(loads, Load::merge)
     }
 
     /// Returns the latest rate limits of all VMs except one.
     fn limits_excluding(&self, excluded: &id::Vm, now: Instant) -> BTreeMap<Key, RateNotice> {
-        let mut latest: BTreeMap<Key, RateNotice> = BTreeMap::new();
-        for (_, received) in self.received.iter().filter(|(vm, _)| *vm != excluded) {
-            let age = now.saturating_duration_since(received.at);
-            for (key, notice) in &received.update.limits {
-                let notice = notice.aged(age);
-                latest
-                    .entry(*key)
-                    .and_modify(|known| *known = known.merge(notice))
-                    .or_insert(notice);
-            }
-        }
-        latest
+        let updates = self.updates_excluding(excluded, now);
+        let limits = updates.flat_map(|(update, age)| {
+            update.limits.iter().map(move |(key, notice)| (*key, notice.aged(age)))
+        });
+        merge_by_key(limits, RateNotice::merge)
     }
 
     /// Returns the latest paces that all VMs except one observed.
     fn paces_excluding(&self, excluded: &id::Vm, now: Instant) -> BTreeMap<Key, pace::Notice> {
-        let mut latest: BTreeMap<Key, pace::Notice> = BTreeMap::new();
-        for (_, received) in self.received.iter().filter(|(vm, _)| *vm != excluded) {
-            let age = now.saturating_duration_since(received.at);
-            let notices = received.update.paces.iter().map(|notice| notice.aged(age));
-            for notice in notices.filter(|notice| notice.age < pace::NOTICE_TTL) {
-                latest
-                    .entry(notice.upstream)
-                    .and_modify(|known| *known = known.merge(notice))
-                    .or_insert(notice);
-            }
-        }
-        latest
+        let updates = self.updates_excluding(excluded, now);
+        let paces = updates
+            .flat_map(|(update, age)| update.paces.iter().map(move |notice| notice.aged(age)))
+            .filter(|notice| notice.age < pace::NOTICE_TTL)
+            .map(|notice| (notice.upstream, notice));
+        merge_by_key(paces, pace::Notice::merge)
     }
 
     /// Returns the draining upstreams of all VMs except one.
@@ -284,3 +279,15 @@
         (uses, Cursor { host, next: end })
     }
 }
+
+/// Merges what several VMs report of the same upstream.
+fn merge_by_key<T: Copy>(
+    reports: impl Iterator<Item = (Key, T)>,
+    merge: impl Fn(T, T) -> T,
+) -> BTreeMap<Key, T> {
+    let mut merged: BTreeMap<Key, T> = BTreeMap::new();
+    for (key, report) in reports {
+        merged.entry(key).and_modify(|known| *known = merge(*known, report)).or_insert(report);
+    }
+    merged
+}
--- a/src/decide/turns/sender.rs
+++ b/src/decide/turns/sender.rs
@@ -98,11 +98,8 @@
     ) -> u32 {
         let known = u64::from(self.known_part(key, places));
         let holders = self.others.len() as u64 + 1;
-        let index = (self.since_epoch(now) / period.as_secs_f64()).floor() as i64;
-        let part_in = |index: i64| {
-            let offset = xxh3_64_with_seed(&index.to_le_bytes(), u64::from(key.get()));
-            part_at(offset, known, holders, self.rank)
-        };
+        let index = self.period_index(period, now);
+        let part_in = |index| part_at(seed(key, index), known, holders, self.rank);
         match self.is_within(period, overlap, now) {
             true => part_in(index).min(part_in(index - 1)),
             false => part_in(index),
@@ -116,11 +113,15 @@
 
     /// Returns whether this VM is drawn for a chance at an upstream, which differs from one period to the next.
     pub fn is_drawn(&self, key: Key, chance: f64, period: Duration, now: Instant) -> bool {
-        let index = (self.since_epoch(now) / period.as_secs_f64()).floor() as i64;
-        let seed = xxh3_64_with_seed(&index.to_le_bytes(), u64::from(key.get()));
+        let seed = seed(key, self.period_index(period, now));
         (rendezvous::weight(seed, self.own.as_str()) as f64) < chance * u64::MAX as f64
     }
 
+    /// Returns the number of the current period since the epoch.
+    fn period_index(&self, period: Duration, now: Instant) -> i64 {
+        (self.since_epoch(now) / period.as_secs_f64()).floor() as i64
+    }
+
     /// Returns how long the VM has no turns.
     pub fn settles_in(&self, now: Instant) -> Duration {
         self.settled_at.map_or(Duration::ZERO, |at| at.saturating_duration_since(now))
@@ -128,7 +129,7 @@
 
     /// Returns whether a turn is assigned to this VM.
     pub(super) fn owns(&self, key: Key, index: i64) -> bool {
-        let seed = xxh3_64_with_seed(&index.to_le_bytes(), u64::from(key.get()));
+        let seed = seed(key, index);
         if seed & ((1 << self.shard_bits) - 1) != self.shard {
             return false;
         }
@@ -152,6 +153,11 @@
     }
 }
 
+/// Returns the seed of an upstream's turn, or of a period at it.
+fn seed(key: Key, index: i64) -> u64 {
+    xxh3_64_with_seed(&index.to_le_bytes(), u64::from(key.get()))
+}
+
 /// Returns an equal part of an upstream's places. Those that are left over fall to some of the holders, and to others at another
 /// upstream.
 fn part(key: Key, places: u64, holders: u64, rank: u64) -> u32 {
@@ -159,6 +165,7 @@
     part_at(offset, places, holders, rank)
 }
 
+/// Returns the equal part of the holder with that rank, if the places that are left over fall to the holders from `offset` on.
 fn part_at(offset: u64, places: u64, holders: u64, rank: u64) -> u32 {
     let position = (offset % holders + rank) % holders;
     (places / holders) as u32 + u32::from(position < places % holders)
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -250,7 +250,7 @@
     /// Creates a relay without any attempt.
     pub fn new(state: Arc<State>, job: Job) -> Self {
         let work = job.call.work();
-        let stated = job.call.timeout;
+        let stated = job.call.timeout.filter(|_| job.route.kind.is_stream());
         let since_first = stated.and_then(|timeout| state.record_timeout(&job.route.name, timeout));
         Self {
             state,
--- a/tests/load/pace.rs
+++ b/tests/load/pace.rs
@@ -1,6 +1,6 @@
 //! Upstreams that share their machines with other work, judged by the latency of what callers receive.
 
-mod upstream;
+pub mod upstream;
 mod world;
 
 use yare::parameterized;
--- a/tests/load/shortage/world.rs
+++ b/tests/load/shortage/world.rs
@@ -5,7 +5,6 @@
 use std::time::Duration;
 
 use fakes::steps::Ask;
-use fakes::steps::Settings;
 use fakes::steps::Shown;
 use fakes::steps::Steps;
 use masticstream::decide::engine::Output;
@@ -34,18 +33,9 @@
 use rand::rngs::SmallRng;
 use tokio::time::Instant;
 
-const SERVICE: &str = "s";
+use crate::pace::upstream::ENGINE;
 
-/// An engine of the first deployment.
-const ENGINE: Settings = Settings {
-    slots: 12,
-    memory: 305_617,
-    base: 0.00518,
-    per_request: 0.00003,
-    per_token: 1.0 / 49_600.0,
-    chunk: 4096,
-    event: 5,
-};
+const SERVICE: &str = "s";
 
 /// The bounds of the time after which a refused caller returns.
 const MIN_RETRY_AFTER: f64 = 0.15;
