A process whose state may be inconsistent after a panic ends

After one panic in a control process every later use of its roster panicked too: 502 or 503 to every check-in, read and configuration, and the process went on, so that nothing started it again. A panic in the task of a replica left a control VM without a replica in the same way.

Cause: std's mutexes are poisoned by a panic while they are locked, and each use of one expected the opposite. The HTTP server and the runtime catch the panic of a request or task, so that the process stays.

Change: sync::Mutex ends the process with status 70 at the first lock after such a panic; a replica's task that panics does the same. panics::report_to logs each panic (process.panicked with its place) and counts it (mastic_panics, mastic_control_panics), which tells a panic from a group without leader. A panic of a single request that holds no lock is answered as before.

Measured: sync::tests::a_process_ends_where_shared_state_can_be_inconsistent passes; it has no counterpart before, as a test would hang on to a poisoned lock.

--- a/src/bin/mastic-entry.rs
+++ b/src/bin/mastic-entry.rs
@@ -7,6 +7,7 @@
 use masticstream::cli;
 use masticstream::entry::Daemon;
 use masticstream::log;
+use masticstream::panics;
 use masticstream::signal;
 use masticstream::unit::Incarnation;
 
@@ -24,6 +25,7 @@
         Err(error) => return cli::errors::report(&error),
     };
     let log = log::logger(&site.logs, &arguments.vm, "entry");
+    panics::report_to(log.clone());
     let daemon = match Daemon::start(arguments.vm, site, incarnation(), rand::random(), log).await {
         Ok(daemon) => daemon,
         Err(error) => return cli::errors::report(&cli::Error::Start(error.to_string())),
--- a/src/control/daemon.rs
+++ b/src/control/daemon.rs
@@ -26,6 +26,7 @@
 use crate::entry::daemon::listen;
 use crate::http;
 use crate::id;
+use crate::panics;
 use crate::settings::Site;
 use crate::settings::site::ControlAddresses;
 use crate::supervisor::Supervisor;
@@ -157,13 +158,13 @@
         match &name {
             Name::Catalogue => {
                 let (seat, task) = Seat::new(shared.clone(), name, role, place, seed);
-                replicas.spawn(task);
+                replicas.spawn(panics::end_process_on_panic("replica", task));
                 seats.catalogue = Some(seat);
             }
             Name::Ledger(region) => {
                 let region = region.clone();
                 let (seat, task) = Seat::new(shared.clone(), name, role, place, seed);
-                replicas.spawn(task);
+                replicas.spawn(panics::end_process_on_panic("replica", task));
                 seats.ledgers.insert(region, seat);
             }
             // Not planned on a site that names its VMs.
--- a/src/control/routes.rs
+++ b/src/control/routes.rs
@@ -1,9 +1,9 @@
 //! Which VM holds which replica: replicas are named by their data folders, links by VMs.
 
 use std::collections::HashMap;
-use std::sync::Mutex;
 
 use crate::id;
+use crate::sync::Mutex;
 
 /// The VMs of replicas, as they tell themselves.
 #[derive(Debug, Default)]
@@ -14,7 +14,7 @@
 impl Routes {
     /// Notes where a replica is.
     pub fn learn(&self, replica: id::Replica, vm: &id::Vm) {
-        let mut vms = self.vms.lock().expect("no panic while locked");
+        let mut vms = self.vms.lock();
         if vms.get(&replica) != Some(vm) {
             vms.insert(replica, vm.clone());
         }
@@ -27,6 +27,6 @@
 
     /// Where a replica is.
     pub fn vm(&self, replica: id::Replica) -> Option<id::Vm> {
-        self.vms.lock().expect("no panic while locked").get(&replica).cloned()
+        self.vms.lock().get(&replica).cloned()
     }
 }
--- a/src/directory/batching.rs
+++ b/src/directory/batching.rs
@@ -4,13 +4,14 @@
 //! longer the more followers there are. Withdrawals are never delayed.
 
 use std::collections::VecDeque;
-use std::sync::Mutex;
 use std::sync::atomic::AtomicU32;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use tokio::time::Instant;
 
+use crate::sync::Mutex;
+
 /// The interval between replies that additions cause, over all followers.
 const REPLY_INTERVAL: Duration = Duration::from_micros(500);
 /// The longest wait of an addition.
@@ -36,7 +37,7 @@
 impl Batching {
     /// Records the latest revision.
     pub fn record(&self, revision: u64, now: Instant) {
-        let mut times = self.times.lock().expect("no panic while locked");
+        let mut times = self.times.lock();
         if times.back().is_none_or(|(latest, _)| *latest < revision) {
             times.push_back((revision, now));
         }
@@ -59,7 +60,7 @@
     /// When a follower whose first missing addition has that revision is to be sent it.
     pub fn due(&self, first: u64) -> Instant {
         let delay = REPLY_INTERVAL * self.followers();
-        let times = self.times.lock().expect("no panic while locked");
+        let times = self.times.lock();
         let at = times.iter().find(|(revision, _)| *revision >= first).map(|(_, at)| *at);
         // A change that is no longer listed has waited longer than any may; one not yet listed is about to be.
         let at = at.filter(|_| times.front().is_some_and(|(oldest, _)| first >= *oldest));
--- a/src/directory/broadcast.rs
+++ b/src/directory/broadcast.rs
@@ -5,7 +5,6 @@
 
 use std::collections::HashMap;
 use std::sync::Arc;
-use std::sync::Mutex;
 use std::time::Duration;
 
 use slog::error;
@@ -18,6 +17,7 @@
 use crate::roster::Announcement;
 use crate::roster::Heartbeat;
 use crate::roster::Presence;
+use crate::sync::Mutex;
 use crate::wire::Cast;
 use crate::wire::Peer;
 use crate::wire::Role;
@@ -44,7 +44,7 @@
 impl Queue {
     /// Queues a changed announcement.
     pub fn push_announcement(&self, announcement: Announcement) {
-        let mut pending = self.upstreams.lock().expect("no panic while locked");
+        let mut pending = self.upstreams.lock();
         pending.insert(announcement.id.clone(), (announcement, REPEATS));
         drop(pending);
         self.changed.notify_one();
@@ -52,7 +52,7 @@
 
     /// Queues a changed presence.
     pub fn push_presence(&self, presence: Presence) {
-        let mut pending = self.vms.lock().expect("no panic while locked");
+        let mut pending = self.vms.lock();
         pending.insert((presence.vm.clone(), presence.role), (presence, REPEATS));
         drop(pending);
         self.changed.notify_one();
@@ -60,7 +60,7 @@
 
     /// Queues the renewal of an unchanged announcement.
     pub fn renew_announcement(&self, announcement: Announcement) {
-        let mut pending = self.upstreams.lock().expect("no panic while locked");
+        let mut pending = self.upstreams.lock();
         match pending.get_mut(&announcement.id) {
             Some((last, _)) => *last = announcement,
             // A heartbeat does not carry time spans, so others are sent in full.
@@ -75,7 +75,7 @@
 
     /// Queues the renewal of an unchanged presence.
     pub fn renew_presence(&self, presence: Presence) {
-        let mut pending = self.vms.lock().expect("no panic while locked");
+        let mut pending = self.vms.lock();
         let key = (presence.vm.clone(), presence.role);
         match pending.get_mut(&key) {
             Some((last, _)) => *last = presence,
@@ -90,16 +90,16 @@
     }
 
     fn push_heartbeat(&self, digest: u64, sequence: u64) {
-        let mut pending = self.heartbeats.lock().expect("no panic while locked");
+        let mut pending = self.heartbeats.lock();
         let last = pending.entry(digest).or_default();
         *last = sequence.max(*last);
     }
 
     /// Takes the statements to send; those to be repeated stay queued.
     fn take(&self) -> Heard {
-        let upstreams = take_pending(&mut self.upstreams.lock().expect("no panic while locked"));
-        let vms = take_pending(&mut self.vms.lock().expect("no panic while locked"));
-        let alive = std::mem::take(&mut *self.heartbeats.lock().expect("no panic while locked"));
+        let upstreams = take_pending(&mut self.upstreams.lock());
+        let vms = take_pending(&mut self.vms.lock());
+        let alive = std::mem::take(&mut *self.heartbeats.lock());
         let alive = alive.into_iter().map(Heartbeat::from).collect();
         Heard { upstreams, vms, alive, wanted: Vec::new() }
     }
--- a/src/directory/daemon.rs
+++ b/src/directory/daemon.rs
@@ -31,6 +31,7 @@
 use crate::entry::daemon::listen;
 use crate::http::Body;
 use crate::http::server;
+use crate::panics;
 use crate::settings::Node;
 use crate::supervisor::Supervisor;
 use crate::wire::Mesh;
@@ -99,7 +100,7 @@
             Seat::new(shared, Name::Routing, ReplicaRole::Voter, folder, seed);
         service.attach(seat, mesh.clone());
         let mut replica = JoinSet::new();
-        replica.spawn(replica_task);
+        replica.spawn(panics::end_process_on_panic("replica", replica_task));
         let mut supervisor = Supervisor::new(log.clone());
         spawn_listeners(&mut supervisor, &service, adapter, [operators, directory, links], mesh);
         info!(log, "process.started"; "version" => env!("CARGO_PKG_VERSION"),
--- a/src/directory/metrics.rs
+++ b/src/directory/metrics.rs
@@ -7,6 +7,7 @@
 
 use crate::consensus::Role;
 use crate::group::Status;
+use crate::panics;
 use crate::roster::Piece;
 
 /// The metrics of one control daemon.
@@ -14,6 +15,8 @@
 pub struct Metrics {
     registry: Registry,
     check_ins: Counter,
+    rejected_check_ins: Counter,
+    panics: Gauge,
     pieces: Counter,
     piece_bytes: Counter,
     slices: Counter,
@@ -35,6 +38,9 @@
         let mut registry = Registry::with_prefix("mastic_control");
         let check_ins = Counter::default();
         registry.register("check_ins", "Statements of upstreams heard directly", check_ins.clone());
+        let rejected_check_ins = Counter::default();
+        let text = "Statements of upstreams that can't be used";
+        registry.register("check_ins_rejected", text, rejected_check_ins.clone());
         let pieces = Counter::default();
         registry.register("pieces", "Pieces of the roster sent to followers", pieces.clone());
         let piece_bytes = Counter::default();
@@ -48,6 +54,7 @@
             registry.register(name, text, gauge.clone());
             gauge
         };
+        let panics = gauge("panics", "Panics since the process started");
         let upstreams = gauge("upstreams", "Upstreams that are heard of");
         let vms = gauge("vms", "VMs of the system that are heard of");
         let version = gauge("document_version", "Number of the document in force");
@@ -64,6 +71,8 @@
         Self {
             registry,
             check_ins,
+            rejected_check_ins,
+            panics,
             pieces,
             piece_bytes,
             slices,
@@ -88,6 +97,11 @@
         self.check_ins.inc();
     }
 
+    /// Counts a statement of an upstream that can't be used.
+    pub fn record_rejected_check_in(&self) {
+        self.rejected_check_ins.inc();
+    }
+
     /// Counts a repeat issued to an entry VM.
     pub fn record_repeat(&self) {
         self.repeats.inc();
@@ -108,6 +122,7 @@
         version: u64,
         group: Option<(&Status, i64)>,
     ) -> String {
+        self.panics.set(panics::count() as i64);
         self.upstreams.set(upstreams as i64);
         self.vms.set(vms as i64);
         self.followers.set(i64::from(followers));
--- a/src/directory/service.rs
+++ b/src/directory/service.rs
@@ -1,11 +1,11 @@
 //! State of a control daemon, and its operations for operators, upstreams, callers and other VMs.
 
 use std::collections::BTreeSet;
+use std::fmt;
 use std::net::SocketAddr;
 use std::path::Path;
 use std::path::PathBuf;
 use std::sync::Arc;
-use std::sync::Mutex;
 use std::sync::OnceLock;
 use std::time::Duration;
 
@@ -48,6 +48,7 @@
 use crate::routing::state::Replicated;
 use crate::settings::Node;
 use crate::settings::Seeds;
+use crate::sync::Mutex;
 use crate::unit::Term;
 use crate::unit::Version;
 use crate::wire::Cast;
@@ -302,6 +303,14 @@
         }
     }
 
+    /// Logs and counts a check-in that names no upstream.
+    pub fn reject_check_in(&self, upstream: &str, why: &dyn fmt::Display) {
+        self.metrics.record_rejected_check_in();
+        let why = why.to_string();
+        info!(self.log, "check_in.rejected"; "upstream" => format!("{upstream:.64}"),
+            "why" => format!("{why:.256}"));
+    }
+
     /// Handles the deregistration of an upstream.
     pub fn leave(&self, upstream: &id::Upstream, start_time_ms: Option<u64>) {
         let announcement = {
@@ -321,7 +330,7 @@
         let document = self.routing.borrow().document.clone();
         let homes = document.map(|document| document.homes(host)).unwrap_or_default();
         let table = self.table();
-        let mut index = self.directory.lock().expect("no panic while locked");
+        let mut index = self.directory.lock();
         index.addresses(region, homes, &table)
     }
 
@@ -399,14 +408,14 @@
     /// Raises the stamp above that of an earlier start whose clock was ahead; otherwise other VMs
     /// would ignore this VM as outdated.
     fn supersede(&self, stamp: Stamp, nonce: u64) {
-        let mut presence = self.presence.lock().expect("no panic while locked");
+        let mut presence = self.presence.lock();
         if nonce != presence.nonce && stamp >= presence.stamp {
             presence.stamp = Stamp::new(stamp.start_time_ms + 1, 0);
         }
     }
 
     pub(super) fn table(&self) -> std::sync::MutexGuard<'_, Table> {
-        self.table.lock().expect("no panic while locked")
+        self.table.lock()
     }
 
     pub(super) fn notify_followers(&self) {
@@ -443,7 +452,7 @@
     /// Renews the presence of this VM.
     pub(super) fn announce_presence(&self) {
         let presence = {
-            let mut presence = self.presence.lock().expect("no panic while locked");
+            let mut presence = self.presence.lock();
             presence.stamp.sequence += 1;
             presence.clone()
         };
--- a/src/directory/service/follow.rs
+++ b/src/directory/service/follow.rs
@@ -95,7 +95,7 @@
 
     /// Encodes a routing state, once for all followers.
     fn encode_routing(&self, routing: &Replicated) -> Bytes {
-        let mut encoded = self.encoded_routing.lock().expect("no panic while locked");
+        let mut encoded = self.encoded_routing.lock();
         if encoded.0 < routing.revision {
             *encoded = (routing.revision, routing.encode());
         }
--- a/src/directory/service/freshness.rs
+++ b/src/directory/service/freshness.rs
@@ -15,7 +15,7 @@
 
 impl Service {
     pub(super) fn freshness(&self) -> MutexGuard<'_, Freshness> {
-        self.freshness.lock().expect("no panic while locked")
+        self.freshness.lock()
     }
 
     /// Applies a proof that no newer routing state existed.
--- a/src/directory/service/quarantine.rs
+++ b/src/directory/service/quarantine.rs
@@ -42,7 +42,7 @@
 
 impl Service {
     pub(in crate::directory) fn quarantine(&self) -> MutexGuard<'_, Quarantine> {
-        self.quarantine.lock().expect("no panic while locked")
+        self.quarantine.lock()
     }
 
     /// Applies a report. One of an entry VM is passed on to the other control VMs, if it says anything new.
--- a/src/directory/service/repeats.rs
+++ b/src/directory/service/repeats.rs
@@ -29,7 +29,7 @@
         let rank = self.rank();
         let issued = match rank {
             Ok(rank) => {
-                let mut reserve = self.reserve.lock().expect("no panic while locked");
+                let mut reserve = self.reserve.lock();
                 reserve.issue(&self.node.bounds.repeats, rank, service, clock::now())
             }
             Err(NoLeader) => Err(NOTHING_ISSUED),
@@ -47,7 +47,7 @@
     /// Collects repeats while this VM is a voter.
     pub(in crate::directory) fn refresh_reserve(&self) {
         let Ok(rank) = self.rank() else { return };
-        let mut reserve = self.reserve.lock().expect("no panic while locked");
+        let mut reserve = self.reserve.lock();
         reserve.set_rank(&self.node.bounds.repeats, rank, clock::now());
     }
 
--- a/src/directory/service/seats.rs
+++ b/src/directory/service/seats.rs
@@ -28,7 +28,7 @@
         if status.members.is_empty() {
             return;
         }
-        let mut leaderless = self.leaderless.lock().expect("no panic while locked");
+        let mut leaderless = self.leaderless.lock();
         if status.leader.is_some() {
             if leaderless.is_reported {
                 info!(self.log, "group.has_leader"; "term" => %status.term);
--- a/src/entry/hub.rs
+++ b/src/entry/hub.rs
@@ -3,7 +3,6 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::OnceLock;
 use std::sync::atomic::AtomicU64;
@@ -35,6 +34,7 @@
 use crate::metrics::Metrics;
 use crate::settings::Site;
 use crate::settings::site::Vm;
+use crate::sync::Mutex;
 use crate::unit::Incarnation;
 use crate::unit::Version;
 use crate::wire;
@@ -149,22 +149,22 @@
 
     /// The decisions; held for the length of one, never across an await.
     pub fn dispatch(&self) -> MutexGuard<'_, Dispatch> {
-        self.dispatch.lock().expect("no panic while locked")
+        self.dispatch.lock()
     }
 
     /// The VMs and upstreams of the region; held for the length of one step, never across an await.
     pub fn fleet(&self) -> MutexGuard<'_, Fleet> {
-        self.fleet.lock().expect("no panic while locked")
+        self.fleet.lock()
     }
 
     /// The limits of owners; held for the length of one step, never across an await.
     pub fn quota(&self) -> MutexGuard<'_, Quota> {
-        self.quota.lock().expect("no panic while locked")
+        self.quota.lock()
     }
 
     /// Does something with the random numbers of this process.
     pub fn random<T>(&self, draw: impl FnOnce(&mut SmallRng) -> T) -> T {
-        draw(&mut self.rng.lock().expect("no panic while locked"))
+        draw(&mut self.rng.lock())
     }
 
     /// The catalogue in force here.
@@ -223,7 +223,7 @@
 
     /// Entry VMs of other regions that answered lately.
     fn away(&self) -> Vec<Live> {
-        let reached = self.reached.lock().expect("no panic while locked");
+        let reached = self.reached.lock();
         let others = self.site.vms.iter().filter(|(name, vm)| {
             vm.region != self.place.region
                 && reached.get(*name).is_some_and(|at| at.elapsed() < REACHED)
@@ -241,7 +241,7 @@
 
     /// Notes that an entry VM of another region takes requests, or that it doesn't.
     pub fn note_reached(&self, vm: &id::Vm, takes_requests: bool) {
-        let mut reached = self.reached.lock().expect("no panic while locked");
+        let mut reached = self.reached.lock();
         if takes_requests {
             reached.insert(vm.clone(), Instant::now());
         } else {
@@ -303,12 +303,12 @@
 
     /// Which control VM of a region's ledger answered last.
     pub fn last_ledger(&self, region: &id::Region) -> Option<id::Vm> {
-        self.ledgers.lock().expect("no panic while locked").get(region).cloned()
+        self.ledgers.lock().get(region).cloned()
     }
 
     /// Notes which control VM of a region's ledger answered.
     pub fn note_ledger(&self, region: &id::Region, vm: &id::Vm) {
-        let mut ledgers = self.ledgers.lock().expect("no panic while locked");
+        let mut ledgers = self.ledgers.lock();
         if ledgers.get(region) != Some(vm) {
             ledgers.insert(region.clone(), vm.clone());
         }
--- a/src/entry/hub/limits.rs
+++ b/src/entry/hub/limits.rs
@@ -47,11 +47,11 @@
 
     /// Notes that the region's ledger has answered this VM.
     pub fn confirm(&self) {
-        *self.confirmed.lock().expect("no panic while locked") = Some(Instant::now());
+        *self.confirmed.lock() = Some(Instant::now());
     }
 
     pub(super) fn is_confirmed(&self) -> bool {
-        let confirmed = *self.confirmed.lock().expect("no panic while locked");
+        let confirmed = *self.confirmed.lock();
         confirmed.is_some_and(|at| at.elapsed() < CONFIRMED)
     }
 
--- a/src/entry/running.rs
+++ b/src/entry/running.rs
@@ -2,12 +2,12 @@
 
 use std::collections::HashMap;
 use std::sync::Arc;
-use std::sync::Mutex;
 
 use crate::entry::transcript::Reader;
 use crate::entry::transcript::Writer;
 use crate::id;
 use crate::ledger::Digest;
+use crate::sync::Mutex;
 
 /// Whose key, and which.
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
@@ -44,7 +44,7 @@
 impl Running {
     /// Enters a request; the first must be followed by [`Self::leave`].
     pub fn enter(&self, name: &Name, digest: Digest) -> Entrance {
-        let mut runs = self.runs.lock().expect("no panic while locked");
+        let mut runs = self.runs.lock();
         match runs.get(name) {
             Some(run) if run.digest == digest => Entrance::Joined(run.writer.reader()),
             Some(_) => Entrance::Mismatch,
@@ -58,19 +58,19 @@
 
     /// Joins a request that is in progress, where there is one.
     pub fn join(&self, name: &Name, digest: Digest) -> Option<Reader> {
-        let runs = self.runs.lock().expect("no panic while locked");
+        let runs = self.runs.lock();
         let run = runs.get(name).filter(|run| run.digest == digest)?;
         Some(run.writer.reader())
     }
 
     /// Removes a request that has ended.
     pub fn leave(&self, name: &Name) {
-        self.runs.lock().expect("no panic while locked").remove(name);
+        self.runs.lock().remove(name);
     }
 
     /// How many are in progress.
     pub fn len(&self) -> usize {
-        self.runs.lock().expect("no panic while locked").len()
+        self.runs.lock().len()
     }
 
     /// Whether none is in progress.
--- a/src/entry/stage.rs
+++ b/src/entry/stage.rs
@@ -5,7 +5,6 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::Mutex;
 use std::time::Duration;
 
 use http::HeaderValue;
@@ -40,6 +39,7 @@
 use crate::http::forward;
 use crate::id;
 use crate::ledger;
+use crate::sync::Mutex;
 
 /// A request that has run nowhere, as far as its ledger knows.
 pub struct Checked {
@@ -197,7 +197,7 @@
         if *self.winner.borrow() == Some(attempt) {
             return true;
         }
-        let answer = self.race.lock().expect("no panic while locked").answers(attempt);
+        let answer = self.race.lock().answers(attempt);
         let wins = matches!(answer, Answer::Wins { .. });
         if wins {
             self.winner.send_replace(Some(attempt));
@@ -206,7 +206,7 @@
     }
 
     fn hedged(&self, attempt: id::Attempt) -> bool {
-        self.race.lock().expect("no panic while locked").hedged(attempt)
+        self.race.lock().hedged(attempt)
     }
 
     /// Waits until another attempt answers.
--- a/src/gateway/crashes.rs
+++ b/src/gateway/crashes.rs
@@ -85,7 +85,7 @@
 
 impl State {
     pub(super) fn quarantine(&self) -> MutexGuard<'_, Quarantine> {
-        self.quarantine.lock().expect("no panic while locked")
+        self.quarantine.lock()
     }
 
     /// Whether a request may run, by what is known of crashes. The digest is computed only if anything is known.
@@ -99,7 +99,7 @@
 
     /// Whether the cause of a break of an upstream's connections is not known yet.
     pub(super) fn is_under_examination(&self, upstream: &id::Upstream) -> bool {
-        self.breaks.lock().expect("no panic while locked").broken.contains_key(upstream)
+        self.breaks.lock().broken.contains_key(upstream)
     }
 
     /// What is suspected most of a request: itself or a part of its prompt.
@@ -149,7 +149,7 @@
     }
 
     fn popular(&self) -> MutexGuard<'_, Popular> {
-        self.popular.lock().expect("no panic while locked")
+        self.popular.lock()
     }
 
     /// Records that an upstream answered a request that was sent at that time: it had not crashed before.
@@ -206,7 +206,7 @@
     let mut run: Vec<(Digest, Duration)> = Vec::new();
     run.extend((!is_popular).then(|| (*job.digest(), ran)));
     run.extend(job.parts().iter().map(|part| (*part, ran)));
-    let mut breaks = state.breaks.lock().expect("no panic while locked");
+    let mut breaks = state.breaks.lock();
     if let Some(broken) = breaks.broken.get_mut(upstream) {
         if broken.runs.len() < MAX_RUNS {
             broken.runs.extend(run);
@@ -235,7 +235,7 @@
     time::sleep(gather_time).await;
     let cause = find_cause(&state, &upstream).await;
     let broken = {
-        let mut breaks = state.breaks.lock().expect("no panic while locked");
+        let mut breaks = state.breaks.lock();
         if cause == Cause::Alive {
             breaks.alive.insert(upstream.clone(), Instant::now());
         }
@@ -262,7 +262,7 @@
 }
 
 async fn find_cause(state: &State, upstream: &id::Upstream) -> Cause {
-    let breaks = || state.breaks.lock().expect("no panic while locked");
+    let breaks = || state.breaks.lock();
     let known =
         breaks().broken.get(upstream).map(|broken| (broken.address, broken.earlier.clone()));
     let Some((address, earlier)) = known else { return Cause::Unknown };
@@ -356,7 +356,7 @@
     ) -> Vec<SocketAddr> {
         let all = self.upstream_addresses();
         let others = all.into_iter().filter(|address| Some(*address) != except);
-        let mut rng = self.rng.lock().expect("no panic while locked");
+        let mut rng = self.rng.lock();
         others.choose_multiple(&mut *rng, count)
     }
 }
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -5,7 +5,6 @@
 //! partition.
 
 use std::sync::Arc;
-use std::sync::Mutex;
 use std::time::Duration;
 
 use slog::info;
@@ -24,6 +23,7 @@
 use crate::id;
 use crate::roster::Delta;
 use crate::routing::state::Replicated;
+use crate::sync::Mutex;
 use crate::unit::Version;
 use crate::wire::Peer;
 use crate::wire::Reply;
@@ -76,7 +76,7 @@
     loop {
         let vm = {
             let candidates = candidates(state);
-            let mut sources = sources.lock().expect("no panic while locked");
+            let mut sources = sources.lock();
             let is_needed = sources.needs(slot);
             is_needed.then(|| sources.choose(slot, &candidates, Instant::now())).flatten()
         };
@@ -91,7 +91,7 @@
             end = follow_source(state, &vm, slot, sources, &mut draining) => end,
             _ = stop.wait_for(|stop| *stop) => return,
         };
-        let mut sources = sources.lock().expect("no panic while locked");
+        let mut sources = sources.lock();
         match end {
             End::Failed => {
                 warn!(state.log(), "control.lost"; "control" => %vm, "nth" => slot);
@@ -131,7 +131,7 @@
             crashes = NO_REVISION;
         }
         let (sent, asked_at) = (clock::now(), Instant::now());
-        let can_defer = sources.lock().expect("no panic while locked").defers_routing(slot);
+        let can_defer = sources.lock().defers_routing(slot);
         let call = fetch(state, &peer, slot, (can_defer && !is_behind, crashes));
         let followed = tokio::select! {
             followed = call => followed,
@@ -158,7 +158,7 @@
         }
         let candidates = candidates(state);
         {
-            let mut sources = sources.lock().expect("no panic while locked");
+            let mut sources = sources.lock();
             if !sources.record_freshness(slot, is_fresh) {
                 return End::Unneeded;
             }
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -12,6 +12,8 @@
 use prometheus_client::metrics::histogram::exponential_buckets;
 use prometheus_client::registry::Registry;
 
+use crate::panics;
+
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct Labels {
     outcome: &'static str,
@@ -47,6 +49,7 @@
     vms: Gauge,
     in_progress: Gauge,
     version: Gauge,
+    panics: Gauge,
 }
 
 /// Buckets from 5 ms to 20 s.
@@ -130,6 +133,8 @@
         registry.register("in_progress", "Requests in progress", in_progress.clone());
         let version = Gauge::default();
         registry.register("document_version", "Number of the document in force", version.clone());
+        let panics = Gauge::default();
+        registry.register("panics", "Panics since the process started", panics.clone());
         Self {
             registry,
             requests,
@@ -158,6 +163,7 @@
             vms,
             in_progress,
             version,
+            panics,
         }
     }
 }
@@ -267,6 +273,7 @@
 
     /// Encodes all metrics in the text format, after updating the gauges.
     pub fn encode(&self, upstreams: usize, vms: usize, in_progress: usize, version: u64) -> String {
+        self.panics.set(panics::count() as i64);
         self.upstreams.set(upstreams as i64);
         self.vms.set(vms as i64);
         self.in_progress.set(in_progress as i64);
--- a/src/gateway/reach.rs
+++ b/src/gateway/reach.rs
@@ -28,7 +28,7 @@
 
 impl State {
     fn reach(&self) -> MutexGuard<'_, Reach> {
-        self.reach.lock().expect("no panic while locked")
+        self.reach.lock()
     }
 
     /// Whether this VM reaches upstreams, as far as it knows.
--- a/src/gateway/sharing.rs
+++ b/src/gateway/sharing.rs
@@ -9,7 +9,6 @@
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::time::Duration;
 
@@ -43,6 +42,7 @@
 use crate::roster::Standing;
 use crate::routing::Table;
 use crate::routing::organisation::Allowance;
+use crate::sync::Mutex;
 use crate::unit::Version;
 use crate::wire::Role;
 
@@ -374,7 +374,7 @@
     }
 
     fn inner(&self) -> MutexGuard<'_, Inner> {
-        self.inner.lock().expect("no panic while locked")
+        self.inner.lock()
     }
 }
 
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -2,7 +2,6 @@
 
 use std::collections::BTreeSet;
 use std::sync::Arc;
-use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::OnceLock;
 use std::sync::atomic::AtomicBool;
@@ -51,6 +50,7 @@
 use crate::routing::state::Replicated;
 use crate::settings::Node;
 use crate::settings::Seeds;
+use crate::sync::Mutex;
 use crate::unit::Version;
 use crate::wire::Mesh;
 use crate::wire::Role;
@@ -299,33 +299,33 @@
 
     /// The routing state in force.
     pub fn routing(&self) -> Routing {
-        self.routing.lock().expect("no panic while locked").clone()
+        self.routing.lock().clone()
     }
 
     pub(super) fn regions(&self) -> MutexGuard<'_, Regions> {
-        self.regions.lock().expect("no panic while locked")
+        self.regions.lock()
     }
 
     pub(super) fn merged(&self) -> MutexGuard<'_, MergedTable> {
-        self.merged.lock().expect("no panic while locked")
+        self.merged.lock()
     }
 
     fn earned_repeats(&self) -> MutexGuard<'_, Budgets<String>> {
-        self.earned_repeats.lock().expect("no panic while locked")
+        self.earned_repeats.lock()
     }
 
     fn issuers(&self) -> MutexGuard<'_, Issuers> {
-        self.issuers.lock().expect("no panic while locked")
+        self.issuers.lock()
     }
 
     /// Returns a random number.
     pub fn random(&self) -> u64 {
-        self.rng.lock().expect("no panic while locked").random()
+        self.rng.lock().random()
     }
 
     /// Deregisters this VM from the directory and closes each connection after its next response.
     pub fn drain(&self) {
-        self.presence.lock().expect("no panic while locked").standing = Standing::Draining;
+        self.presence.lock().standing = Standing::Draining;
         self.draining.send_replace(true);
     }
 
@@ -389,15 +389,15 @@
     }
 
     pub(super) fn meter(&self) -> MutexGuard<'_, Meter> {
-        self.meter.lock().expect("no panic while locked")
+        self.meter.lock()
     }
 
     fn waiters(&self) -> MutexGuard<'_, Waiters> {
-        self.waiters.lock().expect("no panic while locked")
+        self.waiters.lock()
     }
 
     fn freshness(&self) -> MutexGuard<'_, Freshness> {
-        self.freshness.lock().expect("no panic while locked")
+        self.freshness.lock()
     }
 
     /// Applies a proof that no newer routing state existed.
@@ -452,7 +452,7 @@
     /// The presence to report next, with an increased sequence number.
     pub fn next_presence(&self) -> Presence {
         let (ready, without_reach) = (self.accepts_requests(), !self.reaches_upstreams());
-        let mut presence = self.presence.lock().expect("no panic while locked");
+        let mut presence = self.presence.lock();
         presence.stamp.sequence += 1;
         (presence.ready, presence.without_reach) = (ready, without_reach);
         presence.clone()
@@ -461,7 +461,7 @@
     /// Raises the stamp above that of an earlier start whose clock was ahead; otherwise control VMs
     /// would ignore this VM as outdated.
     pub fn supersede(&self, stamp: Stamp, nonce: u64) {
-        let mut presence = self.presence.lock().expect("no panic while locked");
+        let mut presence = self.presence.lock();
         if nonce != presence.nonce && stamp >= presence.stamp {
             presence.stamp = Stamp::new(stamp.start_time_ms + 1, 0);
         }
@@ -472,7 +472,7 @@
     /// Guards against a lagging control VM, whose older document would route requests to removed
     /// services.
     pub fn apply_routing(&self, replicated: Replicated) {
-        let mut routing = self.routing.lock().expect("no panic while locked");
+        let mut routing = self.routing.lock();
         if replicated.revision <= routing.revision {
             return;
         }
--- a/src/gateway/state/pauses.rs
+++ b/src/gateway/state/pauses.rs
@@ -22,7 +22,7 @@
 impl State {
     /// The placement. Each access shows that the process runs, so that no decision is made by outdated data after a pause.
     pub(in crate::gateway) fn place(&self) -> MutexGuard<'_, Balancer> {
-        let mut place = self.place.lock().expect("no panic while locked");
+        let mut place = self.place.lock();
         let now = Instant::now();
         if let Some(pause) = place.observe(clock::now(), now) {
             warn!(self.log, "process.stood_still"; "ms" => pause.as_millis() as u64);
--- a/src/gateway/state/roster.rs
+++ b/src/gateway/state/roster.rs
@@ -86,7 +86,7 @@
                 && vm.vm != own_vm
                 && !tried.contains(&vm.vm)
         });
-        let mut rng = self.rng.lock().expect("no panic while locked");
+        let mut rng = self.rng.lock();
         let vm = ready.choose(&mut *rng)?;
         Some((vm.vm.clone(), vm.forwards?))
     }
--- a/src/http/client.rs
+++ b/src/http/client.rs
@@ -6,7 +6,6 @@
 use std::net::IpAddr;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::Mutex;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -23,6 +22,7 @@
 use tokio::time::Instant;
 
 use crate::http::socket;
+use crate::sync::Mutex;
 
 /// Connecting takes no longer than this; a VM that is up accepts within a trip.
 pub const CONNECT: Duration = Duration::from_millis(1500);
@@ -191,7 +191,7 @@
         if lease.sender.is_closed() || idle.is_zero() {
             return;
         }
-        let mut kept = self.kept.lock().expect("no panic while locked");
+        let mut kept = self.kept.lock();
         let all = kept.entry(lease.address).or_default();
         if all.len() < KEPT {
             all.push((lease.sender, Instant::now() + idle));
@@ -200,7 +200,7 @@
 
     /// Closes what is kept for an address, and what was unused for long.
     pub fn forget(&self, address: Option<SocketAddr>) {
-        let mut kept = self.kept.lock().expect("no panic while locked");
+        let mut kept = self.kept.lock();
         if let Some(address) = address {
             kept.remove(&address);
         }
@@ -211,7 +211,7 @@
     }
 
     fn kept(&self, address: SocketAddr) -> Option<Sender> {
-        let mut kept = self.kept.lock().expect("no panic while locked");
+        let mut kept = self.kept.lock();
         let all = kept.get_mut(&address)?;
         while let Some((sender, until)) = all.pop() {
             if sender.is_ready() && Instant::now() < until {
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -12,6 +12,7 @@
 use prometheus_client::registry::Registry;
 
 use crate::catalogue::Class;
+use crate::panics;
 
 /// A class of work and how its request ended.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
@@ -35,6 +36,7 @@
     waiting: Gauge,
     streams: Gauge,
     version: Gauge,
+    panics: Gauge,
 }
 
 /// From 1 ms up to 1.1 h in 16 steps of e.
@@ -69,7 +71,9 @@
         registry.register("streams", "Requests in progress", streams.clone());
         let version = Gauge::default();
         registry.register("catalogue_version", "Catalogue version in force", version.clone());
-        Self { registry, ended, latency, joined, waiting, streams, version }
+        let panics = Gauge::default();
+        registry.register("panics", "Panics since the process started", panics.clone());
+        Self { registry, ended, latency, joined, waiting, streams, version, panics }
     }
 
     /// Counts a request that ended.
@@ -97,6 +101,7 @@
 
     /// The metrics as text, with gauges as they stand now.
     pub fn encode(&self, waiting: usize, streams: usize, version: u64) -> String {
+        self.panics.set(panics::count() as i64);
         self.waiting.set(waiting as i64);
         self.streams.set(streams as i64);
         self.version.set(version as i64);
--- a/src/settings/seeds.rs
+++ b/src/settings/seeds.rs
@@ -1,13 +1,13 @@
 //! The seeds in force: they may be exchanged while a process runs.
 
 use std::net::SocketAddr;
-use std::sync::Mutex;
 
 use slog::Logger;
 use slog::info;
 
 use crate::id;
 use crate::settings::Node;
+use crate::sync::Mutex;
 use crate::wire::Mesh;
 use crate::wire::Peer;
 use crate::wire::Role;
@@ -26,7 +26,7 @@
 
     /// The seeds at present.
     pub fn links(&self) -> Vec<(id::Vm, SocketAddr)> {
-        self.links.lock().expect("no panic while locked").clone()
+        self.links.lock().clone()
     }
 
     /// Takes those of newer settings, and tells the links where to find them.
@@ -44,7 +44,7 @@
     /// Takes those of newer settings, and tells whether they differ.
     fn replace(&self, node: &Node) -> bool {
         let newer: Vec<(id::Vm, SocketAddr)> = node.seed_links().collect();
-        let mut links = self.links.lock().expect("no panic while locked");
+        let mut links = self.links.lock();
         let differ = *links != newer;
         *links = newer;
         differ
--- /dev/null
+++ b/src/sync.rs
@@ -0,0 +1,30 @@
+//! A mutex for state that all of a process depends on.
+
+use std::sync;
+use std::sync::MutexGuard;
+
+use crate::panics;
+
+/// A mutex that ends the process if a thread panicked while it held the lock.
+///
+/// Guards against a process that goes on half alive: each later use of the state would panic too, while the process
+/// still accepts connections and counts as running.
+#[derive(Debug, Default)]
+pub struct Mutex<T>(sync::Mutex<T>);
+
+impl<T> Mutex<T> {
+    /// Creates an unlocked mutex.
+    pub const fn new(value: T) -> Self {
+        Self(sync::Mutex::new(value))
+    }
+
+    /// Locks the mutex.
+    pub fn lock(&self) -> MutexGuard<'_, T> {
+        self.0
+            .lock()
+            .unwrap_or_else(|_| panics::end_process("a thread panicked while it held a lock"))
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- a/src/wire/link.rs
+++ b/src/wire/link.rs
@@ -2,7 +2,6 @@
 
 use std::collections::HashMap;
 use std::sync::Arc;
-use std::sync::Mutex;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -22,6 +21,7 @@
 use tokio_tungstenite::tungstenite;
 use tokio_tungstenite::tungstenite::Message;
 
+use crate::sync::Mutex;
 use crate::wire::Cast;
 use crate::wire::Error;
 use crate::wire::Frame;
@@ -102,7 +102,7 @@
                 () = read(stream, peer, out, calls.clone(), handler) => (),
             }
             // Fails pending calls at once instead of at their timeouts.
-            calls.lock().expect("no panic while locked").clear();
+            calls.lock().clear();
         };
         Ok((link, Box::pin(task)))
     }
@@ -121,7 +121,7 @@
     pub async fn call(&self, request: Request, timeout: Duration) -> Result<Reply, Error> {
         let number = self.next.fetch_add(1, Ordering::Relaxed);
         let (sender, receiver) = oneshot::channel();
-        self.calls.lock().expect("no panic while locked").insert(number, sender);
+        self.calls.lock().insert(number, sender);
         let asked = async {
             let frame = Outgoing::Frame(Frame::Call { number, request });
             if self.out.send(frame).await.is_err() {
@@ -130,7 +130,7 @@
             receiver.await.map_err(|_| Error::Lost { peer: self.peer.clone() })
         };
         let reply = time::timeout(timeout, asked).await;
-        self.calls.lock().expect("no panic while locked").remove(&number);
+        self.calls.lock().remove(&number);
         reply.unwrap_or_else(|_| Err(Error::Lost { peer: self.peer.clone() }))
     }
 
@@ -212,7 +212,7 @@
                 });
             }
             Frame::Reply { number, reply } => {
-                let waiting = calls.lock().expect("no panic while locked").remove(&number);
+                let waiting = calls.lock().remove(&number);
                 if let Some(sender) = waiting {
                     sender.send(reply).ok();
                 }
--- a/src/wire/mesh.rs
+++ b/src/wire/mesh.rs
@@ -3,7 +3,6 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::Mutex;
 use std::time::Duration;
 
 use futures::StreamExt;
@@ -15,6 +14,7 @@
 use tokio::time::Instant;
 use tokio_tungstenite::tungstenite::protocol::WebSocketConfig;
 
+use crate::sync::Mutex;
 use crate::wire::Cast;
 use crate::wire::Error;
 use crate::wire::Frame;
@@ -85,7 +85,7 @@
 
     /// Sets a peer's address.
     pub fn learn(&self, peer: Peer, address: SocketAddr) {
-        self.shared.book.lock().expect("no panic while locked").insert(peer, address);
+        self.shared.book.lock().insert(peer, address);
     }
 
     /// The bytes sent on all links.
@@ -95,7 +95,7 @@
 
     /// The peers with an open link.
     pub fn linked(&self) -> Vec<Peer> {
-        let links = self.shared.links.lock().expect("no panic while locked");
+        let links = self.shared.links.lock();
         let open = |slot: &Slot| slot.link.as_ref().is_some_and(|link| !link.is_closed());
         links.iter().filter(|(_, slot)| open(slot)).map(|(peer, _)| peer.clone()).collect()
     }
@@ -147,7 +147,7 @@
     }
 
     fn present(&self, peer: &Peer) -> Option<Link> {
-        let links = self.shared.links.lock().expect("no panic while locked");
+        let links = self.shared.links.lock();
         links.get(peer)?.link.clone().filter(|link| !link.is_closed())
     }
 
@@ -166,7 +166,7 @@
         if failed.is_some_and(|at| at.elapsed() < RETRY_DELAY) {
             return Err(unsent("the last attempt failed a moment ago"));
         }
-        let address = self.shared.book.lock().expect("no panic while locked").get(peer).copied();
+        let address = self.shared.book.lock().get(peer).copied();
         let address = address.ok_or_else(|| unsent("its address is not known"))?;
         let made = time::timeout(CONNECT_TIMEOUT, self.connect(peer, address)).await;
         match made {
@@ -208,7 +208,7 @@
     }
 
     fn slot<T>(&self, peer: &Peer, act: impl FnOnce(&mut Slot) -> T) -> T {
-        let mut links = self.shared.links.lock().expect("no panic while locked");
+        let mut links = self.shared.links.lock();
         act(links.entry(peer.clone()).or_default())
     }
 
