A check-in with a duration that can't be encoded stops no control VM

A check-in of another writer with remaining_ms 1e20 was answered 502 by each control VM that got it; from then on no configuration could be read or changed and no worker checked in (0 of 21 reads, 0 of 3 acknowledgements).

Cause: a duration from outside could hold more than 64 bits of milliseconds; messages and files can't. The record was encoded under the lock of the roster by code that expects encoding never to fail.

Evidence: the first panic is in roster/piece.rs, all later ones at the lock; only the control VM that was sent the check-in was concerned.

Related paths with the same cause: timeouts of a configuration (stopped the leader's replica), cold_left_ms, an upstream's Retry-After (a panic in the entry VM).

--- a/src/catalogue/catalogue.rs
+++ b/src/catalogue/catalogue.rs
@@ -4,7 +4,6 @@
 
 use serde::Deserialize;
 use serde::Serialize;
-use serde_with::DurationMilliSeconds;
 use serde_with::serde_as;
 
 use super::Change;
@@ -13,6 +12,7 @@
 use super::Reply;
 use super::View;
 use super::operations::Operations;
+use crate::unit::Milliseconds;
 use crate::unit::Version;
 
 /// How long a past home is listed: the ledger keeps keys for three days, and a day more covers the time that
@@ -30,7 +30,7 @@
 pub struct Catalogue {
     view: View,
     operations: Operations,
-    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde_as(as = "Milliseconds")]
     now: Duration,
 }
 
--- a/src/catalogue/command.rs
+++ b/src/catalogue/command.rs
@@ -4,12 +4,12 @@
 
 use serde::Deserialize;
 use serde::Serialize;
-use serde_with::DurationMilliSeconds;
 use serde_with::serde_as;
 
 use super::Change;
 use super::Invalid;
 use super::Record;
+use crate::unit::Milliseconds;
 use crate::unit::Version;
 
 /// A command of the catalogue's log.
@@ -22,7 +22,7 @@
     /// So much time has passed on the leader's clock since it led, or since its last `Advance`.
     Advance {
         /// The time that passed; only ever added up, so no two VMs' clocks are compared.
-        #[serde_as(as = "DurationMilliSeconds<u64>")]
+        #[serde_as(as = "Milliseconds")]
         elapsed: Duration,
     },
 }
--- a/src/catalogue/entry.rs
+++ b/src/catalogue/entry.rs
@@ -7,11 +7,11 @@
 use serde::Deserialize;
 use serde::Serialize;
 use serde_with::DeserializeFromStr;
-use serde_with::DurationMilliSeconds;
 use serde_with::SerializeDisplay;
 use serde_with::serde_as;
 
 use crate::id;
+use crate::unit::Milliseconds;
 use crate::unit::Rate;
 
 /// What the system must know before it reads a request's body.
@@ -31,7 +31,7 @@
     /// How much the owner may ask for through this entry.
     pub limits: Limits,
     /// How long a caller waits where it states no deadline of its own.
-    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde_as(as = "Milliseconds")]
     pub deadline: Duration,
     /// Whether a request may run more than once.
     pub repeat: Repeat,
--- a/src/catalogue/operations.rs
+++ b/src/catalogue/operations.rs
@@ -6,13 +6,13 @@
 
 use serde::Deserialize;
 use serde::Serialize;
-use serde_with::DurationMilliSeconds;
 use serde_with::serde_as;
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::Change;
 use super::Reply;
 use crate::id;
+use crate::unit::Milliseconds;
 
 /// Operations whose answer is kept. Operators make a few changes a day; a program in a loop makes one a second,
 /// and still has more than an hour for its resend. What falls out can't be accepted twice: its version is taken.
@@ -33,7 +33,7 @@
 struct Answer {
     digest: u64,
     reply: Reply,
-    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde_as(as = "Milliseconds")]
     given: Duration,
 }
 
--- a/src/catalogue/record.rs
+++ b/src/catalogue/record.rs
@@ -5,12 +5,12 @@
 
 use serde::Deserialize;
 use serde::Serialize;
-use serde_with::DurationMilliSeconds;
 use serde_with::serde_as;
 
 use super::Entry;
 use super::Home;
 use crate::id;
+use crate::unit::Milliseconds;
 use crate::unit::Version;
 
 /// One name of the catalogue: its entry, or the trace of a deleted one.
@@ -37,7 +37,7 @@
     /// The region.
     pub region: id::Region,
     /// When it ceased to be the home, on the catalogue's own count of time.
-    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde_as(as = "Milliseconds")]
     pub left: Duration,
 }
 
--- a/src/decide/feedback/notice.rs
+++ b/src/decide/feedback/notice.rs
@@ -4,9 +4,9 @@
 
 use serde::Deserialize;
 use serde::Serialize;
-use serde_with::DurationMilliSeconds;
 use serde_with::serde_as;
 
+use crate::unit::Milliseconds;
 use crate::unit::Rate;
 
 /// The rate limit that a VM found in a response of an upstream.
@@ -18,11 +18,11 @@
     pub rate: Option<Rate>,
     /// The time since the upstream showed it.
     #[serde(rename = "a")]
-    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde_as(as = "Milliseconds")]
     pub age: Duration,
     /// The time since the limit began.
     #[serde(rename = "b")]
-    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde_as(as = "Milliseconds")]
     pub since: Duration,
 }
 
--- a/src/decide/pace/notice.rs
+++ b/src/decide/pace/notice.rs
@@ -4,11 +4,11 @@
 
 use serde::Deserialize;
 use serde::Serialize;
-use serde_with::DurationMilliSeconds;
 use serde_with::serde_as;
 
 use super::Pace;
 use crate::decide::sharing::Key;
+use crate::unit::Milliseconds;
 
 /// The pace of an upstream that a VM found in a response.
 ///
@@ -26,7 +26,7 @@
 
 #[serde_as]
 #[derive(Serialize, Deserialize)]
-struct Packed(Key, u32, #[serde_as(as = "DurationMilliSeconds<u64>")] Duration);
+struct Packed(Key, u32, #[serde_as(as = "Milliseconds")] Duration);
 
 impl From<Packed> for Notice {
     fn from(Packed(upstream, percent, age): Packed) -> Self {
--- a/src/decide/quarantine/message.rs
+++ b/src/decide/quarantine/message.rs
@@ -4,12 +4,12 @@
 
 use serde::Deserialize;
 use serde::Serialize;
-use serde_with::DurationMilliSeconds;
 use serde_with::serde_as;
 
 use crate::decide::quarantine::Digest;
 use crate::id;
 use crate::unit::Incarnation;
+use crate::unit::Milliseconds;
 
 /// A request that was running on an upstream when it crashed.
 #[serde_as]
@@ -22,10 +22,10 @@
     /// The incarnation of the upstream that crashed.
     pub incarnation: Incarnation,
     /// How long the request had run there.
-    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde_as(as = "Milliseconds")]
     pub ran: Duration,
     /// How long ago it crashed; an age, so that clocks of different VMs aren't compared.
-    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde_as(as = "Milliseconds")]
     pub age: Duration,
 }
 
@@ -38,7 +38,7 @@
     /// Its incarnation.
     pub incarnation: Incarnation,
     /// How long ago it happened.
-    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde_as(as = "Milliseconds")]
     pub age: Duration,
 }
 
@@ -49,7 +49,7 @@
     /// The request.
     pub digest: Digest,
     /// How long ago it was answered.
-    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde_as(as = "Milliseconds")]
     pub age: Duration,
     /// Whether all that was known against the request until then is void.
     pub clears: bool,
@@ -62,10 +62,10 @@
     /// The request.
     pub digest: Digest,
     /// The time left; zero for a request that may run again.
-    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde_as(as = "Milliseconds")]
     pub time_left: Duration,
     /// How long ago it was quarantined.
-    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde_as(as = "Milliseconds")]
     pub age: Duration,
     /// The number of upstreams that crashed while running it.
     pub crashes: u32,
--- a/src/decide/sharing/load.rs
+++ b/src/decide/sharing/load.rs
@@ -4,9 +4,10 @@
 
 use serde::Deserialize;
 use serde::Serialize;
-use serde_with::DurationMilliSeconds;
 use serde_with::serde_as;
 
+use crate::unit::Milliseconds;
+
 /// Limits for the validation of received loads.
 const MAX_REQUESTS: u32 = 1_000_000;
 const MAX_TOKENS: u64 = 1 << 40;
@@ -48,8 +49,8 @@
     u32,
     u32,
     u32,
-    #[serde_as(as = "DurationMilliSeconds<u64>")] Duration,
-    #[serde_as(as = "Option<DurationMilliSeconds<u64>>")] Option<Duration>,
+    #[serde_as(as = "Milliseconds")] Duration,
+    #[serde_as(as = "Option<Milliseconds>")] Option<Duration>,
 );
 
 impl From<Packed> for Load {
--- a/src/decide/sharing/message.rs
+++ b/src/decide/sharing/message.rs
@@ -4,7 +4,6 @@
 
 use serde::Deserialize;
 use serde::Serialize;
-use serde_with::DurationMilliSeconds;
 use serde_with::serde_as;
 
 use super::Key;
@@ -16,6 +15,7 @@
 use crate::decide::room::Claim;
 use crate::decide::room::Grant;
 use crate::id;
+use crate::unit::Milliseconds;
 
 /// Upper bound on the entries of each list; longer messages are dropped.
 const MAX_ENTRIES: usize = 1000;
@@ -80,7 +80,7 @@
     pub urgent: bool,
     /// Time to the first event.
     #[serde(rename = "w")]
-    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde_as(as = "Milliseconds")]
     pub wait: Duration,
     /// Requests running on the upstream that it would be sent to.
     #[serde(rename = "n")]
@@ -90,7 +90,7 @@
     pub room: Option<u32>,
     /// Age of the estimate.
     #[serde(rename = "a")]
-    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde_as(as = "Milliseconds")]
     pub age: Duration,
 }
 
--- a/src/decide/spill/digest.rs
+++ b/src/decide/spill/digest.rs
@@ -5,10 +5,10 @@
 
 use serde::Deserialize;
 use serde::Serialize;
-use serde_with::DurationMilliSeconds;
 use serde_with::serde_as;
 
 use crate::id;
+use crate::unit::Milliseconds;
 use crate::unit::Slots;
 
 /// The load of a region by model. It holds no request data, so it may leave the region.
@@ -22,7 +22,7 @@
     /// Capacity and load by model or service.
     pub room: BTreeMap<id::Model, Room>,
     /// The digest's age; forwarders add the time for which they held it.
-    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde_as(as = "Milliseconds")]
     pub age: Duration,
 }
 
@@ -35,6 +35,6 @@
     /// Free slots.
     pub free: Slots,
     /// The queueing delay of a new request.
-    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde_as(as = "Milliseconds")]
     pub wait: Duration,
 }
--- a/src/group/status.rs
+++ b/src/group/status.rs
@@ -3,7 +3,6 @@
 use std::time::Duration;
 
 use serde::Serialize;
-use serde_with::DurationMilliSeconds;
 use serde_with::serde_as;
 
 use crate::consensus::Members;
@@ -11,6 +10,7 @@
 use crate::consensus::Repairs;
 use crate::id;
 use crate::unit::Index;
+use crate::unit::Milliseconds;
 use crate::unit::Term;
 
 /// Where a replica stands.
@@ -55,7 +55,7 @@
     /// Their number since the start.
     pub count: u64,
     /// How long the last one took.
-    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde_as(as = "Milliseconds")]
     #[serde(rename = "last_ms")]
     pub last: Duration,
 }
--- a/src/ledger/answers.rs
+++ b/src/ledger/answers.rs
@@ -7,12 +7,12 @@
 
 use serde::Deserialize;
 use serde::Serialize;
-use serde_with::DurationMilliSeconds;
 use serde_with::serde_as;
 
 use super::Answer;
 use super::Digest;
 use super::Limits;
+use crate::unit::Milliseconds;
 
 /// Answers by key, bounded in count, bytes and age.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -26,7 +26,7 @@
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 struct Kept {
     answer: Arc<Answer>,
-    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde_as(as = "Milliseconds")]
     since: Duration,
     fetches: u32,
 }
--- a/src/ledger/command.rs
+++ b/src/ledger/command.rs
@@ -5,7 +5,6 @@
 
 use serde::Deserialize;
 use serde::Serialize;
-use serde_with::DurationMilliSeconds;
 use serde_with::serde_as;
 
 use super::Answer;
@@ -14,6 +13,7 @@
 use super::Outcome;
 use crate::id;
 use crate::unit::Incarnation;
+use crate::unit::Milliseconds;
 use crate::unit::Version;
 
 /// A command of a ledger's log.
@@ -42,7 +42,7 @@
     /// So much time has passed on the leader's clock since it led, or since its last `Advance`.
     Advance {
         /// The time that passed; only ever added up, so no two VMs' clocks are compared.
-        #[serde_as(as = "DurationMilliSeconds<u64>")]
+        #[serde_as(as = "Milliseconds")]
         elapsed: Duration,
     },
     /// Other bounds from now on.
--- a/src/ledger/keys.rs
+++ b/src/ledger/keys.rs
@@ -6,7 +6,6 @@
 
 use serde::Deserialize;
 use serde::Serialize;
-use serde_with::DurationMilliSeconds;
 use serde_with::serde_as;
 
 use super::Digest;
@@ -14,6 +13,7 @@
 use super::packed;
 use crate::id;
 use crate::unit::Incarnation;
+use crate::unit::Milliseconds;
 
 /// Keys expire together in groups of this length, so that no time has to be kept for each key. It is one
 /// seventy-second of the three days that they are kept for.
@@ -66,7 +66,7 @@
 #[serde_as]
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 struct Group {
-    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde_as(as = "Milliseconds")]
     begun: Duration,
     number: u32,
     #[serde(with = "packed::digests")]
--- a/src/ledger/ledger.rs
+++ b/src/ledger/ledger.rs
@@ -5,7 +5,6 @@
 
 use serde::Deserialize;
 use serde::Serialize;
-use serde_with::DurationMilliSeconds;
 use serde_with::serde_as;
 
 use super::Command;
@@ -22,6 +21,7 @@
 use super::keys::Open;
 use crate::id;
 use crate::unit::Incarnation;
+use crate::unit::Milliseconds;
 use crate::unit::Version;
 
 /// At most one request per key of one region, or of one shard of its owners, is ever granted.
@@ -31,7 +31,7 @@
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Ledger {
     limits: Limits,
-    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde_as(as = "Milliseconds")]
     now: Duration,
     keys: Keys,
     answers: Answers,
--- a/src/ledger/limits.rs
+++ b/src/ledger/limits.rs
@@ -4,20 +4,20 @@
 
 use serde::Deserialize;
 use serde::Serialize;
-use serde_with::DurationMilliSeconds;
 use serde_with::serde_as;
 
 use crate::unit::Bytes;
+use crate::unit::Milliseconds;
 
 /// The bounds of one ledger. They go through its log, so that all replicas forget the same things.
 #[serde_as]
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Limits {
     /// How long a key is kept after its start. A resend after that may run again, so callers must know it.
-    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde_as(as = "Milliseconds")]
     pub keep_keys: Duration,
     /// How long an answer is kept after its request ended.
-    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde_as(as = "Milliseconds")]
     pub keep_answers: Duration,
     /// How many answers are kept.
     pub answers: usize,
--- a/src/roster/announcement.rs
+++ b/src/roster/announcement.rs
@@ -5,12 +5,12 @@
 
 use serde::Deserialize;
 use serde::Serialize;
-use serde_with::DurationMilliSeconds;
 use serde_with::serde_as;
 
 use super::Stamp;
 use super::heartbeat::digest;
 use crate::id;
+use crate::unit::Milliseconds;
 use crate::unit::Slots;
 
 /// Whether an upstream or VM accepts requests.
@@ -60,11 +60,11 @@
     #[serde(rename = "t", alias = "standing")]
     pub standing: Standing,
     /// The remaining warm-up time.
-    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde_as(as = "Milliseconds")]
     #[serde(rename = "c", alias = "cold_left")]
     pub cold_left: Duration,
     /// The time until it is terminated, if a deadline is set.
-    #[serde_as(as = "Option<DurationMilliSeconds<u64>>")]
+    #[serde_as(as = "Option<Milliseconds>")]
     #[serde(rename = "e", alias = "ends_in")]
     pub ends_in: Option<Duration>,
     /// The models that it has loaded.
--- a/src/routing/limits.rs
+++ b/src/routing/limits.rs
@@ -4,9 +4,10 @@
 
 use serde::Deserialize;
 use serde::Serialize;
-use serde_with::DurationMilliSeconds;
 use serde_with::serde_as;
 
+use crate::unit::Milliseconds;
+
 /// Bounds on callers' requests and connections.
 #[serde_as]
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -16,10 +17,10 @@
     /// The largest body of a request, in bytes.
     pub body_bytes: u64,
     /// The head of a request must arrive within this, and so must its body.
-    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde_as(as = "Milliseconds")]
     pub head_time: Duration,
     /// A connection without a request is closed after this.
-    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde_as(as = "Milliseconds")]
     pub idle_time: Duration,
 }
 
--- a/src/routing/route.rs
+++ b/src/routing/route.rs
@@ -5,10 +5,10 @@
 
 use serde::Deserialize;
 use serde::Serialize;
-use serde_with::DurationMilliSeconds;
 use serde_with::serde_as;
 
 use crate::id;
+use crate::unit::Milliseconds;
 
 /// What may be done again with a request.
 #[serde_as]
@@ -24,7 +24,7 @@
         /// Whether another upstream may go on after the last event that was delivered. If not, it runs at most once.
         resumable: bool,
         /// The longest pause between events with which the answer is still in time.
-        #[serde_as(as = "DurationMilliSeconds<u64>")]
+        #[serde_as(as = "Milliseconds")]
         pause: Duration,
     },
 }
@@ -63,10 +63,10 @@
     /// What may be done again.
     pub kind: Kind,
     /// The longest that a caller may be kept waiting for its whole answer.
-    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde_as(as = "Milliseconds")]
     pub timeout: Duration,
     /// The time to the answer, or to its first event, that callers aim at.
-    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde_as(as = "Milliseconds")]
     pub objective: Duration,
     /// Its rank among requests that compete; 0 goes first.
     pub rank: u8,
--- a/src/unit.rs
+++ b/src/unit.rs
@@ -12,6 +12,10 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+mod milliseconds;
+
+pub use self::milliseconds::Milliseconds;
+
 /// Declares a whole, never negative quantity.
 macro_rules! count {
     ($(#[$doc:meta])* $name:ident) => {
--- a/src/upstream/load.rs
+++ b/src/upstream/load.rs
@@ -4,11 +4,11 @@
 
 use serde::Deserialize;
 use serde::Serialize;
-use serde_with::DurationMilliSeconds;
 use serde_with::serde_as;
 
 use crate::id;
 use crate::unit::Incarnation;
+use crate::unit::Milliseconds;
 
 /// A load report: how things stood `age` before it was received.
 #[serde_as]
@@ -25,7 +25,7 @@
     /// Requests that wait inside the upstream, of all VMs.
     pub waiting: u32,
     /// How long ago it was measured; whoever passes it on adds the time that it held it.
-    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde_as(as = "Milliseconds")]
     pub age: Duration,
 }
 
--- a/src/upstream/pool/message.rs
+++ b/src/upstream/pool/message.rs
@@ -4,11 +4,11 @@
 
 use serde::Deserialize;
 use serde::Serialize;
-use serde_with::DurationMilliSeconds;
 use serde_with::serde_as;
 
 use crate::id;
 use crate::unit::Incarnation;
+use crate::unit::Milliseconds;
 use crate::unit::Slots;
 
 /// A message about the slots of one upstream.
@@ -69,7 +69,7 @@
     /// The slots that it may use.
     pub slots: Slots,
     /// How long, from the moment that the ask was sent.
-    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde_as(as = "Milliseconds")]
     pub lease: Duration,
     /// The slots that it may use after the lease, when the host VM can't be reached.
     pub fallback: Slots,
--- a/src/upstream/registry.rs
+++ b/src/upstream/registry.rs
@@ -9,13 +9,13 @@
 
 use serde::Deserialize;
 use serde::Serialize;
-use serde_with::DurationMilliSeconds;
 use serde_with::serde_as;
 use tokio::time::Instant;
 
 use super::Announcement;
 use crate::id;
 use crate::unit::Incarnation;
+use crate::unit::Milliseconds;
 
 /// How long an announcement holds without a renewal. Upstreams renew each second, so two lost renewals are
 /// borne, and a dead upstream gets no new work after 3 s.
@@ -88,7 +88,7 @@
         /// The VM that it was made to.
         host: id::Vm,
         /// What was left of its lease when this was sent.
-        #[serde_as(as = "DurationMilliSeconds<u64>")]
+        #[serde_as(as = "Milliseconds")]
         remaining: Duration,
     },
     /// A renewal that changed nothing; whoever lacks the announcement asks for it.
@@ -102,7 +102,7 @@
         /// The VM that it was made to.
         host: id::Vm,
         /// What was left of its lease when this was sent.
-        #[serde_as(as = "DurationMilliSeconds<u64>")]
+        #[serde_as(as = "Milliseconds")]
         remaining: Duration,
     },
     /// It leaves.
