An answer without end does not take the memory of an entry VM

Two answers whose bodies did not end took the entry process over 260 MB; the platform killed it, and 11 to 19 requests that sound upstreams had were lost in three ends.

Cause: bodies were held without a bound for each (answers that are no successful streams) or for all together (bodies of requests, partial events, answers of the other entry daemon), as long as the deadline allowed.

Evidence: with the caller reading nothing, upstreams could send 0.96 to 1.24 GB in 2.5 s (test below on the code before); hyper reads on only when a piece is taken and buffers 400 KiB at most, so it was the collecting.

An answer of more than 1 MiB, or without memory, is passed on as its caller reads it (gateway::transfer) and aborts the caller's connection unless it is complete at its deadline (answer.passed_on, answer.cut_off, counters). A request without memory is refused as not run. Refusals, load reports and check-ins have small bounds.

--- a/src/directory/service.rs
+++ b/src/directory/service.rs
@@ -35,6 +35,7 @@
 use crate::decide::retry::reserve::Reserve;
 use crate::group::Group;
 use crate::group::Status;
+use crate::http::memory;
 use crate::id;
 use crate::roster::Announcement;
 use crate::roster::Observed;
@@ -117,6 +118,7 @@
     mesh: OnceLock<Mesh>,
     leaderless: Mutex<seats::Leaderless>,
     started: Instant,
+    memory: memory::Budget,
     metrics: Metrics,
 }
 
@@ -168,6 +170,7 @@
             quarantine.merge(&report, Instant::now());
         }
         let revision = table.revision();
+        let memory = memory::Budget::new(node.memory.bodies());
         Self {
             seeds: Seeds::new(&node),
             node,
@@ -196,6 +199,7 @@
             mesh: OnceLock::new(),
             leaderless: Mutex::default(),
             started: Instant::now(),
+            memory,
             metrics: Metrics::default(),
         }
     }
@@ -221,6 +225,11 @@
         &self.log
     }
 
+    /// The memory for the bodies of requests.
+    pub fn memory(&self) -> &memory::Budget {
+        &self.memory
+    }
+
     /// How long a directory answer may be cached.
     pub fn directory_ttl(&self) -> Duration {
         let control = self.node.control.as_ref();
--- a/src/entry/hub.rs
+++ b/src/entry/hub.rs
@@ -30,6 +30,7 @@
 use crate::http::Reason;
 use crate::http::Refusal;
 use crate::http::client::Client;
+use crate::http::memory::Budget;
 use crate::id;
 use crate::metrics::Metrics;
 use crate::settings::Site;
@@ -76,6 +77,8 @@
     pub site: Arc<Site>,
     /// Connections to upstreams and to other VMs.
     pub client: Client,
+    /// The memory for the bodies of requests and answers.
+    pub memory: Budget,
     /// Requests under a key that are in progress here.
     pub running: Running,
     /// Counters and gauges.
@@ -106,15 +109,17 @@
         log: Logger,
     ) -> Self {
         let mut rng = SmallRng::seed_from_u64(seed);
+        let memory = Budget::new(site.memory.bodies());
         let dispatch = Mutex::new(Dispatch::new(&me, &place.region, incarnation, rng.random()));
         let quota = Mutex::new(Quota::new(me.clone(), Instant::now()));
         let fleet = Mutex::new(Fleet::new(&me, &site, rng.random(), Instant::now()));
         Self {
             me,
             place,
+            memory: memory.clone(),
             site,
             client: Client::new(),
-            running: Running::default(),
+            running: Running::new(memory),
             metrics: Metrics::new(),
             log,
             view: watch::Sender::new(Arc::default()),
--- a/src/entry/running.rs
+++ b/src/entry/running.rs
@@ -5,6 +5,7 @@
 
 use crate::entry::transcript::Reader;
 use crate::entry::transcript::Writer;
+use crate::http::memory::Budget;
 use crate::id;
 use crate::ledger::Digest;
 use crate::sync::Mutex;
@@ -25,8 +26,9 @@
 }
 
 /// The requests under a key that are in progress.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Running {
+    memory: Budget,
     runs: Mutex<HashMap<Name, Run>>,
 }
 
@@ -42,6 +44,11 @@
 }
 
 impl Running {
+    /// None yet; their answers take up memory of that budget.
+    pub fn new(memory: Budget) -> Self {
+        Self { memory, runs: Mutex::default() }
+    }
+
     /// Enters a request; the first must be followed by [`Self::leave`].
     pub fn enter(&self, name: &Name, digest: Digest) -> Entrance {
         let mut runs = self.runs.lock();
@@ -49,7 +56,7 @@
             Some(run) if run.digest == digest => Entrance::Joined(run.writer.reader()),
             Some(_) => Entrance::Mismatch,
             None => {
-                let writer = Arc::new(Writer::default());
+                let writer = Arc::new(Writer::new(self.memory.reservation()));
                 runs.insert(name.clone(), Run { digest, writer: writer.clone() });
                 Entrance::First(writer)
             }
--- a/src/entry/transcript.rs
+++ b/src/entry/transcript.rs
@@ -17,7 +17,9 @@
 use crate::http::Body;
 use crate::http::Refusal;
 use crate::http::body::Broken;
+use crate::http::memory::Reservation;
 use crate::ledger;
+use crate::sync::Mutex;
 use crate::unit::Tokens;
 
 /// What comes before the body of an answer.
@@ -51,9 +53,17 @@
 }
 
 /// The writing side, held by the task that runs the request.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Writer {
     state: watch::Sender<State>,
+    memory: Mutex<Memory>,
+}
+
+/// The memory that an answer takes up until its last reader and writer are gone.
+#[derive(Debug)]
+struct Memory {
+    bytes: usize,
+    reservation: Reservation,
 }
 
 /// The upstream's own count, in a whole answer.
@@ -75,6 +85,31 @@
 }
 
 impl Writer {
+    /// An empty answer, whose pieces take up memory of that reservation.
+    pub fn new(reservation: Reservation) -> Self {
+        Self {
+            state: watch::Sender::default(),
+            memory: Mutex::new(Memory { bytes: 0, reservation }),
+        }
+    }
+
+    /// Reserves memory for that many more bytes, and returns whether it is available.
+    pub fn reserve(&self, bytes: usize) -> bool {
+        let memory = &mut *self.memory.lock();
+        let is_available = memory.reservation.grow_to(memory.bytes + bytes);
+        if is_available {
+            memory.bytes += bytes;
+        }
+        is_available
+    }
+
+    /// Releases bytes that were reserved and are not kept.
+    pub fn release(&self, bytes: usize) {
+        let memory = &mut *self.memory.lock();
+        memory.bytes = memory.bytes.saturating_sub(bytes);
+        memory.reservation.shrink_to(memory.bytes);
+    }
+
     /// Sets the head; a later one is ignored.
     pub fn head(&self, head: Head) {
         self.state.send_if_modified(|state| {
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use bytes::BytesMut;
 use http::HeaderMap;
 use http::HeaderValue;
 use http::Request;
@@ -13,6 +14,7 @@
 use http::response;
 use http_body_util::BodyExt;
 use http_body_util::Full;
+use http_body_util::Limited;
 use hyper::body::Incoming;
 use slog::info;
 use tokio::time;
@@ -26,6 +28,7 @@
 use super::relay::Job;
 use super::reservation::Reservation;
 use super::reservation::Target;
+use super::stream::next_data;
 use crate::decide::place::Outcome;
 use crate::decide::place::Outlook;
 use crate::http::answer::is_framed;
@@ -38,6 +41,10 @@
 const REJECTED_OUTLOOK: Outlook =
     Outlook { wait: Duration::from_secs(1), running: 0, room: Some(0) };
 
+/// The part of an answer, in bytes, that is held until the answer is complete. An answer that breaks off before can be
+/// replaced by another attempt's.
+const MAX_HELD_BYTES: usize = 1 << 20;
+
 /// The result of an attempt.
 pub enum AttemptResult {
     /// The request was not executed and may be retried.
@@ -97,10 +104,20 @@
 pub enum ResponseBody {
     /// A complete body.
     Buffered(Bytes),
+    /// A body that is too large to be held: its beginning, and the rest as it arrives.
+    Partial(Box<Partial>),
     /// A body that is streamed.
     Streaming(Box<UpstreamStream>),
 }
 
+/// The body of an answer that is passed on before it is complete.
+pub struct Partial {
+    /// What has been read.
+    pub begun: Vec<Bytes>,
+    /// The rest.
+    pub rest: UpstreamStream,
+}
+
 /// A response body streamed by an upstream.
 pub struct UpstreamStream {
     /// The unread part of the body.
@@ -124,7 +141,12 @@
 
     /// Ends a complete stream and returns its connection to the pool.
     pub fn finish(self, state: &State) {
-        self.reservation.complete(Outcome::Answered);
+        self.finish_with(state, Outcome::Answered);
+    }
+
+    /// The same with an outcome.
+    pub fn finish_with(self, state: &State, outcome: Outcome) {
+        self.reservation.complete(outcome);
         release(state, self.lease, self.idle_timeout, self.closes_connection);
     }
 
@@ -376,42 +398,72 @@
     job: &Job,
     response: Response<Incoming>,
     lease: Lease,
-    (mut reservation, started): (Reservation, Instant),
+    (reservation, started): (Reservation, Instant),
     meta: &ResponseMeta,
 ) -> AttemptResult {
     let is_framed = is_framed(&response);
     let (mut head, incoming) = response.into_parts();
     headers::strip_hop_by_hop(&mut head.headers);
     let (idle_timeout, closes_connection) = (meta.idle_timeout, meta.closes_connection);
+    let mut stream = UpstreamStream {
+        incoming,
+        reservation,
+        started,
+        lease,
+        idle_timeout,
+        closes_connection,
+        is_framed,
+    };
     if job.route.kind.is_stream() && head.status.is_success() {
-        let body = ResponseBody::Streaming(Box::new(UpstreamStream {
-            incoming,
-            reservation,
-            started,
-            lease,
-            idle_timeout,
-            closes_connection,
-            is_framed,
-        }));
+        let body = ResponseBody::Streaming(Box::new(stream));
         return AttemptResult::Response(Box::new(OpenResponse { head, body }));
     }
-    let collected = time::timeout_at(job.deadline, incoming.collect()).await;
-    let collected = match collected {
-        Ok(Ok(collected)) if is_framed || is_alive(state, &reservation).await => collected,
+    let read = time::timeout_at(job.deadline, hold(state, &mut stream.incoming)).await;
+    let body = match read {
+        Ok(Ok(Held::Complete(bytes))) if stream.is_whole(state).await => {
+            stream.reservation.record_event();
+            stream.finish_with(state, outcome_of(head.status));
+            ResponseBody::Buffered(bytes)
+        }
+        Ok(Ok(Held::Begun(begun))) => {
+            state.metrics().record_passed_on();
+            info!(state.log(), "answer.passed_on"; "request" => &job.call.id,
+                "target" => ?stream.reservation.target(), "status" => head.status.as_u16());
+            stream.reservation.record_event();
+            ResponseBody::Partial(Box::new(Partial { begun, rest: stream }))
+        }
         _ => {
-            record_run_end(state, job, &reservation, started, End::BrokeOff);
-            reservation.complete(Outcome::Failed);
+            stream.fail(state, job, true);
             return AttemptResult::Indeterminate { reason: "the answer broke off" };
         }
     };
-    reservation.record_event();
-    let is_error = head.status.is_server_error();
-    reservation.complete(if is_error { Outcome::Error } else { Outcome::Answered });
-    release(state, lease, idle_timeout, closes_connection);
-    AttemptResult::Response(Box::new(OpenResponse {
-        head,
-        body: ResponseBody::Buffered(collected.to_bytes()),
-    }))
+    AttemptResult::Response(Box::new(OpenResponse { head, body }))
+}
+
+/// The outcome of an upstream's complete answer.
+pub fn outcome_of(status: StatusCode) -> Outcome {
+    if status.is_server_error() { Outcome::Error } else { Outcome::Answered }
+}
+
+/// The beginning of an answer, or all of it.
+enum Held {
+    Complete(Bytes),
+    Begun(Vec<Bytes>),
+}
+
+/// Reads an answer as far as it is held: up to [`MAX_HELD_BYTES`], or while there is memory.
+async fn hold(state: &State, incoming: &mut Incoming) -> Result<Held, hyper::Error> {
+    let mut reservation = state.memory().reservation();
+    let mut bytes = BytesMut::new();
+    while let Some(data) = next_data(incoming).await {
+        let data = data?;
+        let length = bytes.len() + data.len();
+        if length > MAX_HELD_BYTES || !reservation.grow_to(length.next_power_of_two()) {
+            return Ok(Held::Begun(vec![reservation.attach(bytes.freeze()), data]));
+        }
+        bytes.extend_from_slice(&data);
+    }
+    Ok(Held::Complete(reservation.attach(bytes.freeze())))
 }
 
 /// Reads the short body of a refusal so that the connection can be reused.
@@ -422,7 +474,9 @@
     meta: &ResponseMeta,
 ) {
     const DRAIN_TIMEOUT: Duration = Duration::from_millis(20);
-    if let Ok(Ok(_)) = time::timeout(DRAIN_TIMEOUT, response.into_body().collect()).await {
+    const MAX_REFUSAL_BYTES: usize = 16 << 10;
+    let body = Limited::new(response.into_body(), MAX_REFUSAL_BYTES);
+    if let Ok(Ok(_)) = time::timeout(DRAIN_TIMEOUT, body.collect()).await {
         release(state, lease, meta.idle_timeout, meta.closes_connection);
     }
 }
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -12,6 +12,7 @@
 use prometheus_client::metrics::histogram::exponential_buckets;
 use prometheus_client::registry::Registry;
 
+use crate::http::memory::Budget;
 use crate::panics;
 
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
@@ -50,6 +51,10 @@
     in_progress: Gauge,
     version: Gauge,
     panics: Gauge,
+    body_bytes: Gauge,
+    bodies_without_memory: Gauge,
+    passed_on: Counter,
+    cut_off: Family<Labels, Counter>,
 }
 
 /// Buckets from 5 ms to 20 s.
@@ -133,6 +138,19 @@
         registry.register("in_progress", "Requests in progress", in_progress.clone());
         let version = Gauge::default();
         registry.register("document_version", "Number of the document in force", version.clone());
+        let body_bytes = Gauge::default();
+        let text = "Memory reserved for the bodies of requests and answers, in bytes";
+        registry.register("body_bytes", text, body_bytes.clone());
+        let bodies_without_memory = Gauge::default();
+        let text = "Times that there was no memory for a body";
+        registry.register("bodies_without_memory", text, bodies_without_memory.clone());
+        let passed_on = Counter::default();
+        let text =
+            "Answers passed on before they were complete, for their size or for want of memory";
+        registry.register("answers_passed_on", text, passed_on.clone());
+        let cut_off = Family::<Labels, Counter>::default();
+        let text = "Answers of upstreams that exceeded a limit, by limit";
+        registry.register("answers_cut_off", text, cut_off.clone());
         let panics = Gauge::default();
         registry.register("panics", "Panics since the process started", panics.clone());
         Self {
@@ -164,6 +182,10 @@
             in_progress,
             version,
             panics,
+            body_bytes,
+            bodies_without_memory,
+            passed_on,
+            cut_off,
         }
     }
 }
@@ -266,6 +288,22 @@
         self.backing_off.set(backing_off as i64);
     }
 
+    /// Counts an answer that is passed on before it is complete.
+    pub fn record_passed_on(&self) {
+        self.passed_on.inc();
+    }
+
+    /// Counts an answer that exceeded a limit.
+    pub fn record_cut_off(&self, limit: &'static str) {
+        self.cut_off.get_or_create(&Labels { outcome: limit }).inc();
+    }
+
+    /// Sets the memory that bodies take up.
+    pub fn set_bodies(&self, memory: &Budget) {
+        self.body_bytes.set(memory.reserved().get() as i64);
+        self.bodies_without_memory.set(memory.rejected() as i64);
+    }
+
     /// Sets the number of requests that were given up, and that upstreams may still run.
     pub fn set_unanswered(&self, unanswered: u32) {
         self.unanswered.set(i64::from(unanswered));
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -22,6 +22,7 @@
 pub mod sharing;
 pub mod state;
 pub mod stream;
+mod transfer;
 
 pub use adapter::Adapter;
 pub use adapter::Codec;
--- a/src/gateway/receive.rs
+++ b/src/gateway/receive.rs
@@ -30,6 +30,7 @@
 use super::relay::Relay;
 use super::state::CountGuard;
 use super::stream::Stream;
+use super::transfer::Transfer;
 use crate::decide::quota;
 use crate::http::Body;
 use crate::http::Ran;
@@ -52,6 +53,9 @@
 /// document may be outdated.
 const FAILOVER_RETRY_AFTER: Duration = Duration::from_millis(20);
 
+/// `Retry-After` while other bodies take up the memory.
+const NO_MEMORY_RETRY_AFTER: Duration = Duration::from_secs(1);
+
 /// How a request got to this VM.
 struct Origin {
     hop: Hop,
@@ -136,7 +140,7 @@
     let wait_fraction = if origin.hop == Hop::Ingress { STARTUP_WAIT_FRACTION } else { 0.0 };
     let until = received_at + call.timeout.unwrap_or(STARTUP_RETRY_AFTER).mul_f64(wait_fraction);
     let (table, route) = resolve_route(state, &call, until).await?;
-    let body = read_body(body, table.limits()).await?;
+    let body = read_body(state, body, table.limits()).await?;
     let forwarded_organisation = origin.organisation.as_ref();
     let caller = Caller::identify(&table, &route, &call, (origin.hop, forwarded_organisation))?;
     if !caller.has_home(&route) {
@@ -225,12 +229,17 @@
     }
 }
 
-async fn read_body(body: Incoming, limits: &Limits) -> Result<Bytes, Refusal> {
-    match time::timeout(limits.head_time, body::read(body, limits.body_bytes)).await {
+async fn read_body(state: &State, body: Incoming, limits: &Limits) -> Result<Bytes, Refusal> {
+    let reading = body::read(body, limits.body_bytes, state.memory());
+    match time::timeout(limits.head_time, reading).await {
         Ok(Ok(bytes)) => Ok(bytes),
         Ok(Err(error @ body::Error::TooLarge(_))) => {
             Err(Refusal::new(Reason::TooLarge, error.to_string()))
         }
+        Ok(Err(error @ body::Error::NoMemory)) => {
+            let refusal = Refusal::new(Reason::Overload, error.to_string());
+            Err(refusal.with_retry_after(NO_MEMORY_RETRY_AFTER))
+        }
         Ok(Err(error)) => Err(Refusal::new(Reason::BadRequest, error.to_string())),
         Err(_) => Err(Refusal::new(Reason::SlowBody, "the body did not arrive in time")),
     }
@@ -289,6 +298,10 @@
                 "ms" => relay.job().received_at.elapsed().as_millis() as u64);
             body::full(bytes)
         }
+        ResponseBody::Partial(partial) => {
+            let status = opened.head.status;
+            Transfer::start(state.clone(), relay, status, *partial, guard)
+        }
     };
     Response::from_parts(opened.head, body)
 }
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -40,6 +40,7 @@
 use crate::decide::shortage::Returns;
 use crate::decide::shortage::Shortages;
 use crate::http::client::Client;
+use crate::http::memory;
 use crate::id;
 use crate::roster::MergedTable;
 use crate::roster::Presence;
@@ -112,6 +113,7 @@
     presence: Mutex<Presence>,
     pub(super) rng: Mutex<SmallRng>,
     pub(super) client: Client,
+    memory: memory::Budget,
     mesh: OnceLock<Mesh>,
     /// Also notifies of other changes that control VMs are to hear of at once.
     pub(super) draining: watch::Sender<bool>,
@@ -191,6 +193,7 @@
         Self {
             seeds: Seeds::new(&node),
             client: Client::new().with_connect(CONNECT_TIMEOUT).with_source(node.ip),
+            memory: memory::Budget::new(node.memory.bodies()),
             node,
             log,
             adapter,
@@ -284,6 +287,7 @@
         }
         let (suspects, quarantined) = self.quarantine().counts(Instant::now());
         self.metrics.set_suspects(suspects, quarantined);
+        self.metrics.set_bodies(&self.memory);
         let version = self.routing().table.map_or(0, |table| table.version().get());
         self.metrics.encode(upstreams, vms, self.in_progress(), version)
     }
@@ -293,6 +297,11 @@
         &self.client
     }
 
+    /// The memory for the bodies of requests and answers.
+    pub fn memory(&self) -> &memory::Budget {
+        &self.memory
+    }
+
     pub(super) fn mesh(&self) -> Option<&Mesh> {
         self.mesh.get()
     }
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -9,6 +9,7 @@
 use hyper::body::Frame;
 use hyper::body::Incoming;
 use slog::info;
+use slog::warn;
 use tokio::time;
 use tokio::time::Instant;
 
@@ -54,11 +55,12 @@
         source: UpstreamStream,
         progress: CountGuard,
     ) -> Self {
+        let events = EventBuffer::new(state.memory().reservation());
         Self {
             state,
             relay,
             source: Some(source),
-            events: EventBuffer::default(),
+            events,
             resumed_after: None,
             event_count: 0,
             // Remains if the caller disconnects and the stream is dropped.
@@ -116,8 +118,9 @@
             Ok(None) if source.is_whole(&self.state).await => return Next::End,
             Ok(None) => return broken("the upstream crashed as the stream ended", true),
         };
-        let Ok(whole) = self.events.push(bytes) else {
-            return broken("an event exceeds the size limit", false);
+        let whole = match self.events.push(bytes) {
+            Ok(whole) => whole,
+            Err(error) => return self.cut_off(error),
         };
         if whole.is_empty() {
             return Next::Events(whole);
@@ -132,6 +135,19 @@
         Next::Events(whole)
     }
 
+    /// Ends the answer of an upstream whose events exceed a limit.
+    fn cut_off(&self, error: events::Error) -> Next {
+        let (limit, reason) = match error {
+            events::Error::TooLong => ("event", "an event exceeds the size limit"),
+            events::Error::NoMemory(_) => ("memory", "there is no memory for an event at present"),
+        };
+        self.state.metrics().record_cut_off(limit);
+        let target = self.source.as_ref().map(|source| source.reservation.target());
+        warn!(self.state.log(), "answer.cut_off"; "request" => &self.relay.job().call.id,
+            "target" => ?target, "why" => %error);
+        broken(reason, false)
+    }
+
     /// Resumes the stream at another upstream if the route allows it.
     async fn fail_over(&mut self, reason: &'static str, is_lost: bool) -> Result<(), &'static str> {
         self.relay.record_stream_failure(reason);
@@ -158,7 +174,7 @@
 }
 
 /// Returns the next data frame of a body and skips trailers.
-async fn next_data(incoming: &mut Incoming) -> Option<Result<Bytes, hyper::Error>> {
+pub async fn next_data(incoming: &mut Incoming) -> Option<Result<Bytes, hyper::Error>> {
     loop {
         match incoming.frame().await? {
             Ok(frame) => {
--- a/src/http/answer.rs
+++ b/src/http/answer.rs
@@ -181,6 +181,9 @@
             let Some(data) = self.next(response, self.deadline).await? else {
                 return Err(Failure::lost("the stream ended before it was whole"));
             };
+            if !self.out.reserve(data.len()) {
+                return Err(no_memory());
+            }
             pending.extend_from_slice(&data);
             if pending.len() > ANSWER_BYTES {
                 return Err(Failure::lost("an event is too large"));
@@ -190,6 +193,7 @@
                 scanned = 0;
                 // A comment is no piece of the answer: passed on, it would count as one that the caller has.
                 if event.starts_with(b":") {
+                    self.out.release(event.len());
                     continue;
                 }
                 if !begun {
@@ -215,17 +219,38 @@
         is_whole: impl AsyncFnOnce() -> bool,
     ) -> Result<(), Failure> {
         let mut body = BytesMut::new();
+        let read = async {
+            self.read_whole(response, &mut body).await?;
+            if !is_whole().await {
+                return Err(Failure::lost("the upstream crashed as the answer ended"));
+            }
+            self.begin()
+        };
+        if let Err(failure) = read.await {
+            self.out.release(body.capacity());
+            return Err(failure);
+        }
+        self.out.whole_answer(self.head(response, false), body.freeze());
+        Ok(())
+    }
+
+    /// Reads a whole answer; memory is reserved for the capacity of `body`.
+    async fn read_whole(
+        &self,
+        response: &mut Response<Incoming>,
+        body: &mut BytesMut,
+    ) -> Result<(), Failure> {
         while let Some(data) = self.next(response, self.deadline).await? {
-            body.extend_from_slice(&data);
-            if body.len() > ANSWER_BYTES {
+            let needed = (body.len() + data.len()).next_power_of_two();
+            if body.len() + data.len() > ANSWER_BYTES {
                 return Err(Failure::lost("the answer is too large"));
             }
+            if needed > body.capacity() && !self.out.reserve(needed - body.capacity()) {
+                return Err(no_memory());
+            }
+            body.reserve(needed.saturating_sub(body.len()));
+            body.extend_from_slice(&data);
         }
-        if !is_whole().await {
-            return Err(Failure::lost("the upstream crashed as the answer ended"));
-        }
-        self.begin()?;
-        self.out.whole_answer(self.head(response, false), body.freeze());
         Ok(())
     }
 
@@ -258,6 +283,10 @@
     }
 }
 
+fn no_memory() -> Failure {
+    Failure::lost("there is no memory for the answer at present")
+}
+
 /// Where the first event ends, its blank line included; `from` tells how far was looked before.
 fn end_of_event(bytes: &[u8], from: usize) -> Option<usize> {
     let start = from.min(bytes.len());
--- a/src/http/body.rs
+++ b/src/http/body.rs
@@ -16,6 +16,9 @@
 use thiserror::Error;
 use tokio::time;
 
+use crate::http::memory::Budget;
+use crate::http::memory::FREE_BYTES;
+
 /// The body of every answer that this system gives. An error aborts the connection, so that a broken answer never
 /// looks whole.
 pub type Body = UnsyncBoxBody<Bytes, Broken>;
@@ -34,6 +37,9 @@
     /// It is larger than the settings allow.
     #[error("the body is larger than {0} bytes")]
     TooLarge(u64),
+    /// The bodies that the process holds leave no memory for it.
+    #[error("there is no memory for the body at present")]
+    NoMemory,
     /// The sender broke off.
     #[error("the body broke off")]
     BrokeOff,
@@ -71,15 +77,16 @@
     time::timeout(DISCARD, rest).await.ok();
 }
 
-/// Reads a body whole, up to a size in bytes.
-pub async fn read(mut body: Incoming, limit: u64) -> Result<Bytes, Error> {
+/// Reads a body whole, up to a size in bytes, and as far as the budget has memory for it.
+pub async fn read(mut body: Incoming, limit: u64, memory: &Budget) -> Result<Bytes, Error> {
     use hyper::body::Body as _;
     let announced = body.size_hint().lower();
     if announced > limit {
         discard(body).await;
         return Err(Error::TooLarge(limit));
     }
-    let mut bytes = BytesMut::with_capacity(announced.min(limit) as usize);
+    let mut reservation = memory.reservation();
+    let mut bytes = BytesMut::with_capacity(FREE_BYTES.min(announced as usize));
     while let Some(frame) = body.frame().await {
         let frame = frame.map_err(|_| Error::BrokeOff)?;
         let Ok(data) = frame.into_data() else { continue };
@@ -87,7 +94,13 @@
             discard(body).await;
             return Err(Error::TooLarge(limit));
         }
+        bytes.reserve(data.len());
+        if !reservation.grow_to(bytes.capacity()) {
+            drop((bytes, reservation));
+            discard(body).await;
+            return Err(Error::NoMemory);
+        }
         bytes.extend_from_slice(&data);
     }
-    Ok(bytes.freeze())
+    Ok(reservation.attach(bytes.freeze()))
 }
--- a/src/http/caller.rs
+++ b/src/http/caller.rs
@@ -52,6 +52,8 @@
 const LONGEST_DEADLINE: Duration = Duration::from_secs(24 * 3600);
 /// When to come back to a home region that can't be reached.
 const ELSEWHERE: Duration = Duration::from_secs(2);
+/// `Retry-After` while other bodies take up the memory.
+const NO_MEMORY_RETRY_AFTER: Duration = Duration::from_secs(1);
 /// Names this system in `Via`, with the VM behind it.
 const VIA_PSEUDONYM: &str = "masticstream-";
 
@@ -240,7 +242,7 @@
 /// Runs a request, or joins the one in progress under its key.
 fn start(hub: Arc<Hub>, job: Arc<Job>) -> Result<crate::entry::transcript::Reader, Refusal> {
     let Some(key) = job.key.clone() else {
-        let out = Arc::new(Writer::default());
+        let out = Arc::new(Writer::new(hub.memory.reservation()));
         let reader = out.reader();
         tokio::spawn(run::run(hub, job, out));
         return Ok(reader);
@@ -348,11 +350,15 @@
 }
 
 async fn read_body(hub: &Hub, incoming: Incoming) -> Result<Bytes, Refusal> {
-    match time::timeout(BODY, body::read(incoming, hub.site.body_bytes)).await {
+    match time::timeout(BODY, body::read(incoming, hub.site.body_bytes, &hub.memory)).await {
         Ok(Ok(bytes)) => Ok(bytes),
         Ok(Err(error @ body::Error::TooLarge(_))) => {
             Err(Refusal::new(Reason::TooLarge, error.to_string()))
         }
+        Ok(Err(error @ body::Error::NoMemory)) => {
+            let refusal = Refusal::new(Reason::Overload, error.to_string());
+            Err(refusal.with_retry_after(NO_MEMORY_RETRY_AFTER))
+        }
         Ok(Err(error)) => Err(Refusal::new(Reason::BadRequest, error.to_string())),
         Err(_) => Err(Refusal::new(Reason::SlowBody, "the body did not arrive in time")),
     }
--- a/src/http/engine.rs
+++ b/src/http/engine.rs
@@ -11,6 +11,7 @@
 use http::header;
 use http_body_util::BodyExt;
 use http_body_util::Full;
+use http_body_util::Limited;
 use hyper::body::Incoming;
 use serde::Deserialize;
 use tokio::time;
@@ -41,6 +42,9 @@
 /// Whether an upstream is there at all is asked within this.
 const PROBE: Duration = Duration::from_secs(1);
 
+/// A longer load report is ignored.
+const MAX_REPORT_BYTES: usize = 64 << 10;
+
 /// What an attempt is told besides the request.
 #[derive(Debug, Clone)]
 pub struct Order {
@@ -126,7 +130,8 @@
 pub async fn load(client: &Client, upstream: &Announcement) -> Option<Load> {
     let (response, lease) =
         time::timeout(PROBE, ask_load(client, upstream.address)).await.ok()?.ok()?;
-    let body = time::timeout(PROBE, response.into_body().collect()).await.ok()?.ok()?;
+    let body = Limited::new(response.into_body(), MAX_REPORT_BYTES);
+    let body = time::timeout(PROBE, body.collect()).await.ok()?.ok()?;
     client.keep(lease);
     let report: Report = serde_json::from_slice(&body.to_bytes()).ok()?;
     Some(Load {
--- a/src/http/operator.rs
+++ b/src/http/operator.rs
@@ -125,6 +125,7 @@
 
 fn metrics(hub: &Hub) -> Response<Body> {
     let waiting = hub.dispatch().waiting();
+    hub.metrics.set_intake(&hub.memory);
     let text = hub.metrics.encode(waiting, hub.streams(), hub.version().get());
     let kind = "application/openmetrics-text; version=1.0.0; charset=utf-8";
     body::text(StatusCode::OK, kind, text)
@@ -149,7 +150,7 @@
         Ok(name) => name,
         Err(error) => return wrong(StatusCode::BAD_REQUEST, format!("the name {error}"), next),
     };
-    let bytes = match body::read(request.into_body(), ENTRY_BYTES).await {
+    let bytes = match body::read(request.into_body(), ENTRY_BYTES, &hub.memory).await {
         Ok(bytes) => bytes,
         Err(error) => return wrong(StatusCode::BAD_REQUEST, error, next),
     };
--- a/src/http/upstream.rs
+++ b/src/http/upstream.rs
@@ -54,7 +54,7 @@
 }
 
 async fn announce(hub: &Hub, id: id::Upstream, request: Request<Incoming>) -> Response<Body> {
-    let bytes = match body::read(request.into_body(), ANNOUNCEMENT_BYTES).await {
+    let bytes = match body::read(request.into_body(), ANNOUNCEMENT_BYTES, &hub.memory).await {
         Ok(bytes) => bytes,
         Err(error) => return wrong(StatusCode::BAD_REQUEST, error),
     };
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -12,6 +12,7 @@
 use prometheus_client::registry::Registry;
 
 use crate::catalogue::Class;
+use crate::http::memory::Budget;
 use crate::panics;
 
 /// A class of work and how its request ended.
@@ -37,6 +38,8 @@
     streams: Gauge,
     version: Gauge,
     panics: Gauge,
+    body_bytes: Gauge,
+    bodies_without_memory: Gauge,
 }
 
 /// From 1 ms up to 1.1 h in 16 steps of e.
@@ -73,7 +76,27 @@
         registry.register("catalogue_version", "Catalogue version in force", version.clone());
         let panics = Gauge::default();
         registry.register("panics", "Panics since the process started", panics.clone());
-        Self { registry, ended, latency, joined, waiting, streams, version, panics }
+        let mut gauge = |name: &str, text: &str| {
+            let gauge = Gauge::default();
+            registry.register(name, text, gauge.clone());
+            gauge
+        };
+        let text = "Memory reserved for the bodies of requests and answers, in bytes";
+        let body_bytes = gauge("body_bytes", text);
+        let text = "Times that there was no memory for a body";
+        let bodies_without_memory = gauge("bodies_without_memory", text);
+        Self {
+            registry,
+            ended,
+            latency,
+            joined,
+            waiting,
+            streams,
+            version,
+            panics,
+            body_bytes,
+            bodies_without_memory,
+        }
     }
 
     /// Counts a request that ended.
@@ -99,6 +122,12 @@
         self.joined.inc();
     }
 
+    /// Sets what bodies take up.
+    pub fn set_intake(&self, memory: &Budget) {
+        self.body_bytes.set(memory.reserved().get() as i64);
+        self.bodies_without_memory.set(memory.rejected() as i64);
+    }
+
     /// The metrics as text, with gauges as they stand now.
     pub fn encode(&self, waiting: usize, streams: usize, version: u64) -> String {
         self.panics.set(panics::count() as i64);
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -5,16 +5,20 @@
 
 pub mod entry;
 pub mod findings;
+pub mod memory;
 pub mod node;
 pub mod section;
 pub mod seeds;
 pub mod site;
+pub mod size;
 pub mod span;
 
 pub use findings::Finding;
 pub use findings::Findings;
+pub use memory::Memory;
 pub use node::Node;
 pub use section::Section;
 pub use seeds::Seeds;
 pub use site::Site;
+pub use size::Size;
 pub use span::Span;
--- a/src/settings/node.rs
+++ b/src/settings/node.rs
@@ -11,6 +11,7 @@
 use crate::decide::retry::limit::Limit;
 use crate::id;
 use crate::settings::Findings;
+use crate::settings::Memory;
 use crate::settings::Section;
 use crate::settings::Span;
 use crate::settings::findings::Collector;
@@ -43,6 +44,8 @@
     pub entry: Option<Entry>,
     /// The control daemon's settings, where this process is one.
     pub control: Option<Control>,
+    /// The memory that the process may use.
+    pub memory: Memory,
     /// Logs.
     pub logs: Logs,
 }
@@ -194,6 +197,7 @@
     let secret = secret(top, folder);
     let check_in = top.or("check_in", Span(Duration::from_secs(1)));
     let bounds = bounds(top);
+    let memory = Memory::read(top);
     let logs = site::logs(top);
     let entry = top.optional_section("entry").map(|section| entry(&section));
     let control = top.optional_section("control").map(|section| control(&section, folder));
@@ -216,6 +220,7 @@
         bounds: bounds?,
         entry: whole(entry)?,
         control: whole(control)?,
+        memory: memory?,
         logs: logs?,
     })
 }
--- a/src/settings/node/tests.rs
+++ b/src/settings/node/tests.rs
@@ -67,3 +67,16 @@
         assert!(findings(&with(bad))[0].contains("bounds.allowance_excess"), "{bad}");
     }
 }
+
+#[test]
+fn the_memory_of_a_process_bounds_its_bodies() {
+    let bodies = |text: &str| {
+        let node = Node::parse("node.yaml", text, Path::new(".")).unwrap();
+        node.memory.bodies().get()
+    };
+    assert_eq!(bodies(ENTRY), 64 << 20);
+    assert_eq!(bodies(&format!("{ENTRY}memory: 260MiB\n")), 65 << 20);
+    let found = findings(&format!("{ENTRY}memory: 16MiB\n"));
+    assert_eq!(found, ["memory: must be 32MiB or more"]);
+    assert!(findings(&format!("{ENTRY}memory: 260MB\n"))[0].contains("256MiB"));
+}
--- a/src/settings/site.rs
+++ b/src/settings/site.rs
@@ -9,6 +9,7 @@
 
 use crate::id;
 use crate::settings::Findings;
+use crate::settings::Memory;
 use crate::settings::Section;
 use crate::settings::Span;
 use crate::settings::findings::Collector;
@@ -34,6 +35,8 @@
     pub headers: Headers,
     /// The largest request body that is taken, in bytes.
     pub body_bytes: u64,
+    /// The memory that each process may use.
+    pub memory: Memory,
     /// How long a draining process waits for its streams.
     pub drain: Duration,
     /// Logs.
@@ -160,6 +163,7 @@
     let operator_token = file(top, "operator_token_file", folder);
     let headers = headers(top);
     let body_bytes = top.or("body_bytes", BODY_BYTES);
+    let memory = Memory::read(top);
     let drain = top.or("drain", Span(DRAIN));
     let logs = logs(top);
     top.finish();
@@ -176,6 +180,7 @@
         operator_token: operator_token?,
         headers: headers?,
         body_bytes: body_bytes?,
+        memory: memory?,
         drain: drain?.0,
         logs: logs?,
     })
--- a/tests/support/site.rs
+++ b/tests/support/site.rs
@@ -18,6 +18,7 @@
 use masticstream::id;
 use masticstream::log;
 use masticstream::settings;
+use masticstream::settings::Memory;
 use masticstream::settings::Site;
 use masticstream::settings::site::ControlAddresses;
 use masticstream::settings::site::EntryAddresses;
@@ -484,6 +485,7 @@
         operator_token: None,
         headers: settings::site::Headers::default(),
         body_bytes: 1 << 20,
+        memory: Memory::default(),
         drain: Duration::from_secs(30),
         logs: settings::site::Logs { json: false, level: slog::Level::Warning },
     }
