A head without end does not stop an entry VM

While one upstream sent interim responses without end, the entry process answered nobody for 2.5 to 5 s: 44 to 69 of 55 to 69 unanswered requests had no answer 0.5 s after their timeout.

Cause: nothing bounded what precedes the final head of an answer, and nothing what a connection reads before other tasks have their turn. The HTTP library parses as long as a read succeeds, an interim head empties its buffer, and tokio ends a turn after 128 reads of up to 400 KB.

Evidence: the loop in hyper's Buffered::parse, whose limits apply to a head that is not complete alone; on the code before only the two forms with interim heads of the test below stop other requests, and the five others are bounded by the library.

Change: http::intake between each connection and hyper. After 128 KiB other tasks and timers have their turn, at upstreams' and at callers' connections; the heads of one answer together are 256 KiB at most, each 64 KiB. Beyond that the connection is closed, the request fails at once and is tried elsewhere if it may (answer.cut_off, mastic_answers_cut_off_total{outcome="head"}, mastic_oversized_heads).

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -17,6 +17,7 @@
 use http_body_util::Limited;
 use hyper::body::Incoming;
 use slog::info;
+use slog::warn;
 use tokio::time;
 use tokio::time::Instant;
 
@@ -189,6 +190,13 @@
             reservation.complete(Outcome::Failed);
             return AttemptResult::Indeterminate { reason: "the connection broke off" };
         }
+        Ok(Err(Error::HeadTooLarge(why))) => {
+            warn!(state.log(), "answer.cut_off"; "request" => &job.call.id,
+                "target" => ?reservation.target(), "why" => why);
+            state.metrics().record_cut_off("head");
+            reservation.complete(Outcome::Failed);
+            return AttemptResult::Indeterminate { reason: "the head of the answer is too large" };
+        }
         Err(_) => {
             record_run_end(state, job, &reservation, started, End::Late);
             reservation.complete(Outcome::Unanswered);
--- a/src/http/client.rs
+++ b/src/http/client.rs
@@ -6,6 +6,8 @@
 use std::net::IpAddr;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -13,6 +15,7 @@
 use http::Response;
 use http_body_util::Full;
 use hyper::body::Incoming;
+use hyper::client::conn::TrySendError;
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
 use thiserror::Error;
@@ -21,6 +24,8 @@
 use tokio::time;
 use tokio::time::Instant;
 
+use crate::http::intake::Heads;
+use crate::http::intake::Intake;
 use crate::http::socket;
 use crate::sync::Mutex;
 
@@ -43,6 +48,9 @@
     /// Bytes left, and no answer came.
     #[error("no answer came: {0}")]
     Lost(String),
+    /// Bytes left, and what came is too large for the head of an answer.
+    #[error("the head of the answer is too large: {0}")]
+    HeadTooLarge(String),
 }
 
 /// What a connection attempt shows of an upstream.
@@ -61,10 +69,18 @@
 /// How long an accepted connection must stay open.
 const PROBE_OPEN_TIME: Duration = Duration::from_millis(20);
 
-type Sender = http1::SendRequest<Full<Bytes>>;
+/// The largest single head of an answer, in bytes; an interim one counts by itself.
+const MAX_HEAD_BYTES: usize = 64 << 10;
+
+/// An open connection.
+#[derive(Debug)]
+struct Connection {
+    sender: http1::SendRequest<Full<Bytes>>,
+    heads: Arc<Heads>,
+}
 
 /// A connection that waits for its next request, and until when it may.
-type Kept = (Sender, Instant);
+type Kept = (Connection, Instant);
 
 /// The connections of one process, by address.
 #[derive(Debug, Clone)]
@@ -72,11 +88,13 @@
     kept: Arc<Mutex<HashMap<SocketAddr, Vec<Kept>>>>,
     connect: Duration,
     source: Option<IpAddr>,
+    /// How many answers had too large a head.
+    oversized: Arc<AtomicU64>,
 }
 
 impl Default for Client {
     fn default() -> Self {
-        Self { kept: Arc::default(), connect: CONNECT, source: None }
+        Self { kept: Arc::default(), connect: CONNECT, source: None, oversized: Arc::default() }
     }
 }
 
@@ -84,7 +102,7 @@
 #[derive(Debug)]
 pub struct Lease {
     address: SocketAddr,
-    sender: Sender,
+    connection: Connection,
     fresh: bool,
 }
 
@@ -129,12 +147,12 @@
         loop {
             let mut lease = self.lease(address).await?;
             prepare(&mut request);
-            match lease.sender.try_send_request(request).await {
+            match lease.connection.exchange(request).await {
                 Ok(response) => return Ok((response, lease)),
                 Err(mut failed) => match failed.take_message() {
                     Some(unsent) if !lease.fresh => request = unsent,
                     Some(_) => return Err(Error::Unsent(failed.error().to_string())),
-                    None => return Err(Error::Lost(failed.error().to_string())),
+                    None => return Err(self.no_answer(&lease, failed.error())),
                 },
             }
         }
@@ -152,15 +170,28 @@
     ) -> Result<(Response<Incoming>, Lease), Error> {
         let mut lease = self.fresh(address).await?;
         prepare(&mut request);
-        match lease.sender.try_send_request(request).await {
+        match lease.connection.exchange(request).await {
             Ok(response) => Ok((response, lease)),
             Err(mut failed) => match failed.take_message() {
                 Some(_) => Err(Error::Unsent(failed.error().to_string())),
-                None => Err(Error::Lost(failed.error().to_string())),
+                None => Err(self.no_answer(&lease, failed.error())),
             },
         }
     }
 
+    /// How many answers had too large a head.
+    pub fn oversized_heads(&self) -> u64 {
+        self.oversized.load(Ordering::Relaxed)
+    }
+
+    fn no_answer(&self, lease: &Lease, error: &hyper::Error) -> Error {
+        if !lease.connection.heads.is_exceeded() && !error.is_parse_too_large() {
+            return Error::Lost(error.to_string());
+        }
+        self.oversized.fetch_add(1, Ordering::Relaxed);
+        Error::HeadTooLarge(source_of(error))
+    }
+
     /// Opens a connection without sending anything.
     pub async fn probe(&self, address: SocketAddr, limit: Duration) -> Probe {
         let stream = match time::timeout(limit, dial(address, self.source)).await {
@@ -188,13 +219,13 @@
     /// may not run twice fails although every upstream is well.
     pub fn keep_for(&self, lease: Lease, idle: Duration) {
         let idle = idle.saturating_sub(CLOSING).min(IDLE);
-        if lease.sender.is_closed() || idle.is_zero() {
+        if lease.connection.sender.is_closed() || idle.is_zero() {
             return;
         }
         let mut kept = self.kept.lock();
         let all = kept.entry(lease.address).or_default();
         if all.len() < KEPT {
-            all.push((lease.sender, Instant::now() + idle));
+            all.push((lease.connection, Instant::now() + idle));
         }
     }
 
@@ -205,34 +236,34 @@
             kept.remove(&address);
         }
         kept.retain(|_, all| {
-            all.retain(|(sender, until)| !sender.is_closed() && Instant::now() < *until);
+            all.retain(|(open, until)| !open.sender.is_closed() && Instant::now() < *until);
             !all.is_empty()
         });
     }
 
-    fn kept(&self, address: SocketAddr) -> Option<Sender> {
+    fn kept(&self, address: SocketAddr) -> Option<Connection> {
         let mut kept = self.kept.lock();
         let all = kept.get_mut(&address)?;
-        while let Some((sender, until)) = all.pop() {
-            if sender.is_ready() && Instant::now() < until {
-                return Some(sender);
+        while let Some((connection, until)) = all.pop() {
+            if connection.sender.is_ready() && Instant::now() < until {
+                return Some(connection);
             }
         }
         None
     }
 
     async fn lease(&self, address: SocketAddr) -> Result<Lease, Error> {
-        if let Some(sender) = self.kept(address) {
-            return Ok(Lease { address, sender, fresh: false });
+        if let Some(connection) = self.kept(address) {
+            return Ok(Lease { address, connection, fresh: false });
         }
         self.fresh(address).await
     }
 
     async fn fresh(&self, address: SocketAddr) -> Result<Lease, Error> {
-        let sender = time::timeout(self.connect, connect(address, self.source))
+        let connection = time::timeout(self.connect, connect(address, self.source))
             .await
             .map_err(|_| Error::Unsent("connecting took too long".to_owned()))??;
-        Ok(Lease { address, sender, fresh: true })
+        Ok(Lease { address, connection, fresh: true })
     }
 }
 
@@ -248,15 +279,40 @@
     }
 }
 
-async fn connect(address: SocketAddr, source: Option<IpAddr>) -> Result<Sender, Error> {
+impl Connection {
+    /// Sends a request and waits for the final head of its answer.
+    async fn exchange(
+        &mut self,
+        request: Request<Full<Bytes>>,
+    ) -> Result<Response<Incoming>, TrySendError<Request<Full<Bytes>>>> {
+        self.heads.begin();
+        let response = self.sender.try_send_request(request).await?;
+        self.heads.end();
+        Ok(response)
+    }
+}
+
+/// The innermost cause of an error.
+fn source_of(error: &hyper::Error) -> String {
+    let mut cause: &dyn std::error::Error = error;
+    while let Some(source) = cause.source() {
+        cause = source;
+    }
+    cause.to_string()
+}
+
+async fn connect(address: SocketAddr, source: Option<IpAddr>) -> Result<Connection, Error> {
     let unsent = |error: &dyn std::error::Error| Error::Unsent(error.to_string());
     let stream = dial(address, source).await.map_err(|error| unsent(&error))?;
     socket::prepare(&stream, None);
-    let io = TokioIo::new(stream);
-    let (sender, connection) = http1::handshake(io).await.map_err(|error| unsent(&error))?;
+    let stream = Intake::new(stream);
+    let heads = stream.heads();
+    let handshake =
+        http1::Builder::new().max_buf_size(MAX_HEAD_BYTES).handshake(TokioIo::new(stream));
+    let (sender, connection) = handshake.await.map_err(|error| unsent(&error))?;
     // Ends when the sender is dropped: that closes the socket, and the far end sees that nobody waits.
     tokio::spawn(async move { connection.await.ok() });
-    Ok(sender)
+    Ok(Connection { sender, heads })
 }
 
 #[cfg(test)]
--- a/src/http/mod.rs
+++ b/src/http/mod.rs
@@ -8,6 +8,7 @@
 pub mod control;
 pub mod engine;
 pub mod forward;
+mod intake;
 pub mod memory;
 pub mod operator;
 pub mod refusal;
--- a/src/http/operator.rs
+++ b/src/http/operator.rs
@@ -125,7 +125,7 @@
 
 fn metrics(hub: &Hub) -> Response<Body> {
     let waiting = hub.dispatch().waiting();
-    hub.metrics.set_intake(&hub.memory);
+    hub.metrics.set_intake(&hub.memory, &hub.client);
     let text = hub.metrics.encode(waiting, hub.streams(), hub.version().get());
     let kind = "application/openmetrics-text; version=1.0.0; charset=utf-8";
     body::text(StatusCode::OK, kind, text)
--- a/src/http/server.rs
+++ b/src/http/server.rs
@@ -23,6 +23,7 @@
 use crate::http::Body;
 use crate::http::Reason;
 use crate::http::Refusal;
+use crate::http::intake::Intake;
 
 /// The headers of a request must arrive within this; a sender that trickles them holds a connection no longer. The time
 /// that a kept connection is idle counts too, and callers use theirs again after up to 12 s.
@@ -61,7 +62,7 @@
             .timer(TokioTimer::new())
             .header_read_timeout(HEADERS)
             .max_buf_size(HEAD_BYTES)
-            .serve_connection(TokioIo::new(stream), service);
+            .serve_connection(TokioIo::new(Intake::new(stream)), service);
         let watched = open.watch(connection);
         tokio::spawn(async move {
             watched.await.ok();
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -12,6 +12,7 @@
 use prometheus_client::registry::Registry;
 
 use crate::catalogue::Class;
+use crate::http::client::Client;
 use crate::http::memory::Budget;
 use crate::panics;
 
@@ -40,6 +41,7 @@
     panics: Gauge,
     body_bytes: Gauge,
     bodies_without_memory: Gauge,
+    oversized_heads: Gauge,
 }
 
 /// From 1 ms up to 1.1 h in 16 steps of e.
@@ -85,6 +87,7 @@
         let body_bytes = gauge("body_bytes", text);
         let text = "Times that there was no memory for a body";
         let bodies_without_memory = gauge("bodies_without_memory", text);
+        let oversized_heads = gauge("oversized_heads", "Answers whose head was too large");
         Self {
             registry,
             ended,
@@ -96,6 +99,7 @@
             panics,
             body_bytes,
             bodies_without_memory,
+            oversized_heads,
         }
     }
 
@@ -122,10 +126,11 @@
         self.joined.inc();
     }
 
-    /// Sets what bodies take up.
-    pub fn set_intake(&self, memory: &Budget) {
+    /// Sets what bodies take up, and how many answers had too large a head.
+    pub fn set_intake(&self, memory: &Budget, client: &Client) {
         self.body_bytes.set(memory.reserved().get() as i64);
         self.bodies_without_memory.set(memory.rejected() as i64);
+        self.oversized_heads.set(client.oversized_heads() as i64);
     }
 
     /// The metrics as text, with gauges as they stand now.
