--- a/src/panics.rs
+++ b/src/panics.rs
@@ -3,6 +3,7 @@
 //! A panic is logged and counted. Work that failed alone is answered or started again by its server or supervisor. Where
 //! shared state may be inconsistent the process ends, and whatever started it starts it again.
 
+use std::any::Any;
 use std::panic;
 use std::panic::AssertUnwindSafe;
 use std::process;
@@ -28,11 +29,17 @@
     panic::set_hook(Box::new(move |panic| {
         COUNT.fetch_add(1, Ordering::Relaxed);
         error!(log, "process.panicked"; "place" => panic.location().map(ToString::to_string),
-            "why" => panic.payload_as_str());
+            "why" => message(panic.payload()));
         default(panic);
     }));
 }
 
+/// The text of a panic, if it has one.
+fn message(payload: &dyn Any) -> Option<&str> {
+    let text = payload.downcast_ref::<String>().map(String::as_str);
+    text.or_else(|| payload.downcast_ref::<&str>().copied())
+}
+
 /// The number of panics since [`report_to`] was called.
 pub fn count() -> u64 {
     COUNT.load(Ordering::Relaxed)
