--- a/src/gateway/transfer.rs
+++ b/src/gateway/transfer.rs
@@ -12,6 +12,7 @@
 use http::StatusCode;
 use http_body_util::BodyExt;
 use http_body_util::StreamBody;
+use hyper::body::Body as _;
 use hyper::body::Frame;
 use slog::info;
 use slog::warn;
@@ -113,6 +114,10 @@
                 flush.as_mut().reset(Instant::now() + FLUSH_DELAY);
             }
             joined.extend_from_slice(&data);
+            // The caller's side is dropped once it has as many bytes as its head states.
+            if rest.incoming.is_end_stream() {
+                break;
+            }
             if joined.len() >= JOINED_BYTES {
                 self.send(joined.split().freeze()).await?;
             }
@@ -121,7 +126,8 @@
             return Err(Failure::BrokeOff);
         }
         self.send(joined.freeze()).await?;
-        self.out.send(Part::End).await.map_err(|_| Failure::CallerLeft)
+        self.out.send(Part::End).await.ok();
+        Ok(())
     }
 
     async fn send(&mut self, data: Bytes) -> Result<(), Failure> {
--- a/src/sync.rs
+++ b/src/sync.rs
@@ -7,8 +7,8 @@
 
 /// A mutex that ends the process if a thread panicked while it held the lock.
 ///
-/// Guards against a process that goes on half alive: each later use of the state would panic too, while the process
-/// still accepts connections and counts as running.
+/// Guards against a process that counts as running but fails every request: each later use of the state would panic
+/// too.
 #[derive(Debug, Default)]
 pub struct Mutex<T>(sync::Mutex<T>);
 
