--- a/src/group/driver.rs
+++ b/src/group/driver.rs
@@ -67,6 +67,8 @@
     /// Another replica's snapshot, all of it, until the files are free.
     pub(super) arrived: Option<(Snapshot, Vec<u8>)>,
     pub(super) serve: Option<Serve>,
+    /// Pieces of the last snapshot that were asked for and wait until it has been read.
+    pub(super) asked: BTreeMap<id::Replica, (Index, u64)>,
     /// Whether a snapshot is due, until the files are free.
     pub(super) snapshot_due: bool,
     /// The length of the last snapshot that was taken.
@@ -112,6 +114,7 @@
             fetch: None,
             arrived: None,
             serve: None,
+            asked: BTreeMap::new(),
             snapshot_due: false,
             snapshot_bytes: opened.snapshot_data.as_ref().map_or(0, Vec::len),
             told: None,
@@ -248,9 +251,7 @@
             }
             Finished::Installed(snapshot, machine) => self.install(snapshot, machine),
             Finished::Undecodable => self.step(Input::SnapshotFailed),
-            Finished::Loaded(snapshot, data) => {
-                self.serve = Some(Serve::new(snapshot, data, Instant::now()));
-            }
+            Finished::Loaded(loaded) => self.serve_loaded(loaded),
             Finished::Nothing => {}
         }
     }
--- a/src/group/files.rs
+++ b/src/group/files.rs
@@ -50,8 +50,8 @@
     Installed(Snapshot, M),
     /// Another replica's snapshot makes no sense here.
     Undecodable,
-    /// The last snapshot was read.
-    Loaded(Snapshot, Vec<u8>),
+    /// The last snapshot was read, if there is one.
+    Loaded(Option<(Snapshot, Vec<u8>)>),
     /// Nothing that matters.
     Nothing,
 }
@@ -158,8 +158,7 @@
             }
             Done::Loaded { snapshots, loaded } => {
                 self.snapshots = Some(snapshots);
-                loaded
-                    .map_or(Finished::Nothing, |(snapshot, data)| Finished::Loaded(snapshot, data))
+                Finished::Loaded(loaded)
             }
         })
     }
--- a/src/group/snapshot.rs
+++ b/src/group/snapshot.rs
@@ -7,6 +7,7 @@
 use super::Machine;
 use super::Message;
 use super::fetch::Next;
+use super::serve::Serve;
 use crate::consensus::Input;
 use crate::consensus::Role;
 use crate::consensus::Snapshot;
@@ -35,6 +36,8 @@
         {
             self.snapshot_due = false;
             self.snapshot();
+        } else if !self.asked.is_empty() {
+            self.files.load();
         }
     }
 
@@ -73,9 +76,24 @@
                 let chunk = serve.piece(offset, Instant::now());
                 self.send(to, Message::Chunk(chunk));
             }
-            // The piece is asked for again, by when the snapshot has been read.
-            None => self.files.load(),
+            None => {
+                self.asked.insert(to, (index, offset));
+            }
+        }
+    }
+
+    /// Sends the pieces that were asked for before the snapshot had been read. One that it does not cover is asked for again.
+    pub(super) fn serve_loaded(&mut self, loaded: Option<(Snapshot, Vec<u8>)>) {
+        let asked = std::mem::take(&mut self.asked);
+        let Some((snapshot, data)) = loaded else { return };
+        let mut serve = Serve::new(snapshot, data, Instant::now());
+        for (to, (index, offset)) in asked {
+            if serve.covers(index) {
+                let chunk = serve.piece(offset, Instant::now());
+                self.send(to, Message::Chunk(chunk));
+            }
         }
+        self.serve = Some(serve);
     }
 
     pub(super) fn take_chunk(&mut self, from: id::Replica, chunk: Chunk) {
--- a/src/group/tests.rs
+++ b/src/group/tests.rs
@@ -15,6 +15,7 @@
 use super::Config;
 use super::Driver;
 use super::Error;
+use super::Group;
 use super::Message;
 use super::Stopped;
 use crate::consensus;
@@ -243,24 +244,32 @@
     assert!(holds(b"Withheld") && !holds(b"key-1"));
 }
 
-#[tokio::test(start_paused = true)]
-async fn snapshot_is_served_to_members_that_hold_data_alone() {
-    // A witness or a stranger asks for the snapshot. Served, bound data would leave the region.
+const MEMBER: id::Replica = id::Replica::new(1);
+const WITNESS: id::Replica = id::Replica::new(2);
+
+/// A replica that has a snapshot up to entry 9, and what it sends. The other members are `MEMBER` and `WITNESS`.
+fn with_snapshot() -> (Group<Ledger>, mpsc::Receiver<(id::Replica, Message)>) {
     let mut rng = SmallRng::seed_from_u64(12);
     let mut opened = Storage::new(Memory::default(), &mut rng).expect("new");
-    let [member, witness, stranger] = [1, 2, 3].map(id::Replica::new);
-    let members = Members::new([opened.id, member]).with_member(witness, consensus::Role::Witness);
+    let members = Members::new([opened.id, MEMBER]).with_member(WITNESS, consensus::Role::Witness);
     let position = Position::new(Index::new(9), Term::new(1));
     let mut data = Vec::new();
     ciborium::into_writer(&Ledger::default(), &mut data).expect("encodes");
     let snapshot = Snapshot { position, members };
     opened.snapshots.save(&snapshot, &data).expect("writes");
     opened.restored.snapshot = snapshot;
-    let (outbox, mut sent) = mpsc::channel(1000);
+    let (outbox, sent) = mpsc::channel(1000);
     let (group, driver) =
         Driver::<Ledger, Memory>::new(Config::new(opened.id), opened, outbox, rng).expect("starts");
     tokio::spawn(driver.run());
-    for from in [stranger, witness, member].into_iter().cycle().take(9) {
+    (group, sent)
+}
+
+#[tokio::test(start_paused = true)]
+async fn snapshot_is_served_to_members_that_hold_data_alone() {
+    // A witness or a stranger asks for the snapshot. Served, bound data would leave the region.
+    let (group, mut sent) = with_snapshot();
+    for from in [id::Replica::new(3), WITNESS, MEMBER].into_iter().cycle().take(9) {
         let fetch = Message::Fetch { index: Index::new(9), offset: 0 };
         group.receive(from, fetch).await.expect("runs");
         sleep(Duration::from_millis(10)).await;
@@ -271,5 +280,19 @@
             served.insert(to);
         }
     }
-    assert_eq!(served, BTreeSet::from([member]));
+    assert_eq!(served, BTreeSet::from([MEMBER]));
+}
+
+/// Far less than a missing piece of a snapshot is waited for.
+const COPIED: Duration = Duration::from_millis(500);
+
+// Guards against a newcomer whose first request for a snapshot is not answered until it asks again.
+#[tokio::test(start_paused = true)]
+async fn snapshot_is_served_as_soon_as_it_has_been_read() {
+    let (group, mut sent) = with_snapshot();
+    let fetch = Message::Fetch { index: Index::new(9), offset: 0 };
+    group.receive(MEMBER, fetch).await.expect("runs");
+    let served =
+        async { while !matches!(sent.recv().await.expect("runs"), (_, Message::Chunk(_))) {} };
+    timeout(COPIED, served).await.expect("served without being asked again");
 }
