--- a/src/group/driver.rs
+++ b/src/group/driver.rs
@@ -172,6 +172,7 @@
         if now >= self.replica.deadline() {
             self.step(Input::Tick);
         }
+        self.give_up_former_leader();
         if let Some(fetch) = &mut self.fetch {
             let next = fetch.tick(now);
             self.fetch_next(next);
--- a/src/group/fetch.rs
+++ b/src/group/fetch.rs
@@ -45,6 +45,11 @@
         Self { from, wanted, snapshot: None, data: Vec::new(), retry: now, tries: 0 }
     }
 
+    /// Whom it comes from.
+    pub const fn from(&self) -> id::Replica {
+        self.from
+    }
+
     pub const fn deadline(&self) -> Instant {
         self.retry
     }
--- a/src/group/snapshot.rs
+++ b/src/group/snapshot.rs
@@ -103,6 +103,15 @@
         }
     }
 
+    /// Gives up a snapshot of a former leader, which may be gone; the next one offers its own.
+    pub(super) fn give_up_former_leader(&mut self) {
+        let leader = self.replica.leader();
+        if self.fetch.take_if(|fetch| leader.is_some_and(|leader| leader != fetch.from())).is_some()
+        {
+            self.step(Input::SnapshotFailed);
+        }
+    }
+
     pub(super) fn fetch_next(&mut self, next: Next) {
         match next {
             Next::Wait => {}
--- a/src/group/tests.rs
+++ b/src/group/tests.rs
@@ -296,3 +296,36 @@
         async { while !matches!(sent.recv().await.expect("runs"), (_, Message::Chunk(_))) {} };
     timeout(COPIED, served).await.expect("served without being asked again");
 }
+
+// Guards against a replica that goes on asking a leader that is gone, and ignores the snapshot of the next one.
+#[tokio::test(start_paused = true)]
+async fn snapshot_of_the_next_leader_is_fetched_at_once() {
+    let mut rng = SmallRng::seed_from_u64(13);
+    let opened = Storage::new(Memory::default(), &mut rng).expect("new");
+    let [gone, next] = [1, 2].map(id::Replica::new);
+    let members = Members::new([opened.id, gone, next]);
+    let (outbox, mut sent) = mpsc::channel(1000);
+    let (group, driver) =
+        Driver::<Ledger, Memory>::new(Config::new(opened.id), opened, outbox, rng).expect("starts");
+    tokio::spawn(driver.run());
+    let offer = |index: u64, term: u64| {
+        let position = Position::new(Index::new(index), Term::new(term));
+        let snapshot = Snapshot { position, members: members.clone() };
+        let body = Body::Snapshot { snapshot, round: Round::ZERO };
+        Message::Consensus(consensus::Message::new(Term::new(term), body))
+    };
+    group.receive(gone, offer(9, 1)).await.expect("runs");
+    sleep(Duration::from_millis(100)).await;
+    let asked = async {
+        loop {
+            group.receive(next, offer(8, 2)).await.expect("runs");
+            sleep(Duration::from_millis(100)).await;
+            while let Ok((to, message)) = sent.try_recv() {
+                if to == next && matches!(message, Message::Fetch { .. }) {
+                    return;
+                }
+            }
+        }
+    };
+    timeout(COPIED, asked).await.expect("the next leader is asked");
+}
