--- a/src/group/snapshot.rs
+++ b/src/group/snapshot.rs
@@ -115,7 +115,9 @@
     pub(super) fn fetch_next(&mut self, next: Next) {
         match next {
             Next::Wait => {}
-            Next::Ask(to, message) => self.send(to, message),
+            Next::Ask(to, messages) => {
+                messages.into_iter().for_each(|message| self.send(to, message));
+            }
             Next::Done(snapshot, data) => {
                 self.fetch = None;
                 self.arrived = Some((snapshot, data));
