--- a/src/group/mod.rs
+++ b/src/group/mod.rs
@@ -29,4 +29,4 @@
 pub use status::Status;
 
 #[cfg(test)]
-mod tests;
+pub(crate) mod tests;
--- a/src/group/tests.rs
+++ b/src/group/tests.rs
@@ -1,4 +1,4 @@
-mod cluster;
+pub(crate) mod cluster;
 mod storm;
 
 use std::collections::BTreeSet;
