A replica that is no member asks for its seat without a pause

Cause: a newcomer asked who leads once a second, also while there was no leader and after a refusal, so each attempt that failed cost a second and more.

Change: it asks every 150 ms until it is a member, as while a group forms, and then once a second as before.

--- a/src/control/seat.rs
+++ b/src/control/seat.rs
@@ -24,6 +24,7 @@
 use crate::control::Routes;
 use crate::control::form;
 use crate::control::form::Step;
+use crate::control::join::JOIN_TIMEOUT;
 use crate::control::plan::Plan;
 use crate::group;
 use crate::group::Driver;
@@ -39,9 +40,10 @@
 use crate::wire::Request;
 use crate::wire::message::Identity;
 
-/// Planned VMs are asked who they are this often while a group forms, and while members are not all known.
+/// Planned VMs are asked who they are this often while a group forms, while this replica is no member, and while members
+/// are not all known.
 const FORMING: Duration = Duration::from_millis(150);
-/// The same once it runs: a VM that lost its disk is taken in within seconds.
+/// The same once it runs.
 const RUNNING: Duration = Duration::from_secs(1);
 /// A VM that does not answer within this is left out.
 const ASK: Duration = Duration::from_millis(500);
@@ -285,20 +287,20 @@
             let region = |(id, _)| Some((id, self.shared.plan.region(&vm(id)?)?));
             group.set_regions(members.iter().filter_map(region).collect()).await.ok();
             let leader = told.iter().find(|(_, identity)| identity.leads);
-            let is_listed = leader.is_none_or(|(_, leader)| leader.members.contains(own));
-            if !is_listed && !*self.stopping.borrow() {
-                self.ask_in(own, &told).await;
+            let listed = leader.map_or(&members, |(_, identity)| &identity.members);
+            let is_member = listed.contains(own);
+            if let Some((vm, _)) = leader.filter(|_| !is_member && !*self.stopping.borrow()) {
+                self.ask_in(own, vm).await;
             }
-            time::sleep(if is_complete { RUNNING } else { FORMING }).await;
+            time::sleep(if is_complete && is_member { RUNNING } else { FORMING }).await;
         }
     }
 
-    async fn ask_in(&self, own: id::Replica, told: &[(id::Vm, Identity)]) {
-        let Some((leader, _)) = told.iter().find(|(_, identity)| identity.leads) else { return };
+    async fn ask_in(&self, own: id::Replica, leader: &id::Vm) {
         let peer = Peer::new(leader.clone(), crate::wire::Role::Control);
         let witness = self.role == Role::Witness;
         let request = Request::Join { name: self.name.clone(), replica: own, witness };
-        self.shared.mesh.call(&peer, request, ASK * 4).await.ok();
+        self.shared.mesh.call(&peer, request, JOIN_TIMEOUT).await.ok();
     }
 }
 
