The identities of lost disks are known after a restart of all control VMs

What callers saw: where all control VMs restart and two of them have lost their disks, the two seats stay vacant for 3 s longer than necessary, in which the loss of one more VM ends all changes.

Cause: an identity whose disk was lost is let go when its VM asks to be taken in, if the leader knows which VM had it. That was kept in memory alone, and nobody can tell it after a restart of all processes; the voter was then replaced for its silence.

`seats.changed` names silence as the reason.

The cache file moves to `store`.

--- a/src/control/daemon.rs
+++ b/src/control/daemon.rs
@@ -91,7 +91,7 @@
         let missing = || Error::NotHere { vm: me.clone(), role: "control" };
         let place = site.vms.get(&me).ok_or_else(missing)?.clone();
         let folder = place.control.as_ref().ok_or_else(missing)?.folder.clone();
-        let routes = Arc::new(Routes::default());
+        let routes = Arc::new(Routes::new(&folder, &log));
         let service = Arc::new(Service::new(place.region.clone(), routes.clone()));
         let handler = Arc::new(service::Shared(service.clone()));
         let peer = Peer::new(me.clone(), Role::Control);
@@ -99,7 +99,7 @@
         let shared = Arc::new(seat::Shared {
             me: me.clone(),
             plan: Box::new(site.clone()),
-            routes,
+            routes: routes.clone(),
             mesh: mesh.clone(),
             log: log.clone(),
         });
@@ -108,6 +108,9 @@
         service.serve(seats, mesh.clone());
         let mut supervisor = Supervisor::new(log.clone());
         serve(&mut supervisor, &service, &site, bound, mesh);
+        let (stop, routes_log) = (supervisor.stop(), log.clone());
+        supervisor
+            .child("routes", move || routes.clone().keep_saved(routes_log.clone(), stop.clone()));
         info!(log, "control daemon up"; "version" => env!("CARGO_PKG_VERSION"));
         Ok(Self { service, supervisor, replicas, log })
     }
--- a/src/control/join/tests.rs
+++ b/src/control/join/tests.rs
@@ -8,6 +8,7 @@
 use crate::group::tests::cluster::Cluster;
 use crate::id;
 use crate::ledger::Ledger;
+use crate::log;
 
 // Guards against newcomers that refuse each other's changes and wait until they ask again.
 #[tokio::test(start_paused = true)]
@@ -15,7 +16,8 @@
     let cluster = Cluster::<Ledger>::new(5, false, 1000);
     let leader = cluster.leader().await;
     let group = cluster.group(leader);
-    let routes = Routes::default();
+    let folder = tempfile::tempdir().unwrap();
+    let routes = Routes::new(folder.path(), &log::silent());
     let lost: Vec<usize> = (0..5).filter(|&number| number != leader).take(2).collect();
     let newcomers: Vec<(id::Vm, id::Replica)> = lost
         .iter()
--- a/src/directory/daemon.rs
+++ b/src/directory/daemon.rs
@@ -80,7 +80,7 @@
         let operators = listen(control.operators).await?;
         let directory = listen(control.directory).await?;
         let links = listen((node.ip, node.link_port).into()).await?;
-        let routes = Arc::new(Routes::default());
+        let routes = Arc::new(Routes::new(&control.folder, &log));
         let service =
             Arc::new(Service::new(node.clone(), routes.clone(), start_time_ms, seed, log.clone()));
         let peer = Peer::new(node.vm(), Role::Control);
@@ -164,6 +164,7 @@
     spawn_task(supervisor, "roster", service, tasks::save_roster);
     spawn_task(supervisor, "crashes", service, tasks::share_crashes);
     spawn_task(supervisor, "traffic", service, tasks::log_traffic);
+    spawn_task(supervisor, "routes", service, tasks::save_routes);
 }
 
 fn spawn_task<F, R>(supervisor: &mut Supervisor, name: &'static str, service: &Arc<Service>, run: F)
--- a/src/directory/mod.rs
+++ b/src/directory/mod.rs
@@ -8,7 +8,6 @@
 
 mod batching;
 pub mod broadcast;
-pub mod cache;
 pub mod daemon;
 pub mod links;
 pub mod lookup;
--- a/src/directory/service.rs
+++ b/src/directory/service.rs
@@ -19,8 +19,6 @@
 use self::quarantine::Published;
 use super::batching::Batching;
 use super::broadcast;
-use super::cache;
-use super::cache::Cache;
 use super::lookup;
 use super::metrics::Metrics;
 use super::wakeups::Wakeups;
@@ -49,6 +47,8 @@
 use crate::routing::state::Replicated;
 use crate::settings::Node;
 use crate::settings::Seeds;
+use crate::store::Cache;
+use crate::store::cache;
 use crate::sync::Mutex;
 use crate::unit::Term;
 use crate::unit::Version;
@@ -256,7 +256,7 @@
         self.mesh.get()
     }
 
-    pub(super) fn routes(&self) -> &Routes {
+    pub(super) const fn routes(&self) -> &Arc<Routes> {
         &self.routes
     }
 
--- a/src/directory/service/quarantine.rs
+++ b/src/directory/service/quarantine.rs
@@ -10,12 +10,12 @@
 use tokio::time::Instant;
 
 use super::Service;
-use super::cache::CRASHES_FILE;
 use crate::decide::quarantine::Digest;
 use crate::decide::quarantine::HoldRecord;
 use crate::decide::quarantine::Quarantine;
 use crate::decide::quarantine::Report;
 use crate::roster::Announcement;
+use crate::store::cache::CRASHES_FILE;
 use crate::unit::Incarnation;
 use crate::wire::Cast;
 use crate::wire::Peer;
--- a/src/directory/tasks.rs
+++ b/src/directory/tasks.rs
@@ -10,11 +10,11 @@
 use tokio::time::Instant;
 
 use super::Service;
-use super::cache;
 use super::service::CRASH_REPEAT_INTERVAL;
 use super::service::LONG_POLL_TIMEOUT;
 use crate::clock::pause;
 use crate::routing::State;
+use crate::store::cache;
 
 /// Interval of checks for the replica while it is not running.
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
@@ -100,6 +100,11 @@
     }
 }
 
+/// Saves which VM holds which replica, until shutdown.
+pub async fn save_routes(service: Arc<Service>, stop: watch::Receiver<bool>) {
+    service.routes().clone().keep_saved(service.log().clone(), stop).await;
+}
+
 /// Saves the known upstreams after changes until shutdown.
 ///
 /// In a large fleet something always changes, so the pause between two saves grows with the time that one takes.
--- a/src/golden/tests.rs
+++ b/src/golden/tests.rs
@@ -31,6 +31,7 @@
 use crate::routing;
 use crate::settings;
 use crate::settings::Findings;
+use crate::store;
 use crate::unit::Index;
 use crate::unit::Slots;
 use crate::unit::Term;
@@ -137,10 +138,12 @@
     check_cbor::<routing::state::Replicated>("routing-copy");
     check_cbor::<Vec<roster::Observed<roster::Announcement>>>("roster-copy");
     check_cbor::<quarantine::Report>("crashes-copy");
+    check_cbor::<control::routes::Known>("routes-copy");
     let names = [
-        directory::cache::ROUTING_FILE,
-        directory::cache::ROSTER_FILE,
-        directory::cache::CRASHES_FILE,
+        store::cache::ROUTING_FILE,
+        store::cache::ROSTER_FILE,
+        store::cache::CRASHES_FILE,
+        store::cache::ROUTES_FILE,
     ];
     check_text("files.txt", &names.join("\n"));
 }
--- a/src/directory/cache.rs
+++ b/src/store/cache.rs
@@ -1,4 +1,4 @@
-//! Local cache of the routing state and the upstreams, stored beside the replica.
+//! Local caches of a control VM, stored beside the replica.
 //!
 //! After a restart of all processes, committed log entries are unknown until a leader is elected,
 //! and upstreams check in only about once a second. The cache allows requests to be served in the
@@ -27,6 +27,8 @@
 pub const ROSTER_FILE: &str = "roster.copy";
 /// File name of the report on crashes.
 pub const CRASHES_FILE: &str = "crashes.copy";
+/// File name of the VMs of replicas.
+pub const ROUTES_FILE: &str = "routes.copy";
 /// Length of the checksum that precedes the content.
 const CHECKSUM_BYTES: usize = 4;
 
--- a/src/store/mod.rs
+++ b/src/store/mod.rs
@@ -5,6 +5,7 @@
 //! repaired. After a failed write or sync the store accepts nothing more, because the page cache
 //! may differ from the disk.
 
+pub mod cache;
 mod disk;
 mod errors;
 mod folder;
@@ -19,6 +20,7 @@
 mod snapshots;
 mod storage;
 
+pub use cache::Cache;
 pub use disk::Disk;
 pub use errors::Corruption;
 pub use errors::Error;
