A voter whose disk was lost does not count as heard

Cause: the identity of a lost disk stands under the VM that had it.

Change: only the newest identity of a VM counts as heard.

--- a/src/directory/service/seats.rs
+++ b/src/directory/service/seats.rs
@@ -59,7 +59,9 @@
     }
 
     fn is_heard(&self, replica: id::Replica) -> bool {
-        let Some(vm) = self.routes.vm(replica) else { return false };
+        let Some(vm) = self.routes.vm(replica).filter(|_| self.routes.is_current(replica)) else {
+            return false;
+        };
         vm == self.vm() || self.table().is_live(&vm, Role::Control)
     }
 }
