--- a/src/group/driver.rs
+++ b/src/group/driver.rs
@@ -66,9 +66,8 @@
     pub(super) fetch: Option<Fetch>,
     /// Another replica's snapshot, all of it, until the files are free.
     pub(super) arrived: Option<(Snapshot, Vec<u8>)>,
-    pub(super) serve: Option<Serve>,
-    /// Pieces of the last snapshot that were asked for and wait until it has been read.
-    pub(super) asked: BTreeMap<id::Replica, (Index, u64)>,
+    /// The copies of the machine that other replicas fetch.
+    pub(super) serves: BTreeMap<id::Replica, Serve>,
     /// Whether a snapshot is due, until the files are free.
     pub(super) snapshot_due: bool,
     /// The length of the last snapshot that was taken.
@@ -113,8 +112,7 @@
             tokens: 0,
             fetch: None,
             arrived: None,
-            serve: None,
-            asked: BTreeMap::new(),
+            serves: BTreeMap::new(),
             snapshot_due: false,
             snapshot_bytes: opened.snapshot_data.as_ref().map_or(0, Vec::len),
             told: None,
@@ -177,7 +175,7 @@
             let next = fetch.tick(now);
             self.fetch_next(next);
         }
-        self.serve.take_if(|serve| serve.is_over(now));
+        self.serves.retain(|_, serve| !serve.is_over(now));
         if let Some(told) = self.told.filter(|told| now >= *told + self.config.advance_every) {
             self.told = Some(now);
             self.waiting.push(&M::advance(now - told), None);
@@ -252,7 +250,6 @@
             }
             Finished::Installed(snapshot, machine) => self.install(snapshot, machine),
             Finished::Undecodable => self.step(Input::SnapshotFailed),
-            Finished::Loaded(loaded) => self.serve_loaded(loaded),
             Finished::Nothing => {}
         }
     }
--- a/src/group/files.rs
+++ b/src/group/files.rs
@@ -22,7 +22,7 @@
 pub(super) struct Files<M, D> {
     /// Away while it is being written.
     log: Option<Log<D>>,
-    /// Away while one is being written or read.
+    /// Away while one is being written.
     snapshots: Option<Snapshots<D>>,
     writes: Vec<Persist>,
     compaction: Option<(Index, Snapshot)>,
@@ -36,7 +36,6 @@
     Saved { snapshots: Snapshots<D>, snapshot: Snapshot },
     Installed { snapshots: Snapshots<D>, snapshot: Snapshot, machine: M },
     Undecodable { snapshots: Snapshots<D> },
-    Loaded { snapshots: Snapshots<D>, loaded: Option<(Snapshot, Vec<u8>)> },
 }
 
 /// What the driver has to know of it.
@@ -50,8 +49,6 @@
     Installed(Snapshot, M),
     /// Another replica's snapshot makes no sense here.
     Undecodable,
-    /// The last snapshot was read, if there is one.
-    Loaded(Option<(Snapshot, Vec<u8>)>),
     /// Nothing that matters.
     Nothing,
 }
@@ -82,7 +79,7 @@
         self.log.is_none()
     }
 
-    /// Whether a snapshot can be written or read now.
+    /// Whether a snapshot can be written now.
     pub const fn has_snapshots(&self) -> bool {
         self.snapshots.is_some()
     }
@@ -127,15 +124,6 @@
         });
     }
 
-    /// Reads the last snapshot. Does nothing while another is under way.
-    pub fn load(&mut self) {
-        let Some(snapshots) = self.snapshots.take() else { return };
-        self.tasks.spawn_blocking(move || {
-            let loaded = snapshots.load()?;
-            Ok(Done::Loaded { snapshots, loaded })
-        });
-    }
-
     /// Waits for the next thing to be finished, for ever if there is none.
     pub async fn next(&mut self) -> Result<Finished<M>, Stopped> {
         let Some(joined) = self.tasks.join_next().await else { return future::pending().await };
@@ -156,10 +144,6 @@
                 self.snapshots = Some(snapshots);
                 Finished::Undecodable
             }
-            Done::Loaded { snapshots, loaded } => {
-                self.snapshots = Some(snapshots);
-                Finished::Loaded(loaded)
-            }
         })
     }
 
--- a/src/group/serve.rs
+++ b/src/group/serve.rs
@@ -1,4 +1,4 @@
-//! Serving the last snapshot to a replica that lacks entries.
+//! Serving a copy of the machine to a replica that lacks entries.
 
 use std::time::Duration;
 
@@ -12,20 +12,29 @@
 /// One piece: what a slow link between regions carries in a few milliseconds.
 const CHUNK_BYTES: usize = 64 << 10;
 
-/// How long a snapshot read from the disk is held for the next piece: longer than all retries of one.
+/// How long a copy is held for the next piece: longer than all retries of one.
 const HOLD: Duration = Duration::from_secs(10);
 
-/// A snapshot held in memory while another replica fetches it.
-#[derive(Debug)]
+/// How long replicas that begin to fetch share a copy.
+const RECENT: Duration = Duration::from_secs(1);
+
+/// A copy of the machine held in memory while another replica fetches it.
+#[derive(Debug, Clone)]
 pub(super) struct Serve {
     snapshot: Snapshot,
     data: Bytes,
+    taken: Instant,
     until: Instant,
 }
 
 impl Serve {
     pub fn new(snapshot: Snapshot, data: Vec<u8>, now: Instant) -> Self {
-        Self { snapshot, data: Bytes::from(data), until: now + HOLD }
+        Self { snapshot, data: Bytes::from(data), taken: now, until: now + HOLD }
+    }
+
+    /// Whether few entries have followed.
+    pub fn is_recent(&self, now: Instant) -> bool {
+        now < self.taken + RECENT
     }
 
     /// Whether nobody has asked for a while.
--- a/src/group/snapshot.rs
+++ b/src/group/snapshot.rs
@@ -36,20 +36,24 @@
         {
             self.snapshot_due = false;
             self.snapshot();
-        } else if !self.asked.is_empty() {
-            self.files.load();
         }
     }
 
     /// Writes a snapshot of the machine as it is now, which may be later than what was asked for.
     pub(super) fn snapshot(&mut self) {
-        let Some(position) = self.replica.log().position(self.applied) else { return };
+        let Some((snapshot, data)) = self.encode() else { return };
+        self.snapshot_bytes = data.len();
+        self.files.save(snapshot, data);
+    }
+
+    /// The machine as it is now, and what it stands for.
+    fn encode(&self) -> Option<(Snapshot, Vec<u8>)> {
+        let position = self.replica.log().position(self.applied)?;
         let members = self.replica.log().members_at(self.applied).clone();
         let mut data = Vec::new();
         ciborium::into_writer(&self.machine, &mut data)
             .expect("plain data always encodes to memory");
-        self.snapshot_bytes = data.len();
-        self.files.save(Snapshot { position, members }, data);
+        Some((Snapshot { position, members }, data))
     }
 
     pub(super) fn compact(&mut self, through: Index) {
@@ -65,35 +69,27 @@
         }
     }
 
-    /// Sends a piece of the last snapshot to a member that holds data; never to a witness or a stranger.
+    /// Sends a piece of the machine to a member that holds data; never to a witness or a stranger.
+    ///
+    /// It is the machine as it is now: an older snapshot would have to be followed by all entries since, which may be many
+    /// times as long.
     pub(super) fn serve(&mut self, to: id::Replica, index: Index, offset: u64) {
         let role = self.replica.log().members().role(to);
-        if !matches!(role, Some(Role::Voter | Role::Learner)) {
+        if !matches!(role, Some(Role::Voter | Role::Learner)) || self.applied < index {
             return;
         }
-        match self.serve.as_mut().filter(|serve| serve.covers(index)) {
-            Some(serve) => {
-                let chunk = serve.piece(offset, Instant::now());
-                self.send(to, Message::Chunk(chunk));
-            }
-            None => {
-                self.asked.insert(to, (index, offset));
-            }
+        let now = Instant::now();
+        if offset == 0 || !self.serves.contains_key(&to) {
+            let recent = self.serves.values().find(|serve| serve.is_recent(now)).cloned();
+            let serve = recent.filter(|serve| serve.covers(index));
+            let encoded = || self.encode().map(|(snapshot, data)| Serve::new(snapshot, data, now));
+            let Some(serve) = serve.or_else(encoded) else { return };
+            self.serves.insert(to, serve);
         }
-    }
-
-    /// Sends the pieces that were asked for before the snapshot had been read. One that it does not cover is asked for again.
-    pub(super) fn serve_loaded(&mut self, loaded: Option<(Snapshot, Vec<u8>)>) {
-        let asked = std::mem::take(&mut self.asked);
-        let Some((snapshot, data)) = loaded else { return };
-        let mut serve = Serve::new(snapshot, data, Instant::now());
-        for (to, (index, offset)) in asked {
-            if serve.covers(index) {
-                let chunk = serve.piece(offset, Instant::now());
-                self.send(to, Message::Chunk(chunk));
-            }
+        if let Some(serve) = self.serves.get_mut(&to) {
+            let chunk = serve.piece(offset, now);
+            self.send(to, Message::Chunk(chunk));
         }
-        self.serve = Some(serve);
     }
 
     pub(super) fn take_chunk(&mut self, from: id::Replica, chunk: Chunk) {
--- a/src/group/tests.rs
+++ b/src/group/tests.rs
@@ -329,3 +329,19 @@
     };
     timeout(COPIED, asked).await.expect("the next leader is asked");
 }
+
+// Guards against a newcomer that copies an old snapshot and then all entries since.
+#[tokio::test(start_paused = true)]
+async fn a_replica_that_lacks_entries_copies_the_state_as_it_is() {
+    let mut cluster = Cluster::<Ledger>::new(3, false, 100);
+    let leader = cluster.leader().await;
+    let away = (leader + 1) % 3;
+    cluster.kill(away, None).await;
+    for key in 0..170 {
+        assert_eq!(cluster.propose(|| claim(key, 1)).await, Ok(Reply::Granted));
+    }
+    let commit = cluster.group(leader).status().commit;
+    cluster.start(away).expect("a good disk");
+    sleep(SETTLED).await;
+    assert!(cluster.group(away).status().snapshot.index >= commit);
+}
