The leader knows the VM of a newcomer that it takes in

Cause: the leader makes a newcomer a member at once, but learned its VM from its own poll of all VMs, up to a second later; until then all messages for the newcomer were dropped.

The test asserts the route, which nothing set before.

Change: the request to be taken in tells the VM.

--- a/src/control/join.rs
+++ b/src/control/join.rs
@@ -31,6 +31,8 @@
     witness: bool,
 ) -> bool {
     let Some(group) = group else { return false };
+    // Its first messages are sent as soon as it is a member.
+    routes.learn(replica, from);
     let changes = change_members(routes, from, &group, replica, witness);
     time::timeout(JOIN_TIMEOUT, changes).await.is_ok_and(|result| result.is_ok())
 }
--- a/src/control/join/tests.rs
+++ b/src/control/join/tests.rs
@@ -37,3 +37,15 @@
         assert!(members.contains(*newcomer) && !members.contains(cluster.ids[number]));
     }
 }
+
+// Guards against a newcomer whose VM its leader hears of only when it polls the others.
+#[tokio::test(start_paused = true)]
+async fn messages_for_a_newcomer_have_a_route_at_once() {
+    let cluster = Cluster::<Ledger>::new(3, false, 1000);
+    let group = cluster.group(cluster.leader().await);
+    let folder = tempfile::tempdir().unwrap();
+    let routes = Routes::new(folder.path(), &log::silent());
+    let (vm, newcomer): (id::Vm, _) = ("vm4".parse().unwrap(), id::Replica::new(4));
+    assert!(take_in(&routes, &vm, Some(group), newcomer, false).await);
+    assert_eq!(routes.vm(newcomer), Some(vm));
+}
