Log lines and metrics that tell why a group has no leader, or a seat no voter

What was seen: two records of a group without a leader, in which `group.without_leader` stood once, at VMs that were voters, with the silent voters alone. Neither the role and state of the replica that said nothing, nor its writes and messages, nor the steps of the newcomers to their seats could be told from the records; four hypotheses remain.

Change, without any to the behaviour of the group:

- `group.without_leader` comes again every 10 s, also from a replica that is no member, with its role, state, indexes, writes, messages and members; a member whose VM holds another replica by now, or whose VM nobody named, is marked.
- `seat.asked`, `seat.role`, `seat.fetch`: the steps of a newcomer, one line each, with the time since its start.
- `seats.refused`: why a change of members was refused, whether the leader wanted it or a newcomer asked for it; once for each cause while it comes up.
`seat.vacant`: how far the learner is that waits for a seat.
- Counters that change with each message are atomics beside the watched status (`group::Reading`), so they wake nobody, and they can be read while the driver stands still.
The status changes with the state in the protocol, a refusal, and the begin and end of a fetch.
- Metrics for the same; `phase`, `fetches`, `refusals` and `repairs.refused` in the dump.

Golden files: the new names only are added.

--- a/src/consensus/change.rs
+++ b/src/consensus/change.rs
@@ -81,6 +81,8 @@
                 matched: p.matched,
                 responsive: !p.unresponsive,
                 silence: p.silence(now),
+                mode: p.mode,
+                holds_data: p.holds_data,
             })
             .collect()
     }
--- a/src/consensus/election.rs
+++ b/src/consensus/election.rs
@@ -209,7 +209,7 @@
         let before = self.leader();
         let state = std::mem::replace(&mut self.state, State::Follower { leader });
         if let State::Leader(former) = state {
-            self.repairs.kept = None;
+            (self.repairs.kept, self.repairs.refused) = (None, None);
             self.emit(Output::SteppedDown { term: self.hard.term });
             for read in former.reads {
                 self.reject(read.token, Refusal::NotLeader { leader });
--- a/src/consensus/errors.rs
+++ b/src/consensus/errors.rs
@@ -1,5 +1,6 @@
 //! Errors of a replica.
 
+use serde::Serialize;
 use thiserror::Error;
 
 use super::Position;
@@ -29,7 +30,8 @@
 }
 
 /// A refused proposal, read, change or transfer. It has not been appended and never will be.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Error)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Error, Serialize)]
+#[serde(rename_all = "snake_case")]
 pub enum Refusal {
     /// This replica is not the leader.
     #[error("this replica is not the leader")]
--- a/src/consensus/members.rs
+++ b/src/consensus/members.rs
@@ -19,6 +19,17 @@
     Witness,
 }
 
+impl Role {
+    /// Its name in log lines.
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::Voter => "voter",
+            Self::Learner => "learner",
+            Self::Witness => "witness",
+        }
+    }
+}
+
 /// A change of one member. Changing one at a time ensures that old and new majorities overlap.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub enum Change {
--- a/src/consensus/peer.rs
+++ b/src/consensus/peer.rs
@@ -4,6 +4,7 @@
 
 use serde::Serialize;
 
+use super::Mode;
 use super::Role;
 use crate::id;
 use crate::unit::Index;
@@ -22,4 +23,8 @@
     pub responsive: bool,
     /// Time since its last response in this leader's term.
     pub silence: Duration,
+    /// How its log is replicated.
+    pub mode: Mode,
+    /// Whether it reported that it holds data; none until it responds.
+    pub holds_data: Option<bool>,
 }
--- a/src/consensus/progress.rs
+++ b/src/consensus/progress.rs
@@ -3,6 +3,7 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
+use serde::Serialize;
 use tokio::time::Instant;
 
 use super::Config;
@@ -10,8 +11,9 @@
 use crate::unit::Round;
 
 /// Replication mode of a member.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
-pub(super) enum Mode {
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Mode {
     /// One message at a time, until a matching index is found.
     Probe {
         /// Whether a probe is outstanding; repeated at each heartbeat.
--- a/src/consensus/repair.rs
+++ b/src/consensus/repair.rs
@@ -11,6 +11,7 @@
 use tokio::time::Instant;
 
 use super::Change;
+use super::Refusal;
 use super::Replica;
 use super::Role;
 use super::replica::State;
@@ -53,6 +54,8 @@
     pub last: Option<(Change, Reason)>,
     /// A voter that is stopping or silent, and keeps its seat since no learner is caught up.
     pub kept: Option<id::Replica>,
+    /// The change that is due and was refused at the last heartbeat.
+    pub refused: Option<(Change, Refusal)>,
 }
 
 impl Replica {
@@ -63,12 +66,15 @@
         }
         let successor = self.successor(now);
         self.repairs.kept = self.ending_voter(now).filter(|_| successor.is_none());
+        self.repairs.refused = None;
+        let Some((change, reason)) = self.next_repair(successor, now) else { return };
         // A refused change is retried at the next heartbeat.
-        if let Some((change, reason)) = self.next_repair(successor, now)
-            && self.try_change(change, now).is_ok()
-        {
-            self.repairs.count += 1;
-            self.repairs.last = Some((change, reason));
+        match self.try_change(change, now) {
+            Ok(_) => {
+                self.repairs.count += 1;
+                self.repairs.last = Some((change, reason));
+            }
+            Err(refusal) => self.repairs.refused = Some((change, refusal)),
         }
     }
 
--- a/src/consensus/replica/tests.rs
+++ b/src/consensus/replica/tests.rs
@@ -11,6 +11,7 @@
 use crate::consensus::Change;
 use crate::consensus::Entry;
 use crate::consensus::Payload;
+use crate::consensus::Phase;
 use crate::consensus::Position;
 use crate::consensus::Reason;
 use crate::consensus::Role;
@@ -458,3 +459,35 @@
         assert_eq!(decoded, message);
     }
 }
+
+/// Guards against a due change that is refused at each heartbeat and shows nowhere.
+#[test]
+fn a_refused_repair_shows_until_it_is_made() {
+    let mut group = Group::with_leader(&five_voters().with_member(id(6), Role::Learner), seats);
+    group.partitioned.extend([3, 4, 5].map(id));
+    group.advance(HEARTBEAT_INTERVAL * 7);
+    assert_eq!(group.replica(1).repairs().refused, None);
+    group.input(1, Input::Release { id: id(2) });
+    group.advance(HEARTBEAT_INTERVAL);
+    let refused = (Change::Promote(id(6)), Refusal::NoMajority);
+    assert_eq!(group.replica(1).repairs().refused, Some(refused));
+    group.partitioned.clear();
+    group.advance(HEARTBEAT_INTERVAL * 5);
+    assert_eq!(group.replica(1).repairs().refused, None);
+    assert_eq!(group.replica(1).repairs().last, Some((Change::Remove(id(2)), Reason::Stopping)));
+}
+
+/// Guards against a replica that can't tell a leader that it lost from one that it never had.
+#[test]
+fn a_replica_tells_its_phase_and_its_last_contact() {
+    let mut group = Group::with_leader(&three_voters(), |config| config);
+    assert_eq!(group.replica(1).phase(), Phase::Leader);
+    assert_eq!(group.replica(1).leader_contact(), None);
+    let contact = group.replica(2).leader_contact().expect("a leader");
+    assert!(group.now - contact <= HEARTBEAT_INTERVAL);
+    group.partitioned.insert(id(2));
+    group.advance(Duration::from_secs(4));
+    let contact = group.replica(2).leader_contact().expect("it had a leader");
+    assert!(group.now - contact >= Duration::from_secs(4));
+    assert_eq!(group.replica(2).phase(), Phase::PreCandidate);
+}
--- a/src/consensus/timer.rs
+++ b/src/consensus/timer.rs
@@ -74,6 +74,11 @@
     pub(super) fn deadline(&self, leads: bool) -> Instant {
         if leads { self.heartbeat.min(self.quorum) } else { self.election }
     }
+
+    /// The last contact with another leader.
+    pub(super) fn leader_contact(&self, config: &Config) -> Option<Instant> {
+        self.has_seen_leader.then(|| self.leader_expiry - config.election_timeout)
+    }
 }
 
 /// Random between one and two times the configured timeout, to avoid repeated split votes.
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -7,13 +7,18 @@
 pub mod form;
 pub mod join;
 pub mod name;
+mod observe;
 pub mod plan;
 pub mod release;
 pub mod routes;
 pub mod seat;
 pub mod service;
+mod steps;
+mod traffic;
 
 pub use daemon::Daemon;
 pub use name::Name;
+pub(crate) use observe::vacant_seats;
 pub use routes::Routes;
 pub use seat::Seat;
+pub use traffic::Traffic;
--- a/src/control/routes.rs
+++ b/src/control/routes.rs
@@ -9,6 +9,8 @@
 #[derive(Debug, Default)]
 pub struct Routes {
     vms: Mutex<HashMap<id::Replica, id::Vm>>,
+    /// The replica that each VM named last.
+    newest: Mutex<HashMap<id::Vm, id::Replica>>,
 }
 
 impl Routes {
@@ -18,6 +20,17 @@
         if vms.get(&replica) != Some(vm) {
             vms.insert(replica, vm.clone());
         }
+        drop(vms);
+        let mut newest = self.newest.lock();
+        if newest.get(vm) != Some(&replica) {
+            newest.insert(vm.clone(), replica);
+        }
+    }
+
+    /// Whether a VM that is known to have held the replica holds another one by now.
+    pub fn is_replaced(&self, replica: id::Replica) -> bool {
+        let newest = self.vm(replica).and_then(|vm| self.newest.lock().get(&vm).copied());
+        newest.is_some_and(|newest| newest != replica)
     }
 
     /// The name of a replica for the log: that of its VM, or its identity while its VM is unknown.
--- a/src/control/seat.rs
+++ b/src/control/seat.rs
@@ -16,6 +16,7 @@
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
 use tokio::time;
+use tokio::time::Instant;
 
 use crate::consensus;
 use crate::consensus::Repairs;
@@ -24,7 +25,11 @@
 use crate::control::Routes;
 use crate::control::form;
 use crate::control::form::Step;
+use crate::control::observe::Answer;
+use crate::control::observe::Observer;
 use crate::control::plan::Plan;
+use crate::control::traffic::Counters;
+use crate::control::traffic::Traffic;
 use crate::group;
 use crate::group::Driver;
 use crate::group::Group;
@@ -74,6 +79,7 @@
     group: watch::Receiver<Option<Group<M>>>,
     identity: watch::Receiver<Option<Identity>>,
     inbox: mpsc::Sender<(id::Replica, group::Message)>,
+    traffic: Arc<Counters>,
 }
 
 /// Why a replica's run ended.
@@ -100,6 +106,9 @@
     identity: watch::Sender<Option<Identity>>,
     stopping: watch::Receiver<bool>,
     rng: SmallRng,
+    traffic: Arc<Counters>,
+    /// The start of the process.
+    started: Instant,
 }
 
 impl<M: Machine> Seat<M> {
@@ -115,6 +124,7 @@
         let (identity, identity_seen) = watch::channel(None);
         let (inbox, messages) = mpsc::channel(BACKLOG);
         let (stopping, stopping_seen) = watch::channel(false);
+        let traffic = Arc::new(Counters::default());
         let seat = Self {
             name: name.clone(),
             shared: shared.clone(),
@@ -122,6 +132,7 @@
             group: group_seen,
             identity: identity_seen,
             inbox,
+            traffic: traffic.clone(),
         };
         let keeper = Keeper {
             shared,
@@ -132,6 +143,8 @@
             identity,
             stopping: stopping_seen,
             rng: SmallRng::seed_from_u64(seed),
+            traffic,
+            started: Instant::now(),
         };
         (seat, keeper.keep(messages))
     }
@@ -155,7 +168,20 @@
 
     /// Hands in a message for the replica; it may be dropped.
     pub fn receive(&self, from: id::Replica, message: group::Message) {
-        self.inbox.try_send((from, message)).ok();
+        self.traffic.received.increment();
+        if self.inbox.try_send((from, message)).is_err() {
+            self.traffic.full.increment();
+        }
+    }
+
+    /// Notes a message for another replica, which is dropped.
+    pub fn record_misdirected(&self) {
+        self.traffic.misdirected.increment();
+    }
+
+    /// What became of the messages between this replica and others.
+    pub fn traffic(&self) -> Traffic {
+        self.traffic.read()
     }
 }
 
@@ -198,18 +224,25 @@
         let (outbox, sent) = mpsc::channel(BACKLOG);
         let rng = SmallRng::from_rng(&mut self.rng);
         let (group, driver) = Driver::<M, Folder>::new(self.config(own), opened, outbox, rng)?;
-        let sender = Aborted(tokio::spawn(send(self.shared.clone(), self.name.clone(), own, sent)));
+        let (shared, name, traffic) =
+            (self.shared.clone(), self.name.clone(), self.traffic.clone());
+        let sender = Aborted(tokio::spawn(send(shared, name, own, sent, traffic)));
         self.group.send_replace(Some(group.clone()));
         let ended = tokio::select! {
             ended = driver.run() => ended.map_err(Ended::from),
             () = feed(&group, messages) => Ok(()),
             () = self.stay(own, &group) => Ok(()),
+            () = self.observer().run(&group) => Ok(()),
             () = log_repairs(&self.shared, &self.name, &group) => Ok(()),
         };
         drop(sender);
         ended
     }
 
+    fn observer(&self) -> Observer {
+        Observer::new(self.shared.clone(), self.name.clone(), self.started)
+    }
+
     async fn open(&mut self) -> Result<Storage<Folder>, Ended> {
         let folder = self.folder.clone();
         let mut rng = SmallRng::from_rng(&mut self.rng);
@@ -277,6 +310,7 @@
 
     /// Keeps this replica a member until it stops: asks to be taken in whenever the leader does not list it.
     async fn stay(&self, own: id::Replica, group: &Group<M>) {
+        let mut observer = self.observer();
         loop {
             let told = self.ask_all().await;
             let members = group.status().members;
@@ -287,18 +321,24 @@
             let leader = told.iter().find(|(_, identity)| identity.leads);
             let is_listed = leader.is_none_or(|(_, leader)| leader.members.contains(own));
             if !is_listed && !*self.stopping.borrow() {
-                self.ask_in(own, &told).await;
+                self.ask_in(own, &told, &mut observer).await;
             }
             time::sleep(if is_complete { RUNNING } else { FORMING }).await;
         }
     }
 
-    async fn ask_in(&self, own: id::Replica, told: &[(id::Vm, Identity)]) {
+    async fn ask_in(&self, own: id::Replica, told: &[(id::Vm, Identity)], observer: &mut Observer) {
         let Some((leader, _)) = told.iter().find(|(_, identity)| identity.leads) else { return };
         let peer = Peer::new(leader.clone(), crate::wire::Role::Control);
         let witness = self.role == Role::Witness;
         let request = Request::Join { name: self.name.clone(), replica: own, witness };
-        self.shared.mesh.call(&peer, request, ASK * 4).await.ok();
+        let began = Instant::now();
+        let answer = match self.shared.mesh.call(&peer, request, ASK * 4).await {
+            Ok(Reply::Joined(true)) => Answer::TakenIn,
+            Ok(_) => Answer::Refused,
+            Err(_) => Answer::None,
+        };
+        observer.asked(leader, answer, began.elapsed());
     }
 }
 
@@ -346,9 +386,14 @@
     name: Name,
     from: id::Replica,
     mut sent: mpsc::Receiver<(id::Replica, group::Message)>,
+    traffic: Arc<Counters>,
 ) {
     while let Some((to, message)) = sent.recv().await {
-        let Some(vm) = shared.routes.vm(to) else { continue };
+        let Some(vm) = shared.routes.vm(to) else {
+            traffic.unrouted.increment();
+            continue;
+        };
+        traffic.passed_on.increment();
         let peer = Peer::new(vm, crate::wire::Role::Control);
         shared.mesh.cast(&peer, Cast::Group { name: name.clone(), from, to, message });
     }
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -6,6 +6,7 @@
 pub mod freshness;
 mod history;
 pub mod limit;
+pub mod notice;
 pub mod order;
 pub mod pace;
 pub mod place;
--- a/src/directory/links.rs
+++ b/src/directory/links.rs
@@ -51,6 +51,8 @@
                 let Some(seat) = self.0.seat() else { return };
                 if seat.identity().is_some_and(|identity| identity.replica == to) {
                     seat.receive(sender, message);
+                } else {
+                    seat.record_misdirected();
                 }
             }
             Cast::Heard(heard) => self.0.apply_broadcast(*heard, &from),
--- a/src/directory/metrics.rs
+++ b/src/directory/metrics.rs
@@ -1,11 +1,20 @@
 //! Prometheus metrics of a control daemon.
 
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
 use prometheus_client::encoding::text;
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::registry::Registry;
+use prometheus_client::registry::Unit;
 
 use crate::consensus::Role;
+use crate::control::Traffic;
+use crate::control::plan::VOTERS;
+use crate::control::vacant_seats;
+use crate::group::Reading;
 use crate::group::Status;
 use crate::panics;
 use crate::roster::Piece;
@@ -31,6 +40,13 @@
     voters: Gauge,
     losses_borne: Gauge,
     leader_known: Gauge,
+    without_leader: Gauge<f64, AtomicU64>,
+    seats_vacant: Gauge,
+    write: Gauge<f64, AtomicU64>,
+    slow_writes: Counter,
+    replica_idle: Gauge<f64, AtomicU64>,
+    messages_received: Counter,
+    messages_dropped: Counter,
 }
 
 impl Default for Metrics {
@@ -49,6 +65,26 @@
         registry.register("slices", "Followers that began to receive a slice", slices.clone());
         let repeats = Counter::default();
         registry.register("repeats", "Repeats issued to entry VMs", repeats.clone());
+        let slow_writes = Counter::default();
+        let text = "Writes to the replica's log that took half a second or more";
+        registry.register("slow_writes", text, slow_writes.clone());
+        let messages_received = Counter::default();
+        let text = "Messages of other replicas that this one took since it started";
+        registry.register("messages_received", text, messages_received.clone());
+        let messages_dropped = Counter::default();
+        let text = "Messages to and from other replicas that were dropped, for want of room or of an address";
+        registry.register("messages_dropped", text, messages_dropped.clone());
+        let mut seconds = |name: &str, text: &str| {
+            let gauge = Gauge::<f64, AtomicU64>::default();
+            registry.register_with_unit(name, text, Unit::Seconds, gauge.clone());
+            gauge
+        };
+        let text = "Time since this replica last knew a leader, 0 while it knows one";
+        let without_leader = seconds("without_leader", text);
+        let text = "Time that the write to the replica's log under way has taken, 0 without one";
+        let write = seconds("write", text);
+        let text = "Time since the replica's task last ran, which is a few seconds at most";
+        let replica_idle = seconds("replica_idle", text);
         let mut gauge = |name: &str, text: &str| {
             let gauge = Gauge::default();
             registry.register(name, text, gauge.clone());
@@ -67,6 +103,8 @@
             "Further losses of voters that leave a majority; negative without one",
         );
         let leader_known = gauge("leader_known", "Whether this replica knows a leader");
+        let text = "Seats without a voter for which a learner waits, as the leader knows them";
+        let seats_vacant = gauge("seats_vacant", text);
         let followers = gauge("followers", "Followers that wait for changes");
         Self {
             registry,
@@ -87,6 +125,13 @@
             voters,
             losses_borne,
             leader_known,
+            without_leader,
+            seats_vacant,
+            write,
+            slow_writes,
+            replica_idle,
+            messages_received,
+            messages_dropped,
         }
     }
 }
@@ -114,6 +159,24 @@
         self.slices.inc_by(u64::from(piece.is_first));
     }
 
+    /// Updates what tells why a group has no leader, or a seat no voter.
+    pub fn set_replica(
+        &self,
+        status: &Status,
+        reading: &Reading,
+        traffic: Traffic,
+        without_leader: Duration,
+    ) {
+        self.without_leader.set(without_leader.as_secs_f64());
+        self.seats_vacant.set(vacant_seats(status, VOTERS) as i64);
+        self.write.set(reading.write.unwrap_or_default().as_secs_f64());
+        self.slow_writes.inner().store(status.slow_writes.count, Ordering::Relaxed);
+        self.replica_idle.set(reading.idle.as_secs_f64());
+        self.messages_received.inner().store(reading.received, Ordering::Relaxed);
+        let dropped = reading.dropped + traffic.full + traffic.misdirected + traffic.unrouted;
+        self.messages_dropped.inner().store(dropped, Ordering::Relaxed);
+    }
+
     /// Encodes all metrics in the text format, after updating the gauges.
     pub fn encode(
         &self,
--- a/src/directory/service.rs
+++ b/src/directory/service.rs
@@ -244,6 +244,10 @@
         };
         let status = self.group().map(|group| group.status());
         let version = self.routing.borrow().document.as_ref().map_or(0, |held| held.version.get());
+        if let (Some(group), Some(status), Some(seat)) = (self.group(), &status, self.seat()) {
+            let without_leader = self.without_leader(Instant::now());
+            self.metrics.set_replica(status, &group.reading(), seat.traffic(), without_leader);
+        }
         let losses = status.as_ref().map(|status| self.losses_borne(&status.members));
         self.metrics.encode(live, self.batching.followers(), version, status.as_ref().zip(losses))
     }
--- a/src/golden/tests.rs
+++ b/src/golden/tests.rs
@@ -211,11 +211,33 @@
                 consensus::Reason::Stopping,
             )),
             kept: Some(id::Replica::new(14)),
+            refused: Some((
+                consensus::Change::Remove(id::Replica::new(15)),
+                consensus::Refusal::NotReady,
+            )),
         },
         waiting: 7,
         pending: 8,
         dropped: 9,
         slow_writes: group::SlowWrites { count: 10, last: Duration::from_millis(11) },
+        phase: consensus::Phase::PreCandidate,
+        fetches: group::Fetches {
+            count: 16,
+            last: Some(group::Fetched {
+                from: id::Replica::new(17),
+                stage: group::Stage::Received,
+                bytes: 18,
+                requests: 19,
+                took: Duration::from_millis(20),
+            }),
+        },
+        refusals: group::Refusals {
+            count: 21,
+            last: Some((
+                consensus::Change::AddLearner(id::Replica::new(22)),
+                consensus::Refusal::ChangePending,
+            )),
+        },
     };
     let replica = dump::Replica { group: "catalogue".to_owned(), status: Some(status) };
     check_text("json/dump-replica.txt", &serde_json::to_string_pretty(&replica).unwrap());
--- a/src/group/carry.rs
+++ b/src/group/carry.rs
@@ -27,14 +27,19 @@
             Output::Send { to, message } => self.send(to, Message::Consensus(message)),
             Output::Apply(entries) => entries.iter().for_each(|entry| self.apply(entry)),
             Output::Appended { token, position } => self.pending.append(token, position),
-            Output::Rejected { token, refusal } => self.reject(token, refusal),
+            Output::Rejected { token, refusal } => {
+                self.record_refusal(token, refusal);
+                self.reject(token, refusal);
+            }
             Output::ReadReady { token, .. } => {
                 if let Some(look) = self.reads.remove(&token) {
                     look(Ok(&self.machine));
                 }
             }
             Output::InstallSnapshot { from, snapshot } => {
-                self.fetch = Some(Fetch::new(from, snapshot, Instant::now()));
+                let now = Instant::now();
+                self.tally.begin(from, now);
+                self.fetch = Some(Fetch::new(from, snapshot, now));
             }
             Output::SnapshotDue { .. } => self.snapshot_due = true,
             Output::Compact { through } => self.compact(through),
@@ -53,9 +58,8 @@
     }
 
     pub(super) fn send(&mut self, to: id::Replica, message: Message) {
-        if self.outbox.try_send((to, message)).is_err() {
-            self.dropped += 1;
-        }
+        let is_dropped = self.outbox.try_send((to, message)).is_err();
+        self.meter.record_sent(is_dropped);
     }
 
     pub(super) fn apply(&mut self, entry: &Entry) {
--- a/src/group/driver.rs
+++ b/src/group/driver.rs
@@ -1,6 +1,7 @@
 //! The task that runs one replica.
 
 use std::collections::BTreeMap;
+use std::sync::Arc;
 use std::time::Duration;
 
 use rand::rngs::SmallRng;
@@ -11,23 +12,29 @@
 
 use super::Config;
 use super::Error;
+use super::Fetches;
 use super::Group;
 use super::Machine;
 use super::Message;
+use super::Refusals;
 use super::SlowWrites;
+use super::Stage;
 use super::Status;
 use super::Stopped;
 use super::batch::Batch;
 use super::batch::Pending;
 use super::batch::Waiting;
 use super::fetch::Fetch;
+use super::fetches::Tally;
 use super::files::Files;
 use super::files::Finished;
+use super::meter::Meter;
 use super::request::Answer;
 use super::request::Look;
 use super::request::Request;
 use super::request::not_leader;
 use super::serve::Serve;
+use crate::consensus::Change;
 use crate::consensus::Input;
 use crate::consensus::Refusal;
 use crate::consensus::Replica;
@@ -73,7 +80,11 @@
     pub(super) snapshot_bytes: usize,
     /// Since when time has not been told to the machine, while leading.
     pub(super) told: Option<Instant>,
-    pub(super) dropped: u64,
+    pub(super) meter: Arc<Meter>,
+    pub(super) tally: Tally,
+    /// The change that was asked for last.
+    pub(super) asked: Option<(Token, Change)>,
+    pub(super) refusals: Refusals,
     pub(super) slow_writes: SlowWrites,
     pub(super) failure: Option<Stopped>,
 }
@@ -115,11 +126,14 @@
             snapshot_due: false,
             snapshot_bytes: opened.snapshot_data.as_ref().map_or(0, Vec::len),
             told: None,
-            dropped: 0,
+            meter: Arc::new(Meter::new(Instant::now())),
+            tally: Tally::default(),
+            asked: None,
+            refusals: Refusals::default(),
             slow_writes: SlowWrites::default(),
             failure: None,
         };
-        let group = Group::new(sender, driver.status.subscribe());
+        let group = Group::new(sender, driver.status.subscribe(), driver.meter.clone());
         driver.publish();
         Ok((group, driver))
     }
@@ -193,11 +207,13 @@
             Request::Change { change, answer } => {
                 let token = self.token();
                 self.pending.propose(token, Batch::Change(answer));
+                self.asked = Some((token, change));
                 self.step(Input::Change { change, token });
             }
             Request::HandOver { to } => self.step(Input::Transfer { to }),
             Request::Release { id } => self.step(Input::Release { id }),
             Request::Regions(regions) => self.step(Input::Regions(regions)),
+            Request::Peers(answer) => drop(answer.send(self.replica.peers(Instant::now()))),
         }
     }
 
@@ -246,8 +262,14 @@
             Finished::Saved(snapshot) => {
                 self.step(Input::SnapshotTaken { index: snapshot.position.index });
             }
-            Finished::Installed(snapshot, machine) => self.install(snapshot, machine),
-            Finished::Undecodable => self.step(Input::SnapshotFailed),
+            Finished::Installed(snapshot, machine) => {
+                self.tally.reach(Stage::Installed, Instant::now());
+                self.install(snapshot, machine);
+            }
+            Finished::Undecodable => {
+                self.tally.reach(Stage::Undecodable, Instant::now());
+                self.step(Input::SnapshotFailed);
+            }
             Finished::Loaded(snapshot, data) => {
                 self.serve = Some(Serve::new(snapshot, data, Instant::now()));
             }
@@ -256,11 +278,14 @@
     }
 
     fn publish(&mut self) {
+        self.meter.record_turn(&self.replica, self.files.writing_since(), Instant::now());
         let mut status = status(&self.replica);
         status.applied = self.applied;
         status.waiting = self.waiting.len();
         status.pending = self.pending.len();
-        status.dropped = self.dropped;
+        status.dropped = self.meter.dropped();
+        status.fetches = self.tally.fetches();
+        status.refusals = self.refusals;
         status.slow_writes = self.slow_writes;
         self.status.send_if_modified(|last| {
             let changed = *last != status;
@@ -287,5 +312,8 @@
         pending: 0,
         dropped: 0,
         slow_writes: SlowWrites::default(),
+        phase: replica.phase(),
+        fetches: Fetches::default(),
+        refusals: Refusals::default(),
     }
 }
--- a/src/group/files.rs
+++ b/src/group/files.rs
@@ -26,6 +26,8 @@
     snapshots: Option<Snapshots<D>>,
     writes: Vec<Persist>,
     compaction: Option<(Index, Snapshot)>,
+    /// When the last write began.
+    began: Option<Instant>,
     tasks: JoinSet<Result<Done<M, D>, Error>>,
 }
 
@@ -63,6 +65,7 @@
             snapshots: Some(snapshots),
             writes: Vec::new(),
             compaction: None,
+            began: None,
             tasks: JoinSet::new(),
         }
     }
@@ -82,6 +85,11 @@
         self.log.is_none()
     }
 
+    /// When the write under way began.
+    pub fn writing_since(&self) -> Option<Instant> {
+        self.began.filter(|_| self.is_writing())
+    }
+
     /// Whether a snapshot can be written or read now.
     pub const fn has_snapshots(&self) -> bool {
         self.snapshots.is_some()
@@ -96,6 +104,7 @@
         let writes = std::mem::take(&mut self.writes);
         let compaction = self.compaction.take();
         let began = Instant::now();
+        self.began = Some(began);
         self.tasks.spawn_blocking(move || {
             log.append(&writes)?;
             if let Some((through, snapshot)) = compaction {
--- a/src/group/request.rs
+++ b/src/group/request.rs
@@ -2,16 +2,21 @@
 
 use std::collections::BTreeMap;
 use std::fmt;
+use std::sync::Arc;
 
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
 use tokio::sync::watch;
+use tokio::time::Instant;
 
 use super::Error;
 use super::Machine;
 use super::Message;
+use super::Reading;
 use super::Status;
+use super::meter::Meter;
 use crate::consensus::Change;
+use crate::consensus::Peer;
 use crate::consensus::Refusal;
 use crate::id;
 
@@ -31,20 +36,23 @@
     HandOver { to: Option<id::Replica> },
     Release { id: id::Replica },
     Regions(BTreeMap<id::Replica, id::Region>),
+    Peers(oneshot::Sender<Vec<Peer>>),
 }
 
 /// A handle on one replica of a group; clones are the same replica.
 pub struct Group<M: Machine> {
     requests: mpsc::Sender<Request<M>>,
     status: watch::Receiver<Status>,
+    meter: Arc<Meter>,
 }
 
 impl<M: Machine> Group<M> {
     pub(super) const fn new(
         requests: mpsc::Sender<Request<M>>,
         status: watch::Receiver<Status>,
+        meter: Arc<Meter>,
     ) -> Self {
-        Self { requests, status }
+        Self { requests, status, meter }
     }
 
     /// Has a command carried out by the group, and returns what it came to.
@@ -113,6 +121,18 @@
         self.status.clone()
     }
 
+    /// What the replica has done, also while its driver stands still.
+    pub fn reading(&self) -> Reading {
+        self.meter.read(Instant::now())
+    }
+
+    /// The leader's view of the other members; empty on a replica that does not lead.
+    pub async fn peers(&self) -> Result<Vec<Peer>, Error> {
+        let (answer, peers) = oneshot::channel();
+        self.send(Request::Peers(answer)).await?;
+        peers.await.map_err(|_| Error::Stopped)
+    }
+
     async fn look<T: Send + 'static>(
         &self,
         look: impl FnOnce(&M) -> T + Send + 'static,
@@ -132,7 +152,11 @@
 
 impl<M: Machine> Clone for Group<M> {
     fn clone(&self) -> Self {
-        Self { requests: self.requests.clone(), status: self.status.clone() }
+        Self {
+            requests: self.requests.clone(),
+            status: self.status.clone(),
+            meter: self.meter.clone(),
+        }
     }
 }
 
--- a/src/group/snapshot.rs
+++ b/src/group/snapshot.rs
@@ -6,6 +6,7 @@
 use super::Driver;
 use super::Machine;
 use super::Message;
+use super::Stage;
 use super::fetch::Next;
 use crate::consensus::Input;
 use crate::consensus::Role;
@@ -55,6 +56,7 @@
     }
 
     pub(super) fn receive(&mut self, from: id::Replica, message: Message) {
+        self.meter.record_received();
         match message {
             Message::Consensus(message) => self.step(Input::Receive { from, message }),
             Message::Fetch { index, offset } => self.serve(from, index, offset),
@@ -80,6 +82,7 @@
 
     pub(super) fn take_chunk(&mut self, from: id::Replica, chunk: Chunk) {
         if let Some(fetch) = &mut self.fetch {
+            self.tally.record_piece(chunk.data.len());
             let next = fetch.take(from, chunk, Instant::now());
             self.fetch_next(next);
         }
@@ -88,13 +91,18 @@
     pub(super) fn fetch_next(&mut self, next: Next) {
         match next {
             Next::Wait => {}
-            Next::Ask(to, message) => self.send(to, message),
+            Next::Ask(to, message) => {
+                self.tally.record_request();
+                self.send(to, message);
+            }
             Next::Done(snapshot, data) => {
                 self.fetch = None;
+                self.tally.reach(Stage::Received, Instant::now());
                 self.arrived = Some((snapshot, data));
             }
             Next::Failed => {
                 self.fetch = None;
+                self.tally.reach(Stage::Failed, Instant::now());
                 self.step(Input::SnapshotFailed);
             }
         }
--- a/src/group/status.rs
+++ b/src/group/status.rs
@@ -5,7 +5,10 @@
 use serde::Serialize;
 use serde_with::serde_as;
 
+use super::Fetches;
+use super::Refusals;
 use crate::consensus::Members;
+use crate::consensus::Phase;
 use crate::consensus::Position;
 use crate::consensus::Repairs;
 use crate::id;
@@ -46,6 +49,12 @@
     pub dropped: u64,
     /// Writes to the log that took long.
     pub slow_writes: SlowWrites,
+    /// Its state in the protocol.
+    pub phase: Phase,
+    /// Snapshots that it fetched from others.
+    pub fetches: Fetches,
+    /// Changes of members that it was asked for and refused.
+    pub refusals: Refusals,
 }
 
 /// Writes to the log that took at least half a second, their syncs included.
--- a/src/group/tests.rs
+++ b/src/group/tests.rs
@@ -1,4 +1,5 @@
 mod cluster;
+mod observed;
 mod storm;
 
 use std::collections::BTreeSet;
