--- a/src/control/observe.rs
+++ b/src/control/observe.rs
@@ -131,7 +131,7 @@
         if self.refused.observe(cause, Instant::now()) {
             info!(self.shared.log, "seats.refused"; "group" => %self.name, "by" => by,
                 "change" => ?change, "member" => self.shared.routes.name(change.target()),
-                "why" => %refusal);
+                "replica" => %change.target(), "why" => %refusal);
         }
     }
 
@@ -145,7 +145,7 @@
         let commit = group.status().commit;
         for learner in peers.iter().filter(|peer| peer.role == Role::Learner) {
             warn!(self.shared.log, "seat.vacant"; "group" => %self.name, "ms" => millis(lasted),
-                "learner" => self.shared.routes.name(learner.id), "mode" => ?learner.mode,
+                "learner" => self.shared.routes.name(learner.id), "replica" => %learner.id, "mode" => ?learner.mode,
                 "matched" => %learner.matched, "commit" => %commit,
                 "responsive" => learner.responsive, "silence_ms" => millis(learner.silence),
                 "holds_data" => ?learner.holds_data, "settled" => status.settled,
@@ -172,3 +172,6 @@
 fn millis(duration: Duration) -> u64 {
     duration.as_millis() as u64
 }
+
+#[cfg(test)]
+mod tests;
--- a/src/control/steps.rs
+++ b/src/control/steps.rs
@@ -47,4 +47,4 @@
 }
 
 #[cfg(test)]
-mod tests;
+pub(super) mod tests;
--- a/src/control/steps/tests.rs
+++ b/src/control/steps/tests.rs
@@ -17,9 +17,9 @@
 use crate::unit::Index;
 use crate::unit::Term;
 
-const OWN: id::Replica = id::Replica::new(1);
+pub(in crate::control) const OWN: id::Replica = id::Replica::new(1);
 
-fn status() -> Status {
+pub(in crate::control) fn status() -> Status {
     Status {
         id: OWN,
         term: Term::ZERO,
--- a/src/directory/metrics.rs
+++ b/src/directory/metrics.rs
@@ -83,7 +83,7 @@
         let without_leader = seconds("without_leader", text);
         let text = "Time that the write to the replica's log under way has taken, 0 without one";
         let write = seconds("write", text);
-        let text = "Time since the replica's task last ran, which is a few seconds at most";
+        let text = "Time since the replica's task last ran, normally below 3";
         let replica_idle = seconds("replica_idle", text);
         let mut gauge = |name: &str, text: &str| {
             let gauge = Gauge::default();
