--- a/src/directory/service/seats.rs
+++ b/src/directory/service/seats.rs
@@ -48,7 +48,7 @@
             write!(f, "{separator}{id} {} ", role.name())?;
             match self.routes.vm(id) {
                 None => write!(f, "on an unknown VM")?,
-                Some(vm) if self.routes.is_replaced(id) => write!(f, "on {vm} before another")?,
+                Some(vm) if !self.routes.is_current(id) => write!(f, "on {vm} before another")?,
                 Some(vm) if (self.is_heard)(id) => write!(f, "on {vm} heard")?,
                 Some(vm) => write!(f, "on {vm} silent")?,
             }
@@ -119,7 +119,9 @@
     }
 
     fn is_heard(&self, replica: id::Replica) -> bool {
-        let Some(vm) = self.routes.vm(replica) else { return false };
+        let Some(vm) = self.routes.vm(replica).filter(|_| self.routes.is_current(replica)) else {
+            return false;
+        };
         vm == self.vm() || self.table().is_live(&vm, Role::Control)
     }
 }
--- a/src/group/driver.rs
+++ b/src/group/driver.rs
@@ -74,6 +74,8 @@
     /// Another replica's snapshot, all of it, until the files are free.
     pub(super) arrived: Option<(Snapshot, Vec<u8>)>,
     pub(super) serve: Option<Serve>,
+    /// Pieces of the last snapshot that were asked for and wait until it has been read.
+    pub(super) asked: BTreeMap<id::Replica, (Index, u64)>,
     /// Whether a snapshot is due, until the files are free.
     pub(super) snapshot_due: bool,
     /// The length of the last snapshot that was taken.
@@ -83,7 +85,7 @@
     pub(super) meter: Arc<Meter>,
     pub(super) tally: Tally,
     /// The change that was asked for last.
-    pub(super) asked: Option<(Token, Change)>,
+    pub(super) asked_change: Option<(Token, Change)>,
     pub(super) refusals: Refusals,
     pub(super) slow_writes: SlowWrites,
     pub(super) failure: Option<Stopped>,
@@ -123,12 +125,13 @@
             fetch: None,
             arrived: None,
             serve: None,
+            asked: BTreeMap::new(),
             snapshot_due: false,
             snapshot_bytes: opened.snapshot_data.as_ref().map_or(0, Vec::len),
             told: None,
             meter: Arc::new(Meter::new(Instant::now())),
             tally: Tally::default(),
-            asked: None,
+            asked_change: None,
             refusals: Refusals::default(),
             slow_writes: SlowWrites::default(),
             failure: None,
@@ -183,6 +186,7 @@
         if now >= self.replica.deadline() {
             self.step(Input::Tick);
         }
+        self.give_up_former_leader();
         if let Some(fetch) = &mut self.fetch {
             let next = fetch.tick(now);
             self.fetch_next(next);
@@ -207,7 +211,7 @@
             Request::Change { change, answer } => {
                 let token = self.token();
                 self.pending.propose(token, Batch::Change(answer));
-                self.asked = Some((token, change));
+                self.asked_change = Some((token, change));
                 self.step(Input::Change { change, token });
             }
             Request::HandOver { to } => self.step(Input::Transfer { to }),
@@ -270,9 +274,7 @@
                 self.tally.reach(Stage::Undecodable, Instant::now());
                 self.step(Input::SnapshotFailed);
             }
-            Finished::Loaded(snapshot, data) => {
-                self.serve = Some(Serve::new(snapshot, data, Instant::now()));
-            }
+            Finished::Loaded(loaded) => self.serve_loaded(loaded),
             Finished::Nothing => {}
         }
     }
--- a/src/group/fetches.rs
+++ b/src/group/fetches.rs
@@ -30,6 +30,8 @@
     Installed,
     /// The other replica did not answer.
     Failed,
+    /// The other replica does not lead any more; the next leader offers its own.
+    Abandoned,
     /// It can't be decoded.
     Undecodable,
 }
@@ -70,8 +72,8 @@
         *self = Self { began: Some(now), bytes: 0, requests: 0, fetches };
     }
 
-    pub const fn record_request(&mut self) {
-        self.requests += 1;
+    pub const fn record_requests(&mut self, count: usize) {
+        self.requests += count as u64;
     }
 
     pub const fn record_piece(&mut self, bytes: usize) {
--- a/src/group/fetches/tests.rs
+++ b/src/group/fetches/tests.rs
@@ -13,7 +13,7 @@
     tally.begin(id::Replica::new(7), now);
     let begun = tally.fetches();
     for _ in 0..3 {
-        tally.record_request();
+        tally.record_requests(1);
         tally.record_piece(1000);
     }
     assert_eq!(tally.fetches(), begun);
@@ -28,7 +28,7 @@
 fn each_fetch_is_counted_from_zero() {
     let (mut tally, now) = (Tally::default(), Instant::now());
     tally.begin(id::Replica::new(7), now);
-    tally.record_request();
+    tally.record_requests(1);
     tally.reach(Stage::Failed, now);
     tally.begin(id::Replica::new(8), now);
     tally.reach(Stage::Failed, now);
--- a/src/group/mod.rs
+++ b/src/group/mod.rs
@@ -37,4 +37,4 @@
 pub use status::Status;
 
 #[cfg(test)]
-mod tests;
+pub(crate) mod tests;
--- a/src/group/refusals.rs
+++ b/src/group/refusals.rs
@@ -20,7 +20,8 @@
 impl<M: Machine, D> Driver<M, D> {
     /// Notes why the change that was just asked for is refused.
     pub(super) fn record_refusal(&mut self, token: Token, refusal: Refusal) {
-        let Some((_, change)) = self.asked.filter(|(asked, _)| *asked == token) else { return };
+        let asked = self.asked_change.filter(|(asked, _)| *asked == token);
+        let Some((_, change)) = asked else { return };
         if !matches!(refusal, Refusal::NotLeader { .. }) {
             self.refusals.count += 1;
             self.refusals.last = Some((change, refusal));
--- a/src/group/snapshot.rs
+++ b/src/group/snapshot.rs
@@ -8,6 +8,7 @@
 use super::Message;
 use super::Stage;
 use super::fetch::Next;
+use super::serve::Serve;
 use crate::consensus::Input;
 use crate::consensus::Role;
 use crate::consensus::Snapshot;
@@ -36,6 +37,8 @@
         {
             self.snapshot_due = false;
             self.snapshot();
+        } else if !self.asked.is_empty() {
+            self.files.load();
         }
     }
 
@@ -75,11 +78,26 @@
                 let chunk = serve.piece(offset, Instant::now());
                 self.send(to, Message::Chunk(chunk));
             }
-            // The piece is asked for again, by when the snapshot has been read.
-            None => self.files.load(),
+            None => {
+                self.asked.insert(to, (index, offset));
+            }
         }
     }
 
+    /// Sends the pieces that were asked for before the snapshot had been read. One that it does not cover is asked for again.
+    pub(super) fn serve_loaded(&mut self, loaded: Option<(Snapshot, Vec<u8>)>) {
+        let asked = std::mem::take(&mut self.asked);
+        let Some((snapshot, data)) = loaded else { return };
+        let mut serve = Serve::new(snapshot, data, Instant::now());
+        for (to, (index, offset)) in asked {
+            if serve.covers(index) {
+                let chunk = serve.piece(offset, Instant::now());
+                self.send(to, Message::Chunk(chunk));
+            }
+        }
+        self.serve = Some(serve);
+    }
+
     pub(super) fn take_chunk(&mut self, from: id::Replica, chunk: Chunk) {
         if let Some(fetch) = &mut self.fetch {
             self.tally.record_piece(chunk.data.len());
@@ -88,12 +106,22 @@
         }
     }
 
+    /// Gives up a snapshot of a former leader, which may be gone; the next one offers its own.
+    pub(super) fn give_up_former_leader(&mut self) {
+        let leader = self.replica.leader();
+        if self.fetch.take_if(|fetch| leader.is_some_and(|leader| leader != fetch.from())).is_some()
+        {
+            self.tally.reach(Stage::Abandoned, Instant::now());
+            self.step(Input::SnapshotFailed);
+        }
+    }
+
     pub(super) fn fetch_next(&mut self, next: Next) {
         match next {
             Next::Wait => {}
-            Next::Ask(to, message) => {
-                self.tally.record_request();
-                self.send(to, message);
+            Next::Ask(to, messages) => {
+                self.tally.record_requests(messages.len());
+                messages.into_iter().for_each(|message| self.send(to, message));
             }
             Next::Done(snapshot, data) => {
                 self.fetch = None;
