--- a/src/group/snapshot.rs
+++ b/src/group/snapshot.rs
@@ -6,6 +6,7 @@
 use super::Driver;
 use super::Machine;
 use super::Message;
+use super::Stage;
 use super::fetch::Next;
 use super::serve::Serve;
 use crate::consensus::Input;
@@ -62,6 +63,7 @@
     }
 
     pub(super) fn receive(&mut self, from: id::Replica, message: Message) {
+        self.meter.record_received();
         match message {
             Message::Consensus(message) => self.step(Input::Receive { from, message }),
             Message::Fetch { index, offset } => self.serve(from, index, offset),
@@ -94,6 +96,7 @@
 
     pub(super) fn take_chunk(&mut self, from: id::Replica, chunk: Chunk) {
         if let Some(fetch) = &mut self.fetch {
+            self.tally.record_piece(chunk.data.len());
             let next = fetch.take(from, chunk, Instant::now());
             self.fetch_next(next);
         }
@@ -104,6 +107,7 @@
         let leader = self.replica.leader();
         if self.fetch.take_if(|fetch| leader.is_some_and(|leader| leader != fetch.from())).is_some()
         {
+            self.tally.reach(Stage::Abandoned, Instant::now());
             self.step(Input::SnapshotFailed);
         }
     }
@@ -112,14 +116,17 @@
         match next {
             Next::Wait => {}
             Next::Ask(to, messages) => {
+                self.tally.record_requests(messages.len());
                 messages.into_iter().for_each(|message| self.send(to, message));
             }
             Next::Done(snapshot, data) => {
                 self.fetch = None;
+                self.tally.reach(Stage::Received, Instant::now());
                 self.arrived = Some((snapshot, data));
             }
             Next::Failed => {
                 self.fetch = None;
+                self.tally.reach(Stage::Failed, Instant::now());
                 self.step(Input::SnapshotFailed);
             }
         }
--- a/src/group/tests.rs
+++ b/src/group/tests.rs
@@ -1,4 +1,5 @@
 pub(crate) mod cluster;
+mod observed;
 mod storm;
 
 use std::collections::BTreeSet;
