Gateway: requests that outlast a planned stop are refused, or get an answer

What callers saw: requests that came late in the grace period of a VM that was told to end were passed on to an upstream, and their connection closed without a byte as the process ended, also where they may run once only.

Cause: a stop bounds the process and not its requests. They were accepted for a fixed part of the grace period without regard to how long they take, and what was left at its end was dropped.

Change: Cutoff is the time at which a stopping process ends what is left. From the signal on it bounds each attempt, and one that it shortens is sent only if twice its expected time is left; otherwise the request is refused at once as not run. At the cutoff, requests whose answer has not begun get one: 503 if they can't have run, else 502.

--- a/src/gateway/daemon.rs
+++ b/src/gateway/daemon.rs
@@ -45,7 +45,8 @@
 const DEREGISTRATION_DELAY: Duration = Duration::from_millis(500);
 /// Upper bound of that period as a fraction of the grace period; streams finish in the rest.
 const MAX_ACCEPTING_FRACTION: f64 = 0.4;
-/// Fraction of the grace period after which remaining requests are cut off.
+/// Fraction of the grace period after which remaining requests are cut off. Those whose response has not begun get an
+/// error response within [`SHUTDOWN_TIMEOUT`].
 const DRAIN_FRACTION: f64 = 0.95;
 /// Interval of checks for remaining requests.
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
@@ -116,13 +117,13 @@
     }
 
     /// Deregisters the VM, waits for requests in progress and returns within the configured grace
-    /// period.
+    /// period. Requests that are not expected to end within it are refused.
     pub async fn drain(self) {
         let started = Instant::now();
         let grace = self.state.node().entry.as_ref().map_or(Duration::ZERO, |entry| entry.grace);
         let until = started + grace.mul_f64(DRAIN_FRACTION).saturating_sub(SHUTDOWN_TIMEOUT);
         info!(self.state.log(), "process.draining"; "in_progress" => self.state.in_progress());
-        self.state.drain();
+        self.state.drain(until);
         time::sleep(
             (self.state.directory_ttl() + DEREGISTRATION_DELAY)
                 .min(grace.mul_f64(MAX_ACCEPTING_FRACTION)),
--- a/src/gateway/receive.rs
+++ b/src/gateway/receive.rs
@@ -96,7 +96,12 @@
     let mut response = match decode(&state, head) {
         Ok(call) => {
             let id = call.id.clone();
-            match prepare(&state, call, body, origin, received_at).await {
+            let prepared = tokio::select! {
+                biased;
+                prepared = prepare(&state, call, body, origin, received_at) => prepared,
+                () = state.cutoff().passed() => Err(stopping()),
+            };
+            match prepared {
                 Ok(job) => respond(&state, job, guard).await,
                 Err(refusal) => refuse(&state, Some(&id), &refusal, received_at),
             }
@@ -123,12 +128,17 @@
 
 fn decode(state: &State, head: request::Parts) -> Result<Call, Refusal> {
     if state.is_closed() {
-        let refusal = Refusal::new(Reason::Draining, "this VM is about to end");
-        return Err(refusal.with_retry_after(FAILOVER_RETRY_AFTER));
+        return Err(stopping());
     }
     state.adapter().decode_request(head)
 }
 
+/// Refuses a request that has not run, since this VM is stopping.
+pub fn stopping() -> Refusal {
+    let refusal = Refusal::new(Reason::Draining, "this VM is about to end");
+    refusal.with_retry_after(FAILOVER_RETRY_AFTER)
+}
+
 /// Authenticates and routes a request, and reads its body.
 async fn prepare(
     state: &State,
@@ -249,7 +259,12 @@
     let (hop, service, urgent) = (job.hop, job.service.clone(), job.urgent);
     let received_at = job.received_at;
     let mut relay = Relay::new(state.clone(), job);
-    let opened = relay.open(None).await;
+    let opened = tokio::select! {
+        biased;
+        opened = relay.open(None) => Some(opened),
+        () = state.cutoff().passed() => None,
+    };
+    let opened = opened.unwrap_or_else(|| relay.cut_off());
     let mut response = match opened {
         Ok(opened) => {
             state.metrics().observe_first_event(received_at.elapsed());
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -12,6 +12,7 @@
 use xxhash_rust::xxh3::Xxh3;
 
 use self::placement::Placement;
+use self::stopping::Bounds;
 use super::Call;
 use super::Caller;
 use super::State;
@@ -38,6 +39,7 @@
 use crate::routing::Route;
 
 mod placement;
+mod stopping;
 
 /// No attempt is started with less time left, since its response would be late.
 const MIN_REMAINING: Duration = Duration::from_millis(15);
@@ -244,6 +246,9 @@
     room_deadline: Option<Instant>,
     /// The time since its caller's first attempt, if this is not the first.
     since_first: Option<Duration>,
+    /// Whether an attempt is in progress.
+    is_attempting: bool,
+    bounds: Bounds,
 }
 
 impl Relay {
@@ -272,6 +277,8 @@
             ticket: None,
             room_deadline: None,
             since_first,
+            is_attempting: false,
+            bounds: Bounds::Caller,
         }
     }
 
@@ -302,9 +309,13 @@
 
     async fn make_attempts(&mut self, resume_after: Option<&str>) -> Result<OpenResponse, Refusal> {
         loop {
+            self.bound_by_stop();
             let remaining = self.job.deadline.saturating_duration_since(Instant::now());
             if remaining < MIN_REMAINING {
-                return Err(self.refusal(Reason::TooLate, "no time is left"));
+                return Err(match self.bounds {
+                    Bounds::Caller => self.refusal(Reason::TooLate, "no time is left"),
+                    Bounds::Stop => self.stopping(),
+                });
             }
             if self.state.wait_while_in_doubt(self.job.deadline).await {
                 continue;
@@ -328,6 +339,9 @@
                 return Err(self.refusal(Reason::NoUpstream, "no upstream can take it now"));
             };
             self.waiting = None;
+            if self.outlasts_stop(&placement) {
+                return Err(self.stopping());
+            }
             let max_wait = remaining.min(self.max_wait());
             self.record_expected(&placement);
             if placement.expected() > max_wait {
@@ -633,7 +647,9 @@
             is_counted_by_receiver: is_forwarded && std::mem::take(&mut self.is_uncounted),
         };
         let started = Instant::now();
+        self.is_attempting = true;
         let result = attempt::run(&self.state, &self.job, reserved, &options).await;
+        self.is_attempting = false;
         let outcome = match &result {
             AttemptResult::NotExecuted { .. } => "not_run",
             AttemptResult::Indeterminate { .. } => "lost",
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -25,6 +25,7 @@
 use super::crashes::Breaks;
 use super::metrics::Metrics;
 use crate::clock;
+use crate::cutoff::Cutoff;
 use crate::decide::freshness;
 use crate::decide::freshness::Freshness;
 use crate::decide::freshness::Proof;
@@ -127,6 +128,7 @@
     /// When the first roster was received.
     joined: OnceLock<Instant>,
     closed: AtomicBool,
+    cutoff: Cutoff,
     in_progress: Arc<AtomicUsize>,
     /// Requests that wait for a turn at an upstream.
     waiting: Arc<AtomicUsize>,
@@ -220,6 +222,7 @@
             epoch: now.checked_sub(Duration::from_millis(start_time_ms)).unwrap_or(now),
             joined: OnceLock::new(),
             closed: AtomicBool::new(false),
+            cutoff: Cutoff::default(),
             in_progress: Arc::default(),
             waiting: Arc::default(),
             waiters: Mutex::default(),
@@ -333,7 +336,9 @@
     }
 
     /// Deregisters this VM from the directory and closes each connection after its next response.
-    pub fn drain(&self) {
+    /// Requests that remain at `until` are cut off.
+    pub fn drain(&self, until: Instant) {
+        self.cutoff.set(until);
         self.presence.lock().standing = Standing::Draining;
         self.draining.send_replace(true);
     }
@@ -350,6 +355,11 @@
         self.closed.load(Ordering::Relaxed)
     }
 
+    /// When remaining requests are cut off.
+    pub const fn cutoff(&self) -> &Cutoff {
+        &self.cutoff
+    }
+
     /// Whether the VM is draining.
     pub fn is_draining(&self) -> bool {
         *self.draining.borrow()
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod clock;
 pub mod consensus;
 pub mod control;
+pub mod cutoff;
 pub mod decide;
 pub mod directory;
 pub mod dump;
