Entry daemon: what is left at the end of a shutdown gets an answer

What callers saw: at the limit for draining, requests under way, requests that waited for a place and bodies that were still being read were cut with no answer. Requests that another region's VM forwarded were taken until the end.

Cause: only new requests of callers were refused while draining; nothing ended those that were there, and what ran had no record of its end.

Change: the Cutoff of the gateway ends requests here too: what waits is refused as not run; what runs fails with its outcome unknown, which the ledger records, so that a resend elsewhere hears it at once; a forwarded request that is expected to outlast the shutdown is refused as not run. Answers of a VM that drains close their connections. A second signal ends requests in the same way.

--- a/src/entry/daemon.rs
+++ b/src/entry/daemon.rs
@@ -32,7 +32,7 @@
 
 /// Leases and deadlines are looked at this often.
 const TICK: Duration = Duration::from_millis(50);
-/// After the last request in progress, connections get so long to end.
+/// After the last request in progress, or once those that are left are cut off, connections get so long to end.
 const LAST: Duration = Duration::from_secs(2);
 /// A draining VM keeps answering so long, so that callers who hold the old directory get an honest refusal.
 const LEAVE_DIRECTORY: Duration = Duration::from_millis(200);
@@ -159,18 +159,17 @@
         &self.hub
     }
 
-    /// Leaves the directory, refuses new requests, lets every request in progress end, and returns. `second` ends
-    /// the wait early.
+    /// Leaves the directory, refuses new requests, lets requests in progress end, and returns. Those that are left at
+    /// the limit for draining are refused. `second` ends the wait early.
     pub async fn drain(self, second: impl Future<Output = ()>) {
         let limit = self.hub.site.drain;
         info!(self.hub.log, "draining"; "streams" => self.hub.streams());
         self.hub.drain();
         let until = Instant::now() + limit;
+        self.hub.cutoff().set(until);
         let empty = async {
             time::sleep(LEAVE_DIRECTORY).await;
-            while self.hub.streams() > 0 && Instant::now() < until {
-                time::sleep(TICK).await;
-            }
+            self.wait_for_requests(until).await;
         };
         tokio::select! {
             () = empty => (),
@@ -179,10 +178,21 @@
         if self.hub.streams() > 0 {
             warn!(self.hub.log, "requests are cut off"; "streams" => self.hub.streams());
         }
-        self.supervisor.finish(LAST).await;
+        let last = Instant::now() + LAST;
+        // Bodies that are still being read, and whatever is left.
+        self.hub.cutoff().set(Instant::now());
+        self.wait_for_requests(last).await;
+        self.supervisor.finish(last.saturating_duration_since(Instant::now())).await;
         info!(self.hub.log, "entry daemon down");
     }
 
+    /// Waits until no request is in progress.
+    async fn wait_for_requests(&self, until: Instant) {
+        while self.hub.streams() > 0 && Instant::now() < until {
+            time::sleep(TICK).await;
+        }
+    }
+
     /// Ends at once, as a crash would.
     pub fn abort(self) {
         drop(self.supervisor);
--- a/src/entry/dispatch.rs
+++ b/src/entry/dispatch.rs
@@ -164,12 +164,7 @@
     fn ticket(&self, job: &Job) -> Ticket {
         let class = job.entry.class;
         let estimate = self.admission.estimate(&job.entry.name, class);
-        // Failure: the first request of a new entry is refused by a guess that is longer than its deadline, none is
-        // ever measured, and all are refused for good. Until one was measured, the owner's deadline is the better guess.
-        let most = match self.admission.has_measured(&job.entry.name) {
-            true => Duration::MAX,
-            false => job.deadline.saturating_duration_since(job.arrived) / 4,
-        };
+        let most = self.longest_guess(job);
         Ticket {
             request: job.request,
             owner: job.entry.owner.clone(),
@@ -183,6 +178,21 @@
         }
     }
 
+    /// The service time that a request is expected to take.
+    pub fn usual_time(&self, job: &Job) -> Duration {
+        self.expected(&job.entry.name, job.entry.class).min(self.longest_guess(job))
+    }
+
+    /// The longest service time that is assumed for a request.
+    fn longest_guess(&self, job: &Job) -> Duration {
+        // Failure: the first request of a new entry is refused by a guess that is longer than its deadline, none is
+        // ever measured, and all are refused for good. Until one was measured, the owner's deadline is the better guess.
+        match self.admission.has_measured(&job.entry.name) {
+            true => Duration::MAX,
+            false => job.deadline.saturating_duration_since(job.arrived) / 4,
+        }
+    }
+
     /// Gives up a request whose caller has gone.
     pub fn cancel(&mut self, job: &Job) {
         if let Some(pool) = self.pools.get_mut(&job.model) {
--- a/src/entry/hub.rs
+++ b/src/entry/hub.rs
@@ -23,10 +23,13 @@
 use crate::catalogue;
 use crate::catalogue::Progress;
 use crate::catalogue::View;
+use crate::cutoff::Cutoff;
 use crate::entry::Dispatch;
 use crate::entry::Fleet;
+use crate::entry::Job;
 use crate::entry::quota::Quota;
 use crate::entry::running::Running;
+use crate::http::Ran;
 use crate::http::Reason;
 use crate::http::Refusal;
 use crate::http::client::Client;
@@ -94,6 +97,7 @@
     mesh: OnceLock<Mesh>,
     reached: Mutex<BTreeMap<id::Vm, Instant>>,
     draining: watch::Sender<bool>,
+    cutoff: Cutoff,
     incarnation: AtomicU64,
     ledgers: Mutex<BTreeMap<id::Region, id::Vm>>,
     streams: AtomicUsize,
@@ -131,6 +135,7 @@
             mesh: OnceLock::new(),
             reached: Mutex::default(),
             draining: watch::Sender::new(false),
+            cutoff: Cutoff::default(),
             incarnation: AtomicU64::new(incarnation.get()),
             ledgers: Mutex::default(),
             streams: AtomicUsize::new(0),
@@ -267,6 +272,29 @@
         self.draining.send_replace(true);
     }
 
+    /// When requests that are left are cut off.
+    pub const fn cutoff(&self) -> &Cutoff {
+        &self.cutoff
+    }
+
+    /// Whether the request is expected to be cut off, by twice the time that it usually takes.
+    pub fn outlasts_shutdown(&self, job: &Job) -> bool {
+        let Some(cutoff) = self.cutoff.at().filter(|at| *at < job.deadline) else { return false };
+        let left = cutoff.saturating_duration_since(Instant::now());
+        left < self.dispatch().usual_time(job) * 2
+    }
+
+    /// Refuses a request that is cut off, or that would be.
+    pub fn cutoff_refusal(&self, ran: Ran) -> Refusal {
+        match ran {
+            Ran::No => self.draining_refusal(),
+            Ran::Unknown => {
+                let text = "this VM stopped before the request had ended";
+                Refusal::new(Reason::UpstreamFailed, text).with_ran(ran)
+            }
+        }
+    }
+
     /// Refuses a request because this VM shuts down, and names another VM.
     pub fn draining_refusal(&self) -> Refusal {
         let text = match self.live().first() {
--- a/src/entry/run.rs
+++ b/src/entry/run.rs
@@ -50,6 +50,9 @@
 /// A caller who waits for a stream hears that its request is alive this often.
 const KEEP_ALIVE: Duration = Duration::from_secs(5);
 
+/// A request that is cut off asks the ledger once more, where it is there.
+const CUTOFF_PATIENCE: Duration = Duration::from_millis(500);
+
 /// A request's claim, where it made one, and how it ended.
 type Ended = (Option<ledger::Step>, Result<(), Refusal>);
 
@@ -57,7 +60,9 @@
 pub async fn run(hub: Arc<Hub>, job: Arc<Job>, out: Arc<Writer>) {
     let _stream = hub.enter();
     let (step, ended) = tokio::select! {
+        biased;
         ended = answer(&hub, &job, &out) => ended,
+        () = after_cutoff(&hub) => (None, Err(hub.cutoff_refusal(Ran::Unknown))),
         // Nobody reads, and a request without a key can't be asked for again.
         () = out.abandoned(), if job.key.is_none() => {
             hub.metrics.ended(job.entry.class, "abandoned");
@@ -103,6 +108,12 @@
     std::future::pending().await
 }
 
+/// Waits until a request that is cut off has had time to end by itself, with what is known of it.
+async fn after_cutoff(hub: &Hub) {
+    hub.cutoff().passed().await;
+    time::sleep(CUTOFF_PATIENCE).await;
+}
+
 /// How a claim ends.
 enum Record {
     /// The request was answered; this is kept for resends.
@@ -362,6 +373,10 @@
             Ok(upstreams) => avoid.extend(upstreams),
             Err(refusal) => return (checked.into_step(), Err(refusal)),
         }
+        if hub.outlasts_shutdown(job) {
+            let refusal = hub.cutoff_refusal(Ran::after(&evidence));
+            return (checked.into_step(), Err(refusal));
+        }
         let placed = match checked.place(&avoid).await {
             Ok(placed) => placed,
             Err((checked, refusal)) => {
--- a/src/entry/stage.rs
+++ b/src/entry/stage.rs
@@ -28,6 +28,7 @@
 use crate::entry::claim::Known;
 use crate::entry::dispatch;
 use crate::entry::transcript::Writer;
+use crate::http::Ran;
 use crate::http::Refusal;
 use crate::http::answer::Failure;
 use crate::http::answer::Fault;
@@ -103,7 +104,15 @@
             Err(refusal) => return Err((self, refusal)),
         };
         let mut waiting = Waiting { hub: &self.hub, job: &self.job, over: false };
-        let granted = time::timeout_at(self.job.deadline, answer).await;
+        let granted = tokio::select! {
+            biased;
+            granted = time::timeout_at(self.job.deadline, answer) => granted,
+            () = self.hub.cutoff().passed() => {
+                drop(waiting);
+                let refusal = self.hub.cutoff_refusal(Ran::No);
+                return Err((self, refusal));
+            }
+        };
         waiting.over = matches!(granted, Ok(Ok(_)));
         drop(waiting);
         match granted {
@@ -124,7 +133,11 @@
     ) -> Result<(Self, Result<(), Failure>), Unclaimed> {
         self.claim().await?;
         let sink = Sink { marks: Vec::new(), ..sink(&self.hub, &self.job, out, &|| true) };
-        let ended = forward::ask_run(&self.hub, &self.job, address, &sink).await;
+        let ended = tokio::select! {
+            biased;
+            ended = forward::ask_run(&self.hub, &self.job, address, &sink) => ended,
+            () = self.hub.cutoff().passed() => Err(cut_off()),
+        };
         Ok((self, ended))
     }
 
@@ -176,11 +189,24 @@
     pub async fn attempt(self, out: &Writer) -> (Checked, id::Upstream, Result<(), Failure>) {
         let Self { checked, mut held } = self;
         let upstream = held.grant.upstream.id.clone();
-        let ended = hedged(&checked, &mut held, out).await;
+        let ended = tokio::select! {
+            biased;
+            ended = hedged(&checked, &mut held, out) => ended,
+            () = checked.hub.cutoff().passed() => Err(cut_off()),
+        };
         (checked, upstream, ended)
     }
 }
 
+/// An attempt that ended with this VM. It may have run.
+fn cut_off() -> Failure {
+    Failure {
+        evidence: Evidence::BytesSent,
+        why: "this VM stopped before the request had ended".to_owned(),
+        fault: Fault::Superseded,
+    }
+}
+
 /// Which of a request's attempts answers its caller.
 struct Gate {
     race: Mutex<Race>,
--- a/src/http/caller.rs
+++ b/src/http/caller.rs
@@ -102,10 +102,19 @@
         false => Ran::No,
     };
     let answered = match Target::of(&request) {
-        Ok(target) => reach(hub, request, target).await,
+        Ok(target) => reach(hub.clone(), request, target).await,
         Err(refusal) => Err(refusal),
     };
-    answered.unwrap_or_else(|refusal| refusal.with_ran(early).response())
+    let answered = answered.unwrap_or_else(|refusal| refusal.with_ran(early).response());
+    closing(&hub, answered)
+}
+
+/// Closes the connection after an answer of a VM that is shutting down.
+fn closing(hub: &Hub, mut answer: Response<Body>) -> Response<Body> {
+    if hub.is_draining() {
+        answer.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
+    }
+    answer
 }
 
 async fn reach(
@@ -124,8 +133,8 @@
 /// Answers a request that another VM passed on. It has been checked there, and its claim is held there.
 pub async fn forwarded(hub: Arc<Hub>, request: Request<Incoming>) -> Response<Body> {
     let path = request.uri().path_and_query().map_or("/", |path| path.as_str()).to_owned();
-    let ended = pass(hub, request, path).await;
-    ended.unwrap_or_else(|refusal| refusal.response())
+    let ended = pass(hub.clone(), request, path).await;
+    closing(&hub, ended.unwrap_or_else(|refusal| refusal.response()))
 }
 
 async fn pass(
@@ -350,7 +359,13 @@
 }
 
 async fn read_body(hub: &Hub, incoming: Incoming) -> Result<Bytes, Refusal> {
-    match time::timeout(BODY, body::read(incoming, hub.site.body_bytes, &hub.memory)).await {
+    let reading = time::timeout(BODY, body::read(incoming, hub.site.body_bytes, &hub.memory));
+    let read = tokio::select! {
+        biased;
+        read = reading => read,
+        () = hub.cutoff().passed() => return Err(hub.cutoff_refusal(Ran::No)),
+    };
+    match read {
         Ok(Ok(bytes)) => Ok(bytes),
         Ok(Err(error @ body::Error::TooLarge(_))) => {
             Err(Refusal::new(Reason::TooLarge, error.to_string()))
--- a/tests/support/site.rs
+++ b/tests/support/site.rs
@@ -102,6 +102,9 @@
     proxies
 }
 
+/// How long a VM drains at most.
+const DRAIN: Duration = Duration::from_secs(30);
+
 /// A site whose daemons run in this process.
 pub struct Local {
     /// Its settings.
@@ -118,15 +121,20 @@
 impl Local {
     /// Starts a site of these VMs, each given as `name@region`; each runs both daemons.
     pub async fn start(vms: &[&str]) -> Self {
-        Self::start_with(vms, false).await
+        Self::start_with(vms, false, DRAIN).await
+    }
+
+    /// The same with a limit for the time that a VM drains.
+    pub async fn start_with_drain(vms: &[&str], drain: Duration) -> Self {
+        Self::start_with(vms, false, drain).await
     }
 
     /// The same with a proxy before the links and forwards of each daemon. Its daemons can't be started anew.
     pub async fn start_behind_proxies(vms: &[&str]) -> Self {
-        Self::start_with(vms, true).await
+        Self::start_with(vms, true, DRAIN).await
     }
 
-    async fn start_with(vms: &[&str], through_proxies: bool) -> Self {
+    async fn start_with(vms: &[&str], through_proxies: bool, drain: Duration) -> Self {
         let folder = tempfile::tempdir().expect("a temporary folder");
         let mut entry_bound = Vec::new();
         let mut control_bound = Vec::new();
@@ -151,10 +159,10 @@
             if through_proxies {
                 proxies.extend(between(from, &mut view).await);
             }
-            views.insert(from.clone(), Arc::new(site(view)));
+            views.insert(from.clone(), Arc::new(site(view, drain)));
         }
         let mut local = Self {
-            site: Arc::new(site(all)),
+            site: Arc::new(site(all, drain)),
             entries: BTreeMap::new(),
             controls: BTreeMap::new(),
             starts: 0,
@@ -478,7 +486,7 @@
     }
 }
 
-fn site(vms: BTreeMap<id::Vm, settings::site::Vm>) -> Site {
+fn site(vms: BTreeMap<id::Vm, settings::site::Vm>, drain: Duration) -> Site {
     Site {
         vms,
         secret: "a shared secret".to_owned(),
@@ -486,7 +494,7 @@
         headers: settings::site::Headers::default(),
         body_bytes: 1 << 20,
         memory: Memory::default(),
-        drain: Duration::from_secs(30),
+        drain,
         logs: settings::site::Logs { json: false, level: slog::Level::Warning },
     }
 }
