Tests: answers that break off at any place, on both ways of a request

Stand-ins that send raw bytes, before or after they have read the request, and then close, reset or half-close: heads cut at any place, bodies in chunks, with and without a length, uploads larger than the sockets hold. Asked on safe, unsafe, streaming and resumable routes of the gateway, with the upstreams in the region of the VM that is asked and in another one, and on both kinds of entries at sites that name their VMs.

An early answer with a length is passed on although its upstream resets later.

--- a/tests/promises/main.rs
+++ b/tests/promises/main.rs
@@ -8,6 +8,7 @@
 mod leaving;
 mod once;
 mod refusals;
+mod torn;
 mod whole;
 
 use std::time::Duration;
--- a/tests/support/site.rs
+++ b/tests/support/site.rs
@@ -36,6 +36,9 @@
 /// Waiting for what must come about ends in a failure after this.
 pub const PATIENCE: Duration = Duration::from_secs(20);
 
+/// The largest body that callers may send, where nothing else is said.
+const BODY_BYTES: u64 = 1 << 20;
+
 static NEXT: AtomicU32 = AtomicU32::new(1);
 
 /// A loopback address that nothing else in this process uses. Tests run in processes side by side, so the
@@ -118,15 +121,20 @@
 impl Local {
     /// Starts a site of these VMs, each given as `name@region`; each runs both daemons.
     pub async fn start(vms: &[&str]) -> Self {
-        Self::start_with(vms, false).await
+        Self::start_with(vms, false, BODY_BYTES).await
+    }
+
+    /// The same where callers may send bodies of so many bytes.
+    pub async fn start_with_body_bytes(vms: &[&str], body_bytes: u64) -> Self {
+        Self::start_with(vms, false, body_bytes).await
     }
 
     /// The same with a proxy before the links and forwards of each daemon. Its daemons can't be started anew.
     pub async fn start_behind_proxies(vms: &[&str]) -> Self {
-        Self::start_with(vms, true).await
+        Self::start_with(vms, true, BODY_BYTES).await
     }
 
-    async fn start_with(vms: &[&str], through_proxies: bool) -> Self {
+    async fn start_with(vms: &[&str], through_proxies: bool, body_bytes: u64) -> Self {
         let folder = tempfile::tempdir().expect("a temporary folder");
         let mut entry_bound = Vec::new();
         let mut control_bound = Vec::new();
@@ -151,10 +159,10 @@
             if through_proxies {
                 proxies.extend(between(from, &mut view).await);
             }
-            views.insert(from.clone(), Arc::new(site(view)));
+            views.insert(from.clone(), Arc::new(site(view, body_bytes)));
         }
         let mut local = Self {
-            site: Arc::new(site(all)),
+            site: Arc::new(site(all, body_bytes)),
             entries: BTreeMap::new(),
             controls: BTreeMap::new(),
             starts: 0,
@@ -478,13 +486,13 @@
     }
 }
 
-fn site(vms: BTreeMap<id::Vm, settings::site::Vm>) -> Site {
+fn site(vms: BTreeMap<id::Vm, settings::site::Vm>, body_bytes: u64) -> Site {
     Site {
         vms,
         secret: "a shared secret".to_owned(),
         operator_token: None,
         headers: settings::site::Headers::default(),
-        body_bytes: 1 << 20,
+        body_bytes,
         memory: Memory::default(),
         drain: Duration::from_secs(30),
         logs: settings::site::Logs { json: false, level: slog::Level::Warning },
