A status that no answer has is no answer

What callers saw: an upstream answered with the status 600, 999 or an unasked 101, and its caller got that as an answer, by both daemons and over the hop between VMs. Where the head said that the request was not run, a 600 became a 503, which promises just that. An engine that answered all that was asked of it with 000 was taken for dead, and the request was charged with a crash.

Cause: hyper accepts any status from 100 to 999, and 101 as the final head of a connection that changes its protocol. The client took its word.

Change: the client passes on a final status of 200 to 599 only. All else, and what the parser rejects, is Error::Invalid: bytes were sent, the request may have run, another attempt is made where it may be (answer.invalid in the gateway's log). An engine that sends such bytes is up.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -190,6 +190,13 @@
             reservation.complete(Outcome::Failed);
             return AttemptResult::Indeterminate { reason: "the connection broke off" };
         }
+        Ok(Err(Error::Invalid(why))) => {
+            warn!(state.log(), "answer.invalid"; "request" => &job.call.id,
+                "target" => ?reservation.target(), "why" => why);
+            record_run_end(state, job, &reservation, started, End::BrokeOff);
+            reservation.complete(Outcome::Failed);
+            return AttemptResult::Indeterminate { reason: "what came is no answer" };
+        }
         Ok(Err(Error::HeadTooLarge(why))) => {
             warn!(state.log(), "answer.cut_off"; "request" => &job.call.id,
                 "target" => ?reservation.target(), "why" => why);
--- a/src/http/answer.rs
+++ b/src/http/answer.rs
@@ -103,7 +103,7 @@
     fn from(error: Error) -> Self {
         let evidence = match error {
             Error::Unsent(_) => Evidence::NothingSent,
-            Error::Lost(_) | Error::HeadTooLarge(_) => Evidence::BytesSent,
+            Error::Lost(_) | Error::HeadTooLarge(_) | Error::Invalid(_) => Evidence::BytesSent,
         };
         Self { evidence, why: error.to_string(), fault: Fault::Failed }
     }
--- a/src/http/client.rs
+++ b/src/http/client.rs
@@ -51,6 +51,9 @@
     /// Bytes left, and what came is too large for the head of an answer.
     #[error("the head of the answer is too large: {0}")]
     HeadTooLarge(String),
+    /// Bytes left, and what came is no answer.
+    #[error("what came is no answer: {0}")]
+    Invalid(String),
 }
 
 /// What a connection attempt shows of an upstream.
@@ -148,7 +151,7 @@
             let mut lease = self.lease(address).await?;
             prepare(&mut request);
             match lease.connection.exchange(request).await {
-                Ok(response) => return Ok((response, lease)),
+                Ok(response) => return Ok((check_status(response)?, lease)),
                 Err(mut failed) => match failed.take_message() {
                     Some(unsent) if !lease.fresh => request = unsent,
                     Some(_) => return Err(Error::Unsent(failed.error().to_string())),
@@ -171,7 +174,7 @@
         let mut lease = self.fresh(address).await?;
         prepare(&mut request);
         match lease.connection.exchange(request).await {
-            Ok(response) => Ok((response, lease)),
+            Ok(response) => Ok((check_status(response)?, lease)),
             Err(mut failed) => match failed.take_message() {
                 Some(_) => Err(Error::Unsent(failed.error().to_string())),
                 None => Err(self.no_answer(&lease, failed.error())),
@@ -185,11 +188,14 @@
     }
 
     fn no_answer(&self, lease: &Lease, error: &hyper::Error) -> Error {
-        if !lease.connection.heads.is_exceeded() && !error.is_parse_too_large() {
-            return Error::Lost(error.to_string());
+        if lease.connection.heads.is_exceeded() || error.is_parse_too_large() {
+            self.oversized.fetch_add(1, Ordering::Relaxed);
+            return Error::HeadTooLarge(source_of(error));
+        }
+        match error.is_parse() {
+            true => Error::Invalid(error.to_string()),
+            false => Error::Lost(error.to_string()),
         }
-        self.oversized.fetch_add(1, Ordering::Relaxed);
-        Error::HeadTooLarge(source_of(error))
     }
 
     /// Opens a connection without sending anything.
@@ -292,6 +298,15 @@
     }
 }
 
+/// Rejects a status that no final answer has: the library accepts any from 100 to 999, and 101 as a final one.
+fn check_status<B>(response: Response<B>) -> Result<Response<B>, Error> {
+    let status = response.status();
+    match status.as_u16() {
+        200..=599 => Ok(response),
+        _ => Err(Error::Invalid(format!("its status is {}", status.as_u16()))),
+    }
+}
+
 /// The innermost cause of an error.
 fn source_of(error: &hyper::Error) -> String {
     let mut cause: &dyn std::error::Error = error;
--- a/src/http/engine.rs
+++ b/src/http/engine.rs
@@ -161,5 +161,9 @@
 /// first: something on the way may have lost track of all of them.
 pub async fn probe(client: &Client, address: SocketAddr) -> bool {
     client.forget(Some(address));
-    matches!(time::timeout(PROBE, ask_load(client, address)).await, Ok(Ok(_)))
+    // Bytes that are no answer show as well that something runs there.
+    matches!(
+        time::timeout(PROBE, ask_load(client, address)).await,
+        Ok(Ok(_) | Err(Error::Invalid(_)))
+    )
 }
--- a/tests/promises/torn.rs
+++ b/tests/promises/torn.rs
@@ -47,6 +47,8 @@
     /// Whether it sends them before it has read the body of the request, which it never does.
     is_early: bool,
     end: End,
+    /// Whether it answers in that way also what is asked of it besides requests.
+    answers_all: bool,
 }
 
 impl Engine {
@@ -69,7 +71,7 @@
 
     async fn converse(self, mut stream: TcpStream, runs: Arc<AtomicUsize>) {
         let Some((head, unread)) = read_head(&mut stream).await else { return };
-        if !head.starts_with("post") {
+        if !head.starts_with("post") && !self.answers_all {
             let none = b"HTTP/1.1 404 Not Found\r\ncontent-length: 0\r\nconnection: close\r\n\r\n";
             stream.write_all(none).await.ok();
             return;
@@ -146,7 +148,7 @@
 )]
 #[test_macro(tokio::test)]
 async fn an_answer_that_ends_within_its_request_is_not_passed_on(bytes: &'static str, end: End) {
-    fails(Engine { bytes, is_early: true, end }, LONG_UPLOAD).await;
+    fails(Engine { bytes, is_early: true, end, answers_all: false }, LONG_UPLOAD).await;
 }
 
 // Guards against the same where the request had been written.
@@ -159,7 +161,7 @@
 )]
 #[test_macro(tokio::test)]
 async fn an_answer_that_breaks_off_is_not_passed_on(bytes: &'static str, end: End) {
-    fails(Engine { bytes, is_early: false, end }, SHORT_UPLOAD).await;
+    fails(Engine { bytes, is_early: false, end, answers_all: false }, SHORT_UPLOAD).await;
 }
 
 // Guards against the beginning of a head that is taken for a whole one.
@@ -176,7 +178,47 @@
 )]
 #[test_macro(tokio::test)]
 async fn a_head_that_breaks_off_is_no_answer(bytes: &'static str, end: End) {
-    fails(Engine { bytes, is_early: false, end }, SHORT_UPLOAD).await;
+    fails(Engine { bytes, is_early: false, end, answers_all: false }, SHORT_UPLOAD).await;
+}
+
+// Guards against a status outside of 200 to 599 that callers get as that of an answer.
+#[parameterized(
+    zero = { "HTTP/1.1 000 X\r\ncontent-length: 2\r\n\r\n{}" },
+    below = { "HTTP/1.1 099 X\r\ncontent-length: 2\r\n\r\n{}" },
+    switches = { "HTTP/1.1 101 X\r\n\r\n" },
+    interim = { "HTTP/1.1 199 X\r\n\r\n" },
+    above = { "HTTP/1.1 600 X\r\ncontent-length: 2\r\n\r\n{}" },
+    highest = { "HTTP/1.1 999 X\r\ncontent-length: 2\r\n\r\n{}" },
+    parted = { "HTTP/1.1 2 00\r\ncontent-length: 2\r\n\r\n{}" },
+    four_digits = { "HTTP/1.1 2000 X\r\ncontent-length: 2\r\n\r\n{}" },
+)]
+#[test_macro(tokio::test)]
+async fn a_status_that_is_none_is_no_answer(bytes: &'static str) {
+    fails(Engine { bytes, is_early: false, end: End::Close, answers_all: false }, SHORT_UPLOAD)
+        .await;
+}
+
+// Guards against requests that are quarantined since an engine, which is up, answers nothing but bytes that are no answer.
+#[parameterized(
+    zero = { "HTTP/1.1 000 X\r\ncontent-length: 2\r\n\r\n{}" },
+    above = { "HTTP/1.1 600 X\r\ncontent-length: 2\r\n\r\n{}" },
+)]
+#[test_macro(tokio::test)]
+async fn bytes_that_are_no_answer_are_no_crash(bytes: &'static str) {
+    let mut site = Local::start(&["a@gulf"]).await;
+    site.put(LOOKUP).await;
+    let mut tasks = JoinSet::new();
+    let engine = Engine { bytes, is_early: false, end: End::Close, answers_all: true };
+    let (address, runs) = engine.start(&mut tasks);
+    assert!(site.announce_at("a", ("e0", address), 1));
+    site.upstreams_known("gulf", 1).await;
+    for _ in 0..4 {
+        let answer = Caller::chat("lookup", "where?", 3, false).send(site.callers("a")).await;
+        let answer = answer.unwrap();
+        assert_eq!(answer.status, StatusCode::BAD_GATEWAY, "{answer:?}");
+        assert!(!site.logged("a").contains("an upstream died"), "{}", site.logged("a"));
+    }
+    assert!(runs.load(Ordering::Relaxed) >= 4);
 }
 
 // What is a whole answer stays one.
@@ -188,7 +230,8 @@
 #[test_macro(tokio::test)]
 async fn a_whole_answer_in_an_unusual_form_is_passed_on(bytes: &'static str) {
     let (answers, runs) =
-        ask(Engine { bytes, is_early: false, end: End::Close }, SHORT_UPLOAD).await;
+        ask(Engine { bytes, is_early: false, end: End::Close, answers_all: false }, SHORT_UPLOAD)
+            .await;
     for answer in answers {
         assert_eq!((answer.status, answer.body.as_str()), (StatusCode::OK, "{}"));
     }
