An answer without a length that ends within its request is not whole

What callers saw: an upstream answered a long upload at once with a 200 without a length, sent a part of the body, closed its side and reset the connection while the upload was being written. The caller got the part as a whole answer: from the gateway on all kinds of routes, also over the hop between VMs, and from the daemon of sites that name their VMs.

Cause: the end of such an answer was judged by the answer alone, and by a probe that asks whether the upstream still accepts connections. Where the side is closed before the reset, the read ends properly, and the reset shows only to a write that comes too late. A reset alone was handled: the library hands the error to the body, whether a read or a write sees it first. A transfer coding that is not chunked ends with its connection too, but counted as framed.

Change: http/intake knows whether what was begun on a connection has been written, since the library flushes only once it has written all. An answer without a length that ends before has broken off. Only a length and chunks count as framing.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -137,7 +137,7 @@
 impl UpstreamStream {
     /// Whether the answer that has ended is whole, as far as can be known.
     pub async fn is_whole(&self, state: &State) -> bool {
-        self.is_framed || is_alive(state, &self.reservation).await
+        self.is_framed || self.lease.has_written() && is_alive(state, &self.reservation).await
     }
 
     /// Ends a complete stream and returns its connection to the pool.
--- a/src/http/answer.rs
+++ b/src/http/answer.rs
@@ -4,6 +4,7 @@
 
 use bytes::Bytes;
 use bytes::BytesMut;
+use http::HeaderMap;
 use http::HeaderName;
 use http::HeaderValue;
 use http::Response;
@@ -111,8 +112,15 @@
 
 /// Whether a response states its length, comes in chunks or has no body, so that its end is known.
 pub fn is_framed<B: Body>(response: &Response<B>) -> bool {
-    response.body().size_hint().exact().is_some()
-        || response.headers().contains_key(header::TRANSFER_ENCODING)
+    response.body().size_hint().exact().is_some() || is_chunked(response.headers())
+}
+
+/// Whether the last transfer coding is chunked; a body with any other ends with its connection.
+fn is_chunked(headers: &HeaderMap) -> bool {
+    let last = headers.get_all(header::TRANSFER_ENCODING).iter().next_back();
+    let codings = last.and_then(|value| value.to_str().ok()).unwrap_or_default();
+    let last = codings.rsplit(',').next().unwrap_or_default();
+    last.trim().eq_ignore_ascii_case("chunked")
 }
 
 impl Sink<'_> {
--- a/src/http/answer/tests.rs
+++ b/src/http/answer/tests.rs
@@ -35,6 +35,11 @@
     let chunked = Response::builder().header(header::TRANSFER_ENCODING, "chunked");
     assert!(is_framed(&chunked.body(unsized_body()).unwrap()));
     assert!(!is_framed(&Response::new(unsized_body())));
+    for (codings, expected) in [("gzip", false), ("chunked, gzip", false), ("gzip, Chunked", true)]
+    {
+        let coded = Response::builder().header("transfer-encoding", codings);
+        assert_eq!(is_framed(&coded.body(unsized_body()).unwrap()), expected, "{codings}");
+    }
 }
 
 /// Guards against answers without end that fill the memory of the process, each within its own limit.
--- a/src/http/client.rs
+++ b/src/http/client.rs
@@ -26,6 +26,7 @@
 
 use crate::http::intake::Heads;
 use crate::http::intake::Intake;
+use crate::http::intake::Outgoing;
 use crate::http::socket;
 use crate::sync::Mutex;
 
@@ -80,6 +81,7 @@
 struct Connection {
     sender: http1::SendRequest<Full<Bytes>>,
     heads: Arc<Heads>,
+    outgoing: Arc<Outgoing>,
 }
 
 /// A connection that waits for its next request, and until when it may.
@@ -109,6 +111,15 @@
     fresh: bool,
 }
 
+impl Lease {
+    /// Whether the whole request has been written.
+    ///
+    /// An answer without a length that ends before counts as broken off: a reset that follows is never read.
+    pub fn has_written(&self) -> bool {
+        self.connection.outgoing.is_written()
+    }
+}
+
 impl Client {
     /// A client without connections.
     pub fn new() -> Self {
@@ -321,13 +332,13 @@
     let stream = dial(address, source).await.map_err(|error| unsent(&error))?;
     socket::prepare(&stream, None);
     let stream = Intake::new(stream);
-    let heads = stream.heads();
+    let (heads, outgoing) = (stream.heads(), stream.outgoing());
     let handshake =
         http1::Builder::new().max_buf_size(MAX_HEAD_BYTES).handshake(TokioIo::new(stream));
     let (sender, connection) = handshake.await.map_err(|error| unsent(&error))?;
     // Ends when the sender is dropped: that closes the socket, and the far end sees that nobody waits.
     tokio::spawn(async move { connection.await.ok() });
-    Ok(Connection { sender, heads })
+    Ok(Connection { sender, heads, outgoing })
 }
 
 #[cfg(test)]
--- a/src/http/engine.rs
+++ b/src/http/engine.rs
@@ -73,7 +73,8 @@
     check(&response, order)?;
     let is_framed = is_framed(&response);
     // A crash looks like the end of an answer without a length.
-    let is_whole = async || is_framed || client.probe(order.address, PROBE).await != Probe::Refused;
+    let is_alive = async || client.probe(order.address, PROBE).await != Probe::Refused;
+    let is_whole = async || is_framed || lease.has_written() && is_alive().await;
     sink.pass_if(response, is_whole).await?;
     client.keep(lease);
     Ok(())
--- a/src/http/intake.rs
+++ b/src/http/intake.rs
@@ -1,4 +1,5 @@
-//! Reading from a connection, bounded so that one sender can't take the process from all others.
+//! Reading from a connection, bounded so that one sender can't take the process from all others; and whether what was to
+//! be sent on it has been written.
 //!
 //! Guards against a sender without end: hyper parses what it reads for as long as more is there, and interim responses
 //! count against no limit of its own, so that neither other tasks nor timers run.
@@ -8,6 +9,7 @@
 use std::pin::Pin;
 use std::pin::pin;
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use std::task::Context;
@@ -37,11 +39,18 @@
     left: AtomicU64,
 }
 
+/// Whether a message that was begun on a connection has been written to its end.
+#[derive(Debug, Default)]
+pub struct Outgoing {
+    is_pending: AtomicBool,
+}
+
 /// A connection and its bounds.
 #[derive(Debug)]
 pub struct Intake<S> {
     stream: S,
     heads: Arc<Heads>,
+    outgoing: Arc<Outgoing>,
     /// The bytes read in this turn.
     turn: usize,
 }
@@ -70,6 +79,21 @@
     }
 }
 
+impl Outgoing {
+    /// Whether nothing is left to be written.
+    pub fn is_written(&self) -> bool {
+        !self.is_pending.load(Ordering::Relaxed)
+    }
+
+    fn begin(&self) {
+        self.is_pending.store(true, Ordering::Relaxed);
+    }
+
+    fn end(&self) {
+        self.is_pending.store(false, Ordering::Relaxed);
+    }
+}
+
 impl Default for Heads {
     fn default() -> Self {
         Self { left: AtomicU64::new(u64::MAX) }
@@ -79,13 +103,18 @@
 impl<S> Intake<S> {
     /// Bounds a connection.
     pub fn new(stream: S) -> Self {
-        Self { stream, heads: Arc::default(), turn: 0 }
+        Self { stream, heads: Arc::default(), outgoing: Arc::default(), turn: 0 }
     }
 
     /// The bound for the heads of its answers.
     pub fn heads(&self) -> Arc<Heads> {
         self.heads.clone()
     }
+
+    /// How far its requests have been written.
+    pub fn outgoing(&self) -> Arc<Outgoing> {
+        self.outgoing.clone()
+    }
 }
 
 impl<S: AsyncRead + Unpin> AsyncRead for Intake<S> {
@@ -120,6 +149,7 @@
         context: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
+        self.outgoing.begin();
         Pin::new(&mut self.stream).poll_write(context, bytes)
     }
 
@@ -128,6 +158,7 @@
         context: &mut Context<'_>,
         bytes: &[IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
+        self.outgoing.begin();
         Pin::new(&mut self.stream).poll_write_vectored(context, bytes)
     }
 
@@ -136,7 +167,12 @@
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(context)
+        let flushed = Pin::new(&mut self.stream).poll_flush(context);
+        // The library flushes only once it has written all that it has.
+        if matches!(flushed, Poll::Ready(Ok(()))) {
+            self.outgoing.end();
+        }
+        flushed
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
--- a/tests/promises/torn.rs
+++ b/tests/promises/torn.rs
@@ -28,6 +28,7 @@
 const REST_BYTES: usize = 1 << 10;
 
 const UNFRAMED: &str = "HTTP/1.1 200 OK\r\n\r\n{\"choices\":";
+const CODED: &str = "HTTP/1.1 200 OK\r\ntransfer-encoding: gzip\r\n\r\n{\"choices\":";
 const CHUNKED: &str = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n1\r\n{\r\n";
 const SIZED: &str = "HTTP/1.1 200 OK\r\ncontent-length: 99\r\n\r\n{\"choices\":";
 
@@ -142,7 +143,9 @@
 // Guards against a part of an answer that looks whole, as its engine broke off while the request was written.
 #[parameterized(
     reset = { UNFRAMED, End::Reset },
+    half_closed = { UNFRAMED, End::HalfClose },
     closed = { UNFRAMED, End::Close },
+    coded = { CODED, End::HalfClose },
     chunks = { CHUNKED, End::HalfClose },
     sized = { SIZED, End::HalfClose },
 )]
