--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -137,7 +137,7 @@
 impl UpstreamStream {
     /// Whether the answer that has ended is whole, as far as can be known.
     pub async fn is_whole(&self, state: &State) -> bool {
-        self.is_framed || is_alive(state, &self.reservation).await
+        self.is_framed || self.lease.has_written() && is_alive(state, &self.reservation).await
     }
 
     /// Ends a complete stream and returns its connection to the pool.
@@ -190,6 +190,13 @@
             reservation.complete(Outcome::Failed);
             return AttemptResult::Indeterminate { reason: "the connection broke off" };
         }
+        Ok(Err(Error::Invalid(why))) => {
+            warn!(state.log(), "answer.invalid"; "request" => &job.call.id,
+                "target" => ?reservation.target(), "why" => why);
+            record_run_end(state, job, &reservation, started, End::BrokeOff);
+            reservation.complete(Outcome::Failed);
+            return AttemptResult::Indeterminate { reason: "what came is no answer" };
+        }
         Ok(Err(Error::HeadTooLarge(why))) => {
             warn!(state.log(), "answer.cut_off"; "request" => &job.call.id,
                 "target" => ?reservation.target(), "why" => why);
--- a/src/http/client.rs
+++ b/src/http/client.rs
@@ -26,6 +26,7 @@
 
 use crate::http::intake::Heads;
 use crate::http::intake::Intake;
+use crate::http::intake::Outgoing;
 use crate::http::socket;
 use crate::sync::Mutex;
 
@@ -51,6 +52,9 @@
     /// Bytes left, and what came is too large for the head of an answer.
     #[error("the head of the answer is too large: {0}")]
     HeadTooLarge(String),
+    /// Bytes left, and what came is no answer.
+    #[error("what came is no answer: {0}")]
+    Invalid(String),
 }
 
 /// What a connection attempt shows of an upstream.
@@ -77,6 +81,7 @@
 struct Connection {
     sender: http1::SendRequest<Full<Bytes>>,
     heads: Arc<Heads>,
+    outgoing: Arc<Outgoing>,
 }
 
 /// A connection that waits for its next request, and until when it may.
@@ -106,6 +111,15 @@
     fresh: bool,
 }
 
+impl Lease {
+    /// Whether the whole request has been written.
+    ///
+    /// An answer without a length that ends before counts as broken off: a reset that follows is never read.
+    pub fn has_written(&self) -> bool {
+        self.connection.outgoing.is_written()
+    }
+}
+
 impl Client {
     /// A client without connections.
     pub fn new() -> Self {
@@ -148,7 +162,7 @@
             let mut lease = self.lease(address).await?;
             prepare(&mut request);
             match lease.connection.exchange(request).await {
-                Ok(response) => return Ok((response, lease)),
+                Ok(response) => return Ok((check_status(response)?, lease)),
                 Err(mut failed) => match failed.take_message() {
                     Some(unsent) if !lease.fresh => request = unsent,
                     Some(_) => return Err(Error::Unsent(failed.error().to_string())),
@@ -171,7 +185,7 @@
         let mut lease = self.fresh(address).await?;
         prepare(&mut request);
         match lease.connection.exchange(request).await {
-            Ok(response) => Ok((response, lease)),
+            Ok(response) => Ok((check_status(response)?, lease)),
             Err(mut failed) => match failed.take_message() {
                 Some(_) => Err(Error::Unsent(failed.error().to_string())),
                 None => Err(self.no_answer(&lease, failed.error())),
@@ -185,11 +199,14 @@
     }
 
     fn no_answer(&self, lease: &Lease, error: &hyper::Error) -> Error {
-        if !lease.connection.heads.is_exceeded() && !error.is_parse_too_large() {
-            return Error::Lost(error.to_string());
+        if lease.connection.heads.is_exceeded() || error.is_parse_too_large() {
+            self.oversized.fetch_add(1, Ordering::Relaxed);
+            return Error::HeadTooLarge(source_of(error));
+        }
+        match error.is_parse() {
+            true => Error::Invalid(error.to_string()),
+            false => Error::Lost(error.to_string()),
         }
-        self.oversized.fetch_add(1, Ordering::Relaxed);
-        Error::HeadTooLarge(source_of(error))
     }
 
     /// Opens a connection without sending anything.
@@ -292,6 +309,15 @@
     }
 }
 
+/// Rejects a status that no final answer has: the library accepts any from 100 to 999, and 101 as a final one.
+fn check_status<B>(response: Response<B>) -> Result<Response<B>, Error> {
+    let status = response.status();
+    match status.as_u16() {
+        200..=599 => Ok(response),
+        _ => Err(Error::Invalid(format!("its status is {}", status.as_u16()))),
+    }
+}
+
 /// The innermost cause of an error.
 fn source_of(error: &hyper::Error) -> String {
     let mut cause: &dyn std::error::Error = error;
@@ -306,13 +332,13 @@
     let stream = dial(address, source).await.map_err(|error| unsent(&error))?;
     socket::prepare(&stream, None);
     let stream = Intake::new(stream);
-    let heads = stream.heads();
+    let (heads, outgoing) = (stream.heads(), stream.outgoing());
     let handshake =
         http1::Builder::new().max_buf_size(MAX_HEAD_BYTES).handshake(TokioIo::new(stream));
     let (sender, connection) = handshake.await.map_err(|error| unsent(&error))?;
     // Ends when the sender is dropped: that closes the socket, and the far end sees that nobody waits.
     tokio::spawn(async move { connection.await.ok() });
-    Ok(Connection { sender, heads })
+    Ok(Connection { sender, heads, outgoing })
 }
 
 #[cfg(test)]
--- a/src/http/engine.rs
+++ b/src/http/engine.rs
@@ -73,7 +73,8 @@
     check(&response, order)?;
     let is_framed = is_framed(&response);
     // A crash looks like the end of an answer without a length.
-    let is_whole = async || is_framed || client.probe(order.address, PROBE).await != Probe::Refused;
+    let is_alive = async || client.probe(order.address, PROBE).await != Probe::Refused;
+    let is_whole = async || is_framed || lease.has_written() && is_alive().await;
     sink.pass_if(response, is_whole).await?;
     client.keep(lease);
     Ok(())
@@ -161,5 +162,9 @@
 /// first: something on the way may have lost track of all of them.
 pub async fn probe(client: &Client, address: SocketAddr) -> bool {
     client.forget(Some(address));
-    matches!(time::timeout(PROBE, ask_load(client, address)).await, Ok(Ok(_)))
+    // Bytes that are no answer show as well that something runs there.
+    matches!(
+        time::timeout(PROBE, ask_load(client, address)).await,
+        Ok(Ok(_) | Err(Error::Invalid(_)))
+    )
 }
--- a/tests/support/site.rs
+++ b/tests/support/site.rs
@@ -102,8 +102,20 @@
     proxies
 }
 
-/// How long a VM drains at most.
-const DRAIN: Duration = Duration::from_secs(30);
+/// The bounds of a site that tests set.
+#[derive(Debug, Clone, Copy)]
+struct Limits {
+    /// How long a VM drains at most.
+    drain: Duration,
+    /// The largest body that callers may send.
+    body_bytes: u64,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Self { drain: Duration::from_secs(30), body_bytes: 1 << 20 }
+    }
+}
 
 /// A site whose daemons run in this process.
 pub struct Local {
@@ -121,20 +133,25 @@
 impl Local {
     /// Starts a site of these VMs, each given as `name@region`; each runs both daemons.
     pub async fn start(vms: &[&str]) -> Self {
-        Self::start_with(vms, false, DRAIN).await
+        Self::start_with(vms, false, Limits::default()).await
     }
 
     /// The same with a limit for the time that a VM drains.
     pub async fn start_with_drain(vms: &[&str], drain: Duration) -> Self {
-        Self::start_with(vms, false, drain).await
+        Self::start_with(vms, false, Limits { drain, ..Limits::default() }).await
+    }
+
+    /// The same where callers may send bodies of so many bytes.
+    pub async fn start_with_body_bytes(vms: &[&str], body_bytes: u64) -> Self {
+        Self::start_with(vms, false, Limits { body_bytes, ..Limits::default() }).await
     }
 
     /// The same with a proxy before the links and forwards of each daemon. Its daemons can't be started anew.
     pub async fn start_behind_proxies(vms: &[&str]) -> Self {
-        Self::start_with(vms, true, DRAIN).await
+        Self::start_with(vms, true, Limits::default()).await
     }
 
-    async fn start_with(vms: &[&str], through_proxies: bool, drain: Duration) -> Self {
+    async fn start_with(vms: &[&str], through_proxies: bool, limits: Limits) -> Self {
         let folder = tempfile::tempdir().expect("a temporary folder");
         let mut entry_bound = Vec::new();
         let mut control_bound = Vec::new();
@@ -159,10 +176,10 @@
             if through_proxies {
                 proxies.extend(between(from, &mut view).await);
             }
-            views.insert(from.clone(), Arc::new(site(view, drain)));
+            views.insert(from.clone(), Arc::new(site(view, limits)));
         }
         let mut local = Self {
-            site: Arc::new(site(all, drain)),
+            site: Arc::new(site(all, limits)),
             entries: BTreeMap::new(),
             controls: BTreeMap::new(),
             starts: 0,
@@ -486,15 +503,15 @@
     }
 }
 
-fn site(vms: BTreeMap<id::Vm, settings::site::Vm>, drain: Duration) -> Site {
+fn site(vms: BTreeMap<id::Vm, settings::site::Vm>, limits: Limits) -> Site {
     Site {
         vms,
         secret: "a shared secret".to_owned(),
         operator_token: None,
         headers: settings::site::Headers::default(),
-        body_bytes: 1 << 20,
+        body_bytes: limits.body_bytes,
         memory: Memory::default(),
-        drain,
+        drain: limits.drain,
         logs: settings::site::Logs { json: false, level: slog::Level::Warning },
     }
 }
