Learners that lag by a round trip are promoted

What callers saw: no configuration after two more disks were lost, since two of five seats had stayed vacant. Cause: a learner counted as caught up if it held all that is committed at the moment of a heartbeat, and was flagged unresponsive until it held what was committed at the last one. With changes in quick series, one that is a round trip or a sync behind the majority never holds that. Change: it is compared with what was committed an election timeout ago, and must have answered within five heartbeats, whatever the flag says. The majority after a change and the spread over regions take members that keep up in this sense as well. Commits and the witness go by the flag as before.

--- a/src/consensus/change.rs
+++ b/src/consensus/change.rs
@@ -45,11 +45,11 @@
         }
         let members = self.log.members().with_change(change)?;
         if let Change::Promote(learner) = change
-            && !self.is_caught_up(learner)
+            && !self.is_caught_up(learner, now)
         {
             return Err(Refusal::NotCaughtUp);
         }
-        if !members.has_majority(|id| self.is_responsive(id) || change == Change::AddWitness(id)) {
+        if !members.has_majority(|id| self.is_usable(id, now) || change == Change::AddWitness(id)) {
             return Err(Refusal::NoMajority);
         }
         Ok(self.append_members(members, now))
@@ -96,11 +96,19 @@
         id == self.id() || self.progress(id).is_some_and(|p| !p.unresponsive)
     }
 
-    /// Whether a learner has persisted every committed entry. Promoting one that lags would not add
-    /// a usable voter to the next majority.
-    pub(super) fn is_caught_up(&self, id: id::Replica) -> bool {
-        let ready =
-            |p: &Progress| !p.unresponsive && p.holds_data == Some(true) && p.mode == Mode::Stream;
-        self.progress(id).is_some_and(|p| ready(p) && p.matched >= self.commit)
+    /// Whether a majority may need this member: it has missed nothing, or keeps up with a lag.
+    pub(super) fn is_usable(&self, id: id::Replica, now: Instant) -> bool {
+        self.is_responsive(id) || self.keeps_up(id, now)
+    }
+
+    fn keeps_up(&self, id: id::Replica, now: Instant) -> bool {
+        let State::Leader(leader) = &self.state else { return false };
+        leader.keeps_up(id, self.response_timeout(), now)
+    }
+
+    /// Whether a learner can be promoted: it holds data, and lags by a short time at most.
+    pub(super) fn is_caught_up(&self, id: id::Replica, now: Instant) -> bool {
+        let is_sent = |p: &Progress| p.holds_data == Some(true) && p.mode != Mode::Snapshot;
+        self.progress(id).is_some_and(is_sent) && self.keeps_up(id, now)
     }
 }
--- a/src/consensus/commit.rs
+++ b/src/consensus/commit.rs
@@ -109,13 +109,14 @@
         let State::Leader(leader) = &mut self.state else {
             return;
         };
+        let heartbeat_commit = leader.heartbeat_commit();
         let Some(progress) = leader.progress.get_mut(&from).filter(|_| index <= last) else {
             return;
         };
         progress.record_response(round, now);
         progress.holds_data = Some(!witness);
         progress.advance(index, last, now);
-        if progress.matched >= leader.heartbeat_commit.min(commit) {
+        if progress.matched >= heartbeat_commit.min(commit) {
             progress.unresponsive = false;
         }
         self.advance_commit();
--- a/src/consensus/config.rs
+++ b/src/consensus/config.rs
@@ -123,6 +123,12 @@
         self
     }
 
+    /// The heartbeats within the minimum election timeout.
+    pub(super) fn heartbeats_per_election(&self) -> usize {
+        let count = self.election_timeout.as_nanos() / self.heartbeat_interval.as_nanos().max(1);
+        usize::try_from(count).unwrap_or(usize::MAX)
+    }
+
     /// Injects a fault.
     #[cfg(feature = "faults")]
     #[must_use]
--- a/src/consensus/digest.rs
+++ b/src/consensus/digest.rs
@@ -33,7 +33,7 @@
                 (
                     &leader.reads,
                     leader.transfer.is_some(),
-                    leader.heartbeat_commit,
+                    &leader.heartbeat_commits,
                     leader.witness_sent,
                 )
                     .hash(hasher);
--- a/src/consensus/leader.rs
+++ b/src/consensus/leader.rs
@@ -1,6 +1,8 @@
 //! Leader: heartbeats and log replication.
 
 use std::collections::BTreeMap;
+use std::collections::VecDeque;
+use std::time::Duration;
 
 use tokio::time::Instant;
 
@@ -37,12 +39,32 @@
     pub(super) transfer: Option<Transfer>,
     /// Voters that are about to stop, and when that is no longer assumed.
     pub(super) stopping: BTreeMap<id::Replica, Instant>,
-    /// The commit index at the last heartbeat.
-    pub(super) heartbeat_commit: Index,
+    /// The commit indexes at the heartbeats of the last election timeout, the latest one last.
+    pub(super) heartbeat_commits: VecDeque<Index>,
     /// The last index sent to the witness.
     pub(super) witness_sent: Index,
 }
 
+impl Leader {
+    /// The commit index at the last heartbeat.
+    pub(super) fn heartbeat_commit(&self) -> Index {
+        self.heartbeat_commits.back().copied().unwrap_or(Index::ZERO)
+    }
+
+    /// Whether a member answers, and has persisted what was committed an election timeout ago.
+    ///
+    /// A member at a distance or with a slow disk never holds all that is committed at this moment while changes come
+    /// in quick series. Safety does not depend on the limit: commits that wait for this member are late by as much as
+    /// it lags, and should not be late by more than an election.
+    pub(super) fn keeps_up(&self, id: id::Replica, limit: Duration, now: Instant) -> bool {
+        // What a restarted leader knows as committed at its election may be far behind.
+        let recent = self.heartbeat_commits.front().copied().max(Some(self.term_start));
+        self.progress.get(&id).is_some_and(|progress| {
+            progress.silence(now) < limit && Some(progress.matched) >= recent
+        })
+    }
+}
+
 impl Replica {
     /// Becomes leader and appends a no-op of the current term, which allows entries of earlier
     /// terms to be committed.
@@ -57,7 +79,7 @@
             reads: Vec::new(),
             transfer: None,
             stopping: BTreeMap::new(),
-            heartbeat_commit: self.commit,
+            heartbeat_commits: VecDeque::from([self.commit]),
             witness_sent: Index::ZERO,
         };
         self.state = State::Leader(Box::new(leader));
@@ -113,8 +135,11 @@
         self.restart_heartbeat(now);
         self.begin_round();
         let commit = self.commit;
+        let kept = self.config.heartbeats_per_election();
         if let State::Leader(leader) = &mut self.state {
-            leader.heartbeat_commit = commit;
+            leader.heartbeat_commits.push_back(commit);
+            let excess = leader.heartbeat_commits.len().saturating_sub(kept);
+            leader.heartbeat_commits.drain(..excess);
         }
         for to in self.others() {
             self.send_entries(to, true);
--- a/src/consensus/repair.rs
+++ b/src/consensus/repair.rs
@@ -117,7 +117,7 @@
             Some((Change::Promote(successor), Reason::Stopping))
         } else if let Some(id) = silent(Role::Voter) {
             Some((Change::Remove(id), Reason::Silent))
-        } else if self.would_spread(successor) {
+        } else if self.would_spread(successor, now) {
             Some((Change::Promote(successor), Reason::Concentrated))
         } else {
             silent_learner()
@@ -147,18 +147,18 @@
         let learners = self.log.members().with_role(Role::Learner);
         let voters = self.voters_by_region();
         learners
-            .filter(|&id| self.is_caught_up(id) && !self.is_stopping(id, now))
+            .filter(|&id| self.is_caught_up(id, now) && !self.is_stopping(id, now))
             .min_by_key(|id| self.regions.get(id).and_then(|region| voters.get(region).copied()))
     }
 
     /// Whether a majority of the voters is in one region, and fewer would be if the learner took the place of one.
-    fn would_spread(&self, learner: id::Replica) -> bool {
+    fn would_spread(&self, learner: id::Replica, now: Instant) -> bool {
         let members = self.log.members();
         let voters = self.voters_by_region();
         let most = voters.values().copied().max().unwrap_or(0);
         let Some(region) = self.regions.get(&learner) else { return false };
         let there = voters.get(region).copied().unwrap_or(0);
-        let all_respond = members.with_role(Role::Voter).all(|id| self.is_responsive(id));
+        let all_respond = members.with_role(Role::Voter).all(|id| self.is_usable(id, now));
         most >= members.majority() && there + 1 < most && all_respond
     }
 
--- a/src/consensus/timer.rs
+++ b/src/consensus/timer.rs
@@ -14,7 +14,7 @@
 
 /// Consecutive missed heartbeats after which the leader considers a member unresponsive. Half of
 /// the minimum election timeout, so that a witness takes over before callers wait for a second.
-pub(super) const MISSED_HEARTBEATS: u32 = 5;
+const MISSED_HEARTBEATS: u32 = 5;
 
 /// Upper limit on the duration of a successful election, in heartbeats: a pre-vote response, a vote
 /// and its response, each with a sync.
@@ -190,13 +190,18 @@
             return Vec::new();
         };
         let last = self.log.last().index;
-        let response_timeout = self.config.heartbeat_interval * MISSED_HEARTBEATS;
+        let response_timeout = self.response_timeout();
         let timed_out = leader.progress.iter().filter(|(_, p)| {
             p.has_timed_out(last, response_timeout, self.config.election_timeout, now)
         });
         timed_out.map(|(&id, _)| id).collect()
     }
 
+    /// The silence after which the leader considers a member unresponsive.
+    pub(super) fn response_timeout(&self) -> Duration {
+        self.config.heartbeat_interval * MISSED_HEARTBEATS
+    }
+
     /// Expires a timeout regardless of the time, for model checking.
     #[cfg(feature = "faults")]
     pub fn expire(&mut self, timeout: Timeout, now: Instant) -> Vec<super::Output> {
