--- a/src/consensus/config.rs
+++ b/src/consensus/config.rs
@@ -31,6 +31,9 @@
 /// lag.
 const SNAPSHOT_BYTES: usize = 4 << 20;
 
+/// Size of the in-memory log up to which entries are kept for members that respond and still need them.
+const RETAINED_BYTES: usize = LOG_BYTES / 2;
+
 /// Number of entries after which a snapshot is due, to bound the replay at a restart.
 const SNAPSHOT_ENTRIES: usize = 10_000;
 
@@ -64,6 +67,8 @@
     pub snapshot_bytes: usize,
     /// Applied entries beyond which a snapshot is due.
     pub snapshot_entries: usize,
+    /// Bytes of entries in memory up to which those are kept that a responding member needs.
+    pub retained_bytes: usize,
     /// Injected fault; can only be set in tests.
     pub(super) fault: Option<Fault>,
 }
@@ -85,6 +90,7 @@
             log_bytes: LOG_BYTES,
             snapshot_bytes: SNAPSHOT_BYTES,
             snapshot_entries: SNAPSHOT_ENTRIES,
+            retained_bytes: RETAINED_BYTES,
             fault: None,
         }
     }
--- a/src/consensus/digest.rs
+++ b/src/consensus/digest.rs
@@ -49,6 +49,7 @@
 impl Log {
     fn digest(&self, hasher: &mut impl Hasher) {
         (self.snapshot(), self.synced(), self.first(), self.last()).hash(hasher);
+        self.covered_bytes().hash(hasher);
         for entry in self.slice(self.first(), self.last().index, usize::MAX) {
             entry.hash(hasher);
         }
--- a/src/consensus/finish.rs
+++ b/src/consensus/finish.rs
@@ -6,6 +6,9 @@
 use super::Output;
 use super::Replica;
 use super::fault::Fault;
+use super::log::Tail;
+use super::progress::Progress;
+use super::replica::State;
 use crate::unit::Index;
 use crate::unit::Sequence;
 
@@ -87,7 +90,10 @@
         let covered = self.log.snapshot().position.index;
         let entries = self.applied.saturating_sub(covered).get();
         let has_many_entries = entries >= self.config.snapshot_entries as u64;
-        if entries == 0 || !(has_many_entries || self.log.bytes() > self.config.snapshot_bytes) {
+        // What the last snapshot covers and was kept for followers does not make another one due.
+        let limit = self.log.covered_bytes() + self.config.snapshot_bytes / 2;
+        let has_many_bytes = self.log.bytes() > limit.max(self.config.snapshot_bytes);
+        if entries == 0 || !(has_many_entries || has_many_bytes) {
             return;
         }
         if self.config.witness {
@@ -100,16 +106,41 @@
         }
     }
 
+    /// Requests a snapshot before a member copies the last one, if more than one window of entries follows that.
+    pub(super) fn renew_snapshot(&mut self) {
+        let is_old = self.log.bytes() > self.log.covered_bytes() + self.config.in_flight_bytes;
+        let is_new = self.applied > self.log.snapshot().position.index;
+        if is_old && is_new && !self.snapshot_due {
+            self.snapshot_due = true;
+            self.emit(Output::SnapshotDue { index: self.applied });
+        }
+    }
+
     /// Drops the entries covered by a new snapshot, except for a tail for followers that lag
-    /// slightly.
-    pub(super) fn compact(&mut self, index: Index) {
+    /// slightly, and what responding members need.
+    pub(super) fn compact(&mut self, index: Index, now: Instant) {
         self.snapshot_due = false;
         if index > self.applied {
             return;
         }
-        let entries = self.config.snapshot_entries / 2;
-        if let Some(through) = self.log.compact(index, entries, self.config.snapshot_bytes / 2) {
+        let tail = Tail {
+            entries: self.config.snapshot_entries / 2,
+            bytes: self.config.snapshot_bytes / 2,
+            needed: self.needed_by_members(now),
+            needed_bytes: self.config.retained_bytes,
+        };
+        if let Some(through) = self.log.compact_to(index, tail) {
             self.emit(Output::Compact { through });
         }
     }
+
+    /// The first entry that a responding member needs.
+    ///
+    /// A member that copies a snapshot, or catches up after that, would have to begin again if the entries after it
+    /// were dropped meanwhile; with many changes it would never end.
+    fn needed_by_members(&self, now: Instant) -> Option<Index> {
+        let State::Leader(leader) = &self.state else { return None };
+        let responds = |p: &&Progress| p.silence(now) < self.config.election_timeout;
+        leader.progress.values().filter(responds).filter_map(Progress::needed).min()
+    }
 }
--- a/src/consensus/leader.rs
+++ b/src/consensus/leader.rs
@@ -15,6 +15,7 @@
 use super::Refusal;
 use super::Replica;
 use super::Role;
+use super::Snapshot;
 use super::Token;
 use super::fault::Fault;
 use super::progress::Mode;
@@ -153,13 +154,18 @@
         {
             progress.resume_probe();
         }
+        let was_copying = self.is_copying(to);
         let mut nothing_sent = true;
         while let Some(body) = self.next_append(to) {
             nothing_sent = false;
             self.send(to, Message::new(self.hard.term, body));
         }
+        let is_offer_new = !was_copying && self.is_copying(to);
+        if is_offer_new {
+            self.renew_snapshot();
+        }
         if nothing_sent
-            && heartbeat
+            && (heartbeat || is_offer_new)
             && let Some(body) = self.heartbeat(to)
         {
             self.send(to, Message::new(self.hard.term, body));
@@ -173,6 +179,11 @@
         }
     }
 
+    /// Whether a member is to copy a snapshot.
+    fn is_copying(&self, id: id::Replica) -> bool {
+        self.progress(id).is_some_and(|progress| progress.mode == Mode::Snapshot)
+    }
+
     /// The next message with entries, or an empty probe, if one may be sent.
     fn next_append(&mut self, to: id::Replica) -> Option<Body> {
         let limit = self.send_limit(to);
@@ -184,7 +195,13 @@
         let progress = leader.progress.get_mut(&to)?;
         let before = progress.next.saturating_sub(Index::new(1));
         let Some(previous) = self.log.position(before) else {
-            progress.enter_snapshot_mode();
+            // What follows the snapshot that is being copied may have been dropped.
+            let is_current = |offered: &Snapshot| {
+                self.log.position(offered.position.index) == Some(offered.position)
+            };
+            if !progress.offered().is_some_and(is_current) {
+                progress.enter_snapshot_mode(self.log.snapshot().clone());
+            }
             return None;
         };
         let pending = progress.next <= limit || matches!(progress.mode, Mode::Probe { .. });
@@ -211,10 +228,10 @@
         };
         let progress = leader.progress.get(&to)?;
         let round = leader.round;
-        let snapshot = self.log.snapshot();
-        if progress.mode == Mode::Snapshot {
+        if let Some(snapshot) = progress.offered() {
             return Some(Body::Snapshot { snapshot: snapshot.clone(), round });
         }
+        let snapshot = self.log.snapshot();
         let before = progress.next.saturating_sub(Index::new(1));
         let previous = self.log.position(before).unwrap_or(snapshot.position);
         Some(Body::Append { previous, entries: Vec::new(), commit: self.commit, round })
--- a/src/consensus/log.rs
+++ b/src/consensus/log.rs
@@ -18,6 +18,8 @@
     snapshot: Snapshot,
     entries: VecDeque<Entry>,
     bytes: usize,
+    /// The bytes of entries that the snapshot covered when it was taken.
+    covered_bytes: usize,
     /// Membership changes in the log: the index of each, and the members from there on.
     members: Vec<(Index, Members)>,
     /// The last persisted index.
@@ -29,6 +31,17 @@
     pending: PendingWrite,
 }
 
+/// Which entries are kept although a snapshot covers them.
+#[derive(Debug, Clone, Copy, Default)]
+pub(super) struct Tail {
+    /// At most this many, if they take at most this many bytes.
+    pub(super) entries: usize,
+    pub(super) bytes: usize,
+    /// All from this index on, while the log takes at most this many bytes.
+    pub(super) needed: Option<Index>,
+    pub(super) needed_bytes: usize,
+}
+
 /// Changes since the last write was issued.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Hash)]
 struct PendingWrite {
@@ -49,6 +62,7 @@
             snapshot,
             entries: VecDeque::new(),
             bytes: 0,
+            covered_bytes: 0,
             members: Vec::new(),
             writes: VecDeque::new(),
             issued: Sequence::ZERO,
@@ -201,6 +215,7 @@
             self.members.clear();
             self.bytes = 0;
         }
+        self.covered_bytes = 0;
         self.snapshot = snapshot;
         self.synced = position.index;
         for (_, last) in &mut self.writes {
@@ -214,14 +229,27 @@
     /// Records a local snapshot and drops the entries it covers, except for a tail limited to that
     /// many entries and bytes. Returns the last dropped index.
     pub fn compact(&mut self, index: Index, entries: usize, bytes: usize) -> Option<Index> {
+        self.compact_to(index, Tail { entries, bytes, ..Tail::default() })
+    }
+
+    /// Records a local snapshot and drops the entries it covers, except for a tail. Returns the last dropped index.
+    pub(super) fn compact_to(&mut self, index: Index, tail: Tail) -> Option<Index> {
         let position = self.position(index).filter(|p| p.index > self.snapshot.position.index)?;
         let members = self.members_at(index).clone();
         self.members.retain(|&(at, _)| at > index);
         self.snapshot = Snapshot { position, members };
-        self.drop_through(index.saturating_sub(Index::new(entries as u64)));
-        while self.bytes > bytes && self.first() <= index {
-            self.drop_through(self.first());
+        let tail_start = index.saturating_sub(Index::new(tail.entries as u64)).next();
+        while self.first() <= index {
+            let first = self.first();
+            let is_recent = first >= tail_start && self.bytes <= tail.bytes;
+            let is_needed = tail.needed.is_some_and(|needed| first >= needed);
+            if is_recent || (is_needed && self.bytes <= tail.needed_bytes) {
+                break;
+            }
+            self.drop_through(first);
         }
+        let covered = self.entries.iter().take_while(|entry| entry.index() <= index);
+        self.covered_bytes = covered.map(Entry::size).sum();
         Some(self.first().saturating_sub(Index::new(1)))
     }
 
@@ -262,6 +290,11 @@
         })
     }
 
+    /// The bytes of entries that the snapshot covered when it was taken.
+    pub(super) const fn covered_bytes(&self) -> usize {
+        self.covered_bytes
+    }
+
     /// The last issued write.
     pub const fn issued(&self) -> Sequence {
         self.issued
--- a/src/consensus/progress.rs
+++ b/src/consensus/progress.rs
@@ -6,6 +6,7 @@
 use tokio::time::Instant;
 
 use super::Config;
+use super::Snapshot;
 use crate::unit::Index;
 use crate::unit::Round;
 
@@ -42,6 +43,8 @@
     /// Messages with entries in flight, each with its last index and size.
     in_flight: VecDeque<(Index, usize)>,
     in_flight_bytes: usize,
+    /// The snapshot that it is to copy.
+    offered: Option<Snapshot>,
     last_response: Instant,
     last_advance: Instant,
 }
@@ -60,6 +63,7 @@
             round: Round::ZERO,
             in_flight: VecDeque::new(),
             in_flight_bytes: 0,
+            offered: None,
             last_response: now,
             last_advance: now,
         }
@@ -110,9 +114,21 @@
     }
 
     /// Switches to sending a snapshot.
-    pub(super) fn enter_snapshot_mode(&mut self) {
+    pub(super) fn enter_snapshot_mode(&mut self, snapshot: Snapshot) {
         self.clear_in_flight();
         self.mode = Mode::Snapshot;
+        self.offered = Some(snapshot);
+    }
+
+    /// The snapshot that it is to copy.
+    pub(super) fn offered(&self) -> Option<&Snapshot> {
+        self.offered.as_ref().filter(|_| self.mode == Mode::Snapshot)
+    }
+
+    /// The last entry that it has or is about to have, which precedes what it needs next.
+    pub(super) fn needed(&self) -> Option<Index> {
+        let copied = self.offered().map(|snapshot| snapshot.position.index);
+        copied.or(Some(self.matched)).filter(|&index| index > Index::ZERO)
     }
 
     fn clear_in_flight(&mut self) {
@@ -178,6 +194,7 @@
             self.holds_data,
             self.round,
             &self.in_flight,
+            self.offered(),
         )
             .hash(hasher);
     }
--- a/src/consensus/replica.rs
+++ b/src/consensus/replica.rs
@@ -120,7 +120,7 @@
             Input::Read { token } => self.read(token),
             Input::Change { change, token } => self.propose_change(change, token, now),
             Input::Persisted { sequence } => self.handle_persisted(sequence),
-            Input::SnapshotTaken { index } => self.compact(index),
+            Input::SnapshotTaken { index } => self.compact(index, now),
             Input::SnapshotInstalled { snapshot } => self.install(snapshot),
             Input::SnapshotFailed => (self.installing, self.snapshot_due) = (false, false),
             Input::Transfer { to } => self.transfer(to, now),
--- a/src/consensus/replica/tests.rs
+++ b/src/consensus/replica/tests.rs
@@ -438,6 +438,71 @@
     )));
 }
 
+/// A snapshot that covers entries up to an index.
+fn snapshot(index: u64) -> Snapshot {
+    let position = Position::new(Index::new(index), Term::new(1));
+    Snapshot { position, members: three_voters() }
+}
+
+// Guards against a copy that is begun anew only some time after its source was lost.
+#[test]
+fn the_next_offer_is_taken_once_a_copy_has_failed() {
+    let now = Instant::now();
+    let rng = SmallRng::seed_from_u64(1);
+    let mut learner = Replica::new(Config::new(id(4)), Restored::default(), rng, now);
+    let offer = |learner: &mut Replica, from, term| {
+        let body = Body::Snapshot { snapshot: snapshot(10), round: Round::new(1) };
+        let message = Message::new(Term::new(term), body);
+        let outputs = learner.step(Input::Receive { from: id(from), message }, now);
+        outputs.iter().find_map(|output| match output {
+            Output::InstallSnapshot { from, .. } => Some(from.get()),
+            _ => None,
+        })
+    };
+    assert_eq!(offer(&mut learner, 1, 1), Some(1));
+    assert_eq!(offer(&mut learner, 2, 2), None);
+    learner.step(Input::SnapshotFailed, now);
+    assert_eq!(offer(&mut learner, 2, 2), Some(2));
+}
+
+// Guards against copies without end: entries after a snapshot are dropped before it has been copied.
+#[test]
+fn entries_are_kept_for_a_member_that_copies_a_snapshot() {
+    let configure = |config: Config| config.with_snapshot_entries(10);
+    let mut group = Group::with_leader(&three_voters(), configure);
+    let propose = |group: &mut Group, count: u64| {
+        (0..count).for_each(|token| group.propose(1, token));
+        let index = group.replica(1).applied();
+        group.input(1, Input::SnapshotTaken { index });
+        index
+    };
+    let offered = propose(&mut group, 30);
+    let empty = Replica::new(
+        configure(Config::new(id(4))),
+        Restored::default(),
+        SmallRng::seed_from_u64(1),
+        group.now,
+    );
+    group.replicas.push(empty);
+    let change = Change::AddLearner(id(4));
+    group.input(1, Input::Change { change, token: Token::new(0) });
+    let is_begun = |output: &Output| matches!(output, Output::InstallSnapshot { .. });
+    assert!(group.emitted(4, is_begun), "the offer waits");
+    for _ in 0..5 {
+        propose(&mut group, 30);
+        group.advance(HEARTBEAT_INTERVAL);
+    }
+    let members = three_voters();
+    let position = Position::new(offered, group.replica(1).term());
+    let snapshot = Snapshot { position, members };
+    group.input(4, Input::SnapshotInstalled { snapshot });
+    group.advance(HEARTBEAT_INTERVAL);
+    assert_eq!(group.replica(4).commit(), group.replica(1).commit());
+    // Once it holds them, they are dropped.
+    let covered = propose(&mut group, 30);
+    assert!(group.replica(1).log().first() > covered.saturating_sub(Index::new(10)));
+}
+
 #[test]
 fn messages_round_trip_with_compact_data() {
     let data = Bytes::from(vec![255; 1000]);
--- a/tests/cluster/seats.rs
+++ b/tests/cluster/seats.rs
@@ -67,6 +67,10 @@
     four = { Case { replicas: 4, ..SLOW } },
     seven = { Case { replicas: 7, ..SLOW } },
     large = { LARGE },
+    large_and_slower = { Case { sync_ms: 100, ..LARGE } },
+    large_and_often = { Case { every_ms: 100, ..LARGE } },
+    large_and_slow = { Case { sync_ms: 300, ..LARGE } },
+    large_often_and_slow = { Case { every_ms: 100, sync_ms: 100, ..LARGE } },
 )]
 fn lost_disks_are_replaced_before_the_next_ones_are_lost(case: Case) {
     let mut failed: BTreeMap<&str, Vec<String>> = BTreeMap::new();
--- a/tests/models/world.rs
+++ b/tests/models/world.rs
@@ -362,6 +362,8 @@
 
 fn config(group: &Group, id: id::Replica) -> Config {
     let mut config = Config::new(id).with_snapshot_entries(1);
+    // Members that lag come to need a snapshot.
+    config.retained_bytes = 0;
     if group.split {
         config.append_bytes = 1;
     }
