--- a/tests/cluster/server.rs
+++ b/tests/cluster/server.rs
@@ -139,7 +139,7 @@
             }
             Output::ReadReady { token, .. } => oracle.answer(token, self.replica.applied()),
             Output::InstallSnapshot { from, .. } => {
-                (self.wanted, self.copying) = (Some(from), None)
+                (self.wanted, self.copying) = (Some(from), None);
             }
             Output::SnapshotDue { index } => self.save(index, now, rng, oracle),
             Output::Compact { through } => self.disk.log.retain(|entry| entry.index() > through),
