--- a/src/consensus/leader.rs
+++ b/src/consensus/leader.rs
@@ -1,6 +1,8 @@
 //! Leader: heartbeats and log replication.
 
 use std::collections::BTreeMap;
+use std::collections::VecDeque;
+use std::time::Duration;
 
 use tokio::time::Instant;
 
@@ -13,6 +15,7 @@
 use super::Refusal;
 use super::Replica;
 use super::Role;
+use super::Snapshot;
 use super::Token;
 use super::fault::Fault;
 use super::progress::Mode;
@@ -37,12 +40,32 @@
     pub(super) transfer: Option<Transfer>,
     /// Voters that are about to stop, and when that is no longer assumed.
     pub(super) stopping: BTreeMap<id::Replica, Instant>,
-    /// The commit index at the last heartbeat.
-    pub(super) heartbeat_commit: Index,
+    /// The commit indexes at the heartbeats of the last election timeout, the latest one last.
+    pub(super) heartbeat_commits: VecDeque<Index>,
     /// The last index sent to the witness.
     pub(super) witness_sent: Index,
 }
 
+impl Leader {
+    /// The commit index at the last heartbeat.
+    pub(super) fn heartbeat_commit(&self) -> Index {
+        self.heartbeat_commits.back().copied().unwrap_or(Index::ZERO)
+    }
+
+    /// Whether a member answers, and has persisted what was committed an election timeout ago.
+    ///
+    /// A member at a distance or with a slow disk never holds all that is committed at this moment while changes come
+    /// in quick series. Safety does not depend on the limit: commits that wait for this member are late by as much as
+    /// it lags, and should not be late by more than an election.
+    pub(super) fn keeps_up(&self, id: id::Replica, limit: Duration, now: Instant) -> bool {
+        // What a restarted leader knows as committed at its election may be far behind.
+        let recent = self.heartbeat_commits.front().copied().max(Some(self.term_start));
+        self.progress.get(&id).is_some_and(|progress| {
+            progress.silence(now) < limit && Some(progress.matched) >= recent
+        })
+    }
+}
+
 impl Replica {
     /// Becomes leader and appends a no-op of the current term, which allows entries of earlier
     /// terms to be committed.
@@ -57,7 +80,7 @@
             reads: Vec::new(),
             transfer: None,
             stopping: BTreeMap::new(),
-            heartbeat_commit: self.commit,
+            heartbeat_commits: VecDeque::from([self.commit]),
             witness_sent: Index::ZERO,
         };
         self.state = State::Leader(Box::new(leader));
@@ -113,8 +136,11 @@
         self.restart_heartbeat(now);
         self.begin_round();
         let commit = self.commit;
+        let kept = self.config.heartbeats_per_election();
         if let State::Leader(leader) = &mut self.state {
-            leader.heartbeat_commit = commit;
+            leader.heartbeat_commits.push_back(commit);
+            let excess = leader.heartbeat_commits.len().saturating_sub(kept);
+            leader.heartbeat_commits.drain(..excess);
         }
         for to in self.others() {
             self.send_entries(to, true);
@@ -128,13 +154,18 @@
         {
             progress.resume_probe();
         }
+        let was_copying = self.is_copying(to);
         let mut nothing_sent = true;
         while let Some(body) = self.next_append(to) {
             nothing_sent = false;
             self.send(to, Message::new(self.hard.term, body));
         }
+        let is_offer_new = !was_copying && self.is_copying(to);
+        if is_offer_new {
+            self.renew_snapshot();
+        }
         if nothing_sent
-            && heartbeat
+            && (heartbeat || is_offer_new)
             && let Some(body) = self.heartbeat(to)
         {
             self.send(to, Message::new(self.hard.term, body));
@@ -148,6 +179,11 @@
         }
     }
 
+    /// Whether a member is to copy a snapshot.
+    fn is_copying(&self, id: id::Replica) -> bool {
+        self.progress(id).is_some_and(|progress| progress.mode == Mode::Snapshot)
+    }
+
     /// The next message with entries, or an empty probe, if one may be sent.
     fn next_append(&mut self, to: id::Replica) -> Option<Body> {
         let limit = self.send_limit(to);
@@ -159,7 +195,13 @@
         let progress = leader.progress.get_mut(&to)?;
         let before = progress.next.saturating_sub(Index::new(1));
         let Some(previous) = self.log.position(before) else {
-            progress.enter_snapshot_mode();
+            // What follows the snapshot that is being copied may have been dropped.
+            let is_current = |offered: &Snapshot| {
+                self.log.position(offered.position.index) == Some(offered.position)
+            };
+            if !progress.offered().is_some_and(is_current) {
+                progress.enter_snapshot_mode(self.log.snapshot().clone());
+            }
             return None;
         };
         let pending = progress.next <= limit || matches!(progress.mode, Mode::Probe { .. });
@@ -186,10 +228,10 @@
         };
         let progress = leader.progress.get(&to)?;
         let round = leader.round;
-        let snapshot = self.log.snapshot();
-        if progress.mode == Mode::Snapshot {
+        if let Some(snapshot) = progress.offered() {
             return Some(Body::Snapshot { snapshot: snapshot.clone(), round });
         }
+        let snapshot = self.log.snapshot();
         let before = progress.next.saturating_sub(Index::new(1));
         let previous = self.log.position(before).unwrap_or(snapshot.position);
         Some(Body::Append { previous, entries: Vec::new(), commit: self.commit, round })
