--- a/src/consensus/finish.rs
+++ b/src/consensus/finish.rs
@@ -106,16 +106,6 @@
         }
     }
 
-    /// Requests a snapshot before a member copies the last one, if more than one window of entries follows that.
-    pub(super) fn renew_snapshot(&mut self) {
-        let is_old = self.log.bytes() > self.log.covered_bytes() + self.config.in_flight_bytes;
-        let is_new = self.applied > self.log.snapshot().position.index;
-        if is_old && is_new && !self.snapshot_due {
-            self.snapshot_due = true;
-            self.emit(Output::SnapshotDue { index: self.applied });
-        }
-    }
-
     /// Drops the entries covered by a new snapshot, except for a tail for followers that lag
     /// slightly, and what responding members need.
     pub(super) fn compact(&mut self, index: Index, now: Instant) {
--- a/src/consensus/leader.rs
+++ b/src/consensus/leader.rs
@@ -161,9 +161,6 @@
             self.send(to, Message::new(self.hard.term, body));
         }
         let is_offer_new = !was_copying && self.is_copying(to);
-        if is_offer_new {
-            self.renew_snapshot();
-        }
         if nothing_sent
             && (heartbeat || is_offer_new)
             && let Some(body) = self.heartbeat(to)
--- a/tests/cluster/group.rs
+++ b/tests/cluster/group.rs
@@ -38,7 +38,7 @@
 const ASKS: Duration = Duration::from_millis(100);
 /// How long it takes to send a snapshot, besides its trips.
 const COPIED: Duration = Duration::from_millis(200);
-/// Trips of a snapshot: it is fetched in pieces, one after the other.
+/// Trips of a snapshot: it is fetched in pieces, of which a few are under way at a time.
 const COPY_TRIPS: u32 = 6;
 
 /// Who is in the group.
@@ -386,19 +386,19 @@
                 .servers
                 .iter()
                 .find(|other| other.replica().id() == from && other.is_running());
-            let fetched = source.map(|source| source.saved().clone());
+            let fetched = source.map(|source| source.state());
             self.servers[at].install(fetched, now, rng, &mut self.oracle);
         }
     }
 
-    /// Copies a snapshot that the source had when it was asked.
+    /// Copies the state that the source had when it was asked.
     fn copy(&mut self, at: usize, trip: Duration) {
         let id = self.servers[at].replica().id();
         let Some(from) = self.servers[at].wanted else { return };
         let trip = self.far.get(&id).copied().unwrap_or(trip);
         let source =
             self.servers.iter().find(|other| other.replica().id() == from && other.is_running());
-        let saved = source.map(|source| source.saved().clone());
+        let saved = source.map(|source| source.state());
         let server = &mut self.servers[at];
         let (done, copied) = match (server.copying.take(), saved) {
             (None, Some(saved)) => {
--- a/tests/cluster/server.rs
+++ b/tests/cluster/server.rs
@@ -104,8 +104,14 @@
         &self.replica
     }
 
-    pub const fn saved(&self) -> &Saved {
-        &self.saved
+    /// The state machine as it is now, which is what other replicas copy.
+    pub fn state(&self) -> Saved {
+        let applied = self.replica.applied();
+        let log = self.replica.log();
+        let position =
+            log.position(applied).expect("applied entries are in the log or its snapshot");
+        let members = log.members_at(applied).clone();
+        (Snapshot { position, members }, self.machine.clone())
     }
 
     pub fn machine(&self) -> &[Entry] {
