A VM that holds replicas of many groups stays reachable for all of them

What callers saw: nothing yet; since a VM of a site that names its VMs could become unreachable for some groups, for they would not hear of their leader, or were not led by it.

Cause: four identities are kept of each VM. One routing table serves all groups of a site, and a VM holds a replica of the catalogue, of its region's ledger and, as a witness, of ledgers of other regions. With five groups and more each identity learned displaced another that is in use; with three and four, the identity of a lost disk was displaced before the VM asked to be taken in.

Evidence: the test fails before: "no route to [Replica(1), Replica(2)]".

Change: 64 identities are kept of each VM.

--- a/src/control/routes.rs
+++ b/src/control/routes.rs
@@ -14,8 +14,8 @@
 use crate::store::cache::ROUTES_FILE;
 use crate::sync::Mutex;
 
-/// Identities kept of each VM: the current one, and some of disks that it lost.
-const IDENTITIES: usize = 4;
+/// Identities kept of each VM: one for each group that it holds a replica of, and some of disks that it lost.
+const IDENTITIES: usize = 64;
 /// Delay before the routes are saved, since those of a group that forms are learned one after the other.
 const SAVE_DELAY: Duration = Duration::from_millis(200);
 
--- a/src/control/routes/tests.rs
+++ b/src/control/routes/tests.rs
@@ -44,3 +44,15 @@
         assert!(routes.is_current(pair[1]) && !routes.is_current(pair[0]), "{pair:?}");
     }
 }
+
+// Guards against a VM that holds replicas of many groups and becomes unreachable for some of them.
+#[test]
+fn replicas_of_many_groups_on_one_vm_have_a_route() {
+    let folder = tempfile::tempdir().unwrap();
+    let routes = Routes::new(folder.path(), &log::silent());
+    let vm: id::Vm = "vm1".parse().unwrap();
+    let ids: Vec<id::Replica> = (1..=6).map(id::Replica::new).collect();
+    ids.iter().for_each(|&id| routes.learn(id, &vm));
+    let lost: Vec<_> = ids.iter().filter(|&&id| routes.vm(id).is_none()).collect();
+    assert!(lost.is_empty(), "no route to {lost:?}");
+}
