A disk that comes back no longer counts as lost

What operators saw: `mastic_control_losses_borne` one too low and "before another" in `group.without_leader`, for good, for a VM that started once with an empty folder (a mount that failed) and then with its own again.

Cause: the identity learned last counts as the present one, and one that is known already is not learned again.

Change: what a VM answers when it is asked who it is counts; messages, which may be late, still tell the address alone.

--- a/src/control/routes.rs
+++ b/src/control/routes.rs
@@ -19,7 +19,7 @@
 /// Delay before the routes are saved, since those of a group that forms are learned one after the other.
 const SAVE_DELAY: Duration = Duration::from_millis(200);
 
-/// The identities of replicas and their VMs, the newest last.
+/// The identities of replicas and their VMs, those last confirmed at the end.
 pub type Known = Vec<(id::Replica, id::Vm)>;
 
 /// The VMs of replicas, as they tell themselves.
@@ -41,7 +41,7 @@
         Self { known, learned: watch::Sender::default(), cache }
     }
 
-    /// Notes where a replica is.
+    /// Notes where a replica is, as a message tells that may be late.
     pub fn learn(&self, replica: id::Replica, vm: &id::Vm) {
         let mut known = self.known.lock();
         if known.iter().any(|(id, of)| *id == replica && of == vm) {
@@ -58,6 +58,16 @@
         self.learned.send_modify(|count| *count += 1);
     }
 
+    /// Notes the replica that a VM names as its own now, which may be one whose disk has come back.
+    pub fn confirm(&self, replica: id::Replica, vm: &id::Vm) {
+        self.learn(replica, vm);
+        let mut known = self.known.lock();
+        if let Some(place) = known.iter().position(|(id, _)| *id == replica) {
+            let confirmed = known.remove(place);
+            known.push(confirmed);
+        }
+    }
+
     /// The name of a replica for the log: that of its VM, or its identity while its VM is unknown.
     pub fn name(&self, replica: id::Replica) -> String {
         self.vm(replica).map_or_else(|| replica.to_string(), |vm| vm.to_string())
@@ -68,7 +78,7 @@
         self.known.lock().iter().find(|(id, _)| *id == replica).map(|(_, vm)| vm.clone())
     }
 
-    /// Whether a replica is the newest known one of its VM; an older one is lost with its disk.
+    /// Whether a replica is the last one that its VM named; one before is lost with its disk.
     pub fn is_current(&self, replica: id::Replica) -> bool {
         let known = self.known.lock();
         let Some((_, vm)) = known.iter().find(|(id, _)| *id == replica) else { return false };
--- a/src/control/routes/tests.rs
+++ b/src/control/routes/tests.rs
@@ -56,3 +56,18 @@
     let lost: Vec<_> = ids.iter().filter(|&&id| routes.vm(id).is_none()).collect();
     assert!(lost.is_empty(), "no route to {lost:?}");
 }
+
+// Guards against a disk that comes back and counts as lost for ever.
+#[test]
+fn an_identity_that_comes_back_is_current_again() {
+    let folder = tempfile::tempdir().unwrap();
+    let routes = Routes::new(folder.path(), &log::silent());
+    let vm: id::Vm = "vm1".parse().unwrap();
+    let [first, second] = [1, 2].map(id::Replica::new);
+    routes.confirm(first, &vm);
+    assert!(routes.is_current(first));
+    routes.confirm(second, &vm);
+    assert!(routes.is_current(second) && !routes.is_current(first));
+    routes.confirm(first, &vm);
+    assert!(routes.is_current(first) && !routes.is_current(second));
+}
--- a/src/control/seat.rs
+++ b/src/control/seat.rs
@@ -210,7 +210,7 @@
     ) -> Result<(), Ended> {
         let mut opened = self.open().await?;
         let own = opened.id;
-        self.shared.routes.learn(own, &self.shared.me);
+        self.shared.routes.confirm(own, &self.shared.me);
         self.tell(&opened);
         if opened.is_empty() {
             match self.form(own).await {
@@ -305,7 +305,7 @@
         });
         let told: Vec<_> = futures::future::join_all(asked).await.into_iter().flatten().collect();
         for (vm, identity) in &told {
-            self.shared.routes.learn(identity.replica, vm);
+            self.shared.routes.confirm(identity.replica, vm);
         }
         told
     }
