--- a/src/group/fetch.rs
+++ b/src/group/fetch.rs
@@ -80,6 +80,7 @@
         if self.snapshot.as_ref() != Some(&chunk.snapshot) {
             self.snapshot = Some(chunk.snapshot.clone());
             self.data.clear();
+            self.next = 0;
         }
         if chunk.offset != self.data.len() as u64 {
             // A repeated piece is dropped. One of a snapshot that has just replaced the first makes it start over.
@@ -94,11 +95,10 @@
         self.ask_ahead(&chunk, now)
     }
 
-    /// Asks for the first piece that is missing.
+    /// Asks for the first piece that is missing. Those after it may be under way on a slow link.
     fn ask_again(&mut self, now: Instant) -> Next {
         self.retry = now + RETRY;
-        self.next = self.data.len() as u64;
-        Next::Ask(self.from, vec![self.message(self.next)])
+        Next::Ask(self.from, vec![self.message(self.data.len() as u64)])
     }
 
     /// Asks for pieces until the window is full; all but the last are as long as this one.
