--- a/src/group/tests.rs
+++ b/src/group/tests.rs
@@ -144,6 +144,8 @@
     let leader = cluster.leader().await;
     let away = (leader + 1) % 3;
     cluster.kill(away, None).await;
+    // Entries are kept for a member that has just responded.
+    sleep(SETTLED).await;
     for key in 0..200 {
         assert_eq!(cluster.propose(|| claim(key, 1)).await, Ok(Reply::Granted));
     }
@@ -338,6 +340,7 @@
     let leader = cluster.leader().await;
     let away = (leader + 1) % 3;
     cluster.kill(away, None).await;
+    sleep(SETTLED).await;
     for key in 0..170 {
         assert_eq!(cluster.propose(|| claim(key, 1)).await, Ok(Reply::Granted));
     }
--- a/src/group/tests/observed.rs
+++ b/src/group/tests/observed.rs
@@ -51,6 +51,8 @@
     let leader = cluster.leader().await;
     let away = (leader + 1) % 3;
     cluster.kill(away, None).await;
+    // Entries are kept for a member that has just responded.
+    sleep(SETTLED).await;
     for key in 0..200 {
         cluster.propose(|| claim(key, 1)).await.expect("a majority");
     }
