--- a/review/stand-2/common.rs
+++ b/review/stand-2/common.rs
@@ -561,6 +561,18 @@
 /// Sends a request on a channel of its own and reads its answer, within the time limit.
 pub fn ask(to: SocketAddr, method: &str, path: &str, id: &str, limit: Duration) -> io::Result<Reply> {
     let mut stream = TcpStream::connect_timeout(&to, Duration::from_secs(1))?;
+    ask_on(&mut stream, method, path, id, limit)
+}
+
+/// The same on a channel that is kept.
+pub fn ask_on(
+    stream: &mut TcpStream,
+    method: &str,
+    path: &str,
+    id: &str,
+    limit: Duration,
+) -> io::Result<Reply> {
+    stream.set_nodelay(true)?;
     stream.set_read_timeout(Some(limit))?;
     let text = format!(
         "{method} {path} HTTP/1.1\r\nHost: {HOST}\r\nX-Request-Id: {id}\r\nX-Deadline-Ms: {}\r\n\
@@ -569,9 +581,9 @@
     );
     stream.write_all(text.as_bytes())?;
     let closed = || io::Error::other("the channel ended without an answer");
-    let (head, rest) = read_head(&mut stream).ok_or_else(closed)?;
+    let (head, rest) = read_head(stream).ok_or_else(closed)?;
     let status = head.split(' ').nth(1).and_then(|text| text.parse().ok()).unwrap_or(0);
-    let body = read_body(&mut stream, &head, rest).ok_or_else(closed)?;
+    let body = read_body(stream, &head, rest).ok_or_else(closed)?;
     Ok(Reply { status, head, body })
 }
 
